--- /dev/null
+++ b/src/dogwoodgap/exceptions.py
@@ -0,0 +1,294 @@
+"""The exception tree of dogwoodgap.
+
+Each kind carries a stable code, an HTTP status, a truthful ``not_run`` value and a message
+that names the remedy. :func:`problem` turns any of them into an RFC 9457 document.
+"""
+
+import typing
+
+import msgspec
+
+NotRun = typing.Literal["true", "false", "unknown"]
+
+
+class Problem(msgspec.Struct, omit_defaults=True):
+    """An RFC 9457 problem document.
+
+    Attributes
+    ----------
+    code : str
+        Stable identifier of the error kind.
+    not_run : bool or str
+        ``True`` when nothing was executed, ``False`` when it was, ``"unknown"`` otherwise.
+    retry_after_s : float
+        Seconds to wait before a repeat; 0 when a repeat does not help.
+    """
+
+    type: str
+    title: str
+    status: int
+    detail: str
+    code: str
+    not_run: bool | str
+    retry_after_s: float = 0.0
+    path: str = ""
+
+
+class DogwoodgapError(Exception):
+    """Base of all errors of this library.
+
+    Parameters
+    ----------
+    detail : str
+        What happened and what the reader can do about it.
+    not_run : {"true", "false", "unknown"}, optional
+        Overrides the default of the kind.
+    retry_after_s : float, optional
+        Seconds after which a repeat may succeed.
+    """
+
+    code = "internal-error"
+    status = 500
+    title = "Internal error"
+    not_run: NotRun = "unknown"
+    retry_after_s = 0.0
+
+    def __init__(
+        self, detail: str, *, not_run: NotRun | None = None, retry_after_s: float | None = None
+    ):
+        super().__init__(detail)
+        self.detail = detail
+        if not_run is not None:
+            self.not_run = not_run
+        if retry_after_s is not None:
+            self.retry_after_s = retry_after_s
+
+
+class InvalidRequestError(DogwoodgapError):
+    """The request does not match the interface; correct it before sending it again."""
+
+    code, status, title, not_run = "invalid-request", 400, "Invalid request", "true"
+
+
+class BodyTooLargeError(InvalidRequestError):
+    """The body exceeds the limit of the node."""
+
+    code, status, title = "body-too-large", 413, "Body too large"
+
+
+class UnauthorizedError(DogwoodgapError):
+    """The bearer key is missing, unknown, expired or revoked."""
+
+    code, status, title, not_run = "unauthorized", 401, "UnauthorizedError", "true"
+
+
+class ForbiddenError(DogwoodgapError):
+    """The key is valid but its role or scope does not allow the request."""
+
+    code, status, title, not_run = "forbidden", 403, "ForbiddenError", "true"
+
+
+class NotFoundError(DogwoodgapError):
+    """A named resource does not exist."""
+
+    code, status, title, not_run = "not-found", 404, "Not found", "true"
+
+
+class UnknownProgramError(NotFoundError):
+    """The program does not exist for this customer."""
+
+    code, title = "unknown-program", "Unknown program"
+
+
+class UnknownProfileError(NotFoundError):
+    """The profile does not exist in the configuration in force."""
+
+    code, title = "unknown-profile", "Unknown profile"
+
+
+class UnknownServiceError(NotFoundError):
+    """The service does not exist in the configuration in force."""
+
+    code, title = "unknown-service", "Unknown service"
+
+
+class UnknownCustomerError(NotFoundError):
+    """The customer does not exist in the configuration in force."""
+
+    code, title = "unknown-customer", "Unknown customer"
+
+
+class ConflictError(DogwoodgapError):
+    """The request contradicts recorded state."""
+
+    code, status, title, not_run = "conflict", 409, "ConflictError", "true"
+
+
+class SequenceConflictError(ConflictError):
+    """The sequence number was used before with another body."""
+
+    code, title = "sequence-conflict", "Sequence number used with another body"
+
+
+class SequenceGapError(ConflictError):
+    """The sequence number is not the next one of the program."""
+
+    code, title = "sequence-gap", "Sequence number out of order"
+
+
+class KeyConflictError(ConflictError):
+    """The idempotency key was used before with another body."""
+
+    code, title = "key-conflict", "Idempotency key used with another body"
+
+
+class ProgramFinishedError(ConflictError):
+    """The program has ended and accepts no further work."""
+
+    code, title = "program-finished", "Program finished"
+
+
+class ProgramLimitError(ProgramFinishedError):
+    """A limit of the profile ended the program."""
+
+    code, title = "program-limit", "Program ended by a limit of its profile"
+
+
+class ConfigurationConflictError(ConflictError):
+    """Another operator changed the configuration first."""
+
+    code, status, title = "configuration-conflict", 412, "Configuration changed meanwhile"
+
+
+class BudgetExceededError(DogwoodgapError):
+    """The program's budget does not cover the call."""
+
+    code, status, title, not_run = "budget-exceeded", 402, "Budget exceeded", "true"
+
+
+class OverloadedError(DogwoodgapError):
+    """The system cannot finish the request in time, so it was not started."""
+
+    code, status, title, not_run = "overloaded", 503, "OverloadedError", "true"
+    retry_after_s = 1.0
+
+
+class CustomerLimitError(DogwoodgapError):
+    """The customer's rate or concurrency limit is used up."""
+
+    code, status, title, not_run = "customer-limit", 429, "Customer limit reached", "true"
+    retry_after_s = 1.0
+
+
+class QuarantinedError(DogwoodgapError):
+    """The same request crashed runners before and is refused."""
+
+    code, status, title, not_run = "quarantined", 422, "Request quarantined", "true"
+
+
+class DeadlinePassedError(DogwoodgapError):
+    """The deadline passed before the request was sent to a runner."""
+
+    code, status, title, not_run = "deadline-passed", 504, "Deadline passed", "true"
+
+
+class OutcomeUnknownError(DogwoodgapError):
+    """The action was sent, and its outcome could not be learned."""
+
+    code, status, title, not_run = "outcome-unknown", 502, "Outcome unknown", "unknown"
+
+
+class RunnerFailedError(DogwoodgapError):
+    """The runner failed while it executed the request."""
+
+    code, status, title, not_run = "runner-failed", 502, "Runner failed", "unknown"
+
+
+class RunnerUnreachableError(RunnerFailedError):
+    """No connection to the runner could be opened, so not one byte was sent."""
+
+    code, title, not_run = "runner-unreachable", "Runner unreachable", "true"
+
+
+class NotOwnerError(DogwoodgapError):
+    """The node does not own the shard and could not reach the owner."""
+
+    code, status, title, not_run = "not-owner", 503, "Owner not reachable", "true"
+    retry_after_s = 0.5
+
+
+class NotReadyError(DogwoodgapError):
+    """The node is starting or stopping."""
+
+    code, status, title, not_run = "not-ready", 503, "Node not ready", "true"
+    retry_after_s = 0.5
+
+
+class StoreError(DogwoodgapError):
+    """Base of errors of the platform's object store."""
+
+    code, status, title = "store-error", 503, "Platform store error"
+
+
+class StoreUnavailableError(StoreError):
+    """The store did not answer; a write may or may not have taken effect."""
+
+    code, title, retry_after_s = "store-unavailable", "Platform store unavailable", 1.0
+
+
+class VersionConflictError(StoreError):
+    """A conditional write found another version."""
+
+    code, status, title, not_run = "version-conflict", 409, "Version conflict", "true"
+
+
+class ObjectMissingError(StoreError):
+    """The object does not exist."""
+
+    code, status, title, not_run = "object-missing", 404, "Object missing", "true"
+
+
+class JournalSealedError(StoreError):
+    """Another node took over this node's journal."""
+
+    code, title, retry_after_s = "journal-sealed", "Journal sealed by a successor", 0.5
+
+
+class SettingsInvalidError(DogwoodgapError):
+    """A settings or configuration document is invalid; the old one stays in force."""
+
+    code, status, title, not_run = "settings-invalid", 422, "Invalid settings", "true"
+
+
+NOT_RUN_VALUES: dict[str, bool | str] = {"true": True, "false": False, "unknown": "unknown"}
+
+
+def problem(error: DogwoodgapError) -> Problem:
+    """Return the problem document of an error."""
+    return Problem(
+        type=f"urn:dogwoodgap:error:{error.code}",
+        title=error.title,
+        status=error.status,
+        detail=error.detail,
+        code=error.code,
+        not_run=NOT_RUN_VALUES[error.not_run],
+        retry_after_s=error.retry_after_s,
+    )
+
+
+def kinds(base: type[DogwoodgapError] = DogwoodgapError) -> list[type[DogwoodgapError]]:
+    """Return all error kinds below ``base``, sorted by code."""
+    found = {base.code: base}
+    for child in base.__subclasses__():
+        found |= {kind.code: kind for kind in kinds(child)}
+    return [found[code] for code in sorted(found)]
+
+
+def from_problem(document: Problem) -> DogwoodgapError:
+    """Return the error that a received problem document describes."""
+    by_code = {kind.code: kind for kind in kinds()}
+    kind = by_code.get(document.code, DogwoodgapError)
+    names: dict[bool | str, NotRun] = {True: "true", False: "false", "unknown": "unknown"}
+    return kind(
+        document.detail, not_run=names[document.not_run], retry_after_s=document.retry_after_s
+    )
--- /dev/null
+++ b/src/dogwoodgap/records.py
@@ -0,0 +1,212 @@
+"""Records of the journal.
+
+A segment is a list of records. Replaying all records of a journal in order rebuilds the state
+of its node.
+"""
+
+import zlib
+
+import msgspec
+
+from dogwoodgap import structures
+
+
+class Record(msgspec.Struct, tag=True, omit_defaults=True):
+    """Base of all records; the tag is the class name."""
+
+
+class ProgramCreated(Record):
+    """A program began. Times are wall time in seconds."""
+
+    customer: str
+    program: str
+    service: str
+    profile: str
+    budget_tokens: int
+    created_at: float
+    deadline_at: float
+    parent: str = ""
+
+
+class CallStarted(Record):
+    """A model call was accepted and its budget reserved."""
+
+    customer: str
+    program: str
+    seq: int
+    digest: str
+    reserved_tokens: int
+    at: float
+
+
+class CallFinished(Record):
+    """A model call finished; its reservation is settled."""
+
+    customer: str
+    program: str
+    turn: structures.Turn
+
+
+class CallFailed(Record):
+    """A model call ended without a turn; the same sequence number may be used again."""
+
+    customer: str
+    program: str
+    seq: int
+    digest: str
+    charged_tokens: int
+    code: str
+    at: float
+
+
+class ActionStarted(Record):
+    """The program's owner accepted an action of the program."""
+
+    customer: str
+    program: str
+    seq: int
+    digest: str
+    key: str
+    at: float
+
+
+class ActionFinished(Record):
+    """The program's owner learned the result of an action."""
+
+    customer: str
+    program: str
+    seq: int
+    digest: str
+    result: structures.ActionResult
+    at: float
+
+
+class ActionIntent(Record):
+    """The key's owner is about to send a non-idempotent request."""
+
+    customer: str
+    key: str
+    digest: str
+    token: str
+    service: str
+    path: str
+    at: float
+
+
+class ActionOutcome(Record):
+    """The key's owner knows how a non-idempotent request ended."""
+
+    customer: str
+    key: str
+    digest: str
+    result: structures.ActionResult
+    at: float
+
+
+class ProgramTouched(Record):
+    """A heartbeat extended the idle limit."""
+
+    customer: str
+    program: str
+    at: float
+
+
+class ProgramEnded(Record):
+    """A program ended, was cancelled, or hit a limit."""
+
+    customer: str
+    program: str
+    status: str
+    reason: str
+    at: float
+
+
+class ShardAcquired(Record):
+    """All state of a shard was imported into this journal."""
+
+    shard: int
+    generation: int
+
+
+class ShardReleased(Record):
+    """The owner gave the shard up; later records do not concern it."""
+
+    shard: int
+    generation: int
+
+
+class Imported(Record):
+    """State taken over from another journal, encoded by :mod:`dogwoodgap.programs`."""
+
+    shard: int
+    state: bytes
+
+
+class Suspected(Record):
+    """A request digest was in flight on a runner that crashed."""
+
+    digest: str
+    crashes: int
+
+
+AnyRecord = (
+    ProgramCreated
+    | CallStarted
+    | CallFinished
+    | CallFailed
+    | ActionStarted
+    | ActionFinished
+    | ActionIntent
+    | ActionOutcome
+    | ProgramTouched
+    | ProgramEnded
+    | ShardAcquired
+    | ShardReleased
+    | Imported
+    | Suspected
+)
+
+
+class Segment(msgspec.Struct):
+    """One object of a journal.
+
+    Attributes
+    ----------
+    nonce : str
+        Identifies the writer's attempt, so that a lost reply can be settled by reading back.
+    sealed_by : str
+        ``node/boot`` of the successor when the segment is a seal.
+    """
+
+    nonce: str
+    records: list[AnyRecord] = []
+    sealed_by: str = ""
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Segment)
+COMPRESSION_LEVEL = 1
+
+
+def encode_segment(segment: Segment) -> bytes:
+    """Return the compressed form of a segment."""
+    return zlib.compress(_encoder.encode(segment), COMPRESSION_LEVEL)
+
+
+def decode_segment(data: bytes) -> Segment:
+    """Return the segment encoded in ``data``.
+
+    Raises
+    ------
+    ValueError
+        When the data is damaged.
+    """
+    try:
+        return _decoder.decode(zlib.decompress(data))
+    except (zlib.error, msgspec.DecodeError) as error:
+        raise ValueError(f"damaged journal segment: {error}") from error
+
+
+def encoded_size(record: Record) -> int:
+    """Return the uncompressed size of a record in bytes."""
+    return len(_encoder.encode(record))
--- /dev/null
+++ b/src/dogwoodgap/settings.py
@@ -0,0 +1,133 @@
+"""Settings of a node: TOML file, then environment, then flags."""
+
+import collections.abc
+import os
+import pathlib
+import tomllib
+import typing
+
+import pydantic
+
+from dogwoodgap import exceptions, models
+
+ENVIRONMENT_PREFIX = "DOGWOODGAP_"
+
+
+class NodeSection(models.Model):
+    """Identity and addresses of the node."""
+
+    name: models.Name
+    data_centre: models.Name
+    region: str = "default"
+    http_bind: str = "127.0.0.1:8080"
+    http_address: str = ""
+    peer_bind: str = "127.0.0.1:7080"
+    peer_address: str = ""
+    seeds: list[str] = pydantic.Field(default_factory=list)
+    data_folder: str = ""
+    max_body_bytes: int = pydantic.Field(default=8 * 1024 * 1024, ge=1024)
+
+
+class PlatformSection(models.Model):
+    """The platform's object API."""
+
+    url: str = pydantic.Field(pattern=r"^https?://")
+    writes_per_s: float = pydantic.Field(default=300.0, gt=0)
+    reads_per_s: float = pydantic.Field(default=2_000.0, gt=0)
+    timeout_s: float = pydantic.Field(default=1.0, gt=0)
+    watches_per_data_centre: int = pydantic.Field(default=2, ge=1)
+
+
+class TlsSection(models.Model):
+    """Certificates; empty paths turn TLS off."""
+
+    certificate: str = ""
+    key: str = ""
+    client_authority: str = ""
+
+
+class StatsdSection(models.Model):
+    """Where metrics go; an empty host turns them off."""
+
+    host: str = ""
+    port: int = 8125
+    prefix: str = "dogwoodgap"
+
+
+class LogSection(models.Model):
+    """Log level."""
+
+    level: typing.Literal["debug", "info", "warning", "error"] = "info"
+
+
+class MembershipSection(models.Model):
+    """Failure detection between nodes."""
+
+    ping_interval_s: float = pydantic.Field(default=0.5, gt=0)
+    suspect_after_s: float = pydantic.Field(default=1.5, gt=0)
+    dead_after_s: float = pydantic.Field(default=3.0, gt=0)
+    discovery_ttl_s: float = pydantic.Field(default=5.0, gt=0)
+
+
+class AdminSection(models.Model):
+    """Access before the first configuration exists."""
+
+    bootstrap_key_digest: str = pydantic.Field(default="", pattern=r"^([0-9a-f]{64})?$")
+
+
+class NodeSettings(models.Model):
+    """All settings of ``dogwoodgap-node``."""
+
+    node: NodeSection
+    platform: PlatformSection
+    tls: TlsSection = pydantic.Field(default_factory=TlsSection)
+    statsd: StatsdSection = pydantic.Field(default_factory=StatsdSection)
+    log: LogSection = pydantic.Field(default_factory=LogSection)
+    membership: MembershipSection = pydantic.Field(default_factory=MembershipSection)
+    admin: AdminSection = pydantic.Field(default_factory=AdminSection)
+
+
+def load(
+    path: str | os.PathLike[str],
+    environment: collections.abc.Mapping[str, str] | None = None,
+    overrides: collections.abc.Mapping[str, str] | None = None,
+) -> NodeSettings:
+    """Read and validate a settings file.
+
+    Parameters
+    ----------
+    path : path
+        The TOML file.
+    environment : mapping, optional
+        Variables named ``DOGWOODGAP_SECTION__FIELD`` replace values of the file.
+    overrides : mapping, optional
+        ``section.field`` to value; replaces the environment.
+
+    Raises
+    ------
+    SettingsInvalidError
+        With path, value and remedy; nothing is applied.
+    """
+    try:
+        document = tomllib.loads(pathlib.Path(path).read_text(encoding="utf-8"))
+    except OSError as error:
+        raise exceptions.SettingsInvalidError(
+            f"{path}: cannot be read ({error.strerror}); name a readable TOML file"
+        ) from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise exceptions.SettingsInvalidError(
+            f"{path}: not valid TOML ({error}); correct it"
+        ) from error
+    for variable, value in sorted((environment or {}).items()):
+        if variable.startswith(ENVIRONMENT_PREFIX) and "__" in variable:
+            section, field = variable.removeprefix(ENVIRONMENT_PREFIX).lower().split("__", 1)
+            document.setdefault(section, {})[field] = value
+    for dotted, value in (overrides or {}).items():
+        section, _, field = dotted.partition(".")
+        document.setdefault(section, {})[field] = value
+    try:
+        return NodeSettings.model_validate(document)
+    except pydantic.ValidationError as error:
+        raise exceptions.SettingsInvalidError(
+            f"{path}: correct {models.describe(error)}"
+        ) from error
--- /dev/null
+++ b/src/dogwoodgap_lab/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, load, checks and experiments for dogwoodgap."""
--- /dev/null
+++ b/src/dogwoodgap_wire/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/thrift/dogwoodgap.thrift
@@ -0,0 +1,84 @@
+// Messages between dogwoodgap nodes (compact protocol, 4-byte length frames).
+namespace py dogwoodgap_wire
+
+enum MemberStatus { ALIVE = 1, SUSPECT = 2, LEAVING = 3, DEAD = 4 }
+
+struct Member {
+  1: string node,
+  2: string boot,
+  3: string data_centre,
+  4: string http_address,
+  5: string peer_address,
+  6: i64 incarnation,
+  7: MemberStatus status,
+}
+
+struct ServiceLoad {
+  1: string service_name,
+  2: i32 queued,
+  3: i32 running,
+}
+
+struct RunnerLoad {
+  1: string runner,
+  2: i32 in_flight,
+  3: i64 sent_tokens,
+}
+
+struct Hello {
+  1: Member member,
+  2: i32 protocol_version,
+}
+
+struct Ping {
+  1: list<Member> changes,
+  2: i64 configuration_generation,
+  3: i64 assignment_version,
+  4: list<ServiceLoad> services,
+  5: list<RunnerLoad> runners,
+  6: i64 incarnation,
+  7: bool leaving,
+}
+
+struct PingReply {
+  1: list<Member> changes,
+  2: i64 configuration_generation,
+  3: i64 assignment_version,
+  4: i64 incarnation,
+  5: bool leaving,
+}
+
+struct ProbeRequest { 1: string node, 2: string peer_address }
+struct ProbeReply { 1: string node, 2: bool reachable }
+
+struct ConfigurationFetch { 1: i64 known_generation }
+struct ConfigurationReply { 1: i64 generation, 2: binary document }
+
+struct ShareRequest { 1: string customer, 2: string node, 3: double demand }
+struct ShareReply { 1: string customer, 2: double rate, 3: i32 concurrency, 4: double ttl_seconds }
+
+struct SuspectNotice { 1: string digest, 2: i32 crashes, 3: string runner }
+struct RunnerNotice { 1: string service_name, 2: string runner, 3: bool leaving, 4: bool down }
+
+struct Ack { 1: bool ok }
+
+union Message {
+  1: Hello hello,
+  2: Ping ping,
+  3: PingReply ping_reply,
+  4: ProbeRequest probe_request,
+  5: ProbeReply probe_reply,
+  6: ConfigurationFetch configuration_fetch,
+  7: ConfigurationReply configuration_reply,
+  8: ShareRequest share_request,
+  9: ShareReply share_reply,
+  10: SuspectNotice suspect_notice,
+  11: RunnerNotice runner_notice,
+  12: Ack ack,
+}
+
+struct Envelope {
+  1: i64 request_id,
+  2: bool reply,
+  3: Message message,
+}
