Serve one streamed call through one node, with stand-ins

A call crosses a real node process: HTTP in, budget reserved and start record journalled, engine stream, turn journalled, done event. The platform, engine and plain service stand-ins run as processes.

--- /dev/null
+++ b/src/dogwoodgap/objectstore.py
@@ -0,0 +1,212 @@
+"""The platform's object store: one small interface and its HTTP adapter."""
+
+import dataclasses
+import typing
+import urllib.parse
+
+import anyio
+import httpx
+import msgspec
+
+from dogwoodgap import clock, exceptions
+
+ABSENT = 0
+"""Expected version of an object that must not exist yet."""
+
+MAX_OBJECT_BYTES = 1_000_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredObject:
+    """An object and the version that the store gave it."""
+
+    key: str
+    version: int
+    data: bytes
+
+
+class ObjectInfo(msgspec.Struct, frozen=True):
+    """Key and version of an object in a listing."""
+
+    key: str
+    version: int
+
+
+class ObjectPage(msgspec.Struct, frozen=True):
+    """One page of a listing; ``after`` continues it and is empty at the end."""
+
+    objects: list[ObjectInfo]
+    after: str = ""
+
+
+class Change(msgspec.Struct, frozen=True):
+    """One change seen by a watch."""
+
+    key: str
+    version: int
+    deleted: bool = False
+
+
+class ChangePage(msgspec.Struct, frozen=True):
+    """Changes of a watch; ``cursor`` continues it."""
+
+    changes: list[Change]
+    cursor: int
+
+
+class Vm(msgspec.Struct, frozen=True):
+    """One row of the platform's list of VMs, which lags."""
+
+    name: str
+    address: str
+    leaving: bool = False
+
+
+class ObjectStore(typing.Protocol):
+    """What the node needs of the platform."""
+
+    async def get(self, key: str) -> StoredObject:
+        """Return an object or raise :class:`exceptions.ObjectMissingError`."""
+
+    async def put(self, key: str, data: bytes, *, expected: int | None = None) -> int:
+        """Write an object, conditional on its version, and return the new version."""
+
+    async def delete(self, key: str) -> None:
+        """Delete an object; deleting a missing one is not an error."""
+
+    async def list_page(self, prefix: str, *, after: str = "", limit: int = 1000) -> ObjectPage:
+        """Return keys below a prefix in order."""
+
+    async def watch(self, prefix: str, *, since: int, timeout_s: float) -> ChangePage:
+        """Wait for changes below a prefix after ``since``."""
+
+    async def vms(self) -> list[Vm]:
+        """Return the lagging list of VMs."""
+
+
+class RateBucket:
+    """A token bucket that delays callers instead of refusing them.
+
+    Parameters
+    ----------
+    rate_per_s : float
+        Sustained rate.
+    burst : float
+        Calls that may pass at once after a pause.
+    """
+
+    def __init__(self, rate_per_s: float, burst: float):
+        self.rate_per_s = rate_per_s
+        self.burst = burst
+        self.level = burst
+        self.updated_at: float | None = None
+
+    def refill(self) -> None:
+        """Add what the elapsed time allows."""
+        now = clock.now()
+        if self.updated_at is not None:
+            self.level = min(self.burst, self.level + (now - self.updated_at) * self.rate_per_s)
+        self.updated_at = now
+
+    async def take(self) -> None:
+        """Wait until one call may pass."""
+        self.refill()
+        self.level -= 1.0
+        if self.level < 0.0:
+            await anyio.sleep(-self.level / self.rate_per_s)
+
+
+class HttpObjectStore:
+    """Talk to the platform's HTTP object API.
+
+    Parameters
+    ----------
+    client : httpx.AsyncClient
+        A client whose base URL is the platform.
+    timeout_s : float
+        Time limit of one request; a watch adds its own waiting time.
+    """
+
+    def __init__(self, client: httpx.AsyncClient, timeout_s: float = 1.0):
+        self.client = client
+        self.timeout_s = timeout_s
+
+    async def request(
+        self, method: str, path: str, *, extra_s: float = 0.0, **options: typing.Any
+    ) -> httpx.Response:
+        """Send one request and map failures to typed errors."""
+        try:
+            with anyio.fail_after(self.timeout_s + extra_s):
+                reply = await self.client.request(method, path, **options)
+        except (httpx.HTTPError, TimeoutError) as error:
+            raise exceptions.StoreUnavailableError(
+                f"platform did not answer {method} {path} ({type(error).__name__}); "
+                "read back before repeating a write"
+            ) from error
+        if reply.status_code == httpx.codes.NOT_FOUND:
+            raise exceptions.ObjectMissingError(f"object {path} does not exist; create it first")
+        if reply.status_code == httpx.codes.PRECONDITION_FAILED:
+            raise exceptions.VersionConflictError(
+                f"object {path} has another version; read it and apply the change again"
+            )
+        if reply.status_code >= httpx.codes.BAD_REQUEST:
+            raise exceptions.StoreUnavailableError(
+                f"platform answered {reply.status_code} to {method} {path}; repeat later"
+            )
+        return reply
+
+    async def get(self, key: str) -> StoredObject:
+        """Return an object."""
+        reply = await self.request("GET", f"/objects/{urllib.parse.quote(key)}")
+        return StoredObject(key, int(reply.headers["etag"].strip('"')), reply.content)
+
+    async def put(self, key: str, data: bytes, *, expected: int | None = None) -> int:
+        """Write an object and return its new version."""
+        if len(data) > MAX_OBJECT_BYTES:
+            raise exceptions.StoreError(
+                f"object {key} has {len(data)} bytes; split it, the limit is {MAX_OBJECT_BYTES}"
+            )
+        headers = {}
+        if expected == ABSENT:
+            headers["If-None-Match"] = "*"
+        elif expected is not None:
+            headers["If-Match"] = f'"{expected}"'
+        path = f"/objects/{urllib.parse.quote(key)}"
+        reply = await self.request("PUT", path, content=data, headers=headers)
+        return int(reply.headers["etag"].strip('"'))
+
+    async def delete(self, key: str) -> None:
+        """Delete an object."""
+        try:
+            await self.request("DELETE", f"/objects/{urllib.parse.quote(key)}")
+        except exceptions.ObjectMissingError:
+            return
+
+    async def list_page(self, prefix: str, *, after: str = "", limit: int = 1000) -> ObjectPage:
+        """Return one page of keys below a prefix."""
+        params = {"prefix": prefix, "after": after, "limit": limit}
+        reply = await self.request("GET", "/list", params=params)
+        return msgspec.json.decode(reply.content, type=ObjectPage)
+
+    async def watch(self, prefix: str, *, since: int, timeout_s: float) -> ChangePage:
+        """Wait for changes below a prefix."""
+        params = {"prefix": prefix, "since": since, "timeout": timeout_s}
+        reply = await self.request("GET", "/watch", params=params, extra_s=timeout_s)
+        return msgspec.json.decode(reply.content, type=ChangePage)
+
+    async def vms(self) -> list[Vm]:
+        """Return the lagging list of VMs."""
+        reply = await self.request("GET", "/vms")
+        return msgspec.json.decode(reply.content, type=list[Vm])
+
+
+async def list_all(store: ObjectStore, prefix: str) -> list[ObjectInfo]:
+    """Return all keys below a prefix."""
+    found: list[ObjectInfo] = []
+    after = ""
+    while True:
+        page = await store.list_page(prefix, after=after)
+        found.extend(page.objects)
+        if not page.after:
+            return found
+        after = page.after
--- /dev/null
+++ b/src/dogwoodgap_lab/platform_server.py
@@ -0,0 +1,109 @@
+"""The platform stand-in: the object table over HTTP, with faults switched at ``/faults``."""
+
+import collections.abc
+import typing
+
+import msgspec
+from starlette import applications, requests, responses, routing
+
+from dogwoodgap import exceptions, objectstore
+from dogwoodgap_lab import objects
+
+STATUS_OF_ERROR: dict[type[exceptions.DogwoodgapError], int] = {
+    exceptions.ObjectMissingError: 404,
+    exceptions.VersionConflictError: 412,
+    exceptions.StoreUnavailableError: 503,
+}
+
+Handler = collections.abc.Callable[
+    [requests.Request], collections.abc.Awaitable[responses.Response]
+]
+
+
+def encoded(value: typing.Any) -> responses.Response:
+    """Return a JSON response."""
+    return responses.Response(msgspec.json.encode(value), media_type="application/json")
+
+
+class PlatformServer:
+    """HTTP routes over an object table."""
+
+    def __init__(self, table: objects.ObjectTable):
+        self.table = table
+
+    async def get(self, request: requests.Request) -> responses.Response:
+        """Handle ``GET /objects/{key}``."""
+        stored = await self.table.get(request.path_params["key"])
+        return responses.Response(stored.data, headers={"ETag": f'"{stored.version}"'})
+
+    async def put(self, request: requests.Request) -> responses.Response:
+        """Handle ``PUT /objects/{key}`` with its conditions."""
+        data = await request.body()
+        expected = None
+        if request.headers.get("if-none-match") == "*":
+            expected = objectstore.ABSENT
+        elif "if-match" in request.headers:
+            expected = int(request.headers["if-match"].strip('"'))
+        if len(data) > objectstore.MAX_OBJECT_BYTES:
+            return responses.Response("value too large", 413)
+        version = await self.table.put(request.path_params["key"], data, expected=expected)
+        return responses.Response(status_code=200, headers={"ETag": f'"{version}"'})
+
+    async def delete(self, request: requests.Request) -> responses.Response:
+        """Handle ``DELETE /objects/{key}``."""
+        await self.table.delete(request.path_params["key"])
+        return responses.Response(status_code=204)
+
+    async def list_page(self, request: requests.Request) -> responses.Response:
+        """Handle ``GET /list``."""
+        query = request.query_params
+        limit = int(query.get("limit", "1000"))
+        page = await self.table.list_page(
+            query["prefix"], after=query.get("after", ""), limit=limit
+        )
+        return encoded(page)
+
+    async def watch(self, request: requests.Request) -> responses.Response:
+        """Handle ``GET /watch``."""
+        query = request.query_params
+        page = await self.table.watch(
+            query["prefix"], since=int(query["since"]), timeout_s=float(query["timeout"])
+        )
+        return encoded(page)
+
+    async def vms(self, request: requests.Request) -> responses.Response:
+        """Handle ``GET /vms``."""
+        return encoded(await self.table.vms())
+
+    async def set_faults(self, request: requests.Request) -> responses.Response:
+        """Handle ``PUT /faults``."""
+        faults = msgspec.json.decode(await request.body(), type=objects.StoreFaults)
+        self.table.faults = faults
+        return encoded(faults)
+
+    async def get_stats(self, request: requests.Request) -> responses.Response:
+        """Handle ``GET /stats``: the number of calls of each kind."""
+        return encoded(self.table.calls)
+
+
+async def on_error(request: requests.Request, error: Exception) -> responses.Response:
+    """Map a store error to its HTTP status."""
+    return responses.Response(str(error), STATUS_OF_ERROR.get(type(error), 500))
+
+
+def build(table: objects.ObjectTable) -> applications.Starlette:
+    """Return the ASGI application of the platform stand-in."""
+    server = PlatformServer(table)
+    return applications.Starlette(
+        routes=[
+            routing.Route("/objects/{key:path}", server.get, methods=["GET"]),
+            routing.Route("/objects/{key:path}", server.put, methods=["PUT"]),
+            routing.Route("/objects/{key:path}", server.delete, methods=["DELETE"]),
+            routing.Route("/list", server.list_page),
+            routing.Route("/watch", server.watch),
+            routing.Route("/vms", server.vms),
+            routing.Route("/faults", server.set_faults, methods=["PUT"]),
+            routing.Route("/stats", server.get_stats),
+        ],
+        exception_handlers={exceptions.DogwoodgapError: on_error},
+    )
--- /dev/null
+++ b/tests/test_journal.py
@@ -0,0 +1,83 @@
+"""Failures of journal writes: lost replies, outages and sealing."""
+
+import anyio
+import pytest
+import trio.testing
+
+from dogwoodgap import clock, exceptions, journal, objectstore, records
+from dogwoodgap_lab import objects
+
+
+def run(main):
+    """Run a coroutine function on virtual time."""
+    anyio.run(
+        main,
+        backend="trio",
+        backend_options={"clock": trio.testing.MockClock(autojump_threshold=0)},
+    )
+
+
+def new_journal(table: objects.ObjectTable) -> journal.Journal:
+    return journal.Journal(table, "n1", "b1", objectstore.RateBucket(100.0, 4.0))
+
+
+def touched(number: int) -> records.Record:
+    return records.ProgramTouched(customer="c", program="p", at=float(number))
+
+
+def test_lost_replies_store_each_record_once():
+    """Guards against a record that is written twice after a lost reply."""
+
+    async def main():
+        table = objects.ObjectTable(seed=3)
+        table.faults.lost_replies = 0.5
+        log = new_journal(table)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(log.run)
+            for number in range(40):
+                await log.append(touched(number))
+            tasks.cancel_scope.cancel()
+        segments = await journal.replay(table, "n1", "b1")
+        stored = [record.at for segment in segments for record in segment.records]
+        assert stored == [float(number) for number in range(40)]
+
+    run(main)
+
+
+def test_sealed_journal_acknowledges_nothing():
+    """Guards against a paused owner that acknowledges after its successor sealed."""
+
+    async def main():
+        table = objects.ObjectTable()
+        log = new_journal(table)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(log.run)
+            await log.append(touched(1))
+            await journal.seal(table, "n1", "b1", 1, "n2/b2")
+            with pytest.raises(exceptions.JournalSealedError):
+                await log.append(touched(2))
+            tasks.cancel_scope.cancel()
+
+    run(main)
+
+
+def test_outage_delays_the_commit_until_the_store_returns():
+    """Guards against an acknowledgement, or a lost record, during an outage."""
+
+    async def main():
+        table = objects.ObjectTable()
+        log = new_journal(table)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(log.run)
+            table.faults.outage = True
+            commit = log.stage(touched(1))
+            with anyio.move_on_after(600):
+                await commit.wait()
+            assert not commit.stored.is_set()
+            table.faults.outage = False
+            before = clock.now()
+            await commit.wait()
+            assert clock.now() - before <= journal.MAX_RETRY_DELAY_S
+            tasks.cancel_scope.cancel()
+
+    run(main)
