--- /dev/null
+++ b/src/dogwoodgap_lab/deployments.py
@@ -0,0 +1,216 @@
+"""The two deployments of the design page, laid out on loopback addresses."""
+
+import dataclasses
+import hashlib
+import json
+import pathlib
+import shlex
+
+import tomli_w
+
+from dogwoodgap import models
+
+PLATFORM_OFFSET = 0
+HTTP_OFFSET = 100
+PEER_OFFSET = 200
+MODEL_OFFSET = 300
+PLAIN_OFFSET = 400
+PLAIN_STRIDE = 20
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Deployment:
+    """One deployment: its customer, data centres, services and runner counts."""
+
+    name: str
+    data_centres: list[str]
+    model_service: str
+    model_runners: int
+    plain_service: str
+    plain_runners: int
+    entry_vms: int
+    latency_weight: float
+    cache_weight: float
+    time_zone: str
+
+    @property
+    def token(self) -> str:
+        """Return the caller's bearer token; only for tests on loopback."""
+        return f"{self.name}-caller-token"
+
+
+ORECHOV = Deployment(
+    name="orechov",
+    data_centres=["brno-a", "brno-b", "znojmo"],
+    model_service="hull-llm",
+    model_runners=5,
+    plain_service="hull-actions",
+    plain_runners=5,
+    entry_vms=7,
+    latency_weight=4.0,
+    cache_weight=1.0,
+    time_zone="Europe/Prague",
+)
+
+LAKESHORE = Deployment(
+    name="lakeshore",
+    data_centres=["lakes-a", "lakes-b", "lakes-c"],
+    model_service="agent-llm",
+    model_runners=5,
+    plain_service="crew-app",
+    plain_runners=4,
+    entry_vms=9,
+    latency_weight=1.0,
+    cache_weight=4.0,
+    time_zone="America/Chicago",
+)
+
+DEPLOYMENTS = {ORECHOV.name: ORECHOV, LAKESHORE.name: LAKESHORE}
+ADMIN_TOKEN = "loopback-administrator-token"
+
+
+def digest(token: str) -> str:
+    """Return the stored form of a bearer token."""
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Layout:
+    """Where every process of a test fleet listens."""
+
+    folder: pathlib.Path
+    deployments: list[Deployment]
+    node_count: int
+    base_port: int
+
+    @property
+    def platform_url(self) -> str:
+        """Return the platform's base URL."""
+        return f"http://127.0.0.1:{self.base_port + PLATFORM_OFFSET}"
+
+    def node_name(self, index: int) -> str:
+        """Return the name of a node."""
+        return f"node{index + 1}"
+
+    def http_address(self, index: int) -> str:
+        """Return host and port for callers of a node."""
+        return f"127.0.0.1:{self.base_port + HTTP_OFFSET + index}"
+
+    def peer_address(self, index: int) -> str:
+        """Return host and port for other nodes."""
+        return f"127.0.0.1:{self.base_port + PEER_OFFSET + index}"
+
+    def entries(self) -> list[str]:
+        """Return the base URLs of all nodes."""
+        return [f"http://{self.http_address(index)}" for index in range(self.node_count)]
+
+    def model_ports(self, index: int) -> list[int]:
+        """Return the ports of a deployment's engines."""
+        first = self.base_port + MODEL_OFFSET + index * PLAIN_STRIDE
+        return [first + number for number in range(self.deployments[index].model_runners)]
+
+    def plain_ports(self, index: int) -> list[int]:
+        """Return the ports of a deployment's plain runners."""
+        first = self.base_port + PLAIN_OFFSET + index * PLAIN_STRIDE
+        return [first + number for number in range(self.deployments[index].plain_runners)]
+
+    def data_centre(self, index: int) -> str:
+        """Return a node's data centre; nodes are spread evenly."""
+        centres = [name for item in self.deployments for name in item.data_centres]
+        return centres[index % len(centres)]
+
+
+def runners(service: str, ports: list[int], centres: list[str]) -> list[models.Runner]:
+    """Return the runners of a service, spread over its data centres."""
+    return [
+        models.Runner(
+            id=f"{service}-{number + 1}",
+            address=f"http://127.0.0.1:{port}",
+            data_centre=centres[number % len(centres)],
+        )
+        for number, port in enumerate(ports)
+    ]
+
+
+def configuration(layout: Layout) -> models.FleetConfiguration:
+    """Return the fleet configuration of a layout."""
+    document = models.FleetConfiguration(generation=1)
+    document.keys["administrator"] = models.Key(digest=digest(ADMIN_TOKEN), role="administrator")
+    for index, item in enumerate(layout.deployments):
+        profile = models.Profile(latency_weight=item.latency_weight, cache_weight=item.cache_weight)
+        document.profiles[item.name] = profile
+        document.services[item.model_service] = models.Service(
+            kind="model",
+            profile=item.name,
+            time_zone=item.time_zone,
+            runners=runners(item.model_service, layout.model_ports(index), item.data_centres),
+        )
+        document.services[item.plain_service] = models.Service(
+            kind="plain",
+            profile=item.name,
+            time_zone=item.time_zone,
+            answers_outcomes=True,
+            runners=runners(item.plain_service, layout.plain_ports(index), item.data_centres),
+        )
+        document.customers[item.name] = models.Customer()
+        document.keys[f"{item.name}-caller"] = models.Key(
+            digest=digest(item.token), customer=item.name
+        )
+    return models.FleetConfiguration.model_validate(document.model_dump())
+
+
+def node_settings(layout: Layout, index: int) -> dict[str, dict[str, object]]:
+    """Return the settings document of a node."""
+    return {
+        "node": {
+            "name": layout.node_name(index),
+            "data_centre": layout.data_centre(index),
+            "http_bind": layout.http_address(index),
+            "peer_bind": layout.peer_address(index),
+            "seeds": [layout.peer_address(other) for other in range(min(3, layout.node_count))],
+        },
+        "platform": {"url": layout.platform_url},
+        "admin": {"bootstrap_key_digest": digest(ADMIN_TOKEN)},
+    }
+
+
+def binds(ports: list[int]) -> str:
+    """Return the listen options of a process that serves several runners."""
+    return " ".join(f"--bind 127.0.0.1:{port}" for port in ports)
+
+
+def write(layout: Layout, engine_options: str = "", seed: int = 0) -> None:
+    """Write settings, the fleet configuration and the list of processes.
+
+    The file ``processes`` has one line per process: name, kind (``node`` or ``lab``) and command.
+    """
+    layout.folder.mkdir(parents=True, exist_ok=True)
+    lines = [f"platform lab dogwoodgap-lab platform {binds([layout.base_port])} --seed {seed}"]
+    for index, item in enumerate(layout.deployments):
+        engines = binds(layout.model_ports(index))
+        plain = binds(layout.plain_ports(index))
+        lines.append(
+            f"{item.model_service} lab dogwoodgap-lab engine-runner {engines} {engine_options}"
+        )
+        lines.append(f"{item.plain_service} lab dogwoodgap-lab plain-runner {plain}")
+    for index in range(layout.node_count):
+        path = layout.folder / f"{layout.node_name(index)}.toml"
+        path.write_text(tomli_w.dumps(node_settings(layout, index)), encoding="utf-8")
+        command = f"dogwoodgap-node run {shlex.quote(str(path))}"
+        lines.append(f"{layout.node_name(index)} node {command}")
+    (layout.folder / "processes").write_text("\n".join(lines) + "\n", encoding="utf-8")
+    text = configuration(layout).model_dump_json(indent=1)
+    (layout.folder / "configuration.json").write_text(text, encoding="utf-8")
+    summary = {
+        "deployments": [item.name for item in layout.deployments],
+        "node_count": layout.node_count,
+        "base_port": layout.base_port,
+    }
+    (layout.folder / "layout.json").write_text(json.dumps(summary), encoding="utf-8")
+
+
+def read(folder: pathlib.Path) -> Layout:
+    """Return the layout that :func:`write` put into a folder."""
+    summary = json.loads((folder / "layout.json").read_text(encoding="utf-8"))
+    chosen = [DEPLOYMENTS[name] for name in summary["deployments"]]
+    return Layout(folder, chosen, summary["node_count"], summary["base_port"])
