--- a/src/dogwoodgap/adapters.py
+++ b/src/dogwoodgap/adapters.py
@@ -3,15 +3,31 @@
 import collections.abc
 import dataclasses
 import typing
+import urllib.parse
 
 import anyio
 import httpx
 import msgspec
 
-from dogwoodgap import exceptions, structures
+from dogwoodgap import backend_messages, exceptions, structures
 
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 15.0
+TRANSFER_TIMEOUT_S = 30.0
+"""Limit for an export or import of a prefix, which moves many bytes."""
+
+Delta = backend_messages.Delta
+Choice = backend_messages.Choice
+PromptDetails = backend_messages.PromptDetails
+Usage = backend_messages.Usage
+EngineChunk = backend_messages.EngineChunk
+LoadReport = backend_messages.LoadReport
+CacheEvent = backend_messages.CacheEvent
+CacheEventPage = backend_messages.CacheEventPage
+CachedSession = backend_messages.CachedSession
+KvBlock = backend_messages.KvBlock
+EngineOrder = backend_messages.EngineOrder
+EngineState = backend_messages.EngineState
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,54 +68,12 @@
     output_tokens: int = 0
 
 
-class Delta(msgspec.Struct):
-    """Part of an engine's chunk."""
-
-    content: str = ""
-
-
-class Choice(msgspec.Struct):
-    """Part of an engine's chunk."""
-
-    delta: Delta
-    finish_reason: str | None = None
-
-
-class PromptDetails(msgspec.Struct):
-    """Part of an engine's usage."""
-
-    cached_tokens: int = 0
-
-
-class Usage(msgspec.Struct):
-    """Token counts of a finished answer."""
-
-    prompt_tokens: int = 0
-    completion_tokens: int = 0
-    prompt_tokens_details: PromptDetails = msgspec.field(default_factory=PromptDetails)
-
-
-class EngineChunk(msgspec.Struct):
-    """One event of an engine's stream; ``index`` counts output tokens from 0."""
-
-    id: str
-    choices: list[Choice] = []
-    index: int = 0
-    usage: Usage | None = None
-
-
-class LoadReport(msgspec.Struct):
-    """Load that a runner reports; it lags by ``age_s``."""
-
-    queued: int = 0
-    running: int = 0
-    cached_tokens: int = 0
-    age_s: float = 0.0
-    leaving: bool = False
-
-
 _chunk_decoder = msgspec.json.Decoder(EngineChunk)
 
+DATA = b"data: "
+DONE = b"[DONE]"
+REFUSAL_CODES = (httpx.codes.TOO_MANY_REQUESTS, httpx.codes.SERVICE_UNAVAILABLE)
+
 
 class EngineAdapter(typing.Protocol):
     """What the node needs of a model engine."""
@@ -115,6 +89,27 @@
     async def release(self, runner: structures.RunnerView, session: str) -> None:
         """Free the cache of a session."""
 
+    async def retain(self, runner: structures.RunnerView, session: str, seconds: float) -> None:
+        """Protect the cache of a session against eviction for a while."""
+
+    async def export(self, runner: structures.RunnerView, session: str) -> KvBlock:
+        """Return the cache of a session."""
+
+    async def import_block(self, runner: structures.RunnerView, block: KvBlock) -> None:
+        """Give an engine an exported cache."""
+
+    async def order(self, runner: structures.RunnerView, order: EngineOrder) -> None:
+        """Send an order; raises :class:`exceptions.FencingRefusedError` for an old number."""
+
+    async def state(self, runner: structures.RunnerView) -> EngineState:
+        """Return what the engine has loaded."""
+
+    async def cache(self, runner: structures.RunnerView) -> list[CachedSession]:
+        """Return everything that the engine has cached."""
+
+    async def cache_events(self, runner: structures.RunnerView, since: int) -> CacheEventPage:
+        """Return the cache events after a number."""
+
     async def load(self, runner: structures.RunnerView) -> LoadReport:
         """Return the runner's load."""
 
@@ -153,15 +148,19 @@
             ) as reply:
                 if reply.status_code != httpx.codes.OK:
                     raise refusal(runner, reply.status_code)
-                async for line in reply.aiter_lines():
-                    if line == "data: [DONE]":
+                async for payload in events_of(reply):
+                    if payload == DONE:
                         finished = True
-                    elif line.startswith("data: "):
-                        yield check_chunk(line, runner, request)
-        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+                    else:
+                        yield check_chunk(payload, runner, request)
+        except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
             raise exceptions.RunnerUnreachableError(
                 f"runner {runner.id} refused the connection; another runner may answer"
             ) from error
+        except httpx.ReadTimeout as error:
+            raise exceptions.RunnerSilentError(
+                f"runner {runner.id} sent nothing for {READ_TIMEOUT_S:g} s; repeat the call"
+            ) from error
         except httpx.HTTPError as error:
             raise exceptions.RunnerFailedError(
                 f"runner {runner.id} broke the stream ({type(error).__name__}); repeat the call"
@@ -173,23 +172,69 @@
 
     async def cancel(self, runner: structures.RunnerView, request_id: str) -> None:
         """Stop a stream."""
-        await self.order(runner, "/cancel", request_id=request_id)
+        await self.post(runner, "/cancel", {"request_id": request_id})
 
     async def release(self, runner: structures.RunnerView, session: str) -> None:
         """Free the cache of a session."""
-        await self.order(runner, "/cache/release", session=session)
+        await self.post(runner, "/cache/release", {"session": session})
+
+    async def retain(self, runner: structures.RunnerView, session: str, seconds: float) -> None:
+        """Protect the cache of a session against eviction for a while."""
+        await self.post(runner, "/cache/retain", {"session": session, "seconds": seconds})
+
+    async def export(self, runner: structures.RunnerView, session: str) -> KvBlock:
+        """Return the cache of a session."""
+        body = {"session": session}
+        reply = await self.post(runner, "/kv/export", body, TRANSFER_TIMEOUT_S)
+        return decoded(reply, KvBlock, runner)
+
+    async def import_block(self, runner: structures.RunnerView, block: KvBlock) -> None:
+        """Give an engine an exported cache."""
+        await self.post(runner, "/kv/import", block, TRANSFER_TIMEOUT_S)
+
+    async def order(self, runner: structures.RunnerView, order: EngineOrder) -> None:
+        """Send an order to load a model, adapter or version, or to change role."""
+        await self.post(runner, "/orders", order, TRANSFER_TIMEOUT_S)
+
+    async def state(self, runner: structures.RunnerView) -> EngineState:
+        """Return what the engine has loaded."""
+        return decoded(await fetch(self.client, runner, "/orders"), EngineState, runner)
+
+    async def cache(self, runner: structures.RunnerView) -> list[CachedSession]:
+        """Return everything that the engine has cached."""
+        return decoded(await fetch(self.client, runner, "/cache"), list[CachedSession], runner)
 
-    async def order(self, runner: structures.RunnerView, path: str, **body: typing.Any) -> None:
-        """Send one order and raise when the runner does not take it."""
+    async def cache_events(self, runner: structures.RunnerView, since: int) -> CacheEventPage:
+        """Return the cache events after a number."""
+        reply = await fetch(self.client, runner, f"/cache/events?since={since}")
+        return decoded(reply, CacheEventPage, runner)
+
+    async def post(
+        self,
+        runner: structures.RunnerView,
+        path: str,
+        body: typing.Any,
+        timeout_s: float = CONNECT_TIMEOUT_S,
+    ) -> httpx.Response:
+        """Send one request and raise when the runner does not take it."""
         try:
-            with anyio.fail_after(CONNECT_TIMEOUT_S):
-                reply = await self.client.post(f"{runner.address}{path}", json=body)
+            with anyio.fail_after(timeout_s):
+                reply = await self.client.post(
+                    f"{runner.address}{path}",
+                    content=msgspec.json.encode(body),
+                    headers={"Content-Type": "application/json"},
+                )
         except (httpx.HTTPError, TimeoutError) as error:
             raise exceptions.RunnerFailedError(
                 f"runner {runner.id} did not answer {path}; the order is repeated"
             ) from error
+        if reply.status_code == httpx.codes.PRECONDITION_FAILED:
+            raise exceptions.FencingRefusedError(
+                f"runner {runner.id} has obeyed a newer controller; this one must stop"
+            )
         if reply.status_code != httpx.codes.OK:
             raise refusal(runner, reply.status_code)
+        return reply
 
     async def load(self, runner: structures.RunnerView) -> LoadReport:
         """Return the runner's load."""
@@ -239,7 +284,23 @@
                 f"runner {runner.id} did not answer ({type(error).__name__}); "
                 "ask the service what became of the idempotency key"
             ) from error
-        body = msgspec.json.decode(reply.content) if reply.content else None
+        if reply.status_code in REFUSAL_CODES:
+            raise refusal(runner, reply.status_code)
+        try:
+            body = msgspec.json.decode(reply.content) if reply.content else None
+        except msgspec.DecodeError:
+            body = reply.text
+        return structures.ActionResult(status=reply.status_code, body=body, not_run="false")
+
+    async def outcome(
+        self, runner: structures.RunnerView, key: str
+    ) -> structures.ActionResult | None:
+        """Ask what became of an idempotency key; ``None`` when it was never executed."""
+        quoted = urllib.parse.quote(key, safe="")
+        reply = await fetch(self.client, runner, f"/outcomes/{quoted}")
+        if reply.status_code == httpx.codes.NOT_FOUND:
+            return None
+        body = decoded(reply, typing.Any, runner)
         return structures.ActionResult(status=reply.status_code, body=body, not_run="false")
 
     async def load(self, runner: structures.RunnerView) -> LoadReport:
@@ -249,29 +310,63 @@
 
 async def load_of(client: httpx.AsyncClient, runner: structures.RunnerView) -> LoadReport:
     """Fetch a load report."""
+    return decoded(await fetch(client, runner, "/load"), LoadReport, runner)
+
+
+async def fetch(
+    client: httpx.AsyncClient, runner: structures.RunnerView, path: str
+) -> httpx.Response:
+    """Send a GET request; a 404 is returned, other errors are raised."""
     try:
         with anyio.fail_after(CONNECT_TIMEOUT_S):
-            reply = await client.get(f"{runner.address}/load")
-        return msgspec.json.decode(reply.content, type=LoadReport)
-    except (httpx.HTTPError, TimeoutError, msgspec.DecodeError) as error:
+            reply = await client.get(f"{runner.address}{path}")
+    except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+        raise exceptions.RunnerUnreachableError(
+            f"runner {runner.id} refused the connection; it is asked again"
+        ) from error
+    except (httpx.HTTPError, TimeoutError) as error:
+        raise exceptions.RunnerFailedError(
+            f"runner {runner.id} did not answer {path}; it is asked again"
+        ) from error
+    if reply.status_code not in (httpx.codes.OK, httpx.codes.NOT_FOUND):
+        raise refusal(runner, reply.status_code)
+    return reply
+
+
+def decoded(reply: httpx.Response, kind: typing.Any, runner: structures.RunnerView) -> typing.Any:
+    """Decode a runner's reply."""
+    try:
+        return msgspec.json.decode(reply.content, type=kind)
+    except msgspec.DecodeError as error:
         raise exceptions.RunnerFailedError(
-            f"runner {runner.id} did not report its load; it is asked again"
+            f"runner {runner.id} sent an unreadable reply ({error}); it is asked again"
         ) from error
 
 
+async def events_of(reply: httpx.Response) -> collections.abc.AsyncIterator[bytes]:
+    """Yield the payloads of a stream of server-sent events without decoding text."""
+    rest = b""
+    async for part in reply.aiter_bytes():
+        lines = (rest + part).split(b"\n")
+        rest = lines.pop()
+        for line in lines:
+            if line.startswith(DATA):
+                yield line[len(DATA) :].rstrip(b"\r")
+
+
 def refusal(runner: structures.RunnerView, status: int) -> exceptions.RunnerFailedError:
     """Return the error for a refused request; 429 and 503 mean that nothing ran."""
-    refused = status in (httpx.codes.TOO_MANY_REQUESTS, httpx.codes.SERVICE_UNAVAILABLE)
-    return exceptions.RunnerFailedError(
-        f"runner {runner.id} answered {status}; another runner may answer",
-        not_run="true" if refused else "unknown",
-    )
+    message = f"runner {runner.id} answered {status}; another runner may answer"
+    if status == httpx.codes.SERVICE_UNAVAILABLE:
+        return exceptions.RunnerLeavingError(message)
+    refused = status in REFUSAL_CODES
+    return exceptions.RunnerFailedError(message, not_run="true" if refused else "unknown")
 
 
-def check_chunk(line: str, runner: structures.RunnerView, request: Generation) -> Chunk:
+def check_chunk(payload: bytes, runner: structures.RunnerView, request: Generation) -> Chunk:
     """Decode one event and check that it belongs to the request."""
     try:
-        event = _chunk_decoder.decode(line[len("data: ") :])
+        event = _chunk_decoder.decode(payload)
     except msgspec.DecodeError as error:
         raise exceptions.RunnerFailedError(
             f"runner {runner.id} sent an unreadable event; repeat the call"
--- /dev/null
+++ b/src/dogwoodgap/backend_messages.py
@@ -0,0 +1,104 @@
+"""Messages of backend servers: what model engines and plain services send and accept."""
+
+import msgspec
+
+
+class Delta(msgspec.Struct):
+    """Part of an engine's chunk."""
+
+    content: str = ""
+
+
+class Choice(msgspec.Struct):
+    """Part of an engine's chunk."""
+
+    delta: Delta
+    finish_reason: str | None = None
+
+
+class PromptDetails(msgspec.Struct):
+    """Part of an engine's usage."""
+
+    cached_tokens: int = 0
+
+
+class Usage(msgspec.Struct):
+    """Token counts of a finished answer."""
+
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+    prompt_tokens_details: PromptDetails = msgspec.field(default_factory=PromptDetails)
+
+
+class EngineChunk(msgspec.Struct):
+    """One event of an engine's stream; ``index`` counts output tokens from 0."""
+
+    id: str
+    choices: list[Choice] = []
+    index: int = 0
+    usage: Usage | None = None
+
+
+class LoadReport(msgspec.Struct):
+    """Load that a runner reports; it lags by ``age_s``."""
+
+    queued: int = 0
+    running: int = 0
+    cached_tokens: int = 0
+    age_s: float = 0.0
+    leaving: bool = False
+
+
+class CacheEvent(msgspec.Struct, frozen=True):
+    """A change of an engine's cache; gaps in ``seq`` are lost events."""
+
+    seq: int
+    kind: str
+    session: str
+    tokens: int
+
+
+class CacheEventPage(msgspec.Struct, frozen=True):
+    """Cache events after a number; ``cursor`` continues."""
+
+    events: list[CacheEvent] = []
+    cursor: int = 0
+
+
+class CachedSession(msgspec.Struct, frozen=True):
+    """A cached prefix in an engine's full list."""
+
+    session: str
+    tokens: int
+
+
+class KvBlock(msgspec.Struct, frozen=True):
+    """An exported prefix."""
+
+    session: str
+    tokens: int
+    data: bytes = b""
+
+
+class EngineOrder(msgspec.Struct, frozen=True):
+    """An order to a model engine.
+
+    Attributes
+    ----------
+    kind : str
+        ``load_model``, ``load_adapter``, ``set_version`` or ``set_role``.
+    """
+
+    fencing: int
+    kind: str
+    value: str
+
+
+class EngineState(msgspec.Struct):
+    """What an engine has loaded, and the highest fencing number that it has accepted."""
+
+    model: str = ""
+    adapters: list[str] = []
+    version: str = ""
+    role: str = ""
+    fencing: int = 0
--- a/src/dogwoodgap/exceptions.py
+++ b/src/dogwoodgap/exceptions.py
@@ -210,6 +210,24 @@
     code, title, not_run = "runner-unreachable", "Runner unreachable", "true"
 
 
+class RunnerSilentError(RunnerFailedError):
+    """The connection to the runner went silent; a fresh one may work."""
+
+    code, title = "runner-silent", "Runner silent"
+
+
+class RunnerLeavingError(RunnerFailedError):
+    """The runner takes no new work, so nothing ran."""
+
+    code, title, not_run = "runner-leaving", "Runner leaving", "true"
+
+
+class FencingRefusedError(ConflictError):
+    """A backend server has obeyed a newer controller than the sender of the order."""
+
+    code, title = "fencing-refused", "Order from an old controller"
+
+
 class NotOwnerError(DogwoodgapError):
     """The node does not own the shard and could not reach the owner."""
 
@@ -236,6 +254,18 @@
     code, title, retry_after_s = "store-unavailable", "Platform store unavailable", 1.0
 
 
+class StoreBusyError(StoreUnavailableError):
+    """The store refused the call because its rate is used up; nothing was written."""
+
+    code, title, not_run = "store-busy", "Platform rate used up", "true"
+
+
+class WatchExpiredError(StoreError):
+    """The watch is too far behind; list the objects and watch from the new cursor."""
+
+    code, status, title, not_run = "watch-expired", 410, "Watch too far behind", "true"
+
+
 class VersionConflictError(StoreError):
     """A conditional write found another version."""
 
--- a/src/dogwoodgap/objectstore.py
+++ b/src/dogwoodgap/objectstore.py
@@ -149,6 +149,12 @@
             raise exceptions.VersionConflictError(
                 f"object {path} has another version; read it and apply the change again"
             )
+        if reply.status_code == httpx.codes.TOO_MANY_REQUESTS:
+            raise exceptions.StoreBusyError(f"platform is over its rate at {method} {path}; wait")
+        if reply.status_code == httpx.codes.GONE:
+            raise exceptions.WatchExpiredError(
+                f"platform no longer has the changes for {path}; list the objects again"
+            )
         if reply.status_code >= httpx.codes.BAD_REQUEST:
             raise exceptions.StoreUnavailableError(
                 f"platform answered {reply.status_code} to {method} {path}; repeat later"
--- a/src/dogwoodgap_lab/engine_server.py
+++ b/src/dogwoodgap_lab/engine_server.py
@@ -1,13 +1,20 @@
 """The model engine stand-in over HTTP."""
 
 import collections.abc
+import contextlib
 import typing
 
+import anyio
 import msgspec
+import xxhash
 from starlette import applications, requests, responses, routing
 
-from dogwoodgap import adapters, structures
+from dogwoodgap import adapters, exceptions, structures
 from dogwoodgap_lab import engine as engine_module
+from dogwoodgap_lab import faults
+
+STATUS_REFUSED = 503
+STATUS_OLD_FENCING = 412
 
 
 class ChatBody(msgspec.Struct):
@@ -24,61 +31,116 @@
 
 
 class SessionBody(msgspec.Struct):
-    """Body of an order about a session or a request."""
+    """Body of a request about a session or a running request."""
 
     session: str = ""
     request_id: str = ""
+    seconds: float = 0.0
+
+
+class EngineStats(msgspec.Struct):
+    """Answer to ``GET /stats``."""
+
+    arrivals: int
+    generated_tokens: int
+    held_token_s: float
+    wasted_token_s: float
+    cached_tokens: int
+    orders: list[adapters.EngineOrder]
 
 
-def encoded(value: typing.Any) -> responses.Response:
+def encoded(value: typing.Any, status: int = 200) -> responses.Response:
     """Return a JSON response."""
-    return responses.Response(msgspec.json.encode(value), media_type="application/json")
+    return responses.Response(msgspec.json.encode(value), status, media_type="application/json")
+
+
+def engine_request(body: ChatBody) -> engine_module.EngineRequest:
+    """Translate a body; a leading system message is the shared prefix."""
+    prompt = [word for message in body.messages for word in message.content.split()]
+    shared = ""
+    shared_tokens = 0
+    if body.messages and body.messages[0].role == "system":
+        content = body.messages[0].content
+        shared = f"prefix:{xxhash.xxh3_64_hexdigest(content.encode())}"
+        shared_tokens = len(content.split())
+    return engine_module.EngineRequest(
+        request_id=body.request_id,
+        prompt=prompt,
+        max_tokens=body.max_tokens,
+        priority=body.priority,
+        session=body.session,
+        resume_from=body.resume_from,
+        shared_prefix=shared,
+        shared_tokens=shared_tokens,
+    )
+
+
+def event(body: ChatBody, token: engine_module.EngineToken) -> bytes:
+    """Return the server-sent event of a token."""
+    choice = adapters.Choice(adapters.Delta(token.text), token.finish_reason or None)
+    usage = None
+    if token.finish_reason:
+        details = adapters.PromptDetails(token.cached_tokens)
+        usage = adapters.Usage(token.prompt_tokens, token.output_tokens, details)
+    chunk = adapters.EngineChunk(body.request_id, [choice], token.index, usage)
+    return b"data: " + msgspec.json.encode(chunk) + b"\n\n"
 
 
 class EngineServer:
-    """HTTP routes over one engine."""
+    """HTTP routes over one engine.
 
-    def __init__(self, engine: engine_module.Engine):
+    Parameters
+    ----------
+    checks_fencing : bool
+        Whether orders with an older fencing number are refused.
+    """
+
+    def __init__(self, engine: engine_module.Engine, *, checks_fencing: bool = True):
         self.engine = engine
+        self.checks_fencing = checks_fencing
+        self.state = adapters.EngineState()
+        self.orders: list[adapters.EngineOrder] = []
 
     async def chat(self, request: requests.Request) -> responses.Response:
         """Handle a streamed completion."""
         body = msgspec.json.decode(await request.body(), type=ChatBody)
-        return responses.StreamingResponse(self.stream(body), media_type="text/event-stream")
-
-    async def stream(self, body: ChatBody) -> collections.abc.AsyncIterator[bytes]:
-        """Yield the events of one answer."""
-        prompt = [word for message in body.messages for word in message.content.split()]
-        wanted = engine_module.EngineRequest(
-            request_id=body.request_id,
-            prompt=prompt,
-            max_tokens=body.max_tokens,
-            priority=body.priority,
-            session=body.session,
-            resume_from=body.resume_from,
+        wanted = engine_request(body)
+        try:
+            self.engine.check_alive(wanted)
+        except exceptions.RunnerUnreachableError:
+            self.state = adapters.EngineState()
+            return faults.BrokenResponse()
+        return responses.StreamingResponse(
+            self.stream(body, wanted), media_type="text/event-stream"
         )
-        async for token in self.engine.generate(wanted):
-            choice = adapters.Choice(adapters.Delta(token.text), token.finish_reason or None)
-            usage = None
-            if token.finish_reason:
-                usage = adapters.Usage(
-                    token.prompt_tokens,
-                    token.output_tokens,
-                    adapters.PromptDetails(token.cached_tokens),
-                )
-            event = adapters.EngineChunk(body.request_id, [choice], token.index, usage)
-            yield b"data: " + msgspec.json.encode(event) + b"\n\n"
+
+    async def stream(
+        self, body: ChatBody, wanted: engine_module.EngineRequest
+    ) -> collections.abc.AsyncIterator[bytes]:
+        """Yield the events of one answer; a batch of tokens is one write."""
+        async with contextlib.aclosing(self.engine.stream(wanted)) as batches:
+            async for batch in batches:
+                yield b"".join(event(body, token) for token in batch)
         yield b"data: [DONE]\n\n"
 
+    async def cancel(self, request: requests.Request) -> responses.Response:
+        """Handle ``POST /cancel``; cancelling an unknown request is not an error."""
+        body = msgspec.json.decode(await request.body(), type=SessionBody)
+        self.engine.cancel(body.request_id)
+        return encoded(body)
+
     async def load(self, request: requests.Request) -> responses.Response:
         """Handle ``GET /load``."""
-        return encoded(
-            adapters.LoadReport(
-                queued=len(self.engine.waiting),
-                running=self.engine.running,
-                cached_tokens=self.engine.cached_tokens(),
-            )
-        )
+        return encoded(self.engine.load())
+
+    async def cache(self, request: requests.Request) -> responses.Response:
+        """Handle ``GET /cache``."""
+        return encoded(self.engine.cache.sessions())
+
+    async def cache_events(self, request: requests.Request) -> responses.Response:
+        """Handle ``GET /cache/events``."""
+        since = int(request.query_params.get("since", "0"))
+        return encoded(self.engine.cache.events_since(since))
 
     async def release(self, request: requests.Request) -> responses.Response:
         """Handle ``POST /cache/release``."""
@@ -86,14 +148,99 @@
         self.engine.release(body.session)
         return encoded(body)
 
+    async def retain(self, request: requests.Request) -> responses.Response:
+        """Handle ``POST /cache/retain``."""
+        body = msgspec.json.decode(await request.body(), type=SessionBody)
+        held = self.engine.cache.retain(body.session, body.seconds)
+        return encoded(body, 200 if held else 404)
+
+    async def export(self, request: requests.Request) -> responses.Response:
+        """Handle ``POST /kv/export``."""
+        body = msgspec.json.decode(await request.body(), type=SessionBody)
+        tokens = self.engine.cache.use(body.session)
+        if not tokens:
+            return encoded(body, 404)
+        return encoded(adapters.KvBlock(body.session, tokens))
+
+    async def import_block(self, request: requests.Request) -> responses.Response:
+        """Handle ``POST /kv/import``."""
+        block = msgspec.json.decode(await request.body(), type=adapters.KvBlock)
+        self.engine.cache.store(block.session, block.tokens)
+        return encoded(adapters.CachedSession(block.session, block.tokens))
+
+    async def order(self, request: requests.Request) -> responses.Response:
+        """Handle ``POST /orders``; the effect comes after the switched delay."""
+        order = msgspec.json.decode(await request.body(), type=adapters.EngineOrder)
+        if self.checks_fencing and order.fencing < self.state.fencing:
+            return encoded(self.state, STATUS_OLD_FENCING)
+        if self.checks_fencing:
+            self.state.fencing = order.fencing
+        await anyio.sleep(self.engine.switch.faults.order_delay_s)
+        if self.checks_fencing and order.fencing < self.state.fencing:
+            return encoded(self.state, STATUS_OLD_FENCING)
+        self.apply(order)
+        return encoded(self.state)
+
+    def apply(self, order: adapters.EngineOrder) -> None:
+        """Carry out an order."""
+        self.orders.append(order)
+        if order.kind == "load_model":
+            self.state.model = order.value
+        elif order.kind == "load_adapter" and order.value not in self.state.adapters:
+            self.state.adapters.append(order.value)
+        elif order.kind == "set_version":
+            self.state.version = order.value
+        elif order.kind == "set_role":
+            self.state.role = order.value
+
+    async def get_state(self, request: requests.Request) -> responses.Response:
+        """Handle ``GET /orders``: what the engine has loaded."""
+        return encoded(self.state)
+
+    async def stats(self, request: requests.Request) -> responses.Response:
+        """Handle ``GET /stats``."""
+        cache = self.engine.cache
+        return encoded(
+            EngineStats(
+                arrivals=self.engine.arrivals,
+                generated_tokens=self.engine.generated_tokens,
+                held_token_s=cache.held_token_s,
+                wasted_token_s=cache.wasted_token_s,
+                cached_tokens=cache.held_tokens(),
+                orders=self.orders,
+            )
+        )
+
+
+def build(
+    engine: engine_module.Engine, *, checks_fencing: bool = True
+) -> collections.abc.Callable[..., typing.Any]:
+    """Return the ASGI application of an engine; it runs the engine's step loop."""
+    server = EngineServer(engine, checks_fencing=checks_fencing)
+
+    @contextlib.asynccontextmanager
+    async def lifespan(_: applications.Starlette) -> collections.abc.AsyncIterator[None]:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(engine.run)
+            yield
+            tasks.cancel_scope.cancel()
 
-def build(engine: engine_module.Engine) -> applications.Starlette:
-    """Return the ASGI application of an engine."""
-    server = EngineServer(engine)
-    return applications.Starlette(
+    application = applications.Starlette(
         routes=[
             routing.Route("/v1/chat/completions", server.chat, methods=["POST"]),
+            routing.Route("/cancel", server.cancel, methods=["POST"]),
             routing.Route("/load", server.load),
+            routing.Route("/cache", server.cache),
+            routing.Route("/cache/events", server.cache_events),
             routing.Route("/cache/release", server.release, methods=["POST"]),
-        ]
+            routing.Route("/cache/retain", server.retain, methods=["POST"]),
+            routing.Route("/kv/export", server.export, methods=["POST"]),
+            routing.Route("/kv/import", server.import_block, methods=["POST"]),
+            routing.Route("/orders", server.order, methods=["POST"]),
+            routing.Route("/orders", server.get_state, methods=["GET"]),
+            routing.Route("/faults", engine.switch.set_faults, methods=["PUT"]),
+            routing.Route("/stats", server.stats),
+        ],
+        lifespan=lifespan,
     )
+    return faults.FaultMiddleware(application, engine.switch)
--- /dev/null
+++ b/src/dogwoodgap_lab/faults.py
@@ -0,0 +1,140 @@
+"""Switchable faults of the backend stand-ins, applied around any ASGI application."""
+
+import collections.abc
+import random
+import typing
+
+import anyio
+import msgspec
+from starlette import requests, responses
+
+Scope = collections.abc.MutableMapping[str, typing.Any]
+Receive = collections.abc.Callable[[], collections.abc.Awaitable[typing.Any]]
+Send = collections.abc.Callable[[typing.Any], collections.abc.Awaitable[None]]
+Application = collections.abc.Callable[[Scope, Receive, Send], collections.abc.Awaitable[None]]
+
+CONTROL_PATHS = frozenset({"/faults", "/stats", "/ledger"})
+REPORT_PATHS = frozenset({"/load", "/cache", "/cache/events", "/cache/release", "/cancel"})
+
+
+class RunnerFaults(msgspec.Struct, forbid_unknown_fields=True):
+    """Faults of a backend stand-in; all off by default.
+
+    Attributes
+    ----------
+    delay_s : float
+        Added to each request.
+    hang : bool
+        No request is answered.
+    silence : int
+        Raising it makes all connections that are open at that moment silent for good.
+    leaving : bool
+        New work is refused with 503 and load reports say ``leaving``.
+    reply_loss : float
+        Share of plain actions that take effect and then break the connection.
+    crash_marker : str
+        The runner crashes on a request that contains this word.
+    restart_s : float
+        Time after which a crashed runner is back.
+    load_lag_s, event_delay_s : float
+        Age of load reports and delay of cache events.
+    event_loss : float
+        Share of cache events that are never shown.
+    order_delay_s : float
+        Time between the arrival of an engine order and its effect.
+    """
+
+    delay_s: float = 0.0
+    hang: bool = False
+    silence: int = 0
+    leaving: bool = False
+    reply_loss: float = 0.0
+    crash_marker: str = ""
+    restart_s: float = 3.0
+    load_lag_s: float = 0.0
+    event_delay_s: float = 0.0
+    event_loss: float = 0.0
+    order_delay_s: float = 0.0
+
+
+class FaultSwitch:
+    """The faults in force, with the random numbers that decide on shares.
+
+    Attributes
+    ----------
+    crash : callable
+        Stops the runner at once; set by whoever runs it.
+    """
+
+    def __init__(self, seed: int = 0, faults: RunnerFaults | None = None):
+        self.faults = faults or RunnerFaults()
+        self.random = random.Random(seed)
+        self.clients: set[tuple[str, int]] = set()
+        self.silent: set[tuple[str, int]] = set()
+        self.crash: collections.abc.Callable[[], None] = lambda: None
+
+    def change(self, faults: RunnerFaults) -> None:
+        """Put new faults in force."""
+        if faults.silence > self.faults.silence:
+            self.silent |= self.clients
+        self.faults = faults
+
+    def hit(self, share: float) -> bool:
+        """Return whether a fault with this probability happens now."""
+        return share > 0.0 and self.random.random() < share
+
+    def crashes_on(self, text: str) -> bool:
+        """Return whether a request with this text crashes the runner."""
+        return bool(self.faults.crash_marker) and self.faults.crash_marker in text
+
+    async def set_faults(self, request: requests.Request) -> responses.Response:
+        """Handle ``PUT /faults``."""
+        try:
+            self.change(msgspec.json.decode(await request.body(), type=RunnerFaults))
+        except msgspec.DecodeError as error:
+            return responses.Response(f"correct the body: {error}", 400)
+        return responses.Response(msgspec.json.encode(self.faults), media_type="application/json")
+
+
+class FaultMiddleware:
+    """Delay, hang, silence or refuse the requests of an ASGI application."""
+
+    def __init__(self, application: Application, switch: FaultSwitch):
+        self.application = application
+        self.switch = switch
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Handle one request."""
+        if scope["type"] != "http" or scope["path"] in CONTROL_PATHS:
+            await self.application(scope, receive, send)
+            return
+        client = tuple(scope["client"] or ("", 0))
+        self.switch.clients.add(client)
+        faults = self.switch.faults
+        if faults.hang or client in self.switch.silent:
+            await anyio.sleep_forever()
+        if faults.delay_s:
+            await anyio.sleep(faults.delay_s)
+        if faults.leaving and scope["method"] == "POST" and scope["path"] not in REPORT_PATHS:
+            await responses.Response("leaving; use another runner", 503)(scope, receive, send)
+            return
+        await self.application(scope, receive, self.audible(client, send))
+
+    def audible(self, client: tuple[str, int], send: Send) -> Send:
+        """Return a send function that blocks once the connection is silent."""
+
+        async def wrapped(message: typing.Any) -> None:
+            if client in self.switch.silent:
+                await anyio.sleep_forever()
+            await send(message)
+
+        return wrapped
+
+
+class BrokenResponse(responses.Response):
+    """Break the connection: promise a body and end without it."""
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Send headers only."""
+        headers = [(b"content-length", b"1")]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
--- a/src/dogwoodgap_lab/objects.py
+++ b/src/dogwoodgap_lab/objects.py
@@ -1,5 +1,6 @@
 """An in-memory object store with versions, watches and switchable faults."""
 
+import collections
 import dataclasses
 import random
 
@@ -21,31 +22,78 @@
         Added to each call.
     lost_replies : float
         Share of writes whose reply is lost after they took effect.
+    writes_per_s, reads_per_s : float
+        Rates above which calls are refused; 0 means no limit. A waiting watch counts as one read.
+    vms_lag_s : float
+        Age of the list of VMs.
     """
 
     outage: bool = False
     delay_s: float = 0.0
     lost_replies: float = 0.0
+    writes_per_s: float = 0.0
+    reads_per_s: float = 0.0
+    vms_lag_s: float = 0.0
+
+
+CHANGE_LIMIT = 10_000
+
+
+@dataclasses.dataclass
+class RateLimit:
+    """A token bucket with a burst of one second that refuses instead of delaying."""
+
+    level: float = 0.0
+    updated_at: float = -1.0
+
+    def take(self, rate_per_s: float) -> bool:
+        """Return whether a call may pass."""
+        now = clock.now()
+        earned = (now - self.updated_at) * rate_per_s if self.updated_at >= 0.0 else rate_per_s
+        self.updated_at = now
+        self.level = min(rate_per_s, self.level + earned)
+        if self.level < 1.0:
+            return False
+        self.level -= 1.0
+        return True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MachineSample:
+    """The list of VMs from ``at`` until the next sample."""
+
+    at: float
+    machines: list[objectstore.Vm]
 
 
 class ObjectTable:
     """Objects with versions; also usable directly as an ``objectstore.ObjectStore``."""
 
-    def __init__(self, seed: int = 0):
+    def __init__(self, seed: int = 0, change_limit: int = CHANGE_LIMIT):
         self.objects: sortedcontainers.SortedDict[str, objectstore.StoredObject] = (
             sortedcontainers.SortedDict()
         )
         self.faults = StoreFaults()
         self.random = random.Random(seed)
         self.version = 0
-        self.changes: list[objectstore.Change] = []
+        self.changes: collections.deque[objectstore.Change] = collections.deque()
+        self.change_limit = change_limit
+        self.forgotten_version = 0
         self.changed = anyio.Event()
         self.machines: list[objectstore.Vm] = []
-        self.calls: dict[str, int] = {"read": 0, "write": 0, "watch": 0}
+        self.machine_samples: list[MachineSample] = []
+        self.calls: dict[str, int] = {"read": 0, "write": 0, "watch": 0, "refused": 0}
+        self.read_limit = RateLimit()
+        self.write_limit = RateLimit()
 
     async def enter(self, kind: str) -> None:
-        """Count a call and apply delay and outage."""
+        """Count a call and apply the rate limit, delay and outage."""
         self.calls[kind] += 1
+        rate = self.faults.writes_per_s if kind == "write" else self.faults.reads_per_s
+        limit = self.write_limit if kind == "write" else self.read_limit
+        if rate and not limit.take(rate):
+            self.calls["refused"] += 1
+            raise exceptions.StoreBusyError(f"more than {rate:g} calls/s; slow down")
         if self.faults.delay_s:
             await anyio.sleep(self.faults.delay_s)
         if self.faults.outage:
@@ -76,9 +124,12 @@
         self.leave_write()
         return version
 
-    async def delete(self, key: str) -> None:
-        """Delete an object."""
+    async def delete(self, key: str, *, expected: int | None = None) -> None:
+        """Delete an object if its version is the expected one."""
         await self.enter("write")
+        current = self.objects[key].version if key in self.objects else objectstore.ABSENT
+        if expected is not None and expected != current:
+            raise exceptions.VersionConflictError(f"object {key} has version {current}")
         if self.objects.pop(key, None) is not None:
             self.version += 1
             self.note(objectstore.Change(key, self.version, deleted=True))
@@ -87,6 +138,8 @@
     def note(self, change: objectstore.Change) -> None:
         """Record a change and wake the watches."""
         self.changes.append(change)
+        if len(self.changes) > self.change_limit:
+            self.forgotten_version = self.changes.popleft().version
         self.changed.set()
         self.changed = anyio.Event()
 
@@ -107,22 +160,49 @@
         return objectstore.ObjectPage(found)
 
     async def watch(self, prefix: str, *, since: int, timeout_s: float) -> objectstore.ChangePage:
-        """Wait for changes below a prefix."""
+        """Wait for changes below a prefix; a negative ``since`` returns the cursor at once.
+
+        Raises
+        ------
+        WatchExpiredError
+            When changes after ``since`` are no longer known.
+        """
         await self.enter("watch")
         deadline = clock.now() + timeout_s
         while True:
+            if since < 0:
+                return objectstore.ChangePage([], self.version)
+            if since < self.forgotten_version:
+                raise exceptions.WatchExpiredError(
+                    f"changes up to version {self.forgotten_version} are gone; list the objects"
+                )
             changed = self.changed
-            found = [
-                change
-                for change in self.changes
-                if change.version > since and change.key.startswith(prefix)
-            ]
+            found = self.changes_after(prefix, since)
             if found or clock.now() >= deadline:
                 return objectstore.ChangePage(found, self.version)
             with anyio.move_on_at(deadline):
                 await changed.wait()
 
+    def changes_after(self, prefix: str, since: int) -> list[objectstore.Change]:
+        """Return the known changes below a prefix, oldest first."""
+        found: list[objectstore.Change] = []
+        for change in reversed(self.changes):
+            if change.version <= since:
+                break
+            if change.key.startswith(prefix):
+                found.append(change)
+        return found[::-1]
+
+    def set_machines(self, machines: list[objectstore.Vm]) -> None:
+        """Change the list of VMs; readers see it after the lag."""
+        self.machines = machines
+        self.machine_samples.append(MachineSample(clock.now(), machines))
+
     async def vms(self) -> list[objectstore.Vm]:
-        """Return the list of VMs."""
+        """Return the list of VMs as it was ``vms_lag_s`` ago."""
         await self.enter("read")
-        return self.machines
+        if not self.faults.vms_lag_s:
+            return self.machines
+        seen_at = clock.now() - self.faults.vms_lag_s
+        seen = [sample.machines for sample in self.machine_samples if sample.at <= seen_at]
+        return seen[-1] if seen else []
--- a/src/dogwoodgap_lab/plain_service.py
+++ b/src/dogwoodgap_lab/plain_service.py
@@ -1,11 +1,14 @@
 """The plain service stand-in: executes actions and keeps a ledger of them."""
 
+import collections
+import collections.abc
 import typing
 
 import msgspec
 from starlette import applications, requests, responses, routing
 
 from dogwoodgap import adapters, clock
+from dogwoodgap_lab import faults
 
 
 class Execution(msgspec.Struct):
@@ -17,41 +20,116 @@
     at: float
 
 
+class Outcome(msgspec.Struct):
+    """Answer to an action and to ``GET /outcomes/{key}``."""
+
+    executed: str
+    number: int
+
+
+class ServiceStats(msgspec.Struct):
+    """Answer to ``GET /stats``."""
+
+    requests: int
+    executed: int
+    repeated_keys: int
+
+
 def encoded(value: typing.Any, status: int = 200) -> responses.Response:
     """Return a JSON response."""
     return responses.Response(msgspec.json.encode(value), status, media_type="application/json")
 
 
-class PlainService:
-    """Executes whatever it is asked, without removing duplicates, and records it."""
+class Ledger:
+    """All executed actions of a service; its runners share it."""
 
     def __init__(self) -> None:
-        self.ledger: list[Execution] = []
+        self.executions: list[Execution] = []
+        self.outcomes: dict[str, Outcome] = {}
+
+    def add(self, execution: Execution) -> Outcome:
+        """Record an action."""
+        self.executions.append(execution)
+        outcome = Outcome(execution.path, len(self.executions))
+        if execution.key:
+            self.outcomes.setdefault(execution.key, outcome)
+        return outcome
+
+    def repeated_keys(self) -> int:
+        """Return how many idempotency keys were executed more than once."""
+        counts = collections.Counter(item.key for item in self.executions if item.key)
+        return sum(1 for count in counts.values() if count > 1)
+
+
+class PlainService:
+    """Executes whatever it is asked, without removing duplicates, and records it.
+
+    Parameters
+    ----------
+    answers_outcomes : bool
+        Whether ``GET /outcomes/{key}`` is offered.
+    """
+
+    def __init__(
+        self,
+        ledger: Ledger | None = None,
+        switch: faults.FaultSwitch | None = None,
+        *,
+        answers_outcomes: bool = False,
+    ):
+        self.ledger = ledger or Ledger()
+        self.switch = switch or faults.FaultSwitch()
+        self.answers_outcomes = answers_outcomes
+        self.requests = 0
 
     async def execute(self, request: requests.Request) -> responses.Response:
         """Handle ``POST /{path}``."""
         body = await request.body()
+        if self.switch.crashes_on(body.decode(errors="replace")):
+            self.switch.crash()
+            return faults.BrokenResponse()
         payload = msgspec.json.decode(body) if body else None
         key = request.headers.get("idempotency-key", "")
-        path = request.path_params["path"]
-        self.ledger.append(Execution(path, key, payload, clock.wall()))
-        return encoded({"executed": path, "number": len(self.ledger)})
+        self.requests += 1
+        outcome = self.ledger.add(
+            Execution(request.path_params["path"], key, payload, clock.wall())
+        )
+        if self.switch.hit(self.switch.faults.reply_loss):
+            return faults.BrokenResponse()
+        return encoded(outcome)
+
+    async def outcome(self, request: requests.Request) -> responses.Response:
+        """Handle ``GET /outcomes/{key}``; 501 when the service cannot answer."""
+        if not self.answers_outcomes:
+            return encoded("this service keeps no outcomes", 501)
+        found = self.ledger.outcomes.get(request.path_params["key"])
+        return encoded(found, 404 if found is None else 200)
 
     async def get_ledger(self, request: requests.Request) -> responses.Response:
         """Handle ``GET /ledger``."""
-        return encoded(self.ledger)
+        return encoded(self.ledger.executions)
 
     async def load(self, request: requests.Request) -> responses.Response:
         """Handle ``GET /load``."""
-        return encoded(adapters.LoadReport())
+        active = self.switch.faults
+        return encoded(adapters.LoadReport(age_s=active.load_lag_s, leaving=active.leaving))
+
+    async def stats(self, request: requests.Request) -> responses.Response:
+        """Handle ``GET /stats``."""
+        executed = len(self.ledger.executions)
+        return encoded(ServiceStats(self.requests, executed, self.ledger.repeated_keys()))
 
 
-def build(service: PlainService) -> applications.Starlette:
+def build(service: PlainService) -> collections.abc.Callable[..., typing.Any]:
     """Return the ASGI application of a plain service."""
-    return applications.Starlette(
+    application = applications.Starlette(
         routes=[
             routing.Route("/ledger", service.get_ledger),
             routing.Route("/load", service.load),
+            routing.Route("/stats", service.stats),
+            routing.Route("/faults", service.switch.set_faults, methods=["PUT"]),
+            routing.Route("/outcomes/{key:path}", service.outcome),
             routing.Route("/{path:path}", service.execute, methods=["POST"]),
         ]
     )
+    return faults.FaultMiddleware(application, service.switch)
--- a/src/dogwoodgap_lab/platform_server.py
+++ b/src/dogwoodgap_lab/platform_server.py
@@ -13,6 +13,8 @@
     exceptions.ObjectMissingError: 404,
     exceptions.VersionConflictError: 412,
     exceptions.StoreUnavailableError: 503,
+    exceptions.StoreBusyError: 429,
+    exceptions.WatchExpiredError: 410,
 }
 
 Handler = collections.abc.Callable[
@@ -50,8 +52,11 @@
         return responses.Response(status_code=200, headers={"ETag": f'"{version}"'})
 
     async def delete(self, request: requests.Request) -> responses.Response:
-        """Handle ``DELETE /objects/{key}``."""
-        await self.table.delete(request.path_params["key"])
+        """Handle ``DELETE /objects/{key}`` with its condition."""
+        expected = None
+        if "if-match" in request.headers:
+            expected = int(request.headers["if-match"].strip('"'))
+        await self.table.delete(request.path_params["key"], expected=expected)
         return responses.Response(status_code=204)
 
     async def list_page(self, request: requests.Request) -> responses.Response:
@@ -75,6 +80,12 @@
         """Handle ``GET /vms``."""
         return encoded(await self.table.vms())
 
+    async def set_vms(self, request: requests.Request) -> responses.Response:
+        """Handle ``PUT /vms``: change the list of VMs."""
+        machines = msgspec.json.decode(await request.body(), type=list[objectstore.Vm])
+        self.table.set_machines(machines)
+        return encoded(machines)
+
     async def set_faults(self, request: requests.Request) -> responses.Response:
         """Handle ``PUT /faults``."""
         faults = msgspec.json.decode(await request.body(), type=objects.StoreFaults)
@@ -101,7 +112,8 @@
             routing.Route("/objects/{key:path}", server.delete, methods=["DELETE"]),
             routing.Route("/list", server.list_page),
             routing.Route("/watch", server.watch),
-            routing.Route("/vms", server.vms),
+            routing.Route("/vms", server.vms, methods=["GET"]),
+            routing.Route("/vms", server.set_vms, methods=["PUT"]),
             routing.Route("/faults", server.set_faults, methods=["PUT"]),
             routing.Route("/stats", server.get_stats),
         ],
--- /dev/null
+++ b/src/dogwoodgap_lab/prefix_cache.py
@@ -0,0 +1,154 @@
+"""The limited prefix cache of a model engine stand-in, with late and lossy events."""
+
+import collections
+import dataclasses
+
+from dogwoodgap import adapters, clock
+from dogwoodgap_lab import faults
+
+EVENT_LIMIT = 10_000
+
+
+@dataclasses.dataclass(slots=True)
+class CacheEntry:
+    """A cached prefix; ``retained_until`` protects it against eviction."""
+
+    tokens: int
+    used_at: float
+    retained_until: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class TimedEvent:
+    """A cache event and when it becomes visible; lost events never do."""
+
+    event: adapters.CacheEvent
+    visible_at: float
+    lost: bool
+
+
+class PrefixCache:
+    """Least recently used prefixes beside the memory of running requests.
+
+    Attributes
+    ----------
+    held_token_s, wasted_token_s : float
+        Token-seconds of entries that have gone or were reused, and the part that nobody reused.
+    """
+
+    def __init__(self, limit_tokens: int, switch: faults.FaultSwitch):
+        self.limit_tokens = limit_tokens
+        self.switch = switch
+        self.entries: collections.OrderedDict[str, CacheEntry] = collections.OrderedDict()
+        self.entry_tokens = 0
+        self.reserved_tokens = 0
+        self.events: collections.deque[TimedEvent] = collections.deque(maxlen=EVENT_LIMIT)
+        self.event_seq = 0
+        self.held_token_s = 0.0
+        self.wasted_token_s = 0.0
+
+    def held_tokens(self) -> int:
+        """Return the tokens of all cached prefixes."""
+        return self.entry_tokens
+
+    def fits(self, tokens: int) -> bool:
+        """Return whether a request fits beside the running ones."""
+        return self.reserved_tokens + tokens <= self.limit_tokens
+
+    def reserve(self, tokens: int) -> None:
+        """Take memory for a running request, evicting prefixes where needed."""
+        self.reserved_tokens += tokens
+        self.evict()
+
+    def unreserve(self, tokens: int) -> None:
+        """Give the memory of a running request back."""
+        self.reserved_tokens -= tokens
+
+    def use(self, key: str) -> int:
+        """Return the cached tokens under a key and mark them as reused."""
+        entry = self.entries.get(key)
+        if entry is None:
+            return 0
+        self.settle(entry, wasted=False)
+        self.entries.move_to_end(key)
+        return entry.tokens
+
+    def take(self, key: str) -> None:
+        """Move a session's entry into a running request; it is stored again at the end."""
+        entry = self.entries.pop(key, None)
+        if entry is not None:
+            self.entry_tokens -= entry.tokens
+
+    def store(self, key: str, tokens: int) -> None:
+        """Cache a prefix, evicting the least recently used ones."""
+        if not key or not tokens:
+            return
+        old = self.entries.pop(key, None)
+        if old is not None:
+            self.entry_tokens -= old.tokens
+        self.entries[key] = CacheEntry(tokens, clock.now())
+        self.entry_tokens += tokens
+        self.note("stored", key, tokens)
+        self.evict()
+
+    def evict(self) -> None:
+        """Remove prefixes until everything fits; retained ones go last."""
+        while self.entries and self.entry_tokens + self.reserved_tokens > self.limit_tokens:
+            now = clock.now()
+            unprotected = (key for key, item in self.entries.items() if item.retained_until <= now)
+            self.drop(next(unprotected, next(iter(self.entries))), "evicted")
+
+    def release(self, key: str) -> None:
+        """Free a prefix; releasing an absent one is not an error."""
+        if key in self.entries:
+            self.drop(key, "released")
+
+    def drop(self, key: str, kind: str) -> None:
+        """Remove an entry; the time since its last use was wasted."""
+        entry = self.entries.pop(key)
+        self.entry_tokens -= entry.tokens
+        self.settle(entry, wasted=True)
+        self.note(kind, key, entry.tokens)
+
+    def settle(self, entry: CacheEntry, *, wasted: bool) -> None:
+        """Account for the time since an entry was last used."""
+        held = entry.tokens * (clock.now() - entry.used_at)
+        entry.used_at = clock.now()
+        self.held_token_s += held
+        if wasted:
+            self.wasted_token_s += held
+
+    def clear(self) -> None:
+        """Lose all entries without events, as a crash does."""
+        self.entries.clear()
+        self.entry_tokens = 0
+
+    def retain(self, key: str, seconds: float) -> bool:
+        """Protect a prefix for a while; return whether it is there."""
+        entry = self.entries.get(key)
+        if entry is not None:
+            entry.retained_until = clock.now() + seconds
+        return entry is not None
+
+    def note(self, kind: str, key: str, tokens: int) -> None:
+        """Record an event; its number is used up even when the event gets lost."""
+        self.event_seq += 1
+        faults_now = self.switch.faults
+        self.events.append(
+            TimedEvent(
+                adapters.CacheEvent(self.event_seq, kind, key, tokens),
+                clock.now() + faults_now.event_delay_s,
+                self.switch.hit(faults_now.event_loss),
+            )
+        )
+
+    def events_since(self, since: int) -> adapters.CacheEventPage:
+        """Return the visible events after a number."""
+        now = clock.now()
+        due = [item for item in self.events if item.event.seq > since and item.visible_at <= now]
+        cursor = due[-1].event.seq if due else since
+        return adapters.CacheEventPage([item.event for item in due if not item.lost], cursor)
+
+    def sessions(self) -> list[adapters.CachedSession]:
+        """Return everything that is cached."""
+        return [adapters.CachedSession(key, item.tokens) for key, item in self.entries.items()]
--- /dev/null
+++ b/tests/test_engine.py
@@ -0,0 +1,143 @@
+"""The engine stand-in on virtual time: priorities, cache limit, cancel and resume."""
+
+import contextlib
+
+import anyio
+import pytest
+import trio.testing
+
+from dogwoodgap import exceptions
+from dogwoodgap_lab import engine, faults
+
+
+def run(main):
+    """Run a coroutine function on virtual time."""
+    anyio.run(
+        main,
+        backend="trio",
+        backend_options={"clock": trio.testing.MockClock(autojump_threshold=0)},
+    )
+
+
+@contextlib.asynccontextmanager
+async def running(**options):
+    """Run an engine's step loop around a test."""
+    runner = engine.Engine(**options)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(runner.run)
+        yield runner
+        tasks.cancel_scope.cancel()
+
+
+def request(name: str, words: int = 10, **options) -> engine.EngineRequest:
+    options.setdefault("max_tokens", 5)
+    return engine.EngineRequest(name, [name] * words, session=name, **options)
+
+
+async def text_of(runner: engine.Engine, wanted: engine.EngineRequest) -> list[str]:
+    return [token.text async for token in runner.generate(wanted) if token.text]
+
+
+def test_lower_priority_number_runs_first():
+    """Guards against an engine that ignores the scheduler's priorities."""
+
+    async def main():
+        order = []
+
+        async def one(runner, wanted):
+            await text_of(runner, wanted)
+            order.append(wanted.request_id)
+
+        async with running(slots=1) as runner, anyio.create_task_group() as tasks:
+            tasks.start_soon(one, runner, request("first"))
+            await anyio.sleep(0.01)
+            tasks.start_soon(one, runner, request("batch", priority=9))
+            await anyio.sleep(0.01)
+            tasks.start_soon(one, runner, request("urgent", priority=1))
+        assert order == ["first", "urgent", "batch"]
+
+    run(main)
+
+
+def test_cache_evicts_the_least_recently_used_session_at_its_limit():
+    """Guards against an unlimited cache, which would hide wasted memory."""
+
+    async def main():
+        async with running(cache_tokens=40) as runner:
+            for name in ("a", "b", "a", "c"):
+                await text_of(runner, request(name))
+            assert [item.session for item in runner.cache.sessions()] == ["a", "c"]
+            assert runner.cached_tokens() <= 40
+            assert runner.cache.wasted_token_s > 0.0
+
+    run(main)
+
+
+def test_cancel_and_disconnect_free_memory():
+    """Guards against memory that stays reserved for requests that are gone."""
+
+    async def main():
+        async with running(slots=1) as runner, anyio.create_task_group() as tasks:
+            tasks.start_soon(text_of, runner, request("cancelled", max_tokens=10_000))
+            await anyio.sleep(1.0)
+            with anyio.move_on_after(1.0):
+                await text_of(runner, request("gone", max_tokens=10_000))
+            assert runner.cache.reserved_tokens == 10_010
+            assert runner.cancel("cancelled")
+            assert runner.cache.reserved_tokens == 0
+            assert not runner.waiting
+            assert not runner.running
+
+    run(main)
+
+
+def test_resume_continues_the_same_text_on_another_engine():
+    """Guards against a resumed answer that differs from the uninterrupted one."""
+
+    async def main():
+        async with running() as runner, running(tokens_per_step=3) as other:
+            whole = await text_of(runner, request("x", max_tokens=20))
+            rest = await text_of(other, request("x", max_tokens=20, resume_from=7))
+            assert whole[7:] == rest
+
+    run(main)
+
+
+def test_crash_breaks_streams_and_refuses_until_the_restart():
+    """Guards against a crash that other requests on the runner survive."""
+
+    async def main():
+        switch = faults.FaultSwitch(0, faults.RunnerFaults(crash_marker="boom", restart_s=5.0))
+        async with running(switch=switch) as runner, anyio.create_task_group() as tasks:
+
+            async def bystander():
+                with pytest.raises(exceptions.RunnerFailedError):
+                    await text_of(runner, request("x", max_tokens=1000))
+
+            tasks.start_soon(bystander)
+            await anyio.sleep(1.0)
+            with pytest.raises(exceptions.RunnerUnreachableError):
+                await text_of(runner, request("boom"))
+            await anyio.sleep(5.0)
+            assert len(await text_of(runner, request("y"))) == 5
+
+    run(main)
+
+
+def test_events_are_late_with_gaps_and_load_reports_lag():
+    """Guards against stand-ins that are kinder than real engines."""
+
+    async def main():
+        chosen = faults.RunnerFaults(load_lag_s=0.5, event_delay_s=2.0, event_loss=0.5)
+        async with running(switch=faults.FaultSwitch(1, chosen)) as runner:
+            for number in range(8):
+                await text_of(runner, request(f"s{number}"))
+            assert runner.load().running == 1
+            assert runner.load().age_s == 0.5
+            assert runner.cache.events_since(0).cursor < 8
+            await anyio.sleep(2.0)
+            page = runner.cache.events_since(0)
+            assert page.cursor <= 8
+            assert 0 < len(page.events) < 8
+
+    run(main)
