Add circuit breaker, adaptive concurrency and retry budget

A decaying latency baseline was tried first and ruled out: it grew with the queue, so the limit settled at 32 for a runner of capacity 8. A windowed minimum with a halved limit at each window settles below 24 in the same test.

--- /dev/null
+++ b/src/dogwoodgap/breakers.py
@@ -0,0 +1,223 @@
+"""Overload protection per runner: circuit breaker, adaptive concurrency and retry budget."""
+
+import dataclasses
+import enum
+
+from dogwoodgap import clock, structures
+
+FAILURES_TO_OPEN = 3
+"""Consecutive failures; one lost reply alone must not stop a runner."""
+
+OPEN_S = 1.0
+MAX_OPEN_S = 30.0
+PROBE_LIMIT_S = 30.0
+"""A probe that has not reported after this time is given up, so that the breaker cannot stick."""
+
+LATENCY_TOLERANCE = 2.0
+"""Latency above this multiple of the best recent latency counts as queueing."""
+
+DECREASE_FACTOR = 0.8
+BASELINE_WINDOW_S = 30.0
+"""Each window starts at half the limit, so that its best latency is one without queueing.
+A baseline that drifted up by 1% a sample grew with the queue and never limited it."""
+
+RETRY_SHARE = 0.1
+RETRY_BURST = 10.0
+
+
+class BreakerState(enum.StrEnum):
+    """States of a circuit breaker."""
+
+    CLOSED = "closed"
+    OPEN = "open"
+    HALF_OPEN = "half-open"
+
+
+class CircuitBreaker:
+    """Stop sending to a runner that fails, and try again with one request at a time.
+
+    The open time doubles with each failed probe, up to ``MAX_OPEN_S``.
+    """
+
+    def __init__(self) -> None:
+        self.failures = 0
+        self.open_s = OPEN_S
+        self.open_until = 0.0
+        self.probe_until = 0.0
+        self.opened = False
+
+    @property
+    def state(self) -> BreakerState:
+        """Return the state at the present time."""
+        if not self.opened:
+            return BreakerState.CLOSED
+        return BreakerState.OPEN if clock.now() < self.open_until else BreakerState.HALF_OPEN
+
+    def available(self) -> bool:
+        """Return whether a request may be sent, without sending it."""
+        state = self.state
+        if state is BreakerState.HALF_OPEN:
+            return clock.now() >= self.probe_until
+        return state is BreakerState.CLOSED
+
+    def admit(self) -> bool:
+        """Count a request that is about to be sent; in half-open state it becomes the probe."""
+        if not self.available():
+            return False
+        if self.opened:
+            self.probe_until = clock.now() + PROBE_LIMIT_S
+        return True
+
+    def succeeded(self) -> None:
+        """Close after a success."""
+        self.failures = 0
+        self.opened = False
+        self.open_s = OPEN_S
+        self.probe_until = 0.0
+
+    def failed(self) -> None:
+        """Count a failure; a failed probe opens again for twice as long."""
+        self.failures += 1
+        if self.opened:
+            if self.state is BreakerState.OPEN:
+                return
+            self.open_s = min(MAX_OPEN_S, self.open_s * 2.0)
+            self.open()
+        elif self.failures >= FAILURES_TO_OPEN:
+            self.open()
+
+    def open(self) -> None:
+        """Refuse requests for a while, as after a confirmed crash."""
+        self.opened = True
+        self.open_until = clock.now() + self.open_s
+        self.probe_until = 0.0
+
+    def abandoned(self) -> None:
+        """Free the place of a probe that ended without telling anything, as by cancellation."""
+        self.probe_until = 0.0
+
+
+class AdaptiveConcurrency:
+    """Limit this node's requests to one runner by observed latency (AIMD).
+
+    Parameters
+    ----------
+    initial : float
+        First limit.
+    maximum : float
+        The limit never exceeds it.
+    """
+
+    def __init__(self, initial: float, maximum: float):
+        self.limit = min(initial, maximum)
+        self.maximum = maximum
+        self.best_s = 0.0
+        self.window_best_s = 0.0
+        self.window_ends_at = 0.0
+        self.decreased_at = -1.0
+
+    def allows(self, in_flight: int) -> bool:
+        """Return whether one more request fits."""
+        return in_flight < int(self.limit)
+
+    def finished(self, latency_s: float, in_flight: int, *, refused: bool = False) -> None:
+        """Adjust the limit after a request.
+
+        Parameters
+        ----------
+        latency_s : float
+            Time to the first token or to the answer, in seconds.
+        in_flight : int
+            Requests in flight when it finished, itself included; the limit grows only when used.
+        refused : bool
+            The runner was overloaded or timed out.
+        """
+        if not refused:
+            self.learn(latency_s)
+        if refused or latency_s > LATENCY_TOLERANCE * self.best_s:
+            self.decrease(latency_s)
+        elif in_flight >= int(self.limit) // 2:
+            self.limit = min(self.maximum, self.limit + 1.0 / self.limit)
+
+    def learn(self, latency_s: float) -> None:
+        """Keep the best latency of the present and the last window."""
+        now = clock.now()
+        if now >= self.window_ends_at:
+            self.start_window(now)
+        best_s = self.window_best_s
+        self.window_best_s = min(best_s, latency_s) if best_s else latency_s
+        self.best_s = min(self.best_s, latency_s) if self.best_s else latency_s
+
+    def start_window(self, now: float) -> None:
+        """Forget the window before the last, and halve the limit to see the empty runner."""
+        if self.window_best_s:
+            self.limit = max(1.0, self.limit / 2.0)
+        self.best_s = self.window_best_s
+        self.window_best_s = 0.0
+        self.window_ends_at = now + BASELINE_WINDOW_S
+
+    def decrease(self, latency_s: float) -> None:
+        """Shrink the limit, once per round trip, since one burst of queueing is one signal."""
+        now = clock.now()
+        if now - self.decreased_at >= latency_s:
+            self.limit = max(1.0, self.limit * DECREASE_FACTOR)
+            self.decreased_at = now
+
+
+class RetryBudget:
+    """A token bucket filled by first attempts, so that retries stay a share of traffic."""
+
+    def __init__(self, share: float = RETRY_SHARE, burst: float = RETRY_BURST):
+        self.share = share
+        self.burst = burst
+        self.level = burst
+
+    def first_attempt(self) -> None:
+        """Earn a part of a retry."""
+        self.level = min(self.burst, self.level + self.share)
+
+    def take(self) -> bool:
+        """Return whether a retry may be sent, and pay for it."""
+        if self.level < 1.0:
+            return False
+        self.level -= 1.0
+        return True
+
+
+@dataclasses.dataclass(slots=True)
+class RunnerGuard:
+    """The breaker and the concurrency limit of one runner."""
+
+    breaker: CircuitBreaker
+    concurrency: AdaptiveConcurrency
+
+
+class Guards:
+    """All runners' guards and all services' retry budgets of a node."""
+
+    def __init__(self) -> None:
+        self.guards: dict[str, RunnerGuard] = {}
+        self.budgets: dict[str, RetryBudget] = {}
+
+    def guard(self, view: structures.RunnerView) -> RunnerGuard:
+        """Return the guard of a runner."""
+        key = structures.runner_key(view)
+        if key not in self.guards:
+            # Queueing in the engine is wanted up to twice its slots, for continuous batching.
+            concurrency = AdaptiveConcurrency(float(view.slots), 2.0 * view.slots)
+            self.guards[key] = RunnerGuard(CircuitBreaker(), concurrency)
+        return self.guards[key]
+
+    def budget(self, service: str) -> RetryBudget:
+        """Return the retry budget of a service."""
+        return self.budgets.setdefault(service, RetryBudget())
+
+    def available(self, view: structures.RunnerView) -> bool:
+        """Return whether a runner may get one more request."""
+        guard = self.guard(view)
+        return guard.breaker.available() and guard.concurrency.allows(view.in_flight)
+
+    def forget(self, keys: set[str]) -> None:
+        """Drop the guards of runners that left the configuration."""
+        for key in keys:
+            self.guards.pop(key, None)
--- a/src/dogwoodgap/structures.py
+++ b/src/dogwoodgap/structures.py
@@ -100,6 +100,11 @@
     decode_tokens_per_s: float = 50.0
 
 
+def runner_key(view: RunnerView) -> str:
+    """Return the name of a runner that is unique over all services."""
+    return f"{view.service}/{view.id}"
+
+
 @dataclasses.dataclass(slots=True)
 class WorkItem:
     """One model call as the scheduler sees it.
--- /dev/null
+++ b/tests/test_breakers.py
@@ -0,0 +1,90 @@
+"""Circuit breaker, adaptive concurrency and retry budget on virtual time."""
+
+import anyio
+import trio.testing
+
+from dogwoodgap import breakers
+
+
+def run(main):
+    """Run a coroutine function on virtual time."""
+    anyio.run(
+        main,
+        backend="trio",
+        backend_options={"clock": trio.testing.MockClock(autojump_threshold=0)},
+    )
+
+
+def test_half_open_breaker_lets_one_probe_pass():
+    """Guards against a recovering runner that is flooded, and against a breaker that sticks."""
+
+    async def main():
+        breaker = breakers.CircuitBreaker()
+        for _ in range(breakers.FAILURES_TO_OPEN):
+            assert breaker.admit()
+            breaker.failed()
+        assert not breaker.admit()
+        await anyio.sleep(breakers.OPEN_S)
+        assert breaker.admit()
+        assert not breaker.admit()
+        breaker.failed()
+        await anyio.sleep(breakers.OPEN_S)
+        assert not breaker.admit()
+        await anyio.sleep(breakers.OPEN_S)
+        assert breaker.admit()
+        await anyio.sleep(breakers.PROBE_LIMIT_S)
+        assert breaker.admit()
+        breaker.succeeded()
+        assert breaker.admit()
+        assert breaker.admit()
+
+    run(main)
+
+
+def test_late_failures_do_not_extend_an_open_breaker():
+    """Guards against a burst of failures that doubles the open time for each of them."""
+
+    async def main():
+        breaker = breakers.CircuitBreaker()
+        for _ in range(20):
+            breaker.failed()
+        await anyio.sleep(breakers.OPEN_S)
+        assert breaker.admit()
+
+    run(main)
+
+
+def test_concurrency_finds_the_capacity_of_a_runner():
+    """Guards against a limit that neither shrinks under queueing nor grows back."""
+
+    async def main():
+        limiter = breakers.AdaptiveConcurrency(32.0, 64.0)
+        capacity = 8
+
+        async def settle():
+            for _ in range(400):
+                in_flight = int(limiter.limit)
+                latency_s = 0.1 * max(1.0, in_flight / capacity)
+                await anyio.sleep(latency_s)
+                limiter.finished(latency_s, in_flight)
+
+        limiter.finished(0.1, 1)
+        await settle()
+        assert capacity <= limiter.limit <= 3 * capacity
+        capacity = 24
+        await settle()
+        assert limiter.limit > 16
+        limiter.finished(0.1, 1, refused=True)
+        assert limiter.allows(0)
+
+    run(main)
+
+
+def test_retries_stay_a_share_of_traffic():
+    """Guards against retries that multiply the load of an overloaded service."""
+    budget = breakers.RetryBudget(share=0.1, burst=10.0)
+    retries = 0
+    for _ in range(1000):
+        budget.first_attempt()
+        retries += budget.take()
+    assert 100 <= retries <= 111
