--- a/src/dogwoodgap/records.py
+++ b/src/dogwoodgap/records.py
@@ -143,10 +143,11 @@
 
 
 class Suspected(Record):
-    """A request digest was in flight on a runner that crashed."""
+    """A request digest was in flight on a runner that crashed; no crashes clear it."""
 
     digest: str
     crashes: int
+    until: float = 0.0
 
 
 AnyRecord = (
--- a/src/dogwoodgap_wire/ttypes.py
+++ b/src/dogwoodgap_wire/ttypes.py
@@ -275,6 +275,12 @@
      - runner
      - in_flight
      - sent_tokens
+     - sent_requests
+     - age_ms
+     - queued
+     - running
+     - cached_tokens
+     - leaving
 
     """
 
@@ -282,13 +288,25 @@
         'runner',
         'in_flight',
         'sent_tokens',
+        'sent_requests',
+        'age_ms',
+        'queued',
+        'running',
+        'cached_tokens',
+        'leaving',
     )
 
 
-    def __init__(self, runner=None, in_flight=None, sent_tokens=None,):
+    def __init__(self, runner=None, in_flight=None, sent_tokens=None, sent_requests=None, age_ms=-1, queued=None, running=None, cached_tokens=None, leaving=None,):
         self.runner = runner
         self.in_flight = in_flight
         self.sent_tokens = sent_tokens
+        self.sent_requests = sent_requests
+        self.age_ms = age_ms
+        self.queued = queued
+        self.running = running
+        self.cached_tokens = cached_tokens
+        self.leaving = leaving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -314,6 +332,36 @@
                     self.sent_tokens = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.sent_requests = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.queued = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.running = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.cached_tokens = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -336,6 +384,30 @@
             oprot.writeFieldBegin('sent_tokens', TType.I64, 3)
             oprot.writeI64(self.sent_tokens)
             oprot.writeFieldEnd()
+        if self.sent_requests is not None:
+            oprot.writeFieldBegin('sent_requests', TType.I64, 4)
+            oprot.writeI64(self.sent_requests)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 5)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.queued is not None:
+            oprot.writeFieldBegin('queued', TType.I32, 6)
+            oprot.writeI32(self.queued)
+            oprot.writeFieldEnd()
+        if self.running is not None:
+            oprot.writeFieldBegin('running', TType.I32, 7)
+            oprot.writeI32(self.running)
+            oprot.writeFieldEnd()
+        if self.cached_tokens is not None:
+            oprot.writeFieldBegin('cached_tokens', TType.I64, 8)
+            oprot.writeI64(self.cached_tokens)
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 9)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1244,6 +1316,8 @@
      - digest
      - crashes
      - runner
+     - reserved
+     - until
 
     """
 
@@ -1251,13 +1325,17 @@
         'digest',
         'crashes',
         'runner',
+        'reserved',
+        'until',
     )
 
 
-    def __init__(self, digest=None, crashes=None, runner=None,):
+    def __init__(self, digest=None, crashes=None, runner=None, reserved=None, until=None,):
         self.digest = digest
         self.crashes = crashes
         self.runner = runner
+        self.reserved = reserved
+        self.until = until
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1283,6 +1361,16 @@
                     self.runner = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.reserved = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.until = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1305,6 +1393,14 @@
             oprot.writeFieldBegin('runner', TType.STRING, 3)
             oprot.writeString(self.runner.encode('utf-8') if sys.version_info[0] == 2 else self.runner)
             oprot.writeFieldEnd()
+        if self.reserved is not None:
+            oprot.writeFieldBegin('reserved', TType.BOOL, 4)
+            oprot.writeBool(self.reserved)
+            oprot.writeFieldEnd()
+        if self.until is not None:
+            oprot.writeFieldBegin('until', TType.DOUBLE, 5)
+            oprot.writeDouble(self.until)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1829,6 +1925,12 @@
     (1, TType.STRING, 'runner', 'UTF8', None, ),  # 1
     (2, TType.I32, 'in_flight', None, None, ),  # 2
     (3, TType.I64, 'sent_tokens', None, None, ),  # 3
+    (4, TType.I64, 'sent_requests', None, None, ),  # 4
+    (5, TType.I32, 'age_ms', None, -1, ),  # 5
+    (6, TType.I32, 'queued', None, None, ),  # 6
+    (7, TType.I32, 'running', None, None, ),  # 7
+    (8, TType.I64, 'cached_tokens', None, None, ),  # 8
+    (9, TType.BOOL, 'leaving', None, None, ),  # 9
 )
 all_structs.append(Hello)
 Hello.thrift_spec = (
@@ -1900,6 +2002,8 @@
     (1, TType.STRING, 'digest', 'UTF8', None, ),  # 1
     (2, TType.I32, 'crashes', None, None, ),  # 2
     (3, TType.STRING, 'runner', 'UTF8', None, ),  # 3
+    (4, TType.BOOL, 'reserved', None, None, ),  # 4
+    (5, TType.DOUBLE, 'until', None, None, ),  # 5
 )
 all_structs.append(RunnerNotice)
 RunnerNotice.thrift_spec = (
--- a/thrift/dogwoodgap.thrift
+++ b/thrift/dogwoodgap.thrift
@@ -19,10 +19,18 @@
   3: i32 running,
 }
 
+// Sends of one node to a runner, and the runner's load report if the node polled it.
+// The runner is named service/id; age_ms is negative without a report.
 struct RunnerLoad {
   1: string runner,
   2: i32 in_flight,
   3: i64 sent_tokens,
+  4: i64 sent_requests,
+  5: i32 age_ms = -1,
+  6: i32 queued,
+  7: i32 running,
+  8: i64 cached_tokens,
+  9: bool leaving,
 }
 
 struct Hello {
@@ -57,7 +65,15 @@
 struct ShareRequest { 1: string customer, 2: string node, 3: double demand }
 struct ShareReply { 1: string customer, 2: double rate, 3: i32 concurrency, 4: double ttl_seconds }
 
-struct SuspectNotice { 1: string digest, 2: i32 crashes, 3: string runner }
+// crashes counts known crashes; 0 clears the digest. With reserved, the digest is about to run
+// alone on the runner (service/id), which must get no other work; otherwise it crashed there.
+struct SuspectNotice {
+  1: string digest,
+  2: i32 crashes,
+  3: string runner,
+  4: bool reserved,
+  5: double until,
+}
 struct RunnerNotice { 1: string service_name, 2: string runner, 3: bool leaving, 4: bool down }
 
 struct Ack { 1: bool ok }
