--- a/src/dogwoodgap_lab/oracle.py
+++ b/src/dogwoodgap_lab/oracle.py
@@ -165,7 +165,7 @@
 
 @check("not-run")
 def not_run(evidence: Evidence) -> list[str]:
-    """What was refused as not run is in no ledger."""
+    """Find refusals as not run that are in a ledger."""
     counts = execution_counts(evidence)
     return [
         f"{attempt.key}: refused as not run ({attempt.detail}) and executed {counts[attempt.key]}x"
@@ -191,7 +191,7 @@
 
 @check("leaving-runner")
 def leaving_runner(evidence: Evidence) -> list[str]:
-    """A leaving runner gets no new work after the limit."""
+    """Find work that a leaving runner got after the limit."""
     return [
         f"{entry.runner} got work {entry.at - window.since:.1f} s after it began to leave"
         for window in evidence.leaving
@@ -203,7 +203,7 @@
 
 @check("planned-stop")
 def planned_stop(evidence: Evidence) -> list[str]:
-    """A planned stop cuts no request."""
+    """Find requests that a planned stop cut."""
     return evidence.cut_requests
 
 
