--- a/src/dogwoodgap/exceptions.py
+++ b/src/dogwoodgap/exceptions.py
@@ -76,6 +76,12 @@
     code, status, title = "body-too-large", 413, "Body too large"
 
 
+class RecordTooLargeError(InvalidRequestError):
+    """A journal record would not fit into one object of the platform."""
+
+    code, status, title = "record-too-large", 413, "Record too large"
+
+
 class UnauthorizedError(DogwoodgapError):
     """The bearer key is missing, unknown, expired or revoked."""
 
@@ -142,6 +148,12 @@
     code, title = "key-conflict", "Idempotency key used with another body"
 
 
+class StaleRecordError(ConflictError):
+    """The result belongs to a call or action that was settled before."""
+
+    code, title, not_run = "stale-record", "Result came too late", "unknown"
+
+
 class ProgramFinishedError(ConflictError):
     """The program has ended and accepts no further work."""
 
@@ -254,6 +266,18 @@
     code, title, retry_after_s = "journal-sealed", "Journal sealed by a successor", 0.5
 
 
+class JournalClosedError(StoreError):
+    """The node stopped before it learned whether the record was stored."""
+
+    code, title, retry_after_s = "journal-closed", "Journal closed", 0.5
+
+
+class JournalDamagedError(StoreError):
+    """A stored object cannot be decoded, or a segment is missing."""
+
+    code, status, title = "journal-damaged", 500, "Journal damaged"
+
+
 class SettingsInvalidError(DogwoodgapError):
     """A settings or configuration document is invalid; the old one stays in force."""
 
--- a/src/dogwoodgap/journal.py
+++ b/src/dogwoodgap/journal.py
@@ -1,5 +1,6 @@
 """Group commit of records into segments that only their writer or its successor can extend."""
 
+import collections
 import logging
 import uuid
 
@@ -8,6 +9,14 @@
 from dogwoodgap import clock, events, exceptions, metrics, objectstore, records
 
 MAX_SEGMENT_BYTES = 900_000
+"""A group commit adds no further commit above this size."""
+
+MAX_COMMIT_BYTES = 990_000
+"""Uncompressed limit of one commit. zlib adds at most 0.1%, so the object stays below 1 MB."""
+
+MAX_RECORD_BYTES = 950_000
+"""Limit of callers' records; the rest is for the frame that a record gets in a checkpoint."""
+
 RETRY_DELAY_S = 0.05
 MAX_RETRY_DELAY_S = 1.0
 SEQUENCE_DIGITS = 10
@@ -18,14 +27,26 @@
     return f"journal/{node}/{boot}/{seq:0{SEQUENCE_DIGITS}d}"
 
 
+def sequence_of(key: str) -> int:
+    """Return the sequence number in the key of a segment."""
+    return int(key.rpartition("/")[2])
+
+
 class Commit:
-    """Records that will be stored together, and the wait for that."""
+    """Records that will be stored together, and the wait for that.
+
+    Attributes
+    ----------
+    seq : int
+        Of a barrier: the first segment that holds only records staged after it.
+    """
 
     def __init__(self, batch: list[records.Record]):
         self.batch = batch
         self.size = sum(records.encoded_size(record) for record in batch)
         self.stored = anyio.Event()
         self.error: exceptions.DogwoodgapError | None = None
+        self.seq = 0
 
     async def wait(self) -> None:
         """Return when the records are stored.
@@ -34,6 +55,8 @@
         ------
         JournalSealedError
             When a successor took the journal over first.
+        JournalClosedError
+            When the node stopped first.
         """
         await self.stored.wait()
         if self.error is not None:
@@ -65,20 +88,67 @@
         self.boot = boot
         self.bucket = bucket
         self.next_seq = 1
-        self.pending: list[Commit] = []
+        self.pending: collections.deque[Commit] = collections.deque()
         self.sealed = anyio.Event()
+        self.closed = False
         self.wakeup = anyio.Event()
         self.stored_bytes = 0
 
+    def set_rate(self, rate_per_s: float) -> None:
+        """Change the node's share of the platform's write rate."""
+        self.bucket.set_rate(rate_per_s)
+
+    def check(self, *batch: records.Record) -> None:
+        """Refuse records that cannot be stored; call this before applying them.
+
+        Raises
+        ------
+        JournalSealedError
+            When a successor owns the journal.
+        RecordTooLargeError
+            When the records do not fit into one segment.
+        """
+        if self.sealed.is_set():
+            raise sealed_error()
+        size = sum(records.encoded_size(record) for record in batch)
+        if size > MAX_RECORD_BYTES:
+            raise exceptions.RecordTooLargeError(
+                f"the record has {size} bytes and the limit is {MAX_RECORD_BYTES}; "
+                "send a shorter message"
+            )
+
     def stage(self, *batch: records.Record) -> Commit:
-        """Queue records for the next segment and return the pending commit."""
+        """Queue records for the next segment and return the pending commit.
+
+        Raises
+        ------
+        RecordTooLargeError
+            When the records do not fit into one segment; nothing is queued.
+        """
         commit = Commit(list(batch))
+        if commit.size > MAX_COMMIT_BYTES:
+            raise exceptions.RecordTooLargeError(
+                f"the records have {commit.size} bytes and the limit is {MAX_COMMIT_BYTES}; "
+                "send a shorter message"
+            )
+        self.queue(commit)
+        return commit
+
+    def barrier(self) -> Commit:
+        """Queue a segment boundary; ``seq`` of the result names the segment that follows it."""
+        commit = Commit([])
+        self.queue(commit)
+        return commit
+
+    def queue(self, commit: Commit) -> None:
+        """Queue a commit, or fail it when nothing more will be written."""
         if self.sealed.is_set():
-            self.fail(commit)
+            fail(commit, sealed_error())
+        elif self.closed:
+            fail(commit, closed_error())
         else:
             self.pending.append(commit)
             self.wakeup.set()
-        return commit
 
     async def append(self, *batch: records.Record) -> None:
         """Store records and return when they are durable."""
@@ -86,42 +156,65 @@
 
     async def run(self) -> None:
         """Write segments until the journal is sealed."""
-        while not self.sealed.is_set():
-            if not self.pending:
-                self.wakeup = anyio.Event()
-                await self.wakeup.wait()
-            await self.bucket.take()
-            await self.write(self.take_batch())
-
-    def take_batch(self) -> list[Commit]:
-        """Remove the commits that fit into one segment."""
-        batch = [self.pending.pop(0)]
-        size = batch[0].size
-        while self.pending and size + self.pending[0].size <= MAX_SEGMENT_BYTES:
-            size += self.pending[0].size
-            batch.append(self.pending.pop(0))
+        try:
+            while not self.sealed.is_set():
+                self.pass_barriers()
+                if not self.pending:
+                    self.wakeup = anyio.Event()
+                    await self.wakeup.wait()
+                    continue
+                await self.bucket.take()
+                if not self.sealed.is_set():
+                    await self.write_batch()
+        finally:
+            self.closed = True
+            self.fail_pending(closed_error())
+
+    def pass_barriers(self) -> None:
+        """Settle the barriers that no unwritten record precedes."""
+        while self.pending and not self.pending[0].batch:
+            commit = self.pending.popleft()
+            commit.seq = self.next_seq
+            commit.stored.set()
+
+    def first_batch(self) -> list[Commit]:
+        """Return the commits that fit into one segment, up to the next barrier."""
+        batch: list[Commit] = []
+        size = 0
+        for commit in self.pending:
+            if not commit.batch or (batch and size + commit.size > MAX_SEGMENT_BYTES):
+                break
+            size += commit.size
+            batch.append(commit)
         return batch
 
-    async def write(self, batch: list[Commit]) -> None:
-        """Write one segment, repeating until it is stored or the journal is sealed."""
+    async def write_batch(self) -> None:
+        """Write one segment, repeating until it is stored or the journal is sealed.
+
+        The commits stay in the queue meanwhile, so that a cancelled writer fails them too.
+        """
+        batch = self.first_batch()
         content = [record for commit in batch for record in commit.batch]
         segment = records.Segment(nonce=uuid.uuid4().hex, records=content)
         data = records.encode_segment(segment)
         started = clock.now()
-        if await self.write_until_settled(segment.nonce, data):
-            self.next_seq += 1
-            self.stored_bytes += len(data)
-            metrics.timing("journal.commit", clock.now() - started)
-            for commit in batch:
-                commit.stored.set()
+        stored = await self.write_until_settled(segment.nonce, data)
+        if not stored:
+            self.mark_sealed()
+            return
+        self.next_seq += 1
+        if self.sealed.is_set():
             return
-        self.seal_found(batch)
+        self.stored_bytes += len(data)
+        metrics.timing("journal.commit", clock.now() - started)
+        for _ in batch:
+            self.pending.popleft().stored.set()
 
     async def write_until_settled(self, nonce: str, data: bytes) -> bool:
         """Return whether the segment was stored, False when the journal is sealed."""
         key = segment_key(self.node, self.boot, self.next_seq)
         delay = RETRY_DELAY_S
-        while True:
+        while not self.sealed.is_set():
             try:
                 await self.store.put(key, data, expected=objectstore.ABSENT)
                 return True
@@ -139,18 +232,28 @@
                 )
             await anyio.sleep(delay)
             delay = min(delay * 2, MAX_RETRY_DELAY_S)
+        return False
 
     async def read_nonce(self, key: str) -> str | None:
-        """Return the nonce of a stored segment, or None when it cannot be read now."""
+        """Return the nonce of a stored segment, or None when it cannot be read now.
+
+        A damaged object has the nonce "", which matches no writer: without proof that the
+        segment is its own, a writer acknowledges nothing.
+        """
         try:
             stored = await self.store.get(key)
+            return records.decode_segment(stored.data).nonce
+        except exceptions.JournalDamagedError:
+            return ""
         except exceptions.StoreError:
             return None
-        return records.decode_segment(stored.data).nonce
 
-    def seal_found(self, batch: list[Commit]) -> None:
+    def mark_sealed(self) -> None:
         """Fail everything that is pending: a successor owns this journal."""
+        if self.sealed.is_set():
+            return
         self.sealed.set()
+        self.wakeup.set()
         events.emit(
             events.Event.JOURNAL_SEALED,
             "journal sealed by a successor",
@@ -158,47 +261,86 @@
             node=self.node,
             boot=self.boot,
         )
-        for commit in [*batch, *self.pending]:
-            self.fail(commit)
-        self.pending.clear()
-
-    def fail(self, commit: Commit) -> None:
-        """Mark a commit as never stored."""
-        commit.error = exceptions.JournalSealedError(
-            "another node took over; ask GET /v1/entries and repeat the request there"
-        )
-        commit.stored.set()
+        self.fail_pending(sealed_error())
+
+    def fail_pending(self, error: exceptions.DogwoodgapError) -> None:
+        """Fail all queued commits."""
+        while self.pending:
+            fail(self.pending.popleft(), error)
+
+
+def fail(commit: Commit, error: exceptions.DogwoodgapError) -> None:
+    """Mark a commit as not known to be stored."""
+    commit.error = error
+    commit.stored.set()
+
+
+def sealed_error() -> exceptions.JournalSealedError:
+    """Return the error of writes after a takeover."""
+    return exceptions.JournalSealedError(
+        "another node took over; ask GET /v1/entries and repeat the request there"
+    )
+
+
+def closed_error() -> exceptions.JournalClosedError:
+    """Return the error of writes that a stop cut short."""
+    return exceptions.JournalClosedError(
+        "the node stopped before the record was stored; repeat the request"
+    )
+
+
+async def segment_sequences(store: objectstore.ObjectStore, node: str, boot: str) -> list[int]:
+    """Return the sequence numbers of the stored segments in order."""
+    infos = await objectstore.list_all(store, f"journal/{node}/{boot}/0")
+    return [sequence_of(info.key) for info in infos]
+
+
+async def read_segment(
+    store: objectstore.ObjectStore, node: str, boot: str, seq: int
+) -> records.Segment:
+    """Return one stored segment."""
+    stored = await store.get(segment_key(node, boot, seq))
+    return records.decode_segment(stored.data)
 
 
 async def replay(
     store: objectstore.ObjectStore, node: str, boot: str, first_seq: int = 1
 ) -> list[records.Segment]:
-    """Return the segments of a journal in order, from ``first_seq``."""
-    keys = await objectstore.list_all(store, f"journal/{node}/{boot}/0")
-    segments = []
-    for info in keys:
-        if int(info.key.rpartition("/")[2]) >= first_seq:
-            stored = await store.get(info.key)
-            segments.append(records.decode_segment(stored.data))
-    return segments
+    """Return the segments of a journal in order, from ``first_seq``.
+
+    Raises
+    ------
+    JournalDamagedError
+        When a segment between the first and the last one is missing or damaged.
+    """
+    found = [seq for seq in await segment_sequences(store, node, boot) if seq >= first_seq]
+    if found != list(range(first_seq, first_seq + len(found))):
+        raise exceptions.JournalDamagedError(
+            f"journal of {node}/{boot} has gaps after segment {first_seq}; "
+            "read the checkpoint head again, and restore the missing objects if gaps remain"
+        )
+    return [await read_segment(store, node, boot, seq) for seq in found]
 
 
 async def seal(
     store: objectstore.ObjectStore, node: str, boot: str, first_seq: int, sealed_by: str
 ) -> int:
-    """Create the next segment of another writer's journal as a seal and return its sequence."""
+    """Create the next segment of another writer's journal as a seal and return its sequence.
+
+    A writer never deletes its newest segment. So a segment above the seal shows that the writer
+    had passed this sequence and deleted it, and the seal is set again further on.
+    """
     nonce = uuid.uuid4().hex
     data = records.encode_segment(records.Segment(nonce=nonce, sealed_by=sealed_by))
     while True:
-        keys = await objectstore.list_all(store, f"journal/{node}/{boot}/0")
-        last = int(keys[-1].key.rpartition("/")[2]) if keys else first_seq - 1
-        if keys:
-            stored = await store.get(keys[-1].key)
-            if records.decode_segment(stored.data).sealed_by:
-                return last
+        found = await segment_sequences(store, node, boot)
+        last = found[-1] if found else first_seq - 1
+        if found and (await read_segment(store, node, boot, last)).sealed_by:
+            return last
         try:
-            key = segment_key(node, boot, last + 1)
-            await store.put(key, data, expected=objectstore.ABSENT)
-            return last + 1
+            await store.put(segment_key(node, boot, last + 1), data, expected=objectstore.ABSENT)
         except exceptions.VersionConflictError:
             continue
+        found = await segment_sequences(store, node, boot)
+        if found and found[-1] == last + 1:
+            return last + 1
--- a/src/dogwoodgap/objectstore.py
+++ b/src/dogwoodgap/objectstore.py
@@ -1,5 +1,6 @@
 """The platform's object store: one small interface and its HTTP adapter."""
 
+import collections.abc
 import dataclasses
 import typing
 import urllib.parse
@@ -14,6 +15,10 @@
 """Expected version of an object that must not exist yet."""
 
 MAX_OBJECT_BYTES = 1_000_000
+RETRY_DELAY_S = 0.05
+MAX_RETRY_DELAY_S = 1.0
+MIN_RATE_PER_S = 0.01
+"""Lower bound of a bucket's rate, so that a zero share delays writes instead of dividing by 0."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -112,8 +117,22 @@
         """Wait until one call may pass."""
         self.refill()
         self.level -= 1.0
-        if self.level < 0.0:
-            await anyio.sleep(-self.level / self.rate_per_s)
+        try:
+            if self.level < 0.0:
+                await anyio.sleep(-self.level / self.rate_per_s)
+        except BaseException:
+            self.level += 1.0
+            raise
+
+    def charge(self) -> None:
+        """Count a call that goes first: it does not wait, and later calls wait longer."""
+        self.refill()
+        self.level -= 1.0
+
+    def set_rate(self, rate_per_s: float) -> None:
+        """Change the sustained rate; what was saved under the old rate is kept."""
+        self.refill()
+        self.rate_per_s = max(rate_per_s, MIN_RATE_PER_S)
 
 
 class HttpObjectStore:
@@ -200,6 +219,36 @@
         return msgspec.json.decode(reply.content, type=list[Vm])
 
 
+async def get_optional(store: ObjectStore, key: str) -> StoredObject | None:
+    """Return an object, or None when it does not exist."""
+    try:
+        return await store.get(key)
+    except exceptions.ObjectMissingError:
+        return None
+
+
+async def put_until_stored(store: ObjectStore, key: str, data: bytes) -> None:
+    """Write an object that has no other writer and no other content, waiting out outages."""
+    await repeat(lambda: store.put(key, data))
+
+
+async def delete_until_gone(store: ObjectStore, key: str) -> None:
+    """Delete an object, waiting out outages."""
+    await repeat(lambda: store.delete(key))
+
+
+async def repeat(call: collections.abc.Callable[[], collections.abc.Awaitable[typing.Any]]) -> None:
+    """Repeat an idempotent call until the store answers it."""
+    delay = RETRY_DELAY_S
+    while True:
+        try:
+            await call()
+            return
+        except exceptions.StoreUnavailableError:
+            await anyio.sleep(delay)
+            delay = min(delay * 2, MAX_RETRY_DELAY_S)
+
+
 async def list_all(store: ObjectStore, prefix: str) -> list[ObjectInfo]:
     """Return all keys below a prefix."""
     found: list[ObjectInfo] = []
--- a/src/dogwoodgap/programs.py
+++ b/src/dogwoodgap/programs.py
@@ -2,116 +2,36 @@
 
 import dataclasses
 import functools
-import hashlib
-import typing
 
-import msgspec
+from dogwoodgap import entries, exceptions, records, shards, structures
 
-from dogwoodgap import exceptions, records, shards, structures
+CallEntry = entries.CallEntry
+ActionEntry = entries.ActionEntry
+Entry = entries.Entry
+Program = entries.Program
+KeyEntry = entries.KeyEntry
+ProgramKey = entries.ProgramKey
+ActionKey = entries.ActionKey
+charge_of = entries.charge_of
+digest_of = entries.digest_of
 
 
-class CallEntry(msgspec.Struct):
-    """A started or finished call; ``turn`` is None while it runs."""
-
-    seq: int
-    digest: str
-    reserved_tokens: int
-    turn: structures.Turn | None = None
-
-
-class ActionEntry(msgspec.Struct):
-    """A started or finished action of a program."""
-
-    seq: int
-    digest: str
-    key: str
-    result: structures.ActionResult | None = None
-
-
-Entry = CallEntry | ActionEntry
-
-
-class Program(msgspec.Struct):
-    """State of one program. Times are wall time in seconds.
+@dataclasses.dataclass
+class ProgramTable:
+    """Programs and idempotency keys of the shards that a node owns.
 
     Attributes
     ----------
-    spent_tokens, reserved_tokens : int
-        Of the whole tree; kept on the root program only.
-    next_seq : int
-        Sequence number that the next call or action must carry.
+    generations : dict of int to int
+        Generation of each shard whose state is in the table.
+    suspects : dict of str to records.Suspected
+        Journalled quarantine digests, which concern the whole node.
     """
 
-    customer: str
-    id: str
-    service: str
-    profile: str
-    budget_tokens: int
-    created_at: float
-    deadline_at: float
-    parent: str = ""
-    status: str = structures.ProgramStatus.ACTIVE.value
-    reason: str = ""
-    touched_at: float = 0.0
-    ended_at: float = 0.0
-    next_seq: int = 1
-    spent_tokens: int = 0
-    reserved_tokens: int = 0
-    turn_count: int = 0
-    children: list[str] = []
-    calls: dict[int, CallEntry] = {}
-    actions: dict[int, ActionEntry] = {}
-
-    def entry(self, seq: int) -> Entry | None:
-        """Return the call or action with a sequence number."""
-        return self.calls.get(seq) or self.actions.get(seq)
-
-    def turns(self) -> list[structures.Turn]:
-        """Return the finished turns in order."""
-        entries = [self.calls[seq] for seq in sorted(self.calls)]
-        return [entry.turn for entry in entries if entry.turn is not None]
-
-    def context_tokens(self) -> int:
-        """Return the length of the conversation after the last turn."""
-        turns = self.turns()
-        return turns[-1].prompt_tokens + turns[-1].output_tokens if turns else 0
-
-
-class KeyEntry(msgspec.Struct):
-    """What is recorded for an idempotency key; ``result`` is None after the intent only."""
-
-    customer: str
-    key: str
-    digest: str
-    service: str
-    path: str
-    token: str
-    at: float
-    result: structures.ActionResult | None = None
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ProgramKey:
-    """Identity of a program."""
-
-    customer: str
-    program: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ActionKey:
-    """Identity of a non-idempotent action."""
-
-    customer: str
-    key: str
-
-
-@dataclasses.dataclass
-class ProgramTable:
-    """Programs and idempotency keys of the shards that a node owns."""
-
     programs: dict[ProgramKey, Program] = dataclasses.field(default_factory=dict)
     keys: dict[ActionKey, KeyEntry] = dataclasses.field(default_factory=dict)
+    generations: dict[int, int] = dataclasses.field(default_factory=dict)
+    suspects: dict[str, records.Suspected] = dataclasses.field(default_factory=dict)
 
     def get(self, customer: str, program: str) -> Program:
         """Return a program.
@@ -121,13 +41,17 @@
         UnknownProgramError
             When this customer has no such program here.
         """
-        found = self.programs.get(ProgramKey(customer, program))
+        found = self.find(customer, program)
         if found is None:
             raise exceptions.UnknownProgramError(
                 f"program {program!r} does not exist; create it with POST /v1/programs"
             )
         return found
 
+    def find(self, customer: str, program: str) -> Program | None:
+        """Return a program or None."""
+        return self.programs.get(ProgramKey(customer, program))
+
     def root(self, program: Program) -> Program:
         """Return the root of a program's tree, which accounts for the budget."""
         return self.get(program.customer, shards.root_of(program.id))
@@ -137,14 +61,59 @@
         root = self.root(program)
         return root.budget_tokens - root.spent_tokens - root.reserved_tokens
 
+    def check_budget(self, program: Program, tokens: int) -> None:
+        """Refuse a reservation that the tree's budget does not cover.
+
+        Raises
+        ------
+        BudgetExceededError
+            When ``spent + reserved`` would exceed the budget.
+        """
+        remaining = self.remaining_tokens(program)
+        if tokens > remaining:
+            raise exceptions.BudgetExceededError(
+                f"the call may need {tokens} tokens and {remaining} remain; "
+                "shorten it, lower max_tokens or raise the budget of a new program"
+            )
+
     def key(self, customer: str, key: str) -> KeyEntry | None:
         """Return what is recorded for an idempotency key."""
         return self.keys.get(ActionKey(customer, key))
 
+    def open_intents(self, wanted: set[int]) -> list[KeyEntry]:
+        """Return the intents without outcome in some shards."""
+        return [
+            entry
+            for entry in self.keys.values()
+            if entry.result is None and shards.key_shard(entry.customer, entry.key) in wanted
+        ]
+
     def apply(self, record: records.Record) -> None:
-        """Change the state by one record."""
+        """Change the state by one record; a record applied before changes nothing."""
         apply_record(record, self)
 
+    def forget(self, wanted: set[int]) -> None:
+        """Drop the state of some shards."""
+        held = wanted & self.generations.keys()
+        for shard in held:
+            del self.generations[shard]
+        if not held:
+            return
+        self.programs = {
+            key: program
+            for key, program in self.programs.items()
+            if shards.program_shard(key.customer, key.program) not in held
+        }
+        self.keys = {
+            key: entry
+            for key, entry in self.keys.items()
+            if shards.key_shard(key.customer, key.key) not in held
+        }
+
+    def forget_program(self, program: Program) -> None:
+        """Drop one program."""
+        self.programs.pop(ProgramKey(program.customer, program.id), None)
+
 
 @functools.singledispatch
 def apply_record(record: records.Record, table: ProgramTable) -> None:
@@ -154,6 +123,8 @@
 @apply_record.register
 def _(record: records.ProgramCreated, table: ProgramTable) -> None:
     key = ProgramKey(record.customer, record.program)
+    if key in table.programs:
+        return
     table.programs[key] = Program(
         customer=record.customer,
         id=record.program,
@@ -165,57 +136,73 @@
         parent=record.parent,
         touched_at=record.created_at,
     )
-    if record.parent:
-        table.get(record.customer, record.parent).children.append(record.program)
+    parent = table.find(record.customer, record.parent)
+    if parent is not None:
+        parent.children.append(record.program)
 
 
 @apply_record.register
 def _(record: records.CallStarted, table: ProgramTable) -> None:
-    program = table.get(record.customer, record.program)
-    entry = CallEntry(record.seq, record.digest, record.reserved_tokens)
-    program.calls[record.seq] = entry
+    program = table.find(record.customer, record.program)
+    if program is None or record.seq in program.calls:
+        return
+    program.calls[record.seq] = CallEntry(record.seq, record.digest, record.reserved_tokens)
     program.touched_at = record.at
     table.root(program).reserved_tokens += record.reserved_tokens
 
 
 @apply_record.register
 def _(record: records.CallFinished, table: ProgramTable) -> None:
-    program = table.get(record.customer, record.program)
-    entry = program.calls[record.turn.seq]
+    program = table.find(record.customer, record.program)
+    entry = program.calls.get(record.turn.seq) if program is not None else None
+    if entry is None or entry.finished:
+        return
     charged = charge_of(program, record.turn)
-    entry.turn = record.turn
+    settle(table, program, entry, charged)
+    entry.finish(record.turn)
     program.next_seq = record.turn.seq + 1
     program.turn_count += 1
+    program.last_call = record.turn.seq
     program.touched_at = record.turn.finished_at
-    settle(table, program, entry, charged)
 
 
 @apply_record.register
 def _(record: records.CallFailed, table: ProgramTable) -> None:
-    program = table.get(record.customer, record.program)
-    entry = program.calls.pop(record.seq)
+    program = table.find(record.customer, record.program)
+    entry = program.calls.get(record.seq) if program is not None else None
+    if entry is None or entry.finished:
+        return
+    del program.calls[record.seq]
     program.touched_at = record.at
     settle(table, program, entry, record.charged_tokens)
 
 
 @apply_record.register
 def _(record: records.ActionStarted, table: ProgramTable) -> None:
-    program = table.get(record.customer, record.program)
+    program = table.find(record.customer, record.program)
+    if program is None or record.seq in program.actions:
+        return
     program.actions[record.seq] = ActionEntry(record.seq, record.digest, record.key)
     program.touched_at = record.at
 
 
 @apply_record.register
 def _(record: records.ActionFinished, table: ProgramTable) -> None:
-    program = table.get(record.customer, record.program)
-    program.actions[record.seq].result = record.result
+    program = table.find(record.customer, record.program)
+    entry = program.actions.get(record.seq) if program is not None else None
+    if entry is None or entry.result is not None:
+        return
+    entry.result = record.result
     program.next_seq = record.seq + 1
     program.touched_at = record.at
 
 
 @apply_record.register
 def _(record: records.ActionIntent, table: ProgramTable) -> None:
-    table.keys[ActionKey(record.customer, record.key)] = KeyEntry(
+    key = ActionKey(record.customer, record.key)
+    if key in table.keys:
+        return
+    table.keys[key] = KeyEntry(
         customer=record.customer,
         key=record.key,
         digest=record.digest,
@@ -228,38 +215,44 @@
 
 @apply_record.register
 def _(record: records.ActionOutcome, table: ProgramTable) -> None:
-    entry = table.keys[ActionKey(record.customer, record.key)]
+    entry = table.key(record.customer, record.key)
+    if entry is None or entry.result is not None:
+        return
     entry.result = record.result
     entry.at = record.at
 
 
 @apply_record.register
 def _(record: records.ProgramTouched, table: ProgramTable) -> None:
-    table.get(record.customer, record.program).touched_at = record.at
+    program = table.find(record.customer, record.program)
+    if program is not None:
+        program.touched_at = record.at
 
 
 @apply_record.register
 def _(record: records.ProgramEnded, table: ProgramTable) -> None:
-    program = table.get(record.customer, record.program)
+    program = table.find(record.customer, record.program)
+    if program is None or program.status != structures.ProgramStatus.ACTIVE:
+        return
     program.status = record.status
     program.reason = record.reason
     program.ended_at = record.at
 
 
-def charge_of(program: Program, turn: structures.Turn) -> int:
-    """Return the tokens that a turn added to the conversation."""
-    return max(0, turn.prompt_tokens - program.context_tokens()) + turn.output_tokens
+@apply_record.register
+def _(record: records.Suspected, table: ProgramTable) -> None:
+    known = table.suspects.get(record.digest)
+    if known is None or known.crashes < record.crashes:
+        table.suspects[record.digest] = record
 
 
 def settle(table: ProgramTable, program: Program, entry: CallEntry, charged: int) -> None:
-    """Replace the reservation of a call by its charge."""
+    """Replace the reservation of a call by its charge.
+
+    An engine that counts more tokens than were reserved is charged at the reservation, so that
+    ``spent + reserved <= budget`` holds whatever an engine reports.
+    """
     root = table.root(program)
     root.reserved_tokens -= entry.reserved_tokens
-    root.spent_tokens += charged
-
-
-def digest_of(value: typing.Any) -> str:
-    """Return the digest of a request body."""
-    return hashlib.blake2b(
-        msgspec.json.encode(value, order="deterministic"), digest_size=16
-    ).hexdigest()
+    root.spent_tokens += min(charged, entry.reserved_tokens)
+    entry.reserved_tokens = 0
--- a/src/dogwoodgap/records.py
+++ b/src/dogwoodgap/records.py
@@ -4,11 +4,12 @@
 of its node.
 """
 
+import functools
 import zlib
 
 import msgspec
 
-from dogwoodgap import structures
+from dogwoodgap import exceptions, shards, structures
 
 
 class Record(msgspec.Struct, tag=True, omit_defaults=True):
@@ -147,6 +148,7 @@
 
     digest: str
     crashes: int
+    at: float = 0.0
 
 
 AnyRecord = (
@@ -183,6 +185,39 @@
     sealed_by: str = ""
 
 
+ProgramRecord = (
+    ProgramCreated
+    | CallStarted
+    | CallFinished
+    | CallFailed
+    | ActionStarted
+    | ActionFinished
+    | ProgramTouched
+    | ProgramEnded
+)
+
+
+@functools.singledispatch
+def shard_of(record: Record) -> int | None:
+    """Return the shard that a record concerns, or None when it concerns the whole node."""
+    return None
+
+
+@shard_of.register(ProgramRecord)
+def _(record: ProgramRecord) -> int:
+    return shards.program_shard(record.customer, record.program)
+
+
+@shard_of.register(ActionIntent | ActionOutcome)
+def _(record: ActionIntent | ActionOutcome) -> int:
+    return shards.key_shard(record.customer, record.key)
+
+
+@shard_of.register(ShardAcquired | ShardReleased | Imported)
+def _(record: ShardAcquired | ShardReleased | Imported) -> int:
+    return record.shard
+
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Segment)
 COMPRESSION_LEVEL = 1
@@ -198,13 +233,15 @@
 
     Raises
     ------
-    ValueError
+    JournalDamagedError
         When the data is damaged.
     """
     try:
         return _decoder.decode(zlib.decompress(data))
     except (zlib.error, msgspec.DecodeError) as error:
-        raise ValueError(f"damaged journal segment: {error}") from error
+        raise exceptions.JournalDamagedError(
+            f"journal segment cannot be decoded ({error}); restore the object from a backup"
+        ) from error
 
 
 def encoded_size(record: Record) -> int:
--- a/src/dogwoodgap/shards.py
+++ b/src/dogwoodgap/shards.py
@@ -1,8 +1,27 @@
-"""Shards: which node owns which programs and idempotency keys."""
+"""Shards: which node owns which programs and idempotency keys.
 
+The assignment is one platform object. Every change is a conditional update of the whole
+document, so two nodes never both believe that they won a shard.
+"""
+
+import collections.abc
+import dataclasses
+import itertools
+import logging
+import uuid
+
+import anyio
+import msgspec
 import xxhash
 
+from dogwoodgap import clock, events, exceptions, objectstore
+
 SHARD_COUNT = 1024
+ASSIGNMENT_KEY = "shards/assignment"
+WATCH_TIMEOUT_S = 20.0
+POLL_INTERVAL_S = 0.5
+RETRY_DELAY_S = 0.05
+MAX_RETRY_DELAY_S = 1.0
 
 
 def shard_of(text: str) -> int:
@@ -23,3 +42,271 @@
 def key_shard(customer: str, key: str) -> int:
     """Return the shard of an idempotency key."""
     return shard_of(f"{customer}/key/{key}")
+
+
+class Owner(msgspec.Struct, frozen=True, array_like=True, order=True):
+    """One boot of one node."""
+
+    node: str
+    boot: str
+
+    def __str__(self) -> str:
+        """Return ``node/boot``."""
+        return f"{self.node}/{self.boot}"
+
+
+class Source(msgspec.Struct, frozen=True, array_like=True):
+    """State that an owner has still to load.
+
+    Attributes
+    ----------
+    kind : str
+        ``"journal"`` or ``"handoff"``.
+    name : str
+        ``node/boot`` of a journal, ``shard/version`` of a hand-off.
+    generation : int
+        Of a journal: the generation of the shard under that owner. Its journal may also hold an
+        older ownership of the same shard, which must not be read.
+    """
+
+    kind: str
+    name: str
+    generation: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ShardEntry:
+    """Owner of one shard.
+
+    Attributes
+    ----------
+    generation : int
+        Version of the assignment that made this owner the owner.
+    sources : tuple of Source
+        What the owner has still to load; the newest comes last.
+    """
+
+    owner: Owner | None = None
+    generation: int = 0
+    sources: tuple[Source, ...] = ()
+
+
+UNASSIGNED = ShardEntry()
+
+
+class Run(msgspec.Struct, array_like=True):
+    """Consecutive shards with the same entry; owners and sources are indexes of tables."""
+
+    count: int
+    owner: int
+    generation: int
+    sources: int
+
+
+class Document(msgspec.Struct, array_like=True):
+    """Stored form of the assignment."""
+
+    version: int
+    nonce: str
+    owners: list[Owner]
+    sources: list[tuple[Source, ...]]
+    runs: list[Run]
+
+
+@dataclasses.dataclass(slots=True)
+class Assignment:
+    """The owners of all shards at one version.
+
+    Attributes
+    ----------
+    nonce : str
+        Identifies the writer's attempt, so that a lost reply can be settled by reading back.
+    """
+
+    version: int = 0
+    nonce: str = ""
+    shards: list[ShardEntry] = dataclasses.field(default_factory=lambda: [UNASSIGNED] * SHARD_COUNT)
+
+    def owner(self, shard: int) -> Owner | None:
+        """Return the owner of a shard, or None when there is none yet."""
+        return self.shards[shard].owner
+
+    def owned_by(self, owner: Owner) -> list[int]:
+        """Return the shards of one boot."""
+        return [shard for shard, entry in enumerate(self.shards) if entry.owner == owner]
+
+    def owners(self) -> set[Owner]:
+        """Return everyone who owns a shard."""
+        return {entry.owner for entry in self.shards if entry.owner is not None}
+
+    def sources(self) -> set[Source]:
+        """Return everything that some owner has still to load."""
+        return {source for entry in self.shards for source in entry.sources}
+
+    def give(self, shard: int, owner: Owner, sources: tuple[Source, ...] = ()) -> None:
+        """Make ``owner`` the owner from the next version on."""
+        self.shards[shard] = ShardEntry(owner, self.version + 1, sources)
+
+
+def encode(assignment: Assignment) -> bytes:
+    """Return the stored form: equal neighbours form runs, names are stored once."""
+    owners = sorted(assignment.owners())
+    sources = list(dict.fromkeys(entry.sources for entry in assignment.shards))
+    owner_index: dict[Owner | None, int] = {owner: at for at, owner in enumerate(owners)}
+    owner_index[None] = -1
+    source_index = {names: at for at, names in enumerate(sources)}
+    runs = [
+        Run(
+            len(list(group)),
+            owner_index[entry.owner],
+            entry.generation,
+            source_index[entry.sources],
+        )
+        for entry, group in itertools.groupby(assignment.shards)
+    ]
+    document = Document(assignment.version, assignment.nonce, owners, sources, runs)
+    return msgspec.msgpack.encode(document)
+
+
+def decode(data: bytes) -> Assignment:
+    """Return the assignment in its stored form.
+
+    Raises
+    ------
+    JournalDamagedError
+        When the object is damaged.
+    """
+    try:
+        document = msgspec.msgpack.decode(data, type=Document)
+    except msgspec.DecodeError as error:
+        raise exceptions.JournalDamagedError(
+            f"object {ASSIGNMENT_KEY} cannot be decoded ({error}); restore it from a backup"
+        ) from error
+    entries: list[ShardEntry] = []
+    for run in document.runs:
+        owner = document.owners[run.owner] if run.owner >= 0 else None
+        entry = ShardEntry(owner, run.generation, document.sources[run.sources])
+        entries.extend([entry] * run.count)
+    return Assignment(document.version, document.nonce, entries)
+
+
+Change = collections.abc.Callable[[Assignment], bool]
+"""Changes a draft and returns whether anything changed. It may run several times, also on a
+draft that already contains its effect, and must then return False."""
+
+
+class AssignmentStore:
+    """The assignment object and this node's cached copy of it.
+
+    Parameters
+    ----------
+    store : objectstore.ObjectStore
+        The platform.
+    bucket : objectstore.RateBucket
+        The node's share of the platform's write rate; updates go first.
+    """
+
+    def __init__(self, store: objectstore.ObjectStore, bucket: objectstore.RateBucket):
+        self.store = store
+        self.bucket = bucket
+        self.current = Assignment()
+        self.object_version = objectstore.ABSENT
+        self.loaded = False
+        self.changed = anyio.Event()
+
+    def owner(self, shard: int) -> Owner | None:
+        """Return the cached owner of a shard."""
+        return self.current.owner(shard)
+
+    async def load(self) -> Assignment:
+        """Read the assignment; an absent object is the empty assignment."""
+        stored = await objectstore.get_optional(self.store, ASSIGNMENT_KEY)
+        if stored is not None and stored.version > self.object_version:
+            self.accept(decode(stored.data), stored.version)
+        self.loaded = True
+        return self.current
+
+    def accept(self, assignment: Assignment, object_version: int) -> None:
+        """Replace the cached copy, unless a newer one arrived meanwhile."""
+        if object_version <= self.object_version:
+            return
+        self.current = assignment
+        self.object_version = object_version
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    async def update(self, change: Change) -> Assignment:
+        """Apply a change to the newest version, repeating it until it is settled.
+
+        Waits while the platform is out. Returns the version that contains the change.
+        """
+        delay = RETRY_DELAY_S
+        fresh = self.loaded
+        while True:
+            try:
+                if not fresh:
+                    await self.load()
+                if await self.attempt(change):
+                    return self.current
+            except exceptions.VersionConflictError:
+                pass
+            except exceptions.StoreUnavailableError as error:
+                unavailable(error)
+            fresh = False
+            await anyio.sleep(delay)
+            delay = min(delay * 2, MAX_RETRY_DELAY_S)
+
+    async def attempt(self, change: Change) -> bool:
+        """Try one conditional write and return whether the change is in force.
+
+        A lost reply leaves the question open. Reading back then either finds the nonce of this
+        attempt, or a version on which the change is applied again; a change that took effect
+        and was followed by another writer's finds nothing left to do.
+        """
+        expected = self.object_version
+        draft = dataclasses.replace(self.current, shards=list(self.current.shards))
+        if not change(draft):
+            return True
+        draft.version += 1
+        draft.nonce = uuid.uuid4().hex
+        self.bucket.charge()
+        try:
+            version = await self.store.put(ASSIGNMENT_KEY, encode(draft), expected=expected)
+        except exceptions.StoreUnavailableError:
+            await self.load()
+            return self.current.nonce == draft.nonce
+        self.accept(draft, version)
+        return True
+
+    async def watch(self) -> None:
+        """Keep the cached copy current, by polling when the watch fails."""
+        cursor = 0
+        while True:
+            try:
+                page = await self.store.watch(
+                    ASSIGNMENT_KEY, since=cursor, timeout_s=WATCH_TIMEOUT_S
+                )
+                await self.load()
+                cursor = page.cursor
+            except exceptions.StoreError as error:
+                unavailable(error)
+                await anyio.sleep(POLL_INTERVAL_S)
+                await self.poll()
+
+    async def poll(self) -> None:
+        """Read once; a failure is left to the next round."""
+        try:
+            await self.load()
+        except exceptions.StoreError as error:
+            unavailable(error)
+
+
+def unavailable(error: exceptions.DogwoodgapError) -> None:
+    """Log that the assignment could not be read or written."""
+    events.emit(
+        events.Event.ASSIGNMENT_UNAVAILABLE,
+        "assignment not available; the cached copy stays in use",
+        level=logging.WARNING,
+        detail=error.detail,
+        at=clock.now(),
+    )
--- /dev/null
+++ b/src/dogwoodgap/transfer.py
@@ -0,0 +1,208 @@
+"""Encoding of shards' state for checkpoints, hand-overs and imports.
+
+State is a list of small items, packed into parts below the platform's object limit. A program
+and its turns are separate items, so one program may spread over several parts.
+"""
+
+import collections.abc
+
+import msgspec
+
+from dogwoodgap import entries, exceptions, programs, records, shards
+
+PART_BYTES = 900_000
+"""A part takes no further item above this size. One item has at most 950,000 bytes and a frame,
+since the journal refuses larger records."""
+
+
+class ShardItem(msgspec.Struct, tag="shard", array_like=True):
+    """State of the shard follows; the shard was acquired at this generation."""
+
+    shard: int
+    generation: int
+
+
+class ProgramItem(msgspec.Struct, tag="program", array_like=True):
+    """A program without its calls and actions."""
+
+    program: entries.Program
+
+
+class CallItem(msgspec.Struct, tag="call", array_like=True):
+    """A call of a program that came earlier in the list."""
+
+    customer: str
+    program: str
+    call: entries.CallEntry
+
+
+class ActionItem(msgspec.Struct, tag="action", array_like=True):
+    """An action of a program that came earlier in the list."""
+
+    customer: str
+    program: str
+    action: entries.ActionEntry
+
+
+class KeyItem(msgspec.Struct, tag="key", array_like=True):
+    """An idempotency key."""
+
+    entry: entries.KeyEntry
+
+
+class SuspectItem(msgspec.Struct, tag="suspect", array_like=True):
+    """A quarantine digest."""
+
+    suspect: records.Suspected
+
+
+Item = ShardItem | ProgramItem | CallItem | ActionItem | KeyItem | SuspectItem
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(list[Item])
+
+
+def program_items(program: entries.Program) -> collections.abc.Iterator[Item]:
+    """Yield a program and then its calls and actions."""
+    yield ProgramItem(msgspec.structs.replace(program, calls={}, actions={}))
+    for call in program.calls.values():
+        yield CallItem(program.customer, program.id, call)
+    for action in program.actions.values():
+        yield ActionItem(program.customer, program.id, action)
+
+
+def export_shards(table: programs.ProgramTable, wanted: set[int]) -> dict[int, list[bytes]]:
+    """Return the encoded items of some shards in one pass over the table.
+
+    Shards without state are present with an empty list.
+    """
+    found: dict[int, list[bytes]] = {shard: [] for shard in wanted}
+    for program in table.programs.values():
+        shard = shards.program_shard(program.customer, program.id)
+        if shard in found:
+            found[shard].extend(_encoder.encode(item) for item in program_items(program))
+    for entry in table.keys.values():
+        shard = shards.key_shard(entry.customer, entry.key)
+        if shard in found:
+            found[shard].append(_encoder.encode(KeyItem(entry)))
+    return found
+
+
+def shards_with_state(table: programs.ProgramTable) -> set[int]:
+    """Return the shards that have programs or keys."""
+    found = {shards.program_shard(key.customer, key.program) for key in table.programs}
+    return found | {shards.key_shard(key.customer, key.key) for key in table.keys}
+
+
+def export_suspects(table: programs.ProgramTable) -> list[bytes]:
+    """Return the encoded quarantine digests."""
+    return [_encoder.encode(SuspectItem(suspect)) for suspect in table.suspects.values()]
+
+
+def shard_header(table: programs.ProgramTable, shard: int) -> bytes:
+    """Return the item that precedes a shard's state in a checkpoint."""
+    return _encoder.encode(ShardItem(shard, table.generations[shard]))
+
+
+def pack(items: list[bytes]) -> list[bytes]:
+    """Return the items in as few parts as the size limit allows, in order."""
+    parts: list[bytes] = []
+    part: list[msgspec.Raw] = []
+    size = 0
+    for item in items:
+        if part and size + len(item) > PART_BYTES:
+            parts.append(_encoder.encode(part))
+            part, size = [], 0
+        part.append(msgspec.Raw(item))
+        size += len(item)
+    if part:
+        parts.append(_encoder.encode(part))
+    return parts
+
+
+def unpack(part: bytes) -> list[Item]:
+    """Return the items of one part.
+
+    Raises
+    ------
+    JournalDamagedError
+        When the part is damaged.
+    """
+    try:
+        return _decoder.decode(part)
+    except msgspec.DecodeError as error:
+        raise exceptions.JournalDamagedError(
+            f"part of a checkpoint or hand-over cannot be decoded ({error}); "
+            "restore the object from a backup"
+        ) from error
+
+
+class Reader:
+    """Rebuilds a table from checkpoint parts and records, for some shards only.
+
+    An ownership of a shard begins with ``ShardAcquired``, after any ``Imported`` parts, and ends
+    with ``ShardReleased``. Records outside an ownership do not count.
+
+    Parameters
+    ----------
+    wanted : set of int
+        Shards to read; records of others are skipped.
+    """
+
+    def __init__(self, wanted: set[int]):
+        self.wanted = wanted
+        self.table = programs.ProgramTable()
+        self.imported: dict[int, list[bytes]] = {}
+        self.current: int = -1
+
+    def add_part(self, part: bytes) -> None:
+        """Add one part of a checkpoint; a shard's items may continue in the next part."""
+        for item in unpack(part):
+            if isinstance(item, ShardItem):
+                self.current = item.shard
+                if item.shard in self.wanted:
+                    self.table.generations[item.shard] = item.generation
+            elif isinstance(item, SuspectItem) or self.current in self.wanted:
+                add_item(self.table, item)
+
+    def add_record(self, record: records.Record) -> None:
+        """Add one record of the journal."""
+        shard = records.shard_of(record)
+        if shard is None:
+            self.table.apply(record)
+        elif shard not in self.wanted:
+            return
+        elif isinstance(record, records.Imported):
+            self.imported.setdefault(shard, []).append(record.state)
+        elif isinstance(record, records.ShardAcquired):
+            self.table.forget({shard})
+            import_shard(self.table, shard, record.generation, self.imported.pop(shard, []))
+        elif isinstance(record, records.ShardReleased):
+            self.table.forget({shard})
+        elif shard in self.table.generations:
+            self.table.apply(record)
+
+
+def import_shard(
+    table: programs.ProgramTable, shard: int, generation: int, parts: list[bytes]
+) -> None:
+    """Put a shard's state into a table."""
+    table.generations[shard] = generation
+    for part in parts:
+        for item in unpack(part):
+            add_item(table, item)
+
+
+def add_item(table: programs.ProgramTable, item: Item) -> None:
+    """Put one item into a table; a program's items follow the program."""
+    match item:
+        case ProgramItem(program=program):
+            table.programs[entries.ProgramKey(program.customer, program.id)] = program
+        case CallItem(call=call):
+            table.get(item.customer, item.program).calls[call.seq] = call
+        case ActionItem(action=action):
+            table.get(item.customer, item.program).actions[action.seq] = action
+        case KeyItem(entry=entry):
+            table.keys[entries.ActionKey(entry.customer, entry.key)] = entry
+        case SuspectItem(suspect=suspect):
+            table.apply(suspect)
