--- a/src/dogwoodgap/snapshots.py
+++ b/src/dogwoodgap/snapshots.py
@@ -26,7 +26,6 @@
 CHECK_INTERVAL_S = 0.5
 RETENTION_S = 3_600.0
 KEY_RETENTION_S = 7 * 86_400.0
-SUSPECT_RETENTION_S = 86_400.0
 LOAD_RETRY_S = 0.1
 PART_DIGITS = 6
 
