--- /dev/null
+++ b/src/dogwoodgap/differences.py
@@ -0,0 +1,88 @@
+"""Differences between two fleet configurations, as paths with old and new values."""
+
+import collections.abc
+import typing
+
+import msgspec
+
+from dogwoodgap import models
+
+MAX_VALUE_CHARACTERS = 120
+MAX_LISTED = 20
+DIGEST_CHARACTERS = 8
+
+
+class Difference(msgspec.Struct, frozen=True):
+    """One changed value; ``None`` stands for absent.
+
+    Attributes
+    ----------
+    path : tuple of str
+        For example ``("profiles", "quote", "max_turns")``.
+    """
+
+    path: tuple[str, ...]
+    before: typing.Any = None
+    after: typing.Any = None
+
+    def __str__(self) -> str:
+        """Return the difference in one line."""
+        return f"{'.'.join(self.path)}: {brief(self.before)} -> {brief(self.after)}"
+
+
+def brief(value: typing.Any) -> str:
+    """Return a value in one short line."""
+    text = "absent" if value is None else msgspec.json.encode(value).decode()
+    return text if len(text) <= MAX_VALUE_CHARACTERS else f"{text[:MAX_VALUE_CHARACTERS]}..."
+
+
+def between(
+    before: models.FleetConfiguration, after: models.FleetConfiguration
+) -> list[Difference]:
+    """Return what changes from one configuration to another, without the generation."""
+    old = before.model_dump(mode="json", exclude={"generation"})
+    new = after.model_dump(mode="json", exclude={"generation"})
+    return list(walk((), old, new))
+
+
+def walk(
+    path: tuple[str, ...], before: typing.Any, after: typing.Any
+) -> collections.abc.Iterator[Difference]:
+    """Yield the differences below a path; resources are added and removed as a whole."""
+    if before == after:
+        return
+    before, after = by_id(before), by_id(after)
+    if not isinstance(before, dict) or not isinstance(after, dict):
+        yield Difference(path, hide_digest(path, before), hide_digest(path, after))
+        return
+    for name in [*before, *(name for name in after if name not in before)]:
+        yield from walk((*path, str(name)), before.get(name), after.get(name))
+
+
+def by_id(value: typing.Any) -> typing.Any:
+    """Return a list of runners as a mapping by id, so that a removal shows as one difference."""
+    if isinstance(value, list) and value and all(is_runner(item) for item in value):
+        return {item["id"]: item for item in value}
+    return value
+
+
+def is_runner(value: typing.Any) -> bool:
+    """Return whether a value is a resource with an id."""
+    return isinstance(value, dict) and "id" in value
+
+
+def hide_digest(path: tuple[str, ...], value: typing.Any) -> typing.Any:
+    """Shorten digests of keys, since differences go to logs and notes."""
+    if isinstance(value, dict) and "digest" in value:
+        return value | {"digest": value["digest"][:DIGEST_CHARACTERS]}
+    if path[-1:] == ("digest",) and isinstance(value, str):
+        return value[:DIGEST_CHARACTERS]
+    return value
+
+
+def summary(found: list[Difference]) -> str:
+    """Return differences in one line, cut to the first ones."""
+    lines = [str(item) for item in found[:MAX_LISTED]]
+    if len(found) > MAX_LISTED:
+        lines.append(f"and {len(found) - MAX_LISTED} more")
+    return "; ".join(lines) or "no difference"
--- /dev/null
+++ b/src/dogwoodgap/dump.py
@@ -0,0 +1,147 @@
+"""The state of the process as one JSON document.
+
+Each part of the node registers a collector for its section::
+
+    dump.register("shards", lambda: ShardsState(...))
+
+A collector returns anything that msgspec can encode. A collector that fails costs only its own
+section, so that the dump stays usable while a part is broken.
+"""
+
+import collections.abc
+import dataclasses
+import gc
+import importlib.metadata
+import logging
+import os
+import platform
+import typing
+
+import anyio
+import msgspec
+
+from dogwoodgap import clock, events, metrics, settings
+
+SECRET_FIELDS = frozenset({"bootstrap_key_digest", "key"})
+SECRET_TEXT = "(removed)"
+PACKAGES = ("dogwoodgap", "anyio", "httpx", "hypercorn", "msgspec", "pydantic", "starlette")
+
+Collector = collections.abc.Callable[[], typing.Any]
+
+
+class Failure(msgspec.Struct):
+    """Content of a section whose collector failed."""
+
+    error: str
+
+
+class Memory(msgspec.Struct):
+    """Memory of the process; sizes in kilobytes."""
+
+    resident_kb: int
+    peak_kb: int
+    tracked_objects: int
+
+
+class Uptime(msgspec.Struct):
+    """How long the process has run."""
+
+    seconds: float
+    wall_time: float
+    process: int
+
+
+class Totals(msgspec.Struct):
+    """All metrics since the start of the process."""
+
+    counters: dict[str, int]
+    gauges: dict[str, float]
+    histograms: dict[str, metrics.Histogram]
+
+
+@dataclasses.dataclass
+class Dump:
+    """The collectors of one process, by section name."""
+
+    collectors: dict[str, Collector] = dataclasses.field(default_factory=dict)
+
+    def register(self, name: str, collector: Collector) -> None:
+        """Add or replace the collector of a section."""
+        self.collectors[name] = collector
+
+    def collect(self) -> bytes:
+        """Return the dump as JSON, one section per collector, sorted by name."""
+        sections = {name: self.section(name) for name in sorted(self.collectors)}
+        return msgspec.json.encode(sections)
+
+    def section(self, name: str) -> msgspec.Raw:
+        """Return one encoded section, or the failure of its collector."""
+        try:
+            return msgspec.Raw(msgspec.json.encode(self.collectors[name]()))
+        except Exception as error:  # noqa: BLE001 - a broken part must not hide the others
+            events.emit(
+                events.Event.DUMP_COLLECTOR_FAILED,
+                "dump collector failed",
+                level=logging.ERROR,
+                section=name,
+                error=repr(error),
+            )
+            return msgspec.Raw(msgspec.json.encode(Failure(repr(error))))
+
+
+process = Dump()
+register = process.register
+collect = process.collect
+
+
+def without_secrets(value: typing.Any) -> typing.Any:
+    """Return a copy of a settings document with secret fields removed."""
+    if isinstance(value, dict):
+        return {
+            name: SECRET_TEXT if name in SECRET_FIELDS and item else without_secrets(item)
+            for name, item in value.items()
+        }
+    return value
+
+
+def memory() -> Memory:
+    """Return the memory of the process from the kernel's status file."""
+    sizes = {"VmRSS": 0, "VmHWM": 0}
+    with open("/proc/self/status", encoding="ascii") as status:
+        for line in status:
+            name, _, rest = line.partition(":")
+            if name in sizes:
+                sizes[name] = int(rest.split()[0])
+    return Memory(sizes["VmRSS"], sizes["VmHWM"], len(gc.get_objects()))
+
+
+def tasks() -> list[str]:
+    """Return the names of all running tasks, sorted."""
+    return sorted(str(task.name) for task in anyio.get_running_tasks())
+
+
+def versions() -> dict[str, str]:
+    """Return the versions of Python and of the main packages."""
+    found = {"python": platform.python_version()}
+    for package in PACKAGES:
+        try:
+            found[package] = importlib.metadata.version(package)
+        except importlib.metadata.PackageNotFoundError:
+            found[package] = "not installed"
+    return found
+
+
+def register_process(node_settings: settings.NodeSettings, target: Dump = process) -> None:
+    """Register the sections that every process has."""
+    started = clock.now()
+    target.register("settings", lambda: without_secrets(node_settings.model_dump(mode="json")))
+    target.register("memory", memory)
+    target.register("tasks", tasks)
+    target.register("versions", versions)
+    target.register(
+        "metrics",
+        lambda: Totals(dict(metrics.totals), dict(metrics.gauges), dict(metrics.histograms)),
+    )
+    target.register(
+        "uptime", lambda: Uptime(clock.now() - started, clock.wall(), os.getpid())
+    )
--- a/src/dogwoodgap/metrics.py
+++ b/src/dogwoodgap/metrics.py
@@ -1,13 +1,90 @@
-"""Metrics by statsd; also kept as totals for the state dump."""
+"""Metrics by statsd; also kept as totals for the state dump and the summary."""
 
+import bisect
 import collections
 import contextlib
+import dataclasses
+import enum
 import socket
 
+import msgspec
 import statsd
 
+HISTOGRAM_LOWEST_S = 0.001
+HISTOGRAM_GROWTH = 1.25
+HISTOGRAM_BUCKETS = 80
+BOUNDS_S = tuple(HISTOGRAM_LOWEST_S * HISTOGRAM_GROWTH**step for step in range(HISTOGRAM_BUCKETS))
+
+
+class Kind(enum.StrEnum):
+    """How a metric is reported."""
+
+    COUNTER = "counter"
+    GAUGE = "gauge"
+    TIMING = "timing"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Metric:
+    """One row of ``docs/metrics.md``."""
+
+    name: str
+    kind: Kind
+    unit: str
+    meaning: str
+
+
+METRICS = (
+    Metric("programs.active", Kind.GAUGE, "programs", "Active programs that this node owns."),
+    Metric("programs.finished", Kind.COUNTER, "programs", "Programs that ended, for any reason."),
+    Metric("program.latency", Kind.TIMING, "s", "Time from creation to end of a whole program."),
+    Metric("calls.queued", Kind.GAUGE, "calls", "Model calls that wait for a runner."),
+    Metric("requests.refused", Kind.COUNTER, "requests", "Requests refused as not run."),
+    Metric("cache.held", Kind.COUNTER, "token-seconds", "Engine cache held, reported by runners."),
+    Metric("cache.wasted", Kind.COUNTER, "token-seconds", "Held for ended programs or not reused."),
+    Metric("journal.commit", Kind.TIMING, "s", "Time to store one batch of journal records."),
+    Metric("admin.requests", Kind.COUNTER, "requests", "Requests to the administration API."),
+    Metric("admin.refused", Kind.COUNTER, "requests", "Administration requests that were refused."),
+    Metric("admin.changes", Kind.COUNTER, "changes", "Configuration changes made by operators."),
+)
+
+
+class Histogram(msgspec.Struct):
+    """Counts of durations in buckets that grow by a quarter each, so quantiles err below 25%.
+
+    Attributes
+    ----------
+    counts : dict of int to int
+        Bucket number to count; bucket ``i`` ends at ``BOUNDS_S[i]`` seconds.
+    """
+
+    counts: dict[int, int] = {}
+
+    def add(self, seconds: float) -> None:
+        """Count one duration."""
+        bucket = bisect.bisect_left(BOUNDS_S, seconds)
+        self.counts[bucket] = self.counts.get(bucket, 0) + 1
+
+    def merge(self, other: "Histogram") -> None:
+        """Add the counts of another histogram."""
+        for bucket, number in other.counts.items():
+            self.counts[bucket] = self.counts.get(bucket, 0) + number
+
+    def quantile(self, share: float) -> float:
+        """Return the upper bound of the bucket that holds a quantile, in seconds; 0 when empty."""
+        remaining = share * sum(self.counts.values())
+        last = 0.0
+        for bucket in sorted(self.counts):
+            last = BOUNDS_S[min(bucket, HISTOGRAM_BUCKETS - 1)]
+            remaining -= self.counts[bucket]
+            if remaining <= 0:
+                break
+        return last
+
+
 totals: collections.Counter[str] = collections.Counter()
 gauges: dict[str, float] = {}
+histograms: dict[str, Histogram] = {}
 _clients: list[statsd.StatsClient] = []
 
 
@@ -36,5 +113,6 @@
 def timing(name: str, seconds: float) -> None:
     """Record a duration given in seconds; statsd receives milliseconds."""
     totals[f"{name}.count"] += 1
+    histograms.setdefault(name, Histogram()).add(seconds)
     for client in _clients:
         client.timing(name, seconds * 1000.0)
--- /dev/null
+++ b/src/dogwoodgap/roles.py
@@ -0,0 +1,214 @@
+"""What an operator's key may see and change.
+
+A key without ``services`` and ``customers`` is unlimited. A limited key sees and changes only the
+services and customers that it names; profiles are shared by all, so it sees but never changes
+them. Parts that a key does not see are kept as they are when it sends a whole configuration.
+"""
+
+import hmac
+
+from dogwoodgap import differences, exceptions, keys, models
+
+VIEWER = "viewer"
+OPERATOR = "operator"
+ADMINISTRATOR = "administrator"
+RANKS = {"caller": 0, VIEWER: 1, OPERATOR: 2, ADMINISTRATOR: 3}
+BOOTSTRAP_NAME = "bootstrap"
+RESOURCE_DEPTH = 2
+RUNNERS_FIELD = "runners"
+
+
+def identify(
+    header: str, configuration: models.FleetConfiguration, bootstrap_digest: str
+) -> keys.Identity:
+    """Return the operator behind an ``Authorization`` header.
+
+    The bootstrap key of the settings counts as an administrator while no valid, unlimited
+    administrator key is configured.
+
+    Raises
+    ------
+    UnauthorizedError
+        When the key is missing, unknown or expired.
+    """
+    token = header.partition(" ")[2]
+    wanted = keys.digest(token)
+    matches = hmac.compare_digest(wanted, bootstrap_digest or "-")
+    if token and matches and header.lower().startswith("bearer ") and is_unclaimed(configuration):
+        return keys.Identity(BOOTSTRAP_NAME, ADMINISTRATOR, "")
+    return keys.authenticate(header, configuration)
+
+
+def is_unclaimed(configuration: models.FleetConfiguration) -> bool:
+    """Return whether no valid key has unlimited administrator rights."""
+    return not any(
+        key.role == ADMINISTRATOR
+        and not key.services
+        and not key.customers
+        and not keys.expired(key)
+        for key in configuration.keys.values()
+    )
+
+
+def require(identity: keys.Identity, role: str) -> None:
+    """Check that a key's role is at least ``role``.
+
+    Raises
+    ------
+    ForbiddenError
+        Otherwise.
+    """
+    if RANKS[identity.role] < RANKS[role]:
+        raise exceptions.ForbiddenError(
+            f"this needs the role {role}, the key {identity.name!r} has {identity.role}; "
+            f"use another key"
+        )
+
+
+def is_limited(identity: keys.Identity) -> bool:
+    """Return whether a key is limited to some services or customers."""
+    return bool(identity.services or identity.customers)
+
+
+def require_unlimited(identity: keys.Identity) -> None:
+    """Check that a key sees the whole fleet.
+
+    Raises
+    ------
+    ForbiddenError
+        When the key is limited.
+    """
+    if is_limited(identity):
+        raise exceptions.ForbiddenError(
+            f"the key {identity.name!r} is limited to some customers or services, and this "
+            f"shows or changes the whole fleet; use an unlimited key"
+        )
+
+
+def sees_customer(identity: keys.Identity, customer: str) -> bool:
+    """Return whether a key may see a customer."""
+    return not identity.customers or customer in identity.customers
+
+
+def sees_service(identity: keys.Identity, service: str) -> bool:
+    """Return whether a key may see a service."""
+    return not identity.services or service in identity.services
+
+
+def sees_key(identity: keys.Identity, key: models.Key) -> bool:
+    """Return whether a key may see and hand out another key: one no wider than itself."""
+    if RANKS[identity.role] < RANKS[ADMINISTRATOR]:
+        return False
+    if key.role == "caller":
+        owned = sees_customer(identity, key.customer or "")
+    else:
+        owned = is_within(key.customers, identity.customers)
+    return owned and is_within(key.services, identity.services)
+
+
+def is_within(inner: list[str], outer: frozenset[str]) -> bool:
+    """Return whether a limit is at least as narrow as another; empty means unlimited."""
+    return not outer or (bool(inner) and outer.issuperset(inner))
+
+
+def visible(
+    identity: keys.Identity, configuration: models.FleetConfiguration
+) -> models.FleetConfiguration:
+    """Return the part of a configuration that a key may see."""
+    return configuration.model_copy(
+        update={
+            "services": {
+                name: service
+                for name, service in configuration.services.items()
+                if sees_service(identity, name)
+            },
+            "customers": {
+                name: customer
+                for name, customer in configuration.customers.items()
+                if sees_customer(identity, name)
+            },
+            "keys": {
+                name: key for name, key in configuration.keys.items() if sees_key(identity, key)
+            },
+        }
+    )
+
+
+def restore(
+    identity: keys.Identity, base: models.FleetConfiguration, sent: models.FleetConfiguration
+) -> models.FleetConfiguration:
+    """Return the sent configuration with the parts of ``base`` that the key does not see.
+
+    Raises
+    ------
+    ForbiddenError
+        When the document sets a resource that exists but is not visible to the key.
+    """
+    seen = visible(identity, base)
+    merged = {}
+    for kind in ("services", "customers", "keys"):
+        hidden = {
+            name: value
+            for name, value in getattr(base, kind).items()
+            if name not in getattr(seen, kind)
+        }
+        clash = sorted(hidden.keys() & getattr(sent, kind).keys())
+        if clash:
+            raise exceptions.ForbiddenError(
+                f"the key {identity.name!r} may not set {kind}.{clash[0]}; remove it from the "
+                f"document or use another key"
+            )
+        merged[kind] = {**hidden, **getattr(sent, kind)}
+    return sent.model_copy(update=merged)
+
+
+def check_changes(
+    identity: keys.Identity,
+    before: models.FleetConfiguration,
+    after: models.FleetConfiguration,
+) -> list[differences.Difference]:
+    """Return the differences, after a check that the key may make each of them.
+
+    Raises
+    ------
+    ForbiddenError
+        With the path of the first change that is not allowed.
+    """
+    found = differences.between(before, after)
+    require(identity, OPERATOR)
+    for change in found:
+        require(identity, role_for(change))
+        if not is_in_scope(identity, change, before, after):
+            raise exceptions.ForbiddenError(
+                f"the key {identity.name!r} may not change {'.'.join(change.path)}; "
+                f"remove this change or use a key with a wider limit"
+            )
+    return found
+
+
+def role_for(change: differences.Difference) -> str:
+    """Return the role that a change needs: adding and removing customers is administration."""
+    kind = change.path[0]
+    if kind == "keys":
+        return ADMINISTRATOR
+    if kind == "customers" and len(change.path) <= RESOURCE_DEPTH:
+        return ADMINISTRATOR
+    return OPERATOR
+
+
+def is_in_scope(
+    identity: keys.Identity,
+    change: differences.Difference,
+    before: models.FleetConfiguration,
+    after: models.FleetConfiguration,
+) -> bool:
+    """Return whether a change touches only what the key names."""
+    kind, name = change.path[:RESOURCE_DEPTH]
+    if kind == "keys":
+        sides = [before.keys.get(name), after.keys.get(name)]
+        return all(sees_key(identity, key) for key in sides if key is not None)
+    if not is_limited(identity):
+        return True
+    if kind == "services":
+        return name in identity.services
+    return kind == "customers" and name in identity.customers
