--- /dev/null
+++ b/src/dogwoodgap/admin_fleet.py
@@ -0,0 +1,301 @@
+"""Administration routes of programs, nodes, the state dump and the summary."""
+
+import collections.abc
+import dataclasses
+import typing
+
+import anyio
+import msgspec
+from starlette import requests, responses, routing
+
+from dogwoodgap import (
+    admin_http,
+    admin_parts,
+    app,
+    dump,
+    events,
+    exceptions,
+    keys,
+    metrics,
+    programs,
+    roles,
+    structures,
+)
+
+FOLLOW_INTERVAL_S = 0.25
+FOLLOW_HEARTBEAT_S = 10.0
+DEFAULT_PAGE = 100
+MAX_PAGE = 1_000
+LATENCY_METRIC = "program.latency"
+
+End = collections.abc.Callable[
+    [programs.Program, structures.ProgramStatus, str], collections.abc.Awaitable[None]
+]
+
+
+class Summary(msgspec.Struct):
+    """What one node contributes to ``dogwoodgap-ctl top``.
+
+    Attributes
+    ----------
+    wasted_cache : float
+        Share of the engine cache's token-seconds that were wasted, as far as this node saw.
+    latency : metrics.Histogram
+        Latency of whole programs; add the histograms of all nodes before taking quantiles.
+    """
+
+    node: str
+    generation: int
+    programs_active: int
+    programs_finished: int
+    queued: int
+    refused: int
+    cache_held: int
+    cache_wasted: int
+    wasted_cache: float
+    latency: metrics.Histogram
+    latency_p50_s: float
+    latency_p95_s: float
+
+
+def summarize(node: str, generation: int) -> Summary:
+    """Return the summary of this process from its metrics."""
+    held = metrics.totals["cache.held"]
+    wasted = metrics.totals["cache.wasted"]
+    latency = metrics.histograms.get(LATENCY_METRIC, metrics.Histogram())
+    return Summary(
+        node=node,
+        generation=generation,
+        programs_active=int(metrics.gauges.get("programs.active", 0)),
+        programs_finished=metrics.totals["programs.finished"],
+        queued=int(metrics.gauges.get("calls.queued", 0)),
+        refused=metrics.totals["requests.refused"],
+        cache_held=held,
+        cache_wasted=wasted,
+        wasted_cache=wasted / held if held else 0.0,
+        latency=latency,
+        latency_p50_s=latency.quantile(0.5),
+        latency_p95_s=latency.quantile(0.95),
+    )
+
+
+@dataclasses.dataclass
+class TablePrograms:
+    """The programs of a node's table, for operators."""
+
+    table: programs.ProgramTable
+    end: End
+
+    def select(
+        self,
+        query: admin_parts.ProgramQuery,
+        is_visible: collections.abc.Callable[[admin_parts.ProgramInfo], bool],
+    ) -> list[admin_parts.ProgramInfo]:
+        """Return at most ``limit`` matching programs in the order of their cursors."""
+        found: list[admin_parts.ProgramInfo] = []
+        for key in sorted(self.table.programs, key=lambda key: (key.customer, key.program)):
+            program = self.table.programs[key]
+            if not matches(query, program):
+                continue
+            info = self.describe(program)
+            if is_visible(info):
+                found.append(info)
+            if len(found) == query.limit:
+                break
+        return found
+
+    def show(self, customer: str, program: str) -> admin_parts.ProgramInfo:
+        """Return a program."""
+        return self.describe(self.table.get(customer, program))
+
+    async def cancel(self, customer: str, program: str, reason: str) -> None:
+        """End a program as cancelled."""
+        await self.end(
+            self.table.get(customer, program), structures.ProgramStatus.CANCELLED, reason
+        )
+
+    def describe(self, program: programs.Program) -> admin_parts.ProgramInfo:
+        """Return what operators see; the tokens are those of the whole tree."""
+        root = self.table.root(program)
+        return admin_parts.ProgramInfo(
+            customer=program.customer,
+            id=program.id,
+            service=program.service,
+            profile=program.profile,
+            status=str(program.status),
+            reason=program.reason,
+            created_at=program.created_at,
+            touched_at=program.touched_at,
+            ended_at=program.ended_at,
+            deadline_at=program.deadline_at,
+            turns=program.turn_count,
+            next_seq=program.next_seq,
+            budget_tokens=root.budget_tokens,
+            spent_tokens=root.spent_tokens,
+            reserved_tokens=root.reserved_tokens,
+            parent=program.parent,
+            children=list(program.children),
+        )
+
+
+def matches(query: admin_parts.ProgramQuery, program: programs.Program) -> bool:
+    """Return whether a program passes the filters and comes after the cursor."""
+    if query.customer and program.customer != query.customer:
+        return False
+    if query.status and program.status != query.status:
+        return False
+    if query.service and program.service != query.service:
+        return False
+    customer, _, name = query.after.partition("/")
+    return not query.after or (program.customer, program.id) > (customer, name)
+
+
+@dataclasses.dataclass
+class FleetRoutes:
+    """Handlers of programs, nodes, dump and summary."""
+
+    configuration: admin_parts.Configuration
+    programs: admin_parts.Programs
+    nodes: admin_parts.Nodes
+
+    def routes(self, guard: admin_http.Guard) -> list[routing.Route]:
+        """Return all routes."""
+        program = "/programs/{program}"
+        return [
+            guard.route("/programs", "GET", roles.VIEWER, self.list_programs),
+            guard.route(program, "GET", roles.VIEWER, self.show_program),
+            guard.route(program, "DELETE", roles.OPERATOR, self.cancel_program),
+            guard.route(f"{program}/events", "GET", roles.VIEWER, self.follow_program),
+            guard.route("/nodes", "GET", roles.VIEWER, self.list_nodes),
+            guard.route("/nodes/{name}/drain", "POST", roles.OPERATOR, self.drain),
+            guard.route("/dump", "GET", roles.VIEWER, self.dump),
+            guard.route("/summary", "GET", roles.VIEWER, self.summary),
+        ]
+
+    async def list_programs(
+        self, request: requests.Request, identity: keys.Identity
+    ) -> responses.Response:
+        """Return one page of programs."""
+        limit = admin_http.number(request, "limit", DEFAULT_PAGE, MAX_PAGE)
+        query = admin_parts.ProgramQuery(
+            customer=request.query_params.get("customer", ""),
+            status=request.query_params.get("status", ""),
+            service=request.query_params.get("service", ""),
+            after=request.query_params.get("after", ""),
+            limit=limit,
+        )
+        found = self.programs.select(query, lambda info: sees_program(identity, info))
+        last = f"{found[-1].customer}/{found[-1].id}" if len(found) == limit else ""
+        return app.answer(admin_parts.Page(found, last))
+
+    def find(self, request: requests.Request, identity: keys.Identity) -> admin_parts.ProgramInfo:
+        """Return the program that a request names, if the key sees it."""
+        customer = request.query_params.get("customer", "")
+        name = request.path_params["program"]
+        if not customer:
+            raise exceptions.InvalidRequestError(
+                "name the program's customer, for example ?customer=perch; ids are unique per "
+                "customer only"
+            )
+        info = self.programs.show(customer, name)
+        if not sees_program(identity, info):
+            raise exceptions.UnknownProgramError(
+                f"program {name!r} does not exist here or is not visible to this key"
+            )
+        return info
+
+    async def show_program(
+        self, request: requests.Request, identity: keys.Identity
+    ) -> responses.Response:
+        """Return one program."""
+        return app.answer(self.find(request, identity))
+
+    async def cancel_program(
+        self, request: requests.Request, identity: keys.Identity
+    ) -> responses.Response:
+        """Cancel one program."""
+        info = self.find(request, identity)
+        note = request.query_params.get("note", "")[: admin_http.MAX_COMMENT_CHARACTERS]
+        reason = f"cancelled by operator {identity.name} {note}".strip()
+        await self.programs.cancel(info.customer, info.id, reason)
+        events.emit(
+            events.Event.PROGRAM_CANCELLED,
+            "program cancelled",
+            author=identity.name,
+            customer=info.customer,
+            program=info.id,
+            note=note,
+        )
+        return app.answer(self.programs.show(info.customer, info.id))
+
+    async def follow_program(
+        self, request: requests.Request, identity: keys.Identity
+    ) -> responses.Response:
+        """Send the state of a program at each change until it ends."""
+        info = self.find(request, identity)
+        return responses.StreamingResponse(self.follow(info), media_type="text/event-stream")
+
+    async def follow(self, info: admin_parts.ProgramInfo) -> collections.abc.AsyncIterator[bytes]:
+        """Yield server-sent events ``program``, then ``end`` or ``error``."""
+        yield app.server_sent("program", info)
+        silent_s = 0.0
+        while info.status == structures.ProgramStatus.ACTIVE:
+            await anyio.sleep(FOLLOW_INTERVAL_S)
+            silent_s += FOLLOW_INTERVAL_S
+            try:
+                latest = self.programs.show(info.customer, info.id)
+            except exceptions.DogwoodgapError as error:
+                # The shard moved to another node; the reader follows it there.
+                yield app.server_sent("error", exceptions.problem(error))
+                return
+            if latest != info:
+                info, silent_s = latest, 0.0
+                yield app.server_sent("program", info)
+            elif silent_s >= FOLLOW_HEARTBEAT_S:
+                silent_s = 0.0
+                yield b": alive\n\n"
+        yield app.server_sent("end", info)
+
+    async def list_nodes(
+        self, request: requests.Request, identity: keys.Identity
+    ) -> responses.Response:
+        """Return all nodes."""
+        return app.answer(self.nodes.list())
+
+    async def drain(self, request: requests.Request, identity: keys.Identity) -> responses.Response:
+        """Begin the planned stop of this node."""
+        roles.require_unlimited(identity)
+        name = request.path_params["name"]
+        if name != self.nodes.own:
+            raise exceptions.InvalidRequestError(
+                f"this is node {self.nodes.own!r}; send the request to {name!r} itself, as "
+                f"'dogwoodgap-ctl nodes drain {name}' does"
+            )
+        events.emit(
+            events.Event.NODE_DRAIN_REQUESTED, "drain requested", author=identity.name, node=name
+        )
+        await self.nodes.drain(identity.name)
+        return app.answer(self.own_node(), 202)
+
+    def own_node(self) -> typing.Any:
+        """Return this node's entry."""
+        return next((node for node in self.nodes.list() if node.name == self.nodes.own), None)
+
+    async def dump(self, request: requests.Request, identity: keys.Identity) -> responses.Response:
+        """Return the state of the process."""
+        roles.require_unlimited(identity)
+        return responses.Response(dump.collect(), media_type="application/json")
+
+    async def summary(
+        self, request: requests.Request, identity: keys.Identity
+    ) -> responses.Response:
+        """Return the figures of this node."""
+        roles.require_unlimited(identity)
+        return app.answer(summarize(self.nodes.own, self.configuration.current.generation))
+
+
+def sees_program(identity: keys.Identity, info: admin_parts.ProgramInfo) -> bool:
+    """Return whether a key may see a program."""
+    return roles.sees_customer(identity, info.customer) and roles.sees_service(
+        identity, info.service
+    )
--- a/src/dogwoodgap/dump.py
+++ b/src/dogwoodgap/dump.py
@@ -142,6 +142,4 @@
         "metrics",
         lambda: Totals(dict(metrics.totals), dict(metrics.gauges), dict(metrics.histograms)),
     )
-    target.register(
-        "uptime", lambda: Uptime(clock.now() - started, clock.wall(), os.getpid())
-    )
+    target.register("uptime", lambda: Uptime(clock.now() - started, clock.wall(), os.getpid()))
--- a/src/dogwoodgap/events.py
+++ b/src/dogwoodgap/events.py
@@ -38,7 +38,7 @@
     CALL_FAILED = 3001, "A model call of a program ended with an error."
     REQUEST_FAILED = 3002, "A request failed with an error that is not a typed refusal."
     CONFIGURATION_CHANGED = 7001, "An operator changed the configuration; fields: who and what."
-    CONFIGURATION_REFUSED = 7002, "A change was refused by role, scope, validation or a race."
+    CHANGE_REFUSED = 7002, "A change was refused by role, scope, validation or a race."
     ADMIN_UNAUTHORIZED = 7003, "A request to the administration API had no valid key."
     PROGRAM_CANCELLED = 7004, "An operator cancelled a program."
     NODE_DRAIN_REQUESTED = 7005, "An operator asked a node for a planned stop."
--- a/src/dogwoodgap/exceptions.py
+++ b/src/dogwoodgap/exceptions.py
@@ -160,6 +160,12 @@
     code, status, title = "configuration-conflict", 412, "Configuration changed meanwhile"
 
 
+class PreconditionRequiredError(DogwoodgapError):
+    """A change came without the generation that it is based on."""
+
+    code, status, title, not_run = "precondition-required", 428, "If-Match required", "true"
+
+
 class BudgetExceededError(DogwoodgapError):
     """The program's budget does not cover the call."""
 
--- /dev/null
+++ b/tests/fake_admin.py
@@ -0,0 +1,148 @@
+"""Small fakes of the parts that the administration API needs."""
+
+import dataclasses
+
+from dogwoodgap import (
+    admin,
+    admin_fleet,
+    admin_parts,
+    exceptions,
+    keys,
+    models,
+    programs,
+    records,
+    structures,
+)
+
+TOKENS = {
+    "root": "administrator",
+    "olga": "operator",
+    "vera": "viewer",
+    "calvin": "caller",
+    "perch-admin": "administrator",
+    "perch-operator": "operator",
+}
+
+
+@dataclasses.dataclass
+class Entry:
+    generation: int
+    author: str
+    at: float
+    note: str
+
+
+class FakeConfiguration:
+    """Generations in memory. ``current`` may lag behind by ``lag`` generations."""
+
+    def __init__(self, document: models.FleetConfiguration):
+        self.documents = [document.model_copy(update={"generation": 1})]
+        self.entries = [Entry(1, "start", 0.0, "start")]
+        self.lag = 0
+        self.behind = 0
+
+    @property
+    def current(self):
+        return self.documents[max(0, len(self.documents) - 1 - self.lag)]
+
+    async def update(self, document, expected_generation, author, note):
+        if expected_generation != len(self.documents):
+            raise exceptions.ConfigurationConflictError("secret names of other customers")
+        applied = document.model_copy(update={"generation": expected_generation + 1})
+        self.documents.append(applied)
+        self.entries.append(Entry(applied.generation, author, 0.0, note))
+        return applied
+
+    async def history(self, limit):
+        return self.entries[::-1][:limit]
+
+    async def get(self, generation):
+        if not 1 <= generation <= len(self.documents):
+            raise exceptions.NotFoundError(f"generation {generation} does not exist")
+        return self.documents[generation - 1]
+
+    def in_force(self):
+        current = self.documents[-1].generation
+        self.behind = max(0, self.behind - 1)
+        return {"n1": current, "n2": current - (1 if self.behind else 0)}
+
+
+class FakeNodes:
+    own = "n1"
+
+    def __init__(self):
+        self.drained = []
+
+    def list(self):
+        return [admin_parts.NodeInfo("n1", "b1", "lakes-a", "alive", "node", 1)]
+
+    async def drain(self, author):
+        self.drained.append(author)
+
+
+def key(name: str, **fields) -> models.Key:
+    return models.Key(digest=keys.digest(name), role=TOKENS[name], **fields)
+
+
+def fleet() -> models.FleetConfiguration:
+    """Return two customers, two services and one key per role; a key's token is its name."""
+    return models.FleetConfiguration(
+        profiles={"default": {}, "quote": {"max_turns": 30}},
+        services={
+            "agent-llm": {
+                "kind": "model",
+                "runners": [{"id": "r1", "address": "http://r1", "data_centre": "lakes-a"}],
+            },
+            "crew-app": {"kind": "plain"},
+        },
+        customers={"perch": {"concurrency": 5}, "other": {"concurrency": 7}},
+        keys={
+            "root": key("root"),
+            "olga": key("olga"),
+            "vera": key("vera"),
+            "calvin": key("calvin", customer="other"),
+            "perch-admin": key("perch-admin", customers=["perch"]),
+            "perch-operator": key("perch-operator", customers=["perch"]),
+        },
+    )
+
+
+class FakeNode:
+    """A node with the administration API over a real program table."""
+
+    def __init__(self, document: models.FleetConfiguration | None = None, bootstrap: str = ""):
+        self.configuration = FakeConfiguration(document or fleet())
+        self.nodes = FakeNodes()
+        self.table = programs.ProgramTable()
+        self.administration = admin.Administration(
+            self.configuration,
+            admin_fleet.TablePrograms(self.table, self.end),
+            self.nodes,
+            keys.digest(bootstrap) if bootstrap else "",
+        )
+        self.app = self.administration.build()
+
+    def add_program(self, customer: str, name: str, service: str = "agent-llm") -> None:
+        self.table.apply(
+            records.ProgramCreated(
+                customer=customer,
+                program=name,
+                service=service,
+                profile="default",
+                budget_tokens=100,
+                created_at=0.0,
+                deadline_at=1e9,
+                parent="",
+            )
+        )
+
+    async def end(self, program, status: structures.ProgramStatus, reason: str) -> None:
+        self.table.apply(
+            records.ProgramEnded(
+                customer=program.customer,
+                program=program.id,
+                status=status.value,
+                reason=reason,
+                at=1.0,
+            )
+        )
