Add dogwoodgap-ctl

Each change carries an id that the server writes to the history. When a reply is lost, the tool looks for the id and repeats the conditional request until the outcome is known, or says that it is unknown. A file without some sections keeps their content, so that a file without keys does not remove them. Quantiles of the fleet come from merged histograms, not from averaged quantiles.

--- a/src/dogwoodgap/admin_resources.py
+++ b/src/dogwoodgap/admin_resources.py
@@ -141,6 +141,10 @@
         change = admin_http.change_of(request, identity)
         name = request.path_params["name"]
         body = await admin_http.read_model(request, admin_parts.KeyRequest)
+        if body.role == "caller" and body.customer is None:
+            raise exceptions.SettingsInvalidError(
+                f"keys.{name}.customer is missing; a caller's key names its customer"
+            )
         token = secrets.token_urlsafe(TOKEN_BYTES)
         key = models.Key(digest=keys.digest(token), **body.model_dump())
 
--- /dev/null
+++ b/src/dogwoodgap/ctl_resources.py
@@ -0,0 +1,199 @@
+"""Commands for single resources: list, show, set and remove; keys also create and rotate."""
+
+import typing
+import urllib.parse
+
+import msgspec
+import typer
+
+from dogwoodgap import admin_parts, ctl_client, ctl_files, ctl_output, ctl_session, exceptions
+
+KINDS = ("profiles", "services", "customers", "keys")
+NAME_HELP = {"runners": "SERVICE/RUNNER"}
+
+Fields = typing.Annotated[list[str], typer.Argument(help="field=value; values are JSON or text.")]
+
+
+def add_commands(cli: typer.Typer) -> None:
+    """Add one group of commands per kind of resource."""
+    groups = {kind: group(kind) for kind in (*KINDS, "runners")}
+    add_key_commands(groups["keys"])
+    for kind, commands in groups.items():
+        cli.add_typer(commands, name=kind, help=f"List, show, set and remove {kind}.")
+
+
+def path_of(kind: str, name: str) -> str:
+    """Return the path of a resource; runners are named ``SERVICE/RUNNER``.
+
+    Raises
+    ------
+    SettingsInvalidError
+        When the name of a runner has no service.
+    """
+    if kind != "runners":
+        return f"/{kind}/{urllib.parse.quote(name, safe='')}"
+    service, separator, runner = name.partition("/")
+    if not separator:
+        raise exceptions.SettingsInvalidError(
+            f"{name!r} names no service; write SERVICE/RUNNER, for example agent-llm/r1"
+        )
+    quoted = [urllib.parse.quote(part, safe="") for part in (service, runner)]
+    return f"/services/{quoted[0]}/runners/{quoted[1]}"
+
+
+def group(kind: str) -> typer.Typer:
+    """Return the commands of one kind."""
+    commands = typer.Typer(no_args_is_help=True, rich_markup_mode=None)
+    name_argument = typer.Argument(help=NAME_HELP.get(kind, "Name."))
+
+    @commands.command("list")
+    def list_all(context: typer.Context) -> None:
+        """List all."""
+        session = ctl_session.of(context)
+        found = session.run(lambda client: client.get(f"/{kind}", dict[str, typing.Any]))
+        if session.json:
+            ctl_output.as_json(found)
+            return
+        rows = flatten(kind, found)
+        columns = sorted({field for fields in rows.values() for field in fields})
+        ctl_output.table(
+            ["name", *columns],
+            [
+                (name, *(fields.get(column, "") for column in columns))
+                for name, fields in rows.items()
+            ],
+        )
+
+    @commands.command()
+    def show(context: typer.Context, name: typing.Annotated[str, name_argument]) -> None:
+        """Show one."""
+        session = ctl_session.of(context)
+        ctl_output.as_json(
+            session.run(lambda client: client.get(path_of(kind, name), dict[str, typing.Any]))
+        )
+
+    @commands.command("set")
+    def set_fields(
+        context: typer.Context, name: typing.Annotated[str, name_argument], fields: Fields
+    ) -> None:
+        """Change fields of one, or add it; fields that are not named stay as they are."""
+        session = ctl_session.of(context)
+        result = session.run(lambda client: put(client, kind, name, fields))
+        ctl_output.outcome(result, session.json)
+
+    @commands.command("revoke" if kind == "keys" else "remove")
+    def remove(context: typer.Context, name: typing.Annotated[str, name_argument]) -> None:
+        """Remove one."""
+        session = ctl_session.of(context)
+
+        async def send(client: ctl_client.Client) -> admin_parts.Outcome:
+            path = path_of(kind, name)
+            return await client.change(
+                ctl_client.Request("DELETE", path, generation=await client.generation())
+            )
+
+        ctl_output.outcome(session.run(send), session.json)
+
+    return commands
+
+
+def flatten(kind: str, found: dict[str, typing.Any]) -> dict[str, dict[str, typing.Any]]:
+    """Return one row per resource; long lists are shown as their length."""
+    if kind == "runners":
+        found = {
+            f"{service}/{name}": fields
+            for service, runners in found.items()
+            for name, fields in runners.items()
+        }
+    if kind == "services":
+        found = {
+            name: fields | {"runners": len(fields["runners"])} for name, fields in found.items()
+        }
+    hidden = {"digest", "id"}
+    return {
+        name: {field: value for field, value in fields.items() if field not in hidden}
+        for name, fields in found.items()
+    }
+
+
+async def put(
+    client: ctl_client.Client, kind: str, name: str, fields: list[str]
+) -> admin_parts.Outcome:
+    """Change fields of a resource against the generation in which it was read."""
+    path = path_of(kind, name)
+    values = ctl_files.assignments(fields)
+    # The generation is read first: a change between the two reads is then a conflict.
+    generation = await client.generation()
+    try:
+        reply = await client.read(path)
+        values = msgspec.json.decode(reply.data) | values
+        generation = reply.generation
+    except exceptions.UnknownServiceError:
+        if kind == "runners":
+            raise
+    except exceptions.NotFoundError:
+        pass
+    return await client.change(ctl_client.Request("PUT", path, values, generation))
+
+
+def add_key_commands(commands: typer.Typer) -> None:
+    """Add the commands that make tokens."""
+
+    @commands.command()
+    def create(
+        context: typer.Context,
+        name: str,
+        role: typing.Annotated[
+            str, typer.Option(help="caller, viewer, operator or administrator.")
+        ] = "caller",
+        customer: typing.Annotated[str, typer.Option(help="Customer of a caller's key.")] = "",
+        limit_customer: typing.Annotated[
+            list[str] | None, typer.Option(help="Limit to a customer; may be repeated.")
+        ] = None,
+        limit_service: typing.Annotated[
+            list[str] | None, typer.Option(help="Limit to a service; may be repeated.")
+        ] = None,
+    ) -> None:
+        """Create a key and print its token, which is shown only once.
+
+        Example: dogwoodgap-ctl keys create olga --role operator
+        """
+        body: dict[str, typing.Any] = {
+            "role": role,
+            "customers": limit_customer or [],
+            "services": limit_service or [],
+        }
+        body |= {"customer": customer} if customer else {}
+        make_token(context, name, "", body)
+
+    @commands.command()
+    def rotate(
+        context: typer.Context,
+        name: str,
+        overlap: typing.Annotated[
+            float, typer.Option(help="Seconds for which the old key stays valid.")
+        ] = 86_400.0,
+    ) -> None:
+        """Create the successor of a key; the old one stays valid for the overlap.
+
+        Example: dogwoodgap-ctl keys rotate olga --overlap 3600
+        """
+        make_token(context, name, "/rotation", {"overlap_seconds": overlap})
+
+
+def make_token(context: typer.Context, name: str, suffix: str, body: dict[str, typing.Any]) -> None:
+    """Send a request that makes a token and print it."""
+    session = ctl_session.of(context)
+
+    async def send(client: ctl_client.Client) -> admin_parts.Outcome:
+        path = path_of("keys", name) + suffix
+        generation = await client.generation()
+        result = await client.change(ctl_client.Request("POST", path, body, generation))
+        if not result.token:
+            raise ctl_client.LostReplyError(
+                f"the key was made in generation {result.generation}, but the reply with its "
+                f"token was lost; see 'dogwoodgap-ctl keys list', revoke the new key and repeat"
+            )
+        return result
+
+    ctl_output.outcome(session.run(send), session.json)
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -1,11 +1,11 @@
 """Failures of the administration API: access, races, leaks between customers, audit."""
 
 import anyio
+import fake_admin
 import httpx
 import pytest
 import trio.testing
 
-import fake_admin
 from dogwoodgap import admin_fleet, keys
 
 RANKS = ["calvin", "vera", "olga", "root"]
--- /dev/null
+++ b/tests/test_ctl.py
@@ -0,0 +1,203 @@
+"""Failures of the operators' command line: lost replies, races, wrong files, moving programs."""
+
+import json
+
+import fake_admin
+import httpx
+import pytest
+import trio.testing
+import typer.testing
+
+from dogwoodgap import ctl, ctl_session, exceptions, keys, metrics
+
+
+class LossyTransport(httpx.AsyncBaseTransport):
+    """Sends to a fake node. ``losses`` says what happens to the next changes.
+
+    ``reply`` executes the request and loses the reply; ``request`` loses the request;
+    ``race`` lets another operator win first and loses the reply.
+    After a loss, ``outage_after`` requests get no answer.
+    """
+
+    def __init__(self, node: fake_admin.FakeNode):
+        self.node = node
+        self.inner = httpx.ASGITransport(node.app)
+        self.losses: list[str] = []
+        self.outage_after = 0
+        self.down = 0
+
+    async def handle_async_request(self, request):
+        assert request.url.path.startswith("/admin/v1/")
+        path = request.url.path.removeprefix("/admin/v1")
+        request.url = request.url.copy_with(path=path)
+        if request.url.host == "gone":
+            raise httpx.ConnectError("refused")
+        loss = self.losses.pop(0) if request.method != "GET" and self.losses else ""
+        if self.down:
+            self.down -= 1
+            raise httpx.ReadTimeout("outage")
+        if loss == "race":
+            rival = await self.node.configuration.get(1)
+            await self.node.configuration.update(rival, 1, "rival", "change=rival x")
+        if loss != "request":
+            reply = await self.inner.handle_async_request(request)
+        if loss:
+            self.down = self.outage_after
+            raise httpx.ReadError("connection reset")
+        return reply
+
+
+class Shell:
+    """Runs commands against a fake node on virtual time."""
+
+    def __init__(self):
+        self.node = fake_admin.FakeNode()
+        self.transport = LossyTransport(self.node)
+        self.runner = typer.testing.CliRunner()
+
+    def run(self, *arguments: str, key: str = "root", code: int = 0, node: str = "http://node"):
+        session = ctl_session.Session(
+            transport=self.transport,
+            backend="trio",
+            backend_options={"clock": trio.testing.MockClock(autojump_threshold=0)},
+        )
+        environment = {"DOGWOODGAP_KEY": key, "DOGWOODGAP_NODE": node}
+        result = self.runner.invoke(ctl.cli, arguments, obj=session, env=environment)
+        assert result.exit_code == code, result.output
+        return result.output
+
+    @property
+    def documents(self):
+        return self.node.configuration.documents
+
+
+@pytest.fixture
+def shell():
+    return Shell()
+
+
+@pytest.fixture
+def file(tmp_path, shell):
+    """Write a file that changes one profile."""
+    path = tmp_path / "fleet.toml"
+    path.write_text("[profiles.default]\n[profiles.quote]\nmax_turns = 77\n")
+    return path
+
+
+@pytest.mark.parametrize(
+    ("losses", "outage", "code", "message"),
+    [
+        (["reply"], 0, 0, "applied as generation 2"),
+        (["request"], 0, 0, "applied as generation 2"),
+        (["request", "reply"], 3, 0, "applied as generation 2"),
+        (["race"], 0, 3, "another operator's change came first"),
+        (["reply"], 10_000, 6, "no node could tell"),
+    ],
+)
+def test_a_lost_reply_to_apply_is_settled(shell, file, losses, outage, code, message):
+    """Guards against a tool that reports failure for a change in force, or applies it twice."""
+    shell.transport.losses = losses
+    shell.transport.outage_after = outage
+    assert message in shell.run("apply", str(file), code=code)
+    assert len(shell.documents) == 2
+    assert (shell.documents[1].profiles["quote"].max_turns == 77) == (code != 3)
+
+
+def test_apply_keeps_sections_that_the_file_leaves_out(shell, file):
+    """Guards against a file without keys or services that removes them all."""
+    assert "profiles.quote.max_turns: 30 -> 77" in shell.run("diff", str(file))
+    assert "nothing was changed" in shell.run("apply", str(file), "--dry-run")
+    assert len(shell.documents) == 1
+    shell.run("apply", str(file), "--note", "peak")
+    assert shell.documents[1].keys == shell.documents[0].keys
+    assert shell.documents[1].services == shell.documents[0].services
+    assert "no difference" in shell.run("apply", str(file))
+
+
+def test_an_edited_copy_loses_the_race_against_a_newer_generation(shell, tmp_path):
+    """Guards against get, edit, apply that reverts what another operator did in between."""
+    path = tmp_path / "copy.toml"
+    path.write_text(shell.run("get"))
+    shell.run("profiles", "set", "quote", "max_turns=8", key="olga")
+    output = shell.run("apply", str(path), code=3)
+    assert "profiles.quote.max_turns: 30 -> 8" in " ".join(output.split())
+    shell.run("rollback", "1", key="olga")
+    assert shell.documents[-1].profiles["quote"].max_turns == 30
+
+
+def test_exit_codes_tell_the_kinds_of_failure_apart(shell, tmp_path):
+    """Guards against scripts that take a refusal for an outage."""
+    wrong = tmp_path / "wrong.toml"
+    wrong.write_text("[profiles.default]\nmax_turns = 0\n")
+    assert "profiles.default.max_turns" in shell.run("apply", str(wrong), code=2)
+    shell.run("nodes", "list", key="", code=4)
+    shell.run("nodes", "list", key="unknown", code=4)
+    shell.run("nodes", "list", node="http://gone", code=5)
+    shell.run("nodes", "list", node="http://gone http://node")
+    shell.run("profiles", "show", "none", code=1)
+    shell.run("profiles", "set", "quote", "max_turns", code=2)
+    assert {kind.code for kind in ctl_session.EXIT_CODES} <= {k.code for k in exceptions.kinds()}
+
+
+def test_wait_ends_when_all_nodes_have_the_generation(shell):
+    """Guards against a wait that ends while a node still runs the old generation."""
+    shell.run("profiles", "set", "quote", "max_turns=8")
+    shell.node.configuration.behind = 5
+    assert "generation 2 is in force on 2 nodes" in shell.run("wait")
+    assert shell.node.configuration.behind == 0
+    shell.node.configuration.behind = 1_000
+    assert "n2" in shell.run("wait", "--timeout", "5", code=7)
+
+
+def test_keys_are_created_and_rotated_and_a_lost_token_is_reported(shell):
+    """Guards against a key whose token nobody got and nobody was told about."""
+    made = json.loads(shell.run("--json", "keys", "create", "ci", "--role", "viewer"))
+    shell.run("nodes", "list", key=made["token"])
+    rotated = json.loads(shell.run("--json", "keys", "rotate", "ci", "--overlap", "0"))
+    shell.run("nodes", "list", key=made["token"], code=4)
+    shell.run("nodes", "list", key=rotated["token"])
+    shell.run("keys", "create", "ci2", code=2)
+    shell.transport.losses = ["reply"]
+    assert "revoke" in shell.run("keys", "create", "ci2", "--role", "viewer", code=6)
+    assert "ci2" in shell.documents[-1].keys
+    assert keys.digest(rotated["token"]) not in shell.run("keys", "list")
+
+
+def test_resources_are_set_and_removed(shell):
+    """Guards against a set that drops fields, and runner names that miss their service."""
+    shell.run("runners", "set", "agent-llm/r2", "address=http://r2", "data_centre=lakes-b")
+    shell.run("runners", "set", "agent-llm/r2", "slots=4")
+    runner = shell.documents[-1].services["agent-llm"].runners[1]
+    assert (runner.address, runner.slots) == ("http://r2", 4)
+    assert "agent-llm/r2" in shell.run("runners", "list")
+    shell.run("runners", "remove", "agent-llm/r1")
+    shell.run("runners", "remove", "agent-llm/r1", code=1)
+    shell.run("runners", "set", "r3", "slots=4", code=2)
+    shell.run("services", "list")
+    shell.run("customers", "set", "perch", "rate_per_s=2.5")
+    assert shell.documents[-1].customers["perch"].concurrency == 5
+
+
+def test_programs_are_listed_cancelled_and_followed_to_their_end(shell):
+    """Guards against commands that miss programs or hang after their end."""
+    for number in range(3):
+        shell.node.add_program("perch", f"p{number}")
+    listed = json.loads(shell.run("--json", "programs", "list", "--customer", "perch"))
+    assert [program["id"] for program in listed] == ["p0", "p1", "p2"]
+    shell.run("programs", "cancel", "p1", "--customer", "perch", "--note", "why")
+    assert "cancelled" in shell.run("programs", "follow", "p1", "--customer", "perch")
+    assert "why" in shell.run("programs", "show", "p1", "--customer", "perch")
+    shell.run("programs", "show", "p9", "--customer", "perch", code=1)
+    shell.run("nodes", "drain", "n1")
+    assert shell.node.nodes.drained == ["root"]
+
+
+def test_top_takes_quantiles_of_program_latency(shell, monkeypatch):
+    """Guards against quantiles that are off by more than a bucket."""
+    monkeypatch.setattr(metrics, "histograms", {})
+    for step in range(1, 101):
+        metrics.timing("program.latency", step / 10)
+    found = json.loads(shell.run("--json", "top"))
+    assert 5.0 <= found["latency_p50_s"] <= 5.0 * metrics.HISTOGRAM_GROWTH
+    assert 9.5 <= found["latency_p95_s"] <= 9.5 * metrics.HISTOGRAM_GROWTH
+    assert "p95" in shell.run("top")
