--- a/src/dogwoodgap/admin_http.py
+++ b/src/dogwoodgap/admin_http.py
@@ -34,11 +34,18 @@
 
 @dataclasses.dataclass
 class Guard:
-    """Lets a request through only with a valid key of a sufficient role."""
+    """Lets a request through only with a valid key of a sufficient role.
+
+    Attributes
+    ----------
+    roles, meanings : dict of str to str
+        Role and purpose of each route, for tests and ``docs/admin.md``.
+    """
 
     configuration: admin_parts.Configuration
     bootstrap_digest: str = ""
     roles: dict[str, str] = dataclasses.field(default_factory=dict)
+    meanings: dict[str, str] = dataclasses.field(default_factory=dict)
 
     def route(self, path: str, method: str, role: str, handler: Handler) -> routing.Route:
         """Return a route whose handler runs for keys with at least ``role``."""
@@ -47,6 +54,7 @@
             return await self.handle(request, role, handler)
 
         self.roles[f"{method} {path}"] = role
+        self.meanings[f"{method} {path}"] = (handler.__doc__ or "").partition("\n")[0]
         route = routing.Route(path, guarded, methods=[method], name=f"{method} {path}")
         # Starlette adds HEAD to GET routes; a HEAD request would run the whole handler.
         route.methods = {method}
--- a/src/dogwoodgap/events.py
+++ b/src/dogwoodgap/events.py
@@ -34,7 +34,10 @@
     NODE_STOPPING = 1002, "A planned stop began; the node takes no new programs."
     NODE_STOPPED = 1003, "The planned stop is complete; the process ends."
     JOURNAL_SEALED = 2001, "A successor sealed this node's journal; the node gives up its shards."
-    JOURNAL_WRITE_FAILED = 2002, "A journal write failed and is repeated until its deadline."
+    JOURNAL_WRITE_FAILED = (
+        2002,
+        "A journal write failed; the node repeats it until it is stored or sealed.",
+    )
     CALL_FAILED = 3001, "A model call of a program ended with an error."
     REQUEST_FAILED = 3002, "A request failed with an error that is not a typed refusal."
     CONFIGURATION_CHANGED = 7001, "An operator changed the configuration; fields: who and what."
