Keep unused optional modules out of the node

An idle dogwoodgap-node held 62.0 MB resident (three runs, 61,996 to 62,056 kB), against a limit of 64 MB. The cause: httpx imports its command line with rich and pygments where they are installed, and httpcore imports trio. The node is imported by the command that runs it, so that 'check' does not pay for it.

outbound.client shares one TLS context that loads its authorities when the first https address is used. Ruled out: malloc_trim and a full collection after start-up gave back nothing measurable, and a bare TLS context costs nothing measurable.

--- a/src/dogwoodgap/node_cli.py
+++ b/src/dogwoodgap/node_cli.py
@@ -7,11 +7,18 @@
 import anyio
 import typer
 
-from dogwoodgap import events, exceptions, node, settings
+from dogwoodgap import events, exceptions, lean, settings
 
 EXIT_INVALID = 2
 
-cli = typer.Typer(add_completion=True, no_args_is_help=True, help="The dogwoodgap daemon.")
+# Without rich: the daemon neither formats its help nor its tracebacks with it.
+cli = typer.Typer(
+    add_completion=True,
+    no_args_is_help=True,
+    help="The dogwoodgap daemon.",
+    rich_markup_mode=None,
+    pretty_exceptions_enable=False,
+)
 
 Overrides = typing.Annotated[
     list[str] | None, typer.Option("--set", help="Override a setting: section.field=value.")
@@ -39,6 +46,9 @@
 def run(path: pathlib.Path, override: Overrides = None) -> None:
     """Run the node in the foreground until SIGTERM."""
     loaded = read(path, override)
+    lean.skip_optional_modules()
+    from dogwoodgap import node
+
     events.configure(loaded.log.level)
     anyio.run(node.Node(loaded).run, backend_options={"use_uvloop": True})
 
--- /dev/null
+++ b/tests/test_memory.py
@@ -0,0 +1,59 @@
+"""Failures of the node's memory limit: modules and trust stores that an idle node does not need."""
+
+import subprocess
+import sys
+
+import anyio
+import httpx
+import pytest
+
+from dogwoodgap import outbound
+
+UNUSED = {"rich", "pygments", "trio", "tomli_w", "matplotlib", "numpy", "hypothesis"}
+PROBE = """
+import sys
+from dogwoodgap import lean, node_cli
+lean.skip_optional_modules()
+from dogwoodgap import node
+import httpcore, httpx
+httpx.AsyncClient()
+print(*sorted({name.partition('.')[0] for name, module in sys.modules.items() if module}))
+"""
+
+
+def test_the_node_imports_no_unused_libraries():
+    """Guards against imports that raise the idle node by megabytes, such as rich or trio."""
+    run = subprocess.run(
+        [sys.executable, "-c", PROBE], capture_output=True, text=True, check=True, timeout=60
+    )
+    assert set(run.stdout.split()) & UNUSED == set()
+
+
+def test_authorities_are_loaded_before_the_first_checked_connection(monkeypatch):
+    """Guards against unchecked TLS, and against a trust store that plain addresses load."""
+    trust = outbound.Trust()
+    monkeypatch.setattr(outbound, "trust", trust)
+
+    async def main():
+        transport = httpx.MockTransport(lambda request: httpx.Response(204))
+        async with outbound.client(transport=transport) as client:
+            await client.get("http://runner")
+            assert trust.context.cert_store_stats()["x509_ca"] == 0
+            await client.get("https://runner")
+            assert trust.context.cert_store_stats()["x509_ca"] > 0
+
+    anyio.run(main)
+    assert trust.context.check_hostname
+    assert trust.context.verify_mode.name == "CERT_REQUIRED"
+
+
+@pytest.mark.parametrize("command", [["--help"], ["check", "--help"]])
+def test_the_help_of_the_daemon_needs_no_rich(command):
+    """Guards against a daemon whose command line imports rich."""
+    code = "import sys; from dogwoodgap import node_cli\n" + (
+        f"try: node_cli.cli({command!r})\nfinally: print(*[m for m in sys.modules if m == 'rich'])"
+    )
+    run = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True, check=True, timeout=60
+    )
+    assert run.stdout.splitlines()[-1] == ""
