Check scopes against random documents; end streams of revoked keys

The property test judges each accepted document and rollback by a rule written apart from module roles. A follower's key is checked again at each step. 'keys bootstrap' writes the first token to a private file.

--- a/src/dogwoodgap/admin_fleet.py
+++ b/src/dogwoodgap/admin_fleet.py
@@ -160,6 +160,7 @@
 
     def routes(self, guard: admin_http.Guard) -> list[routing.Route]:
         """Return all routes."""
+        self.guard = guard
         program = "/programs/{program}"
         return [
             guard.route("/programs", "GET", roles.VIEWER, self.list_programs),
@@ -233,19 +234,26 @@
     ) -> responses.Response:
         """Send the state of a program at each change until it ends."""
         info = self.find(request, identity)
-        return responses.StreamingResponse(self.follow(info), media_type="text/event-stream")
+        stream = self.follow(info, lambda: self.guard.identify(request))
+        return responses.StreamingResponse(stream, media_type="text/event-stream")
 
-    async def follow(self, info: admin_parts.ProgramInfo) -> collections.abc.AsyncIterator[bytes]:
-        """Yield server-sent events ``program``, then ``end`` or ``error``."""
+    async def follow(
+        self, info: admin_parts.ProgramInfo, check_key: collections.abc.Callable[[], keys.Identity]
+    ) -> collections.abc.AsyncIterator[bytes]:
+        """Yield server-sent events ``program``, then ``end`` or ``error``.
+
+        The key is checked again each time, so that a revoked key does not follow on.
+        """
         yield app.server_sent("program", info)
         silent_s = 0.0
         while info.status == structures.ProgramStatus.ACTIVE:
             await anyio.sleep(FOLLOW_INTERVAL_S)
             silent_s += FOLLOW_INTERVAL_S
             try:
+                check_key()
                 latest = self.programs.show(info.customer, info.id)
             except exceptions.DogwoodgapError as error:
-                # The shard moved to another node; the reader follows it there.
+                # When the shard moved to another node, the reader follows it there.
                 yield app.server_sent("error", exceptions.problem(error))
                 return
             if latest != info:
--- a/src/dogwoodgap/ctl_fleet.py
+++ b/src/dogwoodgap/ctl_fleet.py
@@ -179,12 +179,18 @@
             owner = await client.owner(customer, program)
             async for event in owner.follow(f"/programs/{program}/events", customer=customer):
                 if event.name == "error":
-                    break
+                    raise exceptions.from_problem(
+                        msgspec.json.decode(event.data, type=exceptions.Problem)
+                    )
                 deadline = clock.now() + FOLLOW_SEARCH_S
                 if event.name == "end":
                     return
                 print_state(event, is_json)
-        except (exceptions.UnknownProgramError, ctl_client.LostReplyError):
+        except (
+            exceptions.UnknownProgramError,
+            exceptions.NotOwnerError,
+            ctl_client.LostReplyError,
+        ):
             if clock.now() >= deadline:
                 raise
         await anyio.sleep(FOLLOW_RETRY_S)
--- a/src/dogwoodgap/ctl_resources.py
+++ b/src/dogwoodgap/ctl_resources.py
@@ -1,13 +1,18 @@
 """Commands for single resources: list, show, set and remove; keys also create and rotate."""
 
+import os
+import pathlib
+import secrets
 import typing
 import urllib.parse
 
 import msgspec
 import typer
 
-from dogwoodgap import admin_parts, ctl_client, ctl_files, ctl_output, ctl_session, exceptions
+from dogwoodgap import admin_parts, ctl_client, ctl_files, ctl_output, ctl_session, exceptions, keys
 
+TOKEN_BYTES = 32
+PRIVATE_MODE = 0o600
 KINDS = ("profiles", "services", "customers", "keys")
 NAME_HELP = {"runners": "SERVICE/RUNNER"}
 
@@ -138,6 +143,7 @@
 
 def add_key_commands(commands: typer.Typer) -> None:
     """Add the commands that make tokens."""
+    commands.command()(bootstrap)
 
     @commands.command()
     def create(
@@ -181,6 +187,24 @@
         make_token(context, name, "/rotation", {"overlap_seconds": overlap})
 
 
+def bootstrap(
+    file: typing.Annotated[pathlib.Path, typer.Argument(help="New file for the token.")],
+) -> None:
+    """Write a new token to a file and print the setting with its digest; needs no node.
+
+    Example: dogwoodgap-ctl keys bootstrap bootstrap.key
+    """
+    token = secrets.token_urlsafe(TOKEN_BYTES)
+    try:
+        descriptor = os.open(file, os.O_WRONLY | os.O_CREAT | os.O_EXCL, PRIVATE_MODE)
+    except OSError as error:
+        typer.echo(f"error: {file}: {error.strerror}; name a new file", err=True)
+        raise typer.Exit(ctl_session.EXIT_INVALID) from error
+    with os.fdopen(descriptor, "w", encoding="ascii") as stream:
+        stream.write(token)
+    typer.echo(f'[admin]\nbootstrap_key_digest = "{keys.digest(token)}"')
+
+
 def make_token(context: typer.Context, name: str, suffix: str, body: dict[str, typing.Any]) -> None:
     """Send a request that makes a token and print it."""
     session = ctl_session.of(context)
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -297,3 +297,21 @@
         assert reply.json()["status"] == "cancelled"
 
     run(main)
+
+
+def test_following_ends_when_the_key_is_revoked():
+    """Guards against a revoked key that still reads through an open stream."""
+
+    async def main(node, client):
+        node.add_program("perch", "p1")
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(revoke_later, client)
+            reply = await client.get("/programs/p1/events?customer=perch", headers=as_user("vera"))
+        assert "event: error" in reply.text
+        assert '"unauthorized"' in reply.text
+
+    async def revoke_later(client):
+        await anyio.sleep(5)
+        await client.delete("/keys/vera", headers=as_user("root", 1))
+
+    run(main)
--- /dev/null
+++ b/tests/test_roles.py
@@ -0,0 +1,125 @@
+"""Failures of scopes: a random key sends random documents, judged by a simple oracle."""
+
+import anyio
+import fake_admin
+import hypothesis
+import trio.testing
+from hypothesis import strategies
+
+from dogwoodgap import admin_changes, exceptions, keys, models, roles
+
+NAMES = ("a", "b")
+RESOURCES = ("services", "customers")
+some_names = strategies.lists(strategies.sampled_from(NAMES), unique=True)
+role_names = strategies.sampled_from(["viewer", "operator", "administrator"])
+
+
+@strategies.composite
+def configurations(draw):
+    """Draw a valid configuration with few names, so that documents often touch the same ones."""
+    customers = draw(some_names)
+    found = {}
+    for name in draw(some_names):
+        role = draw(strategies.sampled_from(["caller", "viewer", "administrator"]))
+        if role == "caller" and not customers:
+            continue
+        owner = draw(strategies.sampled_from(customers)) if role == "caller" else None
+        found[name] = {"digest": "0" * 64, "role": role, "customer": owner}
+        found[name] |= {"customers": draw(some_names), "services": draw(some_names)}
+    return models.FleetConfiguration.model_validate(
+        {
+            "profiles": {"default": {"urgency": draw(strategies.integers(0, 1))}},
+            "services": {
+                name: {"kind": draw(strategies.sampled_from(["model", "plain"]))}
+                for name in draw(some_names)
+            },
+            "customers": {
+                name: {"concurrency": draw(strategies.integers(0, 1))} for name in customers
+            },
+            "keys": found,
+        }
+    )
+
+
+@strategies.composite
+def identities(draw):
+    """Draw a key of an operator."""
+    limits = [frozenset(draw(some_names)) for _ in range(2)]
+    return keys.Identity("x", draw(role_names), "", *limits)
+
+
+def reach(key) -> set[tuple[str, str]]:
+    """Return all pairs of service and customer that a key reaches; ``*`` stands for others."""
+    services = key.services or {*NAMES, "*"}
+    customers = key.customers or {*NAMES, "*"}
+    if isinstance(key, models.Key) and key.role == "caller":
+        customers = {key.customer}
+    return {(service, customer) for service in services for customer in customers}
+
+
+def may_change(identity, kind, name, before, after) -> bool:
+    """Say whether one resource may change; written apart from module ``roles``."""
+    limited = identity.services or identity.customers
+    if identity.role == "viewer":
+        return False
+    if kind == "keys":
+        sides = [side for side in (before, after) if side is not None]
+        return identity.role == "administrator" and all(
+            reach(side) <= reach(identity) for side in sides
+        )
+    if kind == "customers" and None in (before, after) and identity.role != "administrator":
+        return False
+    if kind == "profiles":
+        return not limited
+    return not limited or name in getattr(identity, kind)
+
+
+@hypothesis.settings(derandomize=True, max_examples=400, deadline=None, database=None)
+@hypothesis.given(
+    configurations(),
+    configurations(),
+    identities(),
+    strategies.sampled_from(["profiles", *RESOURCES, "keys"]),
+    strategies.booleans(),
+)
+def test_no_document_changes_what_its_key_may_not(base, other, identity, kind, is_rollback):
+    """Guards against a whole document or a rollback that reaches beyond the key's limits."""
+    edited = {kind: getattr(other, kind)}
+    sent = roles.visible(identity, base).model_copy(update=edited)
+
+    async def main():
+        configuration = fake_admin.FakeConfiguration(base)
+        configuration.documents.append(sent.model_copy(update={"generation": 2}))
+        configuration.documents.append(base.model_copy(update={"generation": 3}))
+        changes = admin_changes.Changes(configuration, "0" * 64)
+        change = admin_changes.Change(identity, 3)
+        try:
+            if is_rollback:
+                await changes.rollback(change, 2)
+            else:
+                await changes.replace(change, sent)
+        except (exceptions.ForbiddenError, exceptions.SettingsInvalidError):
+            pass
+        return configuration.documents[-1]
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    after = anyio.run(main, backend="trio", backend_options={"clock": clock})
+    for kind in ("profiles", *RESOURCES, "keys"):
+        old, new = getattr(base, kind), getattr(after, kind)
+        for name in old.keys() | new.keys():
+            if old.get(name) != new.get(name):
+                assert may_change(identity, kind, name, old.get(name), new.get(name))
+                assert kind != "keys" or not is_rollback
+    hypothesis.event("changed" if after.generation == 4 else "unchanged")
+
+
+@hypothesis.settings(derandomize=True, max_examples=200, deadline=None, database=None)
+@hypothesis.given(configurations(), identities())
+def test_a_key_sees_only_its_customers_and_services(configuration, identity):
+    """Guards against resources of other customers in what a key reads."""
+    seen = roles.visible(identity, configuration)
+    assert set(seen.customers) <= set(identity.customers or NAMES)
+    assert set(seen.services) <= set(identity.services or NAMES)
+    for key in seen.keys.values():
+        assert identity.role == "administrator"
+        assert reach(key) <= reach(identity)
