--- a/src/dogwoodgap/ctl_client.py
+++ b/src/dogwoodgap/ctl_client.py
@@ -50,12 +50,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
-    """One request to the administration API."""
+    """One request to the administration API.
+
+    Attributes
+    ----------
+    generation : int or None
+        The generation that a change is based on; a new fleet is at generation 0.
+    """
 
     method: str
     path: str
     body: typing.Any = None
-    generation: int = 0
+    generation: int | None = None
     parameters: dict[str, str] = dataclasses.field(default_factory=dict)
 
 
@@ -93,7 +99,7 @@
             The error that the node answered.
         """
         headers = {"Dogwoodgap-Change": change} if change else {}
-        if request.generation:
+        if request.generation is not None:
             headers["If-Match"] = f'"{request.generation}"'
         content = None if request.body is None else msgspec.json.encode(request.body)
         faults = []
--- a/tests/fake_admin.py
+++ b/tests/fake_admin.py
@@ -35,9 +35,10 @@
 class FakeConfiguration:
     """Generations in memory. ``current`` may lag behind by ``lag`` generations."""
 
-    def __init__(self, document: models.FleetConfiguration):
-        self.documents = [document.model_copy(update={"generation": 1})]
-        self.entries = [Entry(1, "start", 0.0, "start")]
+    def __init__(self, document: models.FleetConfiguration, start: int = 1):
+        self.start = start
+        self.documents = [document.model_copy(update={"generation": start})]
+        self.entries = [Entry(start, "start", 0.0, "start")] if start else []
         self.lag = 0
         self.behind = 0
 
@@ -46,7 +47,7 @@
         return self.documents[max(0, len(self.documents) - 1 - self.lag)]
 
     async def update(self, document, expected_generation, author, note):
-        if expected_generation != len(self.documents):
+        if expected_generation != self.documents[-1].generation:
             raise exceptions.ConfigurationConflictError("secret names of other customers")
         applied = document.model_copy(update={"generation": expected_generation + 1})
         self.documents.append(applied)
@@ -57,9 +58,9 @@
         return self.entries[::-1][:limit]
 
     async def get(self, generation):
-        if not 1 <= generation <= len(self.documents):
+        if not 0 <= generation - self.start < len(self.documents):
             raise exceptions.NotFoundError(f"generation {generation} does not exist")
-        return self.documents[generation - 1]
+        return self.documents[generation - self.start]
 
     def in_force(self):
         current = self.documents[-1].generation
@@ -110,15 +111,23 @@
 class FakeNode:
     """A node with the administration API over a real program table."""
 
-    def __init__(self, document: models.FleetConfiguration | None = None, bootstrap: str = ""):
-        self.configuration = FakeConfiguration(document or fleet())
+    def __init__(
+        self,
+        document: models.FleetConfiguration | None = None,
+        bootstrap: str = "",
+        start: int = 1,
+    ):
+        self.configuration = FakeConfiguration(document or fleet(), start)
         self.nodes = FakeNodes()
         self.table = programs.ProgramTable()
+        self.set_bootstrap(keys.digest(bootstrap) if bootstrap else "")
+
+    def set_bootstrap(self, digest: str) -> None:
         self.administration = admin.Administration(
             self.configuration,
             admin_fleet.TablePrograms(self.table, self.end),
             self.nodes,
-            keys.digest(bootstrap) if bootstrap else "",
+            digest,
         )
         self.app = self.administration.build()
 
