Settle lost replies under random faults; log faults of the administration API

A node that is not ready is skipped for the next one. A fault that is not a typed error is logged as event 3002 and answered with not_run unknown.

--- a/src/dogwoodgap/admin_http.py
+++ b/src/dogwoodgap/admin_http.py
@@ -74,6 +74,20 @@
         except exceptions.DogwoodgapError as error:
             report(request, name, error)
             return app.refuse(error)
+        except Exception as error:
+            events.emit(
+                events.Event.REQUEST_FAILED,
+                "administration request failed",
+                level=logging.ERROR,
+                author=name,
+                path=request.url.path,
+                error=repr(error),
+            )
+            return app.refuse(
+                exceptions.DogwoodgapError(
+                    "the node failed on this request; see event 3002 in its log"
+                )
+            )
 
     def identify(self, request: requests.Request) -> keys.Identity:
         """Return the operator who sends a request."""
--- a/src/dogwoodgap/ctl_client.py
+++ b/src/dogwoodgap/ctl_client.py
@@ -89,7 +89,7 @@
     settle_s: float = DEFAULT_SETTLE_S
 
     async def send(self, request: Request, change: str = "") -> Reply:
-        """Send a request to the first node that accepts a connection.
+        """Send a request to the first node that accepts a connection and is ready.
 
         Raises
         ------
@@ -116,8 +116,11 @@
                 raise LostReplyError(
                     f"{node} did not answer ({error!r}); check whether the request took effect"
                 ) from error
-            return reply_of(response)
-        raise NoNodeError(f"no node accepts connections ({'; '.join(faults)}); check --node")
+            try:
+                return reply_of(response)
+            except exceptions.NotReadyError as error:
+                faults.append(f"{node}: {error.detail}")
+        raise NoNodeError(f"no node accepts requests ({'; '.join(faults)}); check --node")
 
     async def get(self, path: str, kind: type[T], **parameters: str) -> T:
         """Return a decoded answer."""
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -315,3 +315,19 @@
         await client.delete("/keys/vera", headers=as_user("root", 1))
 
     run(main)
+
+
+def test_a_fault_of_the_node_is_logged_and_answered_as_unknown(caplog, monkeypatch):
+    """Guards against a fault that leaves no trace, since the HTTP server's log is off."""
+
+    async def main(node, client):
+        async def fail(*arguments):
+            raise ZeroDivisionError
+
+        monkeypatch.setattr(node.configuration, "update", fail)
+        reply = await client.put("/profiles/quote", json={}, headers=as_user("olga", 1))
+        assert reply.status_code == 500
+        assert reply.json()["not_run"] == "unknown"
+        assert caplog.records[-1].event == 3002
+
+    run(main)
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -8,7 +8,7 @@
 import trio.testing
 import typer.testing
 
-from dogwoodgap import ctl, ctl_session, exceptions, keys, metrics
+from dogwoodgap import app, ctl, ctl_session, exceptions, keys, metrics
 
 
 class LossyTransport(httpx.AsyncBaseTransport):
@@ -32,6 +32,9 @@
         request.url = request.url.copy_with(path=path)
         if request.url.host == "gone":
             raise httpx.ConnectError("refused")
+        if request.url.host == "starting":
+            body = app.refuse(exceptions.NotReadyError("the node is starting")).body
+            return httpx.Response(503, content=body, request=request)
         loss = self.losses.pop(0) if request.method != "GET" and self.losses else ""
         if self.down:
             self.down -= 1
@@ -133,7 +136,8 @@
     shell.run("nodes", "list", key="", code=4)
     shell.run("nodes", "list", key="unknown", code=4)
     shell.run("nodes", "list", node="http://gone", code=5)
-    shell.run("nodes", "list", node="http://gone http://node")
+    shell.run("nodes", "list", node="http://gone http://starting http://node")
+    shell.run("nodes", "list", node="http://starting", code=5)
     shell.run("profiles", "show", "none", code=1)
     shell.run("profiles", "set", "quote", "max_turns", code=2)
     assert {kind.code for kind in ctl_session.EXIT_CODES} <= {k.code for k in exceptions.kinds()}
--- /dev/null
+++ b/tests/test_settle.py
@@ -0,0 +1,81 @@
+"""Failures of settling lost replies, found by random faults and judged by the history."""
+
+import anyio
+import fake_admin
+import httpx
+import hypothesis
+import trio.testing
+from hypothesis import strategies
+
+from dogwoodgap import app, ctl_client, exceptions
+
+MAX_FAULTS = 12
+
+
+class FaultyTransport(httpx.AsyncBaseTransport):
+    """Applies one drawn fault per request, then none."""
+
+    def __init__(self, node: fake_admin.FakeNode, faults: list[str]):
+        self.node = node
+        self.inner = httpx.ASGITransport(node.app)
+        self.faults = faults
+        self.late: list[httpx.Request] = []
+
+    async def handle_async_request(self, request):
+        request.url = request.url.copy_with(path=request.url.path.removeprefix("/admin/v1"))
+        fault = self.faults.pop(0) if self.faults else ""
+        if fault == "refused":
+            raise httpx.ConnectError(fault)
+        if fault == "rival":
+            document = self.node.configuration.current
+            await self.node.configuration.update(document, document.generation, "rival", "")
+        if fault == "delayed":
+            self.late.append(request)
+            raise httpx.ReadTimeout(fault)
+        if fault == "lost request":
+            raise httpx.ReadError(fault)
+        if fault == "arrival" and self.late:
+            await self.inner.handle_async_request(self.late.pop())
+        reply = await self.inner.handle_async_request(request)
+        if fault == "lost reply":
+            raise httpx.ReadError(fault)
+        if fault == "unavailable":
+            error = exceptions.StoreUnavailableError("the platform did not answer")
+            body = app.refuse(error).body
+            return httpx.Response(503, content=body, request=request)
+        return reply
+
+
+FAULTS = ["", "refused", "rival", "delayed", "lost request", "arrival", "lost reply", "unavailable"]
+
+
+@hypothesis.settings(derandomize=True, max_examples=500, deadline=None, database=None)
+@hypothesis.given(strategies.lists(strategies.sampled_from(FAULTS), max_size=MAX_FAULTS))
+def test_the_reported_outcome_is_the_one_in_the_history(faults):
+    """Guards against a tool that reports an applied change as refused, or the reverse."""
+    node = fake_admin.FakeNode()
+    transport = FaultyTransport(node, list(faults))
+
+    async def main():
+        headers = {"Authorization": "Bearer olga"}
+        async with httpx.AsyncClient(transport=transport, headers=headers) as http:
+            client = ctl_client.Client(http, ["http://node"])
+            body = {"max_turns": 77}
+            request = ctl_client.Request("PUT", "/profiles/quote", body, 1)
+            try:
+                outcome = await client.change(request)
+            except exceptions.DogwoodgapError as error:
+                return error.code, 0
+            assert outcome.applied
+            return "applied", outcome.generation
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    code, generation = anyio.run(main, backend="trio", backend_options={"clock": clock})
+    own = [entry.generation for entry in node.configuration.entries if entry.author == "olga"]
+    hypothesis.event(code)
+    assert len(own) <= 1
+    if code == "applied":
+        assert own == [generation]
+    else:
+        assert code in {"configuration-conflict", "no-node"}
+        assert own == []
