--- a/src/dogwoodgap/admin.py
+++ b/src/dogwoodgap/admin.py
@@ -5,6 +5,7 @@
 and its differences.
 """
 
+import collections.abc
 import dataclasses
 
 from starlette import applications, requests, responses
@@ -33,15 +34,18 @@
     bootstrap_digest : str
         SHA-256 of a token that is an administrator while no valid, unlimited administrator key
         is configured; empty turns it off.
+    is_configured : callable
+        Whether this node knows the fleet's configuration; until then every request is refused.
     """
 
     configuration: admin_parts.Configuration
     programs: admin_parts.Programs
     nodes: admin_parts.Nodes
     bootstrap_digest: str = ""
+    is_configured: collections.abc.Callable[[], bool] = lambda: True
 
     def __post_init__(self):
-        self.guard = admin_http.Guard(self.configuration, self.bootstrap_digest)
+        self.guard = admin_http.Guard(self.configuration, self.bootstrap_digest, self.is_configured)
 
     def build(self) -> applications.Starlette:
         """Return the ASGI application; mount it at ``PREFIX``."""
--- a/src/dogwoodgap/admin_http.py
+++ b/src/dogwoodgap/admin_http.py
@@ -38,12 +38,15 @@
 
     Attributes
     ----------
+    is_configured : callable
+        Whether this node knows the fleet's configuration, and with it the keys.
     roles, meanings : dict of str to str
         Role and purpose of each route, for tests and ``docs/admin.md``.
     """
 
     configuration: admin_parts.Configuration
     bootstrap_digest: str = ""
+    is_configured: collections.abc.Callable[[], bool] = lambda: True
     roles: dict[str, str] = dataclasses.field(default_factory=dict)
     meanings: dict[str, str] = dataclasses.field(default_factory=dict)
 
@@ -90,7 +93,18 @@
             )
 
     def identify(self, request: requests.Request) -> keys.Identity:
-        """Return the operator who sends a request."""
+        """Return the operator who sends a request.
+
+        Raises
+        ------
+        NotReadyError
+            Before the configuration is known: the empty one of a starting node has no keys, and
+            would let the bootstrap key in.
+        """
+        if not self.is_configured():
+            raise exceptions.NotReadyError(
+                "this node does not know the fleet's configuration yet; use another node or repeat"
+            )
         header = request.headers.get("authorization", "")
         return roles.identify(header, self.configuration.current, self.bootstrap_digest)
 
@@ -98,6 +112,8 @@
 def report(request: requests.Request, name: str, error: exceptions.DogwoodgapError) -> None:
     """Count and log a refusal; refused reads with a valid key are not logged."""
     metrics.count("admin.refused")
+    if isinstance(error, exceptions.NotReadyError):
+        return
     if not name:
         event = events.Event.ADMIN_UNAUTHORIZED
     elif request.method != "GET":
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -331,3 +331,15 @@
         assert caplog.records[-1].event == 3002
 
     run(main)
+
+
+def test_the_bootstrap_key_waits_for_the_configuration():
+    """Guards against a starting node that takes its empty configuration for that of the fleet."""
+
+    async def main(node, client):
+        node.administration.guard.is_configured = lambda: False
+        assert (await client.get("/dump", headers=as_user("boot"))).status_code == 503
+        node.administration.guard.is_configured = lambda: True
+        assert (await client.get("/dump", headers=as_user("boot"))).status_code == 200
+
+    run(main, document=fake_admin.models.FleetConfiguration(), bootstrap="boot")
