--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -3,6 +3,7 @@
 import anyio
 import fake_admin
 import hypothesis
+import pytest
 import trio.testing
 from hypothesis import strategies
 
@@ -123,3 +124,20 @@
     for key in seen.keys.values():
         assert identity.role == "administrator"
         assert reach(key) <= reach(identity)
+
+
+def test_a_key_is_valid_in_the_configuration_in_force_only():
+    """Guards against a lookup that remembers keys of an older configuration."""
+
+    async def main():
+        old = fake_admin.fleet()
+        new = old.model_copy(update={"keys": {"v2": old.keys["vera"]}})
+        assert keys.authenticate("Bearer vera", old).name == "vera"
+        assert keys.authenticate("Bearer vera", new).name == "v2"
+        with pytest.raises(exceptions.UnauthorizedError):
+            keys.authenticate("Bearer olga", new)
+        ended = old.keys["vera"].model_copy(update={"not_after": 1.0})
+        both = old.model_copy(update={"keys": {"a": old.keys["vera"], "z": ended}})
+        assert keys.authenticate("Bearer vera", both).name == "a"
+
+    anyio.run(main)
