--- a/src/dogwoodgap/ctl_client.py
+++ b/src/dogwoodgap/ctl_client.py
@@ -113,6 +113,9 @@
                 faults.append(f"{node}: {error}")
                 continue
             except httpx.TransportError as error:
+                if request.method == "GET":
+                    faults.append(f"{node}: {error!r}")
+                    continue
                 raise LostReplyError(
                     f"{node} did not answer ({error!r}); check whether the request took effect"
                 ) from error
--- a/src/dogwoodgap/ctl_fleet.py
+++ b/src/dogwoodgap/ctl_fleet.py
@@ -190,6 +190,7 @@
             exceptions.UnknownProgramError,
             exceptions.NotOwnerError,
             ctl_client.LostReplyError,
+            ctl_client.NoNodeError,
         ):
             if clock.now() >= deadline:
                 raise
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -32,6 +32,8 @@
         request.url = request.url.copy_with(path=path)
         if request.url.host == "gone":
             raise httpx.ConnectError("refused")
+        if request.url.host == "silent":
+            raise httpx.ReadTimeout("silent")
         if request.url.host == "starting":
             body = app.refuse(exceptions.NotReadyError("the node is starting")).body
             return httpx.Response(503, content=body, request=request)
@@ -136,7 +138,7 @@
     shell.run("nodes", "list", key="", code=4)
     shell.run("nodes", "list", key="unknown", code=4)
     shell.run("nodes", "list", node="http://gone", code=5)
-    shell.run("nodes", "list", node="http://gone http://starting http://node")
+    shell.run("nodes", "list", node="http://gone http://starting http://silent http://node")
     shell.run("nodes", "list", node="http://starting", code=5)
     shell.run("profiles", "show", "none", code=1)
     shell.run("profiles", "set", "quote", "max_turns", code=2)
@@ -205,3 +207,24 @@
     assert 5.0 <= found["latency_p50_s"] <= 5.0 * metrics.HISTOGRAM_GROWTH
     assert 9.5 <= found["latency_p95_s"] <= 9.5 * metrics.HISTOGRAM_GROWTH
     assert "p95" in shell.run("top")
+
+
+def test_following_goes_on_at_the_next_owner(shell, monkeypatch):
+    """Guards against a follower that ends when the program's shard moves to another node."""
+    shell.node.add_program("perch", "p1")
+    table = shell.node.table
+    program = table.get("perch", "p1")
+    answers = ["here", "here", "here", "moved", "moved", "moved", "ended"]
+
+    def get(customer, name):
+        answer = answers.pop(0) if len(answers) > 1 else answers[0]
+        if answer == "moved":
+            raise exceptions.UnknownProgramError("moved")
+        program.status = "finished" if answer == "ended" else "active"
+        return program
+
+    monkeypatch.setattr(table, "root", lambda found: found)
+    monkeypatch.setattr(table, "get", get)
+    output = shell.run("programs", "follow", "p1", "--customer", "perch")
+    assert "p1 finished" in output
+    assert answers == ["ended"]
