--- a/src/dogwoodgap/events.py
+++ b/src/dogwoodgap/events.py
@@ -11,42 +11,103 @@
 
 
 class Event(enum.IntEnum):
-    """Numbers of all log events; the catalogue is ``docs/events.md``."""
+    """Numbers of all log events, each with its description.
 
-    NODE_STARTED = 1001
-    NODE_STOPPING = 1002
-    NODE_STOPPED = 1003
-    JOURNAL_SEALED = 2001
-    JOURNAL_WRITE_FAILED = 2002
-    ASSIGNMENT_UNAVAILABLE = 2003
-    SHARDS_ACQUIRED = 2004
-    SHARDS_LOST = 2005
-    TAKEOVER_STARTED = 2006
-    RECONCILE_FAILED = 2007
-    CHECKPOINT_WRITTEN = 2008
-    CHECKPOINT_FAILED = 2009
-    SHARDS_HANDED_OVER = 2010
-    JOURNAL_RETIRED = 2011
-    INTENT_SETTLED = 2012
-    BOOT_STARTED = 2013
-    CLEANUP_FAILED = 2014
-    CALL_FAILED = 3001
-    REQUEST_FAILED = 3002
-    RUNNER_LEAVING = 6001
-    RUNNER_RETURNED = 6002
-    RUNNER_DOWN = 6003
-    CONNECTION_REPLACED = 6004
-    RUNNER_CRASHED = 6005
-    DIGEST_SUSPECTED = 6006
-    DIGEST_CLEARED = 6007
-    DIGEST_QUARANTINED = 6008
-    SUSPECT_REPORT_FAILED = 6009
-    CACHE_RELEASED = 6010
-    CACHE_RELEASE_FAILED = 6011
-    ORDER_SENT = 6012
-    ORDER_REFUSED = 6013
-    ORDER_FAILED = 6014
-    CONTROL_ACQUIRED = 6015
+    ``docs/events.md`` is generated from this class by ``python -m dogwoodgap.documents docs``.
+
+    Attributes
+    ----------
+    description : str
+        What happened, for the catalogue.
+    """
+
+    description: str
+
+    def __new__(cls, number: int, description: str = "") -> "Event":
+        """Create a member from its number and its description."""
+        member = int.__new__(cls, number)
+        member._value_ = number
+        member.description = description
+        return member
+
+    NODE_STARTED = 1001, "The node has loaded its configuration and serves requests."
+    NODE_STOPPING = 1002, "A planned stop began; the node takes no new programs."
+    NODE_STOPPED = 1003, "The planned stop is complete; the process ends."
+    JOURNAL_SEALED = 2001, "A successor sealed this node's journal; the node gives up its shards."
+    JOURNAL_WRITE_FAILED = (
+        2002,
+        "A journal write failed; the node repeats it until it is stored or sealed.",
+    )
+    ASSIGNMENT_UNAVAILABLE = 2003, "The shard assignment could not be read; the cached one is used."
+    SHARDS_ACQUIRED = 2004, "The node loaded shards and serves them."
+    SHARDS_LOST = 2005, "The node serves some shards no longer."
+    TAKEOVER_STARTED = 2006, "The node takes over the shards of a dead boot."
+    RECONCILE_FAILED = (
+        2007,
+        "Comparing the assignment with the loaded shards failed; it is repeated.",
+    )
+    CHECKPOINT_WRITTEN = 2008, "A checkpoint is stored; older segments are deleted."
+    CHECKPOINT_FAILED = 2009, "A checkpoint could not be stored; it is repeated."
+    SHARDS_HANDED_OVER = 2010, "The node handed shards over to another node."
+    JOURNAL_RETIRED = 2011, "A journal that nothing refers to was deleted."
+    INTENT_SETTLED = 2012, "An action of a lost owner was settled without being sent again."
+    BOOT_STARTED = 2013, "The node goes on under a new boot after its journal was sealed."
+    CLEANUP_FAILED = 2014, "Deleting unused objects failed; it is repeated."
+    CALL_FAILED = 3001, "A model call of a program ended with an error."
+    REQUEST_FAILED = 3002, "A request failed with an error that is not a typed refusal."
+    PROGRAM_LIMITED = 3003, "A limit of its profile ended a program."
+    RELEASE_REPEATED = 3004, "A runner did not confirm the release of a session; it is repeated."
+    ACTION_UNKNOWN = 3005, "The outcome of an action could not be learned."
+    CERTIFICATE_REJECTED = (
+        3006,
+        "Changed certificate files could not be loaded; the old ones stay in use.",
+    )
+    STOP_STEP_FAILED = 3007, "A step of the planned stop failed; the stop goes on."
+    PEER_FRAME_MALFORMED = 4001, "A peer sent a malformed frame; its connection is closed."
+    PEER_CONNECTION_REPLACED = (
+        4002,
+        "A connection to a node ended or went silent; a new one is opened.",
+    )
+    PEER_HANDLER_FAILED = 4003, "A message of another node could not be handled."
+    MEMBER_JOINED = 4011, "A node joined."
+    MEMBER_SUSPECT = 4012, "A node does not answer, neither directly nor to other nodes."
+    MEMBER_DEAD = 4013, "A node is declared dead; its shards are taken over."
+    MEMBER_LEAVING = 4014, "A node announced a planned stop."
+    MEMBER_REPLACED = 4015, "A newer boot took the place of an older one of the same node."
+    CONFIGURATION_APPLIED = (
+        4021,
+        "A generation of the fleet configuration is in force on this node.",
+    )
+    CONFIGURATION_INVALID = 4022, "The stored configuration is invalid; the old one stays in force."
+    CONFIGURATION_UPDATED = 4023, "A new generation of the fleet configuration was stored."
+    CONFIGURATION_SUBSCRIBER_FAILED = (
+        4024,
+        "A part of the node failed to take a new configuration over.",
+    )
+    RUNNER_LEAVING = 6001, "A runner is leaving and gets no new work."
+    RUNNER_RETURNED = 6002, "A runner takes work again."
+    RUNNER_DOWN = 6003, "A fresh connection to a runner failed; it gets no work until it answers."
+    CONNECTION_REPLACED = 6004, "The connections to a runner went silent and are replaced."
+    RUNNER_CRASHED = 6005, "A runner crashed with requests in flight."
+    DIGEST_SUSPECTED = (
+        6006,
+        "A request was in flight when a runner crashed; it runs alone from now on.",
+    )
+    DIGEST_CLEARED = 6007, "A suspect request completed; it is suspect no longer."
+    DIGEST_QUARANTINED = 6008, "A request crashed two runners and is refused."
+    SUSPECT_REPORT_FAILED = 6009, "A suspect could not be reported to other nodes; it is repeated."
+    CACHE_RELEASED = 6010, "The cache of a program that is gone was released."
+    CACHE_RELEASE_FAILED = 6011, "A runner did not release a cache; it is repeated."
+    ORDER_SENT = 6012, "An order was sent to an engine."
+    ORDER_REFUSED = 6013, "An engine refused an order with an old fencing number."
+    ORDER_FAILED = 6014, "An order to an engine failed; it is repeated."
+    CONTROL_ACQUIRED = 6015, "This node controls the engines of a service."
+    CONFIGURATION_CHANGED = 7001, "An operator changed the configuration; fields: who and what."
+    CHANGE_REFUSED = 7002, "A change was refused by role, scope, validation or a race."
+    ADMIN_UNAUTHORIZED = 7003, "A request to the administration API had no valid key."
+    PROGRAM_CANCELLED = 7004, "An operator cancelled a program."
+    NODE_DRAIN_REQUESTED = 7005, "An operator asked a node for a planned stop."
+    DUMP_COLLECTOR_FAILED = 7006, "A collector of the state dump failed; its section has the error."
 
 
 def emit(event: Event, message: str, *, level: int = logging.INFO, **fields: typing.Any) -> None:
