Connect nodes by thrift frames over TCP

One task for each partner reads replies and sends heartbeats when idle; a connection without input for 2.5 s is replaced, and a caller can demand a fresh one.

--- /dev/null
+++ b/src/dogwoodgap/connections.py
@@ -0,0 +1,172 @@
+"""One open connection to another node: requests, replies and its own heartbeat."""
+
+import collections.abc
+import contextlib
+import dataclasses
+import itertools
+import ssl
+import typing
+
+import anyio
+import anyio.abc
+
+from dogwoodgap import clock, exceptions, frames
+from dogwoodgap_wire import ttypes
+
+HEARTBEAT_INTERVAL_S = 1.0
+SILENCE_S = 2.5
+"""A connection on which nothing arrived for this long is replaced; two heartbeats fit in it."""
+
+CONNECT_TIMEOUT_S = 1.0
+
+CONNECTION_ERRORS = (
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    OSError,
+    TimeoutError,
+)
+
+
+@dataclasses.dataclass(slots=True)
+class Pending:
+    """A request that waits for its reply; ``message`` stays None when the connection ends."""
+
+    done: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    message: typing.Any = None
+
+
+@dataclasses.dataclass(slots=True)
+class Traffic:
+    """Bytes on all connections, with frame lengths and without TCP and TLS overhead."""
+
+    sent_bytes: int = 0
+    received_bytes: int = 0
+
+
+class Connection:
+    """One open connection to a partner and its requests in flight."""
+
+    def __init__(self, stream: anyio.abc.ByteStream, traffic: Traffic):
+        self.stream = stream
+        self.traffic = traffic
+        self.buffer = frames.FrameBuffer()
+        self.pending: dict[int, Pending] = {}
+        self.ids = itertools.count(1)
+        self.send_lock = anyio.Lock()
+        self.scope = anyio.CancelScope()
+        self.heard_at = clock.now()
+        self.remote = ttypes.Member(node="", boot="")
+
+    async def send(self, message: typing.Any, request_id: int) -> None:
+        """Send one request frame; a frame cut by a timeout ends the connection."""
+        data = frames.encode(request_id, message)
+        async with self.send_lock:
+            whole = False
+            try:
+                await self.stream.send(data)
+                whole = True
+            finally:
+                if not whole:
+                    self.scope.cancel()
+        self.traffic.sent_bytes += len(data)
+
+    async def request(self, message: typing.Any) -> typing.Any:
+        """Send a message and wait for its reply."""
+        request_id = next(self.ids)
+        pending = Pending()
+        self.pending[request_id] = pending
+        try:
+            await self.send(message, request_id)
+            await pending.done.wait()
+        finally:
+            self.pending.pop(request_id, None)
+        if pending.message is None:
+            raise anyio.BrokenResourceError
+        return pending.message
+
+    async def receive(self) -> None:
+        """Read what has arrived and wake the requests that it answers."""
+        data = await self.stream.receive()
+        self.heard_at = clock.now()
+        self.traffic.received_bytes += len(data)
+        self.buffer.feed(data)
+        while (frame := self.buffer.next()) is not None:
+            pending = self.pending.get(frame.request_id)
+            if frame.reply and pending is not None:
+                pending.message = frame.message
+                pending.done.set()
+
+    async def greet(self, hello: ttypes.Member) -> None:
+        """Exchange ``Hello`` messages before anything else."""
+        pending = Pending()
+        self.pending[0] = pending
+        greeting = ttypes.Hello(member=hello, protocol_version=frames.PROTOCOL_VERSION)
+        await self.send(greeting, 0)
+        while not pending.done.is_set():
+            await self.receive()
+        del self.pending[0]
+        if not isinstance(pending.message, ttypes.Hello):
+            raise exceptions.FrameMalformedError("the other end sent no Hello; check its version")
+        self.remote = pending.message.member
+
+    async def run(self) -> None:
+        """Read replies until the connection ends or stays silent; send heartbeats when idle."""
+        heartbeat_at = clock.now() + HEARTBEAT_INTERVAL_S
+        with self.scope:
+            while clock.now() - self.heard_at < SILENCE_S:
+                with anyio.move_on_at(heartbeat_at):
+                    await self.receive()
+                if clock.now() >= heartbeat_at:
+                    heartbeat_at = clock.now() + HEARTBEAT_INTERVAL_S
+                    await self.heartbeat()
+
+    async def heartbeat(self) -> None:
+        """Send a heartbeat when nothing arrived lately; its reply only refreshes ``heard_at``."""
+        if clock.now() - self.heard_at >= HEARTBEAT_INTERVAL_S / 2:
+            with anyio.fail_after(HEARTBEAT_INTERVAL_S):
+                await self.send(ttypes.Heartbeat(), next(self.ids))
+
+    def fail_pending(self) -> None:
+        """Wake all requests without a reply."""
+        for pending in self.pending.values():
+            pending.done.set()
+
+
+@contextlib.asynccontextmanager
+async def connect(
+    address: str, hello: ttypes.Member, traffic: Traffic, tls: ssl.SSLContext | None
+) -> collections.abc.AsyncIterator[Connection]:
+    """Connect, set up TLS and exchange ``Hello``; close without waiting for the other end."""
+    host, port = split_address(address)
+    stream: anyio.abc.ByteStream | None = None
+    try:
+        with anyio.fail_after(CONNECT_TIMEOUT_S):
+            if tls is None:
+                stream = await anyio.connect_tcp(host, port)
+            else:
+                stream = await anyio.connect_tcp(
+                    host, port, ssl_context=tls, tls_standard_compatible=False
+                )
+            connection = Connection(stream, traffic)
+            await connection.greet(hello)
+        yield connection
+    finally:
+        if stream is not None:
+            await anyio.aclose_forcefully(stream)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of ``host:port``.
+
+    Raises
+    ------
+    PeerUnreachableError
+        When the address has no port.
+    """
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdigit():
+        raise exceptions.PeerUnreachableError(
+            f"peer address {address!r} is not host:port; correct the settings", not_run="true"
+        )
+    return host.strip("[]"), int(port)
--- a/src/dogwoodgap/exceptions.py
+++ b/src/dogwoodgap/exceptions.py
@@ -159,6 +159,14 @@
 
     code, status, title = "configuration-conflict", 412, "Configuration changed meanwhile"
 
+    def __init__(
+        self, detail: str, *, generation: int = 0, changes: typing.Sequence[typing.Any] = (), **base
+    ):
+        """Keep the current ``generation`` and the ``PathChange`` items since the base."""
+        super().__init__(detail, **base)
+        self.generation = generation
+        self.changes = list(changes)
+
 
 class BudgetExceededError(DogwoodgapError):
     """The program's budget does not cover the call."""
@@ -254,6 +262,25 @@
     code, title, retry_after_s = "journal-sealed", "Journal sealed by a successor", 0.5
 
 
+class PeerError(DogwoodgapError):
+    """A message between nodes could not be exchanged."""
+
+    code, status, title = "peer-error", 503, "Node not reachable"
+    retry_after_s = 0.5
+
+
+class PeerUnreachableError(PeerError):
+    """No connection to the node, or no reply in time."""
+
+    code = "peer-unreachable"
+
+
+class FrameMalformedError(PeerError):
+    """A frame does not decode or exceeds the size limit."""
+
+    code, title = "frame-malformed", "Malformed frame"
+
+
 class SettingsInvalidError(DogwoodgapError):
     """A settings or configuration document is invalid; the old one stays in force."""
 
--- /dev/null
+++ b/src/dogwoodgap/frames.py
@@ -0,0 +1,105 @@
+"""Frames between nodes: thrift compact protocol behind a 4-byte length."""
+
+import dataclasses
+import struct
+import typing
+
+from thrift.protocol import TCompactProtocol
+from thrift.transport import TTransport
+
+from dogwoodgap import exceptions
+from dogwoodgap_wire import ttypes
+
+MAX_FRAME_BYTES = 2 * 1024 * 1024
+"""Twice the largest platform object, so that a whole configuration fits in one frame."""
+
+PROTOCOL_VERSION = 1
+LENGTH = struct.Struct(">I")
+
+FACTORY = TCompactProtocol.TCompactProtocolAcceleratedFactory(
+    string_length_limit=MAX_FRAME_BYTES, container_length_limit=65_536
+)
+
+FIELDS: dict[type, str] = {
+    entry[3][0]: entry[2] for entry in ttypes.Message.thrift_spec if entry is not None
+}
+"""Message class to its field in the union ``Message``."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Frame:
+    """One decoded envelope."""
+
+    request_id: int
+    reply: bool
+    message: typing.Any
+
+
+def encode(request_id: int, message: typing.Any, *, reply: bool = False) -> bytes:
+    """Return a message as one frame with its length in front."""
+    union = ttypes.Message(**{FIELDS[type(message)]: message})
+    envelope = ttypes.Envelope(request_id=request_id, reply=reply, message=union)
+    buffer = TTransport.TMemoryBuffer()
+    envelope.write(FACTORY.getProtocol(buffer))
+    body = buffer.getvalue()
+    if len(body) > MAX_FRAME_BYTES:
+        raise exceptions.FrameMalformedError(
+            f"a message of {len(body)} bytes exceeds {MAX_FRAME_BYTES}; send less", not_run="true"
+        )
+    return LENGTH.pack(len(body)) + body
+
+
+def decode(body: bytes) -> Frame:
+    """Return the message of one frame body (without its length).
+
+    Raises
+    ------
+    FrameMalformedError
+        When the bytes are not exactly one envelope with one known message.
+    """
+    envelope = ttypes.Envelope()
+    buffer = TTransport.TMemoryBuffer(body)
+    try:
+        envelope.read(FACTORY.getProtocol(buffer))
+    except Exception as error:  # the accelerated decoder raises many unrelated types
+        raise exceptions.FrameMalformedError(
+            f"the frame does not decode ({type(error).__name__}); check the sender's version"
+        ) from error
+    present = [
+        value
+        for name in FIELDS.values()
+        if (value := getattr(envelope.message, name, None)) is not None
+    ]
+    if len(present) != 1 or envelope.request_id is None:
+        raise exceptions.FrameMalformedError(
+            f"the envelope has {len(present)} known messages; check the sender's version"
+        )
+    return Frame(envelope.request_id, bool(envelope.reply), present[0])
+
+
+class FrameBuffer:
+    """Received bytes that are cut into frames."""
+
+    def __init__(self) -> None:
+        self.data = bytearray()
+
+    def feed(self, data: bytes) -> None:
+        """Add received bytes."""
+        self.data += data
+
+    def next(self) -> Frame | None:
+        """Return the next whole frame, or None when more bytes are needed."""
+        if len(self.data) < LENGTH.size:
+            return None
+        (length,) = LENGTH.unpack_from(self.data)
+        if length > MAX_FRAME_BYTES:
+            raise exceptions.FrameMalformedError(
+                f"a frame announces {length} bytes, the limit is {MAX_FRAME_BYTES}; "
+                "check what connects to the peer port"
+            )
+        end = LENGTH.size + length
+        if len(self.data) < end:
+            return None
+        body = bytes(self.data[LENGTH.size : end])
+        del self.data[:end]
+        return decode(body)
--- a/src/dogwoodgap_wire/ttypes.py
+++ b/src/dogwoodgap_wire/ttypes.py
@@ -452,6 +452,7 @@
      - runners
      - incarnation
      - leaving
+     - table_digest
 
     """
 
@@ -463,10 +464,11 @@
         'runners',
         'incarnation',
         'leaving',
+        'table_digest',
     )
 
 
-    def __init__(self, changes=None, configuration_generation=None, assignment_version=None, services=None, runners=None, incarnation=None, leaving=None,):
+    def __init__(self, changes=None, configuration_generation=None, assignment_version=None, services=None, runners=None, incarnation=None, leaving=None, table_digest=None,):
         self.changes = changes
         self.configuration_generation = configuration_generation
         self.assignment_version = assignment_version
@@ -474,6 +476,7 @@
         self.runners = runners
         self.incarnation = incarnation
         self.leaving = leaving
+        self.table_digest = table_digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -537,6 +540,11 @@
                     self.leaving = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.table_digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -584,6 +592,10 @@
             oprot.writeFieldBegin('leaving', TType.BOOL, 7)
             oprot.writeBool(self.leaving)
             oprot.writeFieldEnd()
+        if self.table_digest is not None:
+            oprot.writeFieldBegin('table_digest', TType.I64, 8)
+            oprot.writeI64(self.table_digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -617,6 +629,9 @@
      - assignment_version
      - incarnation
      - leaving
+     - services
+     - runners
+     - table_digest
 
     """
 
@@ -626,15 +641,21 @@
         'assignment_version',
         'incarnation',
         'leaving',
+        'services',
+        'runners',
+        'table_digest',
     )
 
 
-    def __init__(self, changes=None, configuration_generation=None, assignment_version=None, incarnation=None, leaving=None,):
+    def __init__(self, changes=None, configuration_generation=None, assignment_version=None, incarnation=None, leaving=None, services=None, runners=None, table_digest=None,):
         self.changes = changes
         self.configuration_generation = configuration_generation
         self.assignment_version = assignment_version
         self.incarnation = incarnation
         self.leaving = leaving
+        self.services = services
+        self.runners = runners
+        self.table_digest = table_digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -676,6 +697,33 @@
                     self.leaving = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.services = []
+                    (_etype30, _size27) = iprot.readListBegin()
+                    for _i31 in range(_size27):
+                        _elem32 = ServiceLoad()
+                        _elem32.read(iprot)
+                        self.services.append(_elem32)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.runners = []
+                    (_etype36, _size33) = iprot.readListBegin()
+                    for _i37 in range(_size33):
+                        _elem38 = RunnerLoad()
+                        _elem38.read(iprot)
+                        self.runners.append(_elem38)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.table_digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -689,8 +737,8 @@
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter27 in self.changes:
-                iter27.write(oprot)
+            for iter39 in self.changes:
+                iter39.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.configuration_generation is not None:
@@ -709,6 +757,201 @@
             oprot.writeFieldBegin('leaving', TType.BOOL, 5)
             oprot.writeBool(self.leaving)
             oprot.writeFieldEnd()
+        if self.services is not None:
+            oprot.writeFieldBegin('services', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.services))
+            for iter40 in self.services:
+                iter40.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.runners is not None:
+            oprot.writeFieldBegin('runners', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.runners))
+            for iter41 in self.runners:
+                iter41.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.table_digest is not None:
+            oprot.writeFieldBegin('table_digest', TType.I64, 8)
+            oprot.writeI64(self.table_digest)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class MemberFetch(object):
+
+    __slots__ = (
+    )
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('MemberFetch')
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class MemberReply(object):
+    """
+    Attributes:
+     - members
+
+    """
+
+    __slots__ = (
+        'members',
+    )
+
+
+    def __init__(self, members=None,):
+        self.members = members
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.members = []
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = Member()
+                        _elem47.read(iprot)
+                        self.members.append(_elem47)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('MemberReply')
+        if self.members is not None:
+            oprot.writeFieldBegin('members', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.members))
+            for iter48 in self.members:
+                iter48.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Heartbeat(object):
+
+    __slots__ = (
+    )
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Heartbeat')
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1048,6 +1291,7 @@
      - customer
      - node
      - demand
+     - concurrency_demand
 
     """
 
@@ -1055,13 +1299,15 @@
         'customer',
         'node',
         'demand',
+        'concurrency_demand',
     )
 
 
-    def __init__(self, customer=None, node=None, demand=None,):
+    def __init__(self, customer=None, node=None, demand=None, concurrency_demand=None,):
         self.customer = customer
         self.node = node
         self.demand = demand
+        self.concurrency_demand = concurrency_demand
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1087,6 +1333,11 @@
                     self.demand = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.concurrency_demand = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1109,6 +1360,10 @@
             oprot.writeFieldBegin('demand', TType.DOUBLE, 3)
             oprot.writeDouble(self.demand)
             oprot.writeFieldEnd()
+        if self.concurrency_demand is not None:
+            oprot.writeFieldBegin('concurrency_demand', TType.I32, 4)
+            oprot.writeI32(self.concurrency_demand)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1517,6 +1772,9 @@
      - suspect_notice
      - runner_notice
      - ack
+     - member_fetch
+     - member_reply
+     - heartbeat
 
     """
 
@@ -1533,10 +1791,13 @@
         'suspect_notice',
         'runner_notice',
         'ack',
+        'member_fetch',
+        'member_reply',
+        'heartbeat',
     )
 
 
-    def __init__(self, hello=None, ping=None, ping_reply=None, probe_request=None, probe_reply=None, configuration_fetch=None, configuration_reply=None, share_request=None, share_reply=None, suspect_notice=None, runner_notice=None, ack=None,):
+    def __init__(self, hello=None, ping=None, ping_reply=None, probe_request=None, probe_reply=None, configuration_fetch=None, configuration_reply=None, share_request=None, share_reply=None, suspect_notice=None, runner_notice=None, ack=None, member_fetch=None, member_reply=None, heartbeat=None,):
         self.hello = hello
         self.ping = ping
         self.ping_reply = ping_reply
@@ -1549,6 +1810,9 @@
         self.suspect_notice = suspect_notice
         self.runner_notice = runner_notice
         self.ack = ack
+        self.member_fetch = member_fetch
+        self.member_reply = member_reply
+        self.heartbeat = heartbeat
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1631,6 +1895,24 @@
                     self.ack.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.STRUCT:
+                    self.member_fetch = MemberFetch()
+                    self.member_fetch.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.STRUCT:
+                    self.member_reply = MemberReply()
+                    self.member_reply.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.STRUCT:
+                    self.heartbeat = Heartbeat()
+                    self.heartbeat.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1689,6 +1971,18 @@
             oprot.writeFieldBegin('ack', TType.STRUCT, 12)
             self.ack.write(oprot)
             oprot.writeFieldEnd()
+        if self.member_fetch is not None:
+            oprot.writeFieldBegin('member_fetch', TType.STRUCT, 13)
+            self.member_fetch.write(oprot)
+            oprot.writeFieldEnd()
+        if self.member_reply is not None:
+            oprot.writeFieldBegin('member_reply', TType.STRUCT, 14)
+            self.member_reply.write(oprot)
+            oprot.writeFieldEnd()
+        if self.heartbeat is not None:
+            oprot.writeFieldBegin('heartbeat', TType.STRUCT, 15)
+            self.heartbeat.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1846,6 +2140,7 @@
     (5, TType.LIST, 'runners', (TType.STRUCT, [RunnerLoad, None], False), None, ),  # 5
     (6, TType.I64, 'incarnation', None, None, ),  # 6
     (7, TType.BOOL, 'leaving', None, None, ),  # 7
+    (8, TType.I64, 'table_digest', None, None, ),  # 8
 )
 all_structs.append(PingReply)
 PingReply.thrift_spec = (
@@ -1855,6 +2150,20 @@
     (3, TType.I64, 'assignment_version', None, None, ),  # 3
     (4, TType.I64, 'incarnation', None, None, ),  # 4
     (5, TType.BOOL, 'leaving', None, None, ),  # 5
+    (6, TType.LIST, 'services', (TType.STRUCT, [ServiceLoad, None], False), None, ),  # 6
+    (7, TType.LIST, 'runners', (TType.STRUCT, [RunnerLoad, None], False), None, ),  # 7
+    (8, TType.I64, 'table_digest', None, None, ),  # 8
+)
+all_structs.append(MemberFetch)
+MemberFetch.thrift_spec = (
+)
+all_structs.append(MemberReply)
+MemberReply.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'members', (TType.STRUCT, [Member, None], False), None, ),  # 1
+)
+all_structs.append(Heartbeat)
+Heartbeat.thrift_spec = (
 )
 all_structs.append(ProbeRequest)
 ProbeRequest.thrift_spec = (
@@ -1885,6 +2194,7 @@
     (1, TType.STRING, 'customer', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'node', 'UTF8', None, ),  # 2
     (3, TType.DOUBLE, 'demand', None, None, ),  # 3
+    (4, TType.I32, 'concurrency_demand', None, None, ),  # 4
 )
 all_structs.append(ShareReply)
 ShareReply.thrift_spec = (
@@ -1929,6 +2239,9 @@
     (10, TType.STRUCT, 'suspect_notice', [SuspectNotice, None], None, ),  # 10
     (11, TType.STRUCT, 'runner_notice', [RunnerNotice, None], None, ),  # 11
     (12, TType.STRUCT, 'ack', [Ack, None], None, ),  # 12
+    (13, TType.STRUCT, 'member_fetch', [MemberFetch, None], None, ),  # 13
+    (14, TType.STRUCT, 'member_reply', [MemberReply, None], None, ),  # 14
+    (15, TType.STRUCT, 'heartbeat', [Heartbeat, None], None, ),  # 15
 )
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,142 @@
+"""Connections between nodes over real sockets: silence, malformed frames, TLS."""
+
+import contextlib
+import ssl
+
+import anyio
+import pytest
+import trustme
+
+from dogwoodgap import connections, events, exceptions, frames, peers
+from dogwoodgap_wire import ttypes
+
+
+async def answer_probe(sender, message):
+    return ttypes.ProbeReply(node=sender.node, reachable=True)
+
+
+@contextlib.asynccontextmanager
+async def pair(server_tls=None, client_tls=None):
+    """Yield a client network and the port of a server network that answers probes."""
+    async with anyio.create_task_group() as tasks:
+        server = peers.PeerNetwork("127.0.0.1:0", tasks, server_tls=server_tls)
+        server.hello = lambda: ttypes.Member(node="server", boot="b1")
+        server.handlers.register(ttypes.ProbeRequest, answer_probe)
+        client = peers.PeerNetwork("127.0.0.1:0", tasks, client_tls=client_tls)
+        client.hello = lambda: ttypes.Member(node="client", boot="b2")
+        yield client, await tasks.start(server.serve)
+        tasks.cancel_scope.cancel()
+
+
+async def probe(network, address, fresh=False, timeout_s=2.0):
+    message = ttypes.ProbeRequest(node="x", peer_address="y")
+    return await network.request(
+        address, message, ttypes.ProbeReply, timeout_s=timeout_s, fresh=fresh
+    )
+
+
+async def relay(source, target, silent):
+    """Copy bytes until ``silent`` is set; then keep both ends open and drop everything."""
+    with contextlib.suppress(*connections.CONNECTION_ERRORS):
+        while True:
+            data = await source.receive()
+            if not silent.is_set():
+                await target.send(data)
+
+
+def test_silent_connection_is_replaced_by_a_fresh_one():
+    """Guards against a partner taken for dead because one open connection went silent."""
+
+    async def main():
+        async with pair() as (client, port), anyio.create_task_group() as tasks:
+            silences = []
+            opened = anyio.Event()
+
+            async def on_connection(stream):
+                silent = anyio.Event()
+                silences.append(silent)
+                opened.set()
+                async with (
+                    await anyio.connect_tcp("127.0.0.1", port) as onward,
+                    anyio.create_task_group() as copies,
+                ):
+                    copies.start_soon(relay, stream, onward, silent)
+                    copies.start_soon(relay, onward, stream, silent)
+
+            proxy = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=0)
+            tasks.start_soon(proxy.serve, on_connection)
+            local = proxy.extra(anyio.abc.SocketAttribute.local_port)
+            address = f"127.0.0.1:{local}"
+            client.set_partners([address])
+            assert (await probe(client, address)).sender.node == "server"
+            silences[0].set()
+            with pytest.raises(exceptions.PeerUnreachableError):
+                await probe(client, address, timeout_s=0.2)
+            assert (await probe(client, address, fresh=True)).message.reachable
+            opened = anyio.Event()
+            silences[1].set()
+            with anyio.fail_after(connections.SILENCE_S + 2 * connections.HEARTBEAT_INTERVAL_S):
+                await opened.wait()
+            assert (await probe(client, address)).message.reachable
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+@pytest.mark.parametrize(
+    "garbage",
+    [b"\x00\x00\x00\x05abcde", b"\xff\xff\xff\xff", frames.encode(1, ttypes.MemberFetch())],
+    ids=["undecodable", "too long", "no hello"],
+)
+def test_malformed_frame_closes_only_its_connection(garbage, monkeypatch):
+    """Guards against one bad sender that stops the listener or other connections."""
+
+    async def main():
+        emitted = []
+        monkeypatch.setattr(events, "emit", lambda event, *args, **fields: emitted.append(event))
+        async with pair() as (client, port):
+            address = f"127.0.0.1:{port}"
+            client.set_partners([address])
+            await probe(client, address)
+            async with await anyio.connect_tcp("127.0.0.1", port) as stream:
+                await stream.send(garbage)
+                with anyio.fail_after(2), pytest.raises(connections.CONNECTION_ERRORS):
+                    await stream.receive()
+            assert (await probe(client, address)).message.reachable
+            assert emitted == [events.Event.PEER_FRAME_MALFORMED]
+
+    anyio.run(main)
+
+
+def test_tls_and_short_connections_carry_requests():
+    """Guards against nodes that cannot talk once operators turn TLS on."""
+
+    async def main():
+        authority = trustme.CA()
+        server_tls = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+        authority.issue_cert("127.0.0.1").configure_cert(server_tls)
+        client_tls = ssl.create_default_context()
+        authority.configure_trust(client_tls)
+        async with pair(server_tls, client_tls) as (client, port):
+            address = f"127.0.0.1:{port}"
+            assert (await probe(client, address)).message.reachable
+            client.set_partners([address])
+            assert (await probe(client, address)).message.reachable
+            client.client_tls = None
+            with pytest.raises(exceptions.PeerError):
+                await probe(client, f"localhost:{port}", timeout_s=1.0)
+
+    anyio.run(main)
+
+
+def test_refusal_and_unknown_message_are_typed_errors():
+    """Guards against a request that waits for its whole timeout though the other end refused."""
+
+    async def main():
+        async with pair() as (client, port):
+            with pytest.raises(exceptions.PeerError, match="answered Ack"):
+                await client.request(
+                    f"127.0.0.1:{port}", ttypes.MemberFetch(), ttypes.MemberReply, timeout_s=5
+                )
+
+    anyio.run(main)
--- a/thrift/dogwoodgap.thrift
+++ b/thrift/dogwoodgap.thrift
@@ -38,6 +38,8 @@
   5: list<RunnerLoad> runners,
   6: i64 incarnation,
   7: bool leaving,
+  // Hash of the sender's table of members that are not dead; a lasting difference asks for a MemberFetch.
+  8: i64 table_digest,
 }
 
 struct PingReply {
@@ -46,15 +48,24 @@
   3: i64 assignment_version,
   4: i64 incarnation,
   5: bool leaving,
+  6: list<ServiceLoad> services,
+  7: list<RunnerLoad> runners,
+  8: i64 table_digest,
 }
 
+struct MemberFetch {}
+struct MemberReply { 1: list<Member> members }
+
+struct Heartbeat {}
+
 struct ProbeRequest { 1: string node, 2: string peer_address }
 struct ProbeReply { 1: string node, 2: bool reachable }
 
 struct ConfigurationFetch { 1: i64 known_generation }
+// The generation is -1 when the sender does not know any; the document is absent when the asker has it.
 struct ConfigurationReply { 1: i64 generation, 2: binary document }
 
-struct ShareRequest { 1: string customer, 2: string node, 3: double demand }
+struct ShareRequest { 1: string customer, 2: string node, 3: double demand, 4: i32 concurrency_demand }
 struct ShareReply { 1: string customer, 2: double rate, 3: i32 concurrency, 4: double ttl_seconds }
 
 struct SuspectNotice { 1: string digest, 2: i32 crashes, 3: string runner }
@@ -75,6 +86,9 @@
   10: SuspectNotice suspect_notice,
   11: RunnerNotice runner_notice,
   12: Ack ack,
+  13: MemberFetch member_fetch,
+  14: MemberReply member_reply,
+  15: Heartbeat heartbeat,
 }
 
 struct Envelope {
