Detect failures by gossip, answer discovery, fix shards on xxhash 4

Members ping in a full mesh up to 16 nodes and with 8 ring partners above. Suspicion needs a failed fresh connection and failed probes through others; hearsay does not outweigh recent direct contact but is passed to the accused, who refutes it.

shards.shard_of passed text to xxhash 4, which takes only bytes, and failed on every call; a test guards it.

--- /dev/null
+++ b/src/dogwoodgap/discovery.py
@@ -0,0 +1,75 @@
+"""Discovery: which entry addresses a caller uses, in order."""
+
+import collections.abc
+
+import msgspec
+
+from dogwoodgap import members, shards
+
+Owner = collections.abc.Callable[[int], str]
+"""Returns the name of the node that owns a shard; empty when there is none."""
+
+
+class Entry(msgspec.Struct, frozen=True):
+    """One entry address."""
+
+    address: str
+    node: str
+    data_centre: str
+
+
+class Entries(msgspec.Struct, frozen=True):
+    """Answer to ``GET /v1/entries``; the caller may keep it for ``ttl_seconds``."""
+
+    entries: list[Entry]
+    ttl_seconds: float
+
+
+class Discovery:
+    """Answers from the member table and the cached shard assignment.
+
+    Parameters
+    ----------
+    alive : callable
+        Returns the members that are neither leaving, suspect nor dead.
+    owner : callable
+        Returns the node that owns a shard.
+    data_centre : str
+        Data centre of this node; its nodes come first when the shard has no live owner.
+    ttl_s : float
+        Longest time for which callers keep an answer.
+    """
+
+    def __init__(
+        self,
+        alive: collections.abc.Callable[[], list[members.Member]],
+        owner: Owner,
+        data_centre: str,
+        ttl_s: float,
+    ):
+        self.alive = alive
+        self.owner = owner
+        self.data_centre = data_centre
+        self.ttl_s = ttl_s
+
+    def entries(self, customer: str, program: str = "") -> Entries:
+        """Return the owner of a program, then nodes of its data centre, then the others.
+
+        Nodes of equal rank are ordered by a hash of the program, so that callers of different
+        programs spread over them.
+        """
+        found = self.alive()
+        shard = shards.program_shard(customer, program)
+        owner = self.owner(shard) if program else ""
+        centres = [member.data_centre for member in found if member.node == owner]
+        centre = centres[0] if centres else self.data_centre
+
+        def rank(member: members.Member) -> tuple[bool, bool, int]:
+            spread = shards.hash_of(f"{customer}/{shards.root_of(program)}/{member.node}")
+            return member.node != owner, member.data_centre != centre, spread
+
+        ordered = sorted(found, key=rank)
+        return Entries(
+            [Entry(member.http_address, member.node, member.data_centre) for member in ordered],
+            self.ttl_s,
+        )
--- /dev/null
+++ b/src/dogwoodgap/documents.py
@@ -0,0 +1,131 @@
+"""Stored form of the fleet configuration: a revision with its audit fields, and differences."""
+
+import typing
+
+import msgspec
+import pydantic
+
+from dogwoodgap import exceptions, models
+
+CURRENT_KEY = "config/current"
+HISTORY_PREFIX = "config/history/"
+
+
+class Revision(msgspec.Struct, frozen=True):
+    """One generation as it is stored.
+
+    Attributes
+    ----------
+    nonce : str
+        Identifies the write, so that a writer recognizes its own after a lost reply.
+    at : float
+        Wall time of the write in seconds.
+    document : msgspec.Raw
+        The ``models.FleetConfiguration`` as JSON.
+    """
+
+    generation: int
+    nonce: str
+    author: str
+    at: float
+    note: str
+    document: msgspec.Raw
+
+
+class PathChange(msgspec.Struct, frozen=True):
+    """One path whose value differs; None stands for an absent value."""
+
+    path: str
+    old: typing.Any
+    new: typing.Any
+
+
+def history_key(generation: int) -> str:
+    """Return the key under which a past generation is kept."""
+    return f"{HISTORY_PREFIX}{generation:012}"
+
+
+def decode(data: bytes) -> tuple[Revision, models.FleetConfiguration]:
+    """Return a stored revision and its validated configuration.
+
+    A bare ``FleetConfiguration``, as an operator may upload before the first start, is read as
+    a revision without author.
+
+    Raises
+    ------
+    SettingsInvalidError
+        When the bytes are no valid configuration.
+    """
+    try:
+        fields = msgspec.json.decode(data, type=dict[str, msgspec.Raw])
+        if "document" in fields:
+            revision = msgspec.json.decode(data, type=Revision)
+            configuration = validate(bytes(revision.document))
+        else:
+            configuration = validate(data)
+            revision = Revision(configuration.generation, "", "", 0.0, "", msgspec.Raw(data))
+    except msgspec.DecodeError as error:
+        raise exceptions.SettingsInvalidError(
+            f"{CURRENT_KEY} is not a configuration ({error}); roll back to a valid generation"
+        ) from error
+    return revision, configuration.model_copy(update={"generation": revision.generation})
+
+
+def validate(document: bytes | dict[str, typing.Any]) -> models.FleetConfiguration:
+    """Return a validated configuration.
+
+    Raises
+    ------
+    SettingsInvalidError
+        With path, value and remedy of each fault.
+    """
+    try:
+        if isinstance(document, bytes):
+            return models.FleetConfiguration.model_validate_json(document)
+        return models.FleetConfiguration.model_validate(document)
+    except pydantic.ValidationError as error:
+        raise exceptions.SettingsInvalidError(f"correct {models.describe(error)}") from error
+
+
+def encode(revision: Revision) -> bytes:
+    """Return the bytes of a revision."""
+    return msgspec.json.encode(revision)
+
+
+def raw(configuration: models.FleetConfiguration, generation: int) -> msgspec.Raw:
+    """Return a configuration as JSON with its generation."""
+    numbered = configuration.model_copy(update={"generation": generation})
+    return msgspec.Raw(numbered.model_dump_json().encode())
+
+
+def diff(old: models.FleetConfiguration, new: models.FleetConfiguration) -> list[PathChange]:
+    """Return the differences between two configurations by path, without the generation."""
+    before = flatten(old.model_dump(mode="json", exclude={"generation"}))
+    after = flatten(new.model_dump(mode="json", exclude={"generation"}))
+    return [
+        PathChange(path, before.get(path), after.get(path))
+        for path in sorted(before.keys() | after.keys())
+        if before.get(path) != after.get(path)
+    ]
+
+
+def flatten(value: typing.Any, path: str = "") -> dict[str, typing.Any]:
+    """Return each leaf of a document by its path; empty containers are leaves."""
+    items: list[tuple[str, typing.Any]] = []
+    if isinstance(value, dict):
+        items = list(value.items())
+    elif isinstance(value, list):
+        items = [(identify(item, index), item) for index, item in enumerate(value)]
+    if not items:
+        return {path: value}
+    leaves: dict[str, typing.Any] = {}
+    for name, item in items:
+        leaves |= flatten(item, f"{path}.{name}" if path else name)
+    return leaves
+
+
+def identify(item: typing.Any, index: int) -> str:
+    """Return the name of a list item: its id when it has one, otherwise its position."""
+    if isinstance(item, dict) and "id" in item:
+        return str(item["id"])
+    return str(index)
--- /dev/null
+++ b/src/dogwoodgap/members.py
@@ -0,0 +1,327 @@
+"""The member table: what is known of each node and how news of it is merged and passed on."""
+
+import collections.abc
+import dataclasses
+import enum
+import logging
+import math
+
+from dogwoodgap import clock, events, shards
+from dogwoodgap_wire import ttypes
+
+FULL_MESH_NODES = 16
+PARTNER_COUNT = 8
+MAX_TRANSMISSIONS = 3
+"""A change is sent to a partner until one ping with it is answered, at most this often."""
+
+MAX_CHANGES_PER_PING = 64
+DEAD_KEPT_S = 600.0
+JOIN_WINDOW_S = 10.0
+"""After its start a node outbids another boot of its name; later that boot replaces it."""
+
+
+class Status(enum.IntEnum):
+    """Status of a member, with the numbers of the wire."""
+
+    ALIVE = 1
+    SUSPECT = 2
+    LEAVING = 3
+    DEAD = 4
+
+
+PRECEDENCE = {Status.ALIVE: 0, Status.LEAVING: 1, Status.SUSPECT: 2, Status.DEAD: 3}
+"""At the same incarnation the higher one wins."""
+
+ACCUSATIONS = (Status.SUSPECT, Status.DEAD)
+
+
+@dataclasses.dataclass(slots=True)
+class Member:
+    """What this node knows of one node.
+
+    Attributes
+    ----------
+    incarnation : int
+        Starts at the wall time of the boot in milliseconds; raised to refute or to leave.
+    heard_at : float
+        Monotonic time of the last direct message or successful probe.
+    changed_at : float
+        Monotonic time of the last change of boot or status.
+    known_at : float
+        Monotonic time at which this boot and incarnation became known.
+    departed : bool
+        The node itself announced that it has stopped.
+    configuration_generation : int
+        From the last direct ping; -1 when unknown.
+    """
+
+    node: str
+    boot: str
+    data_centre: str
+    http_address: str
+    peer_address: str
+    incarnation: int = 0
+    status: Status = Status.ALIVE
+    heard_at: float = -math.inf
+    changed_at: float = 0.0
+    known_at: float = 0.0
+    departed: bool = False
+    configuration_generation: int = -1
+
+    def to_wire(self) -> ttypes.Member:
+        """Return the message form."""
+        return ttypes.Member(
+            node=self.node,
+            boot=self.boot,
+            data_centre=self.data_centre,
+            http_address=self.http_address,
+            peer_address=self.peer_address,
+            incarnation=self.incarnation,
+            status=int(self.status),
+        )
+
+
+def from_wire(wire: ttypes.Member) -> Member:
+    """Return a received member; missing fields become empty."""
+    return Member(
+        node=wire.node or "",
+        boot=wire.boot or "",
+        data_centre=wire.data_centre or "",
+        http_address=wire.http_address or "",
+        peer_address=wire.peer_address or "",
+        incarnation=wire.incarnation or 0,
+        status=Status(wire.status or Status.ALIVE),
+        changed_at=clock.now(),
+        known_at=clock.now(),
+    )
+
+
+class MemberTable:
+    """All members, the local one included, and the changes still to be passed on.
+
+    Parameters
+    ----------
+    local : Member
+        This node.
+    suspect_after_s : float
+        A member heard directly within this time is not accused on hearsay.
+    """
+
+    def __init__(self, local: Member, suspect_after_s: float):
+        self.local = local
+        self.suspect_after_s = suspect_after_s
+        self.members: dict[str, Member] = {local.node: local}
+        self.replaced: dict[tuple[str, str], float] = {}
+        self.pending: dict[str, dict[str, int]] = {}
+        self.accused: dict[str, Member] = {}
+        self.started_at = clock.now()
+        self.version = 0
+        self.superseded = False
+        self.departed = False
+        self.subscribers: list[collections.abc.Callable[[Member], None]] = []
+        self.digest_version = -1
+        self.digest_value = 0
+
+    def others(self) -> list[Member]:
+        """Return all members that are not dead, without the local one, by name."""
+        found = [
+            member
+            for member in self.members.values()
+            if member is not self.local and member.status is not Status.DEAD
+        ]
+        return sorted(found, key=lambda member: member.node)
+
+    def note(self, member: Member, source: str = "") -> None:
+        """Queue a change for all partners but its source and tell the subscribers."""
+        self.version += 1
+        for node, queue in self.pending.items():
+            if node not in (source, member.node):
+                queue[member.node] = MAX_TRANSMISSIONS
+        for callback in self.subscribers:
+            callback(member)
+
+    def set_status(self, member: Member, status: Status, source: str = "") -> None:
+        """Change a member's status and pass it on."""
+        if member.status is not status:
+            member.status = status
+            member.changed_at = clock.now()
+            report(member)
+        self.note(member, source)
+
+    def hear(self, sender: ttypes.Member, incarnation: int, leaving: bool) -> Member | None:
+        """Record direct contact and return the member, or None for a replaced boot."""
+        if sender.node == self.local.node or not sender.node:
+            return None
+        known = self.members.get(sender.node)
+        if known is None or known.boot != sender.boot:
+            fresh = from_wire(sender)
+            fresh.incarnation = max(fresh.incarnation, incarnation)
+            fresh.status = Status.LEAVING if leaving else Status.ALIVE
+            self.merge(fresh, sender.node)
+            known = self.members.get(sender.node)
+        if known is None or (known.departed and incarnation <= known.incarnation):
+            return None
+        if known.boot != sender.boot:
+            self.accused[sender.node] = known
+            return None
+        known.heard_at = clock.now()
+        status = Status.LEAVING if leaving else Status.ALIVE
+        if known.status in ACCUSATIONS and incarnation <= known.incarnation:
+            self.accused[sender.node] = dataclasses.replace(known)
+        if incarnation > known.incarnation or known.status in ACCUSATIONS:
+            known.incarnation = max(incarnation, known.incarnation)
+            known.known_at = clock.now()
+            self.set_status(known, status, sender.node)
+        return known
+
+    def merge(self, update: Member, source: str) -> None:
+        """Apply news of a member unless what is known is newer."""
+        if update.node == self.local.node:
+            self.merge_local(update)
+            return
+        if (update.node, update.boot) in self.replaced:
+            return
+        known = self.members.get(update.node)
+        self.drop_pending(source, update)
+        if known is None:
+            if update.status is not Status.DEAD:
+                self.add(update, source)
+        elif known.boot != update.boot:
+            self.merge_boot(known, update, source)
+        elif self.is_news(known, update):
+            self.merge_status(known, update, source)
+
+    def drop_pending(self, source: str, update: Member) -> None:
+        """Forget to tell a partner what it has just told."""
+        known = self.members.get(update.node)
+        queue = self.pending.get(source)
+        if queue is None or known is None or known.boot != update.boot:
+            return
+        if (known.incarnation, known.status) == (update.incarnation, update.status):
+            queue.pop(update.node, None)
+
+    def is_news(self, known: Member, update: Member) -> bool:
+        """Return whether an update of the same boot outranks what is known."""
+        if update.incarnation != known.incarnation:
+            return update.incarnation > known.incarnation
+        return PRECEDENCE[update.status] > PRECEDENCE[known.status]
+
+    def add(self, member: Member, source: str) -> None:
+        """Add a new member."""
+        self.members[member.node] = member
+        report(member)
+        self.note(member, source)
+
+    def merge_boot(self, known: Member, update: Member, source: str) -> None:
+        """Let a newer boot of the same node replace the old one, which is dead from then on."""
+        if update.incarnation <= known.incarnation:
+            return
+        self.replaced[(known.node, known.boot)] = clock.now()
+        self.add(update, source)
+
+    def merge_status(self, known: Member, update: Member, source: str) -> None:
+        """Apply a newer status; hearsay does not outweigh recent direct contact."""
+        recent = clock.now() - known.heard_at < self.suspect_after_s
+        known.departed = source == known.node and update.status is Status.DEAD
+        if update.status in ACCUSATIONS and recent and not known.departed:
+            self.accused[known.node] = update
+            return
+        if update.incarnation > known.incarnation:
+            known.known_at = clock.now()
+        known.incarnation = update.incarnation
+        known.http_address = update.http_address
+        known.peer_address = update.peer_address
+        self.set_status(known, update.status, source)
+
+    def merge_local(self, update: Member) -> None:
+        """Refute an accusation of this node, or learn that a newer boot replaced it."""
+        if update.incarnation < self.local.incarnation or self.departed:
+            return
+        own_boot = update.boot == self.local.boot
+        starting = clock.now() - self.started_at < JOIN_WINDOW_S
+        if own_boot and update.status not in ACCUSATIONS:
+            return
+        if own_boot or starting or update.status is Status.DEAD:
+            self.local.incarnation = update.incarnation + 1
+            self.note(self.local)
+        elif not self.superseded:
+            self.superseded = True
+            report(update)
+            self.note(self.local)
+
+    def outgoing(self, node: str) -> list[ttypes.Member]:
+        """Return the changes to send to a node now and count the transmission."""
+        found: list[ttypes.Member] = []
+        accusation = self.accused.pop(node, None)
+        if accusation is not None:
+            found.append(accusation.to_wire())
+        queue = self.pending.get(node, {})
+        for name in list(queue)[:MAX_CHANGES_PER_PING]:
+            member = self.members.get(name)
+            if member is not None:
+                found.append(member.to_wire())
+            queue[name] -= 1
+            if queue[name] <= 0:
+                del queue[name]
+        return found
+
+    def delivered(self, node: str, sent: list[ttypes.Member]) -> None:
+        """Forget the changes that a partner has confirmed."""
+        queue = self.pending.get(node, {})
+        for wire in sent:
+            member = self.members.get(wire.node)
+            if member is not None and member.to_wire() == wire:
+                queue.pop(wire.node, None)
+
+    def digest(self) -> int:
+        """Return a signed 64-bit hash of all members that are not dead."""
+        if self.digest_version != self.version:
+            value = 0
+            for member in [self.local, *self.others()]:
+                text = f"{member.node}/{member.boot}/{member.incarnation}"
+                value ^= shards.hash_of(text)
+            self.digest_value = value - (1 << 64) if value >> 63 else value
+            self.digest_version = self.version
+        return self.digest_value
+
+    def forget(self) -> None:
+        """Remove dead members and replaced boots after a time."""
+        limit = clock.now() - DEAD_KEPT_S
+        for member in list(self.members.values()):
+            if member.status is Status.DEAD and member.changed_at < limit:
+                del self.members[member.node]
+                self.version += 1
+        for key in [key for key, at in self.replaced.items() if at < limit]:
+            del self.replaced[key]
+
+
+REPORTS = {
+    Status.ALIVE: (events.Event.MEMBER_JOINED, logging.INFO, "node is a live member"),
+    Status.SUSPECT: (events.Event.MEMBER_SUSPECT, logging.WARNING, "node does not answer"),
+    Status.LEAVING: (events.Event.MEMBER_LEAVING, logging.INFO, "node leaves"),
+    Status.DEAD: (events.Event.MEMBER_DEAD, logging.WARNING, "node is considered dead"),
+}
+
+
+def report(member: Member) -> None:
+    """Log a member's new status."""
+    event, level, text = REPORTS[member.status]
+    events.emit(event, text, level=level, node=member.node, boot=member.boot)
+
+
+def choose_partners(local: str, names: collections.abc.Iterable[str]) -> set[str]:
+    """Return the partners of a node: all others, or 8 on a ring above 16 nodes.
+
+    The distances on the ring grow by the fourth root of the number of nodes, in both
+    directions, so that partnership is mutual and news crosses 380 nodes in few hops.
+    """
+    ring = sorted({local, *names}, key=lambda name: (shards.hash_of(name), name))
+    count = len(ring)
+    if count <= FULL_MESH_NODES:
+        return set(ring) - {local}
+    position = ring.index(local)
+    found: set[str] = set()
+    for power in range(PARTNER_COUNT // 2):
+        step = max(power + 1, round(count ** (power * 2 / PARTNER_COUNT)))
+        found |= {ring[(position + step) % count], ring[(position - step) % count]}
+    return found - {local}
--- /dev/null
+++ b/src/dogwoodgap/membership.py
@@ -0,0 +1,333 @@
+"""Failure detection by gossip over the peer connections; leaving; hints of the platform."""
+
+import collections.abc
+import contextlib
+import dataclasses
+import random
+
+import anyio
+
+from dogwoodgap import clock, detection, events, exceptions, members, objectstore, peers, settings
+from dogwoodgap_wire import ttypes
+
+LARGE_INTERVAL_S = 1.0
+LARGE_SUSPECT_AFTER_S = 3.0
+LARGE_DEAD_AFTER_S = 5.0
+CONTACT_INTERVAL_S = 2.0
+CONTACTS_PER_ROUND = 2
+VM_LIST_INTERVAL_S = 30.0
+"""380 nodes then read the list 13 times a second, within the platform's 2,000 reads."""
+
+SYNC_AFTER_S = 10.0
+"""Tables that differ for this long are exchanged; gossip settles shorter differences."""
+
+MAX_SERVICE_LOADS = 16
+MAX_RUNNER_LOADS = 32
+
+
+@dataclasses.dataclass(slots=True)
+class Hooks:
+    """What other parts put into pings and learn from them; all optional.
+
+    Attributes
+    ----------
+    generation, assignment_version : callable
+        This node's versions; -1 when unknown.
+    on_generation, on_assignment : callable
+        Called with a member whose version is higher than this node's, and that version.
+    services, runners : callable
+        Loads to send.
+    on_load : callable
+        Called with the member, its service loads and its runner loads.
+    """
+
+    generation: collections.abc.Callable[[], int] = lambda: -1
+    assignment_version: collections.abc.Callable[[], int] = lambda: -1
+    on_generation: collections.abc.Callable[[members.Member, int], None] = lambda *args: None
+    on_assignment: collections.abc.Callable[[members.Member, int], None] = lambda *args: None
+    services: collections.abc.Callable[[], list[ttypes.ServiceLoad]] = list
+    runners: collections.abc.Callable[[], list[ttypes.RunnerLoad]] = list
+    on_load: collections.abc.Callable[[members.Member, list, list], None] = lambda *args: None
+
+
+class Membership:
+    """The members as this node sees them.
+
+    Parameters
+    ----------
+    node_settings : settings.NodeSettings
+        Identity, addresses, seeds and times.
+    boot : str
+        Identifier of this run of the process.
+    network : peers.Network
+        Connections; the message handlers of this class are registered there.
+    store : objectstore.ObjectStore, optional
+        Its list of VMs adds addresses to try.
+    """
+
+    def __init__(
+        self,
+        node_settings: settings.NodeSettings,
+        boot: str,
+        network: peers.Network,
+        store: objectstore.ObjectStore | None = None,
+        hooks: Hooks | None = None,
+    ):
+        section = node_settings.node
+        self.settings = node_settings.membership
+        self.seeds = list(section.seeds)
+        self.network = network
+        self.store = store
+        self.hooks = hooks or Hooks()
+        self.local = members.Member(
+            node=section.name,
+            boot=boot,
+            data_centre=section.data_centre,
+            http_address=section.http_address or section.http_bind,
+            peer_address=section.peer_address or section.peer_bind,
+            incarnation=int(clock.wall() * 1000),
+        )
+        self.table = members.MemberTable(self.local, self.settings.suspect_after_s)
+        self.table.subscribers.append(self.on_change)
+        self.random = random.Random(f"{section.name}/{boot}")
+        self.differs_since: dict[str, float] = {}
+        self.vm_addresses: list[str] = []
+        self.vm_count = 0
+        self.woken = anyio.Event()
+        self.forced_at = 0.0
+        self.detector = detection.Detector(self)
+        self.superseded = anyio.Event()
+        network.hello = self.local.to_wire
+        network.handlers.register(ttypes.Ping, self.on_ping)
+        network.handlers.register(ttypes.ProbeRequest, self.on_probe)
+        network.handlers.register(ttypes.MemberFetch, self.on_member_fetch)
+
+    # What other parts ask
+
+    def alive(self) -> list[members.Member]:
+        """Return the members that take work, the local one included, by name."""
+        found = [
+            member
+            for member in self.table.members.values()
+            if member.status is members.Status.ALIVE
+        ]
+        return sorted(found, key=lambda member: member.node)
+
+    def find(self, node: str) -> members.Member | None:
+        """Return a member by name."""
+        return self.table.members.get(node)
+
+    def is_dead(self, node: str, boot: str) -> bool:
+        """Return whether a boot is dead: found dead, replaced, or unknown long after the start."""
+        if (node, boot) in self.table.replaced:
+            return True
+        member = self.table.members.get(node)
+        if member is not None and member.boot == boot:
+            return member.status is members.Status.DEAD
+        if member is not None and member.status is not members.Status.DEAD:
+            return True
+        return clock.now() - self.table.started_at > 2 * self.dead_after_s
+
+    def reach(self) -> float:
+        """Return the share of the platform's VMs that are members here and not dead.
+
+        A node with a small value may be cut off and should wait before it takes over shards.
+        """
+        return min(1.0, (len(self.table.others()) + 1) / max(1, self.vm_count))
+
+    def subscribe(self, callback: collections.abc.Callable[[members.Member], None]) -> None:
+        """Call a function with each member whose status, boot or incarnation changes."""
+        self.table.subscribers.append(callback)
+
+    def wake(self) -> None:
+        """Ping all partners at once, for example after a new configuration generation."""
+        self.forced_at = clock.now()
+        self.woken.set()
+        self.woken = anyio.Event()
+
+    async def leave(self) -> None:
+        """Announce that this node leaves; it stays reachable until it stops."""
+        await self.announce(members.Status.LEAVING)
+
+    async def depart(self) -> None:
+        """Announce that this node has stopped, so that nobody waits for its silence."""
+        self.table.departed = True
+        await self.announce(members.Status.DEAD)
+
+    async def announce(self, status: members.Status) -> None:
+        """Change the own status and ping all partners once."""
+        self.local.incarnation += 1
+        self.table.set_status(self.local, status)
+        async with anyio.create_task_group() as tasks:
+            for member in self.detector.partner_members():
+                tasks.start_soon(self.detector.ping, member)
+
+    # Times
+
+    @property
+    def is_large(self) -> bool:
+        """Return whether the fleet exceeds a full mesh."""
+        return len(self.table.others()) + 1 > members.FULL_MESH_NODES
+
+    @property
+    def interval_s(self) -> float:
+        """Time between pings of a partner."""
+        configured = self.settings.ping_interval_s
+        return max(configured, LARGE_INTERVAL_S) if self.is_large else configured
+
+    @property
+    def suspect_after_s(self) -> float:
+        """Silence after which a partner may become suspect."""
+        configured = self.settings.suspect_after_s
+        return max(configured, LARGE_SUSPECT_AFTER_S) if self.is_large else configured
+
+    @property
+    def dead_after_s(self) -> float:
+        """Silence after which a suspect partner is dead."""
+        configured = self.settings.dead_after_s
+        return max(configured, LARGE_DEAD_AFTER_S) if self.is_large else configured
+
+    # Tasks
+
+    async def run(self) -> None:
+        """Take part in the gossip until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.run_contacts)
+            tasks.start_soon(self.run_vm_list)
+            while True:
+                self.detector.refresh(tasks)
+                await anyio.sleep(min(0.25, self.settings.ping_interval_s / 2))
+
+    async def ping_address(
+        self, address: str, node: str = "", fresh: bool = False, timeout_s: float | None = None
+    ) -> bool:
+        """Exchange a ping with whoever listens at an address."""
+        sent = self.table.outgoing(node)
+        message = ttypes.Ping(changes=sent, **self.state())
+        try:
+            reply = await self.network.request(
+                address,
+                message,
+                ttypes.PingReply,
+                timeout_s=timeout_s or self.interval_s,
+                fresh=fresh,
+            )
+        except exceptions.PeerError:
+            return False
+        self.table.delivered(node, sent)
+        await self.absorb(reply.sender, reply.message)
+        return not node or reply.sender.node == node
+
+    async def run_contacts(self) -> None:
+        """Look for nodes that are not live members: seeds, VMs of the platform, dead members."""
+        async with anyio.create_task_group() as tasks:
+            for address in self.seeds:
+                tasks.start_soon(self.contact, address)
+        while True:
+            await anyio.sleep(CONTACT_INTERVAL_S)
+            known = {member.peer_address for member in [self.local, *self.table.others()]}
+            dead = [member.peer_address for member in self.table.members.values()]
+            unknown = {*self.seeds, *self.vm_addresses, *dead} - known
+            chosen = self.random.sample(sorted(unknown), min(CONTACTS_PER_ROUND, len(unknown)))
+            for address in chosen:
+                await self.contact(address)
+
+    async def contact(self, address: str) -> None:
+        """Ping an address and exchange tables when a node answers."""
+        if address != self.local.peer_address and await self.ping_address(address):
+            await self.fetch_members(address)
+
+    async def run_vm_list(self) -> None:
+        """Read the platform's list of VMs now and then."""
+        while self.store is not None:
+            with contextlib.suppress(exceptions.StoreError):
+                vms = await self.store.vms()
+                self.vm_addresses = [vm.address for vm in vms if not vm.leaving]
+                self.vm_count = len(vms)
+            await anyio.sleep(VM_LIST_INTERVAL_S if self.vm_count else CONTACT_INTERVAL_S)
+
+    async def fetch_members(self, address: str) -> None:
+        """Merge the whole table of another node."""
+        with contextlib.suppress(exceptions.PeerError):
+            reply = await self.network.request(
+                address, ttypes.MemberFetch(), ttypes.MemberReply, timeout_s=self.interval_s * 2
+            )
+            for wire in reply.message.members or []:
+                self.table.merge(members.from_wire(wire), reply.sender.node)
+
+    # Messages
+
+    def state(self) -> dict:
+        """Return the fields that a ping and its reply share."""
+        return {
+            "configuration_generation": self.hooks.generation(),
+            "assignment_version": self.hooks.assignment_version(),
+            "services": self.hooks.services()[:MAX_SERVICE_LOADS],
+            "runners": self.hooks.runners()[:MAX_RUNNER_LOADS],
+            "incarnation": self.local.incarnation,
+            "leaving": self.local.status is not members.Status.ALIVE,
+            "table_digest": self.table.digest(),
+        }
+
+    async def absorb(self, sender: ttypes.Member, message: ttypes.Ping | ttypes.PingReply) -> None:
+        """Take over what a ping or its reply says."""
+        if sender.node == self.local.node and sender.boot == self.local.boot:
+            return
+        for wire in message.changes or []:
+            self.table.merge(members.from_wire(wire), sender.node)
+        member = self.table.hear(sender, message.incarnation or 0, bool(message.leaving))
+        if member is None:
+            return
+        member.configuration_generation = message.configuration_generation
+        if message.configuration_generation > self.hooks.generation():
+            self.hooks.on_generation(member, message.configuration_generation)
+        if message.assignment_version > self.hooks.assignment_version():
+            self.hooks.on_assignment(member, message.assignment_version)
+        self.hooks.on_load(member, message.services or [], message.runners or [])
+        await self.compare(member, message.table_digest)
+
+    async def compare(self, member: members.Member, digest: int) -> None:
+        """Exchange tables with a member whose table differs for long."""
+        if digest == self.table.digest():
+            self.differs_since.pop(member.node, None)
+            return
+        since = self.differs_since.setdefault(member.node, clock.now())
+        if clock.now() - since >= SYNC_AFTER_S:
+            self.differs_since[member.node] = clock.now()
+            await self.fetch_members(member.peer_address)
+
+    async def on_ping(self, sender: ttypes.Member, message: ttypes.Ping) -> ttypes.PingReply:
+        """Answer a ping."""
+        await self.absorb(sender, message)
+        return ttypes.PingReply(changes=self.table.outgoing(sender.node), **self.state())
+
+    async def on_probe(
+        self, sender: ttypes.Member, message: ttypes.ProbeRequest
+    ) -> ttypes.ProbeReply:
+        """Say whether this node reaches another one."""
+        member = self.table.members.get(message.node)
+        reachable = member is not None and clock.now() - member.heard_at < self.interval_s
+        if not reachable:
+            reachable = await self.ping_address(message.peer_address, message.node)
+        return ttypes.ProbeReply(node=message.node, reachable=reachable)
+
+    async def on_member_fetch(
+        self, sender: ttypes.Member, message: ttypes.MemberFetch
+    ) -> ttypes.MemberReply:
+        """Return the whole table."""
+        return ttypes.MemberReply(
+            members=[member.to_wire() for member in [self.local, *self.table.others()]]
+        )
+
+    def on_change(self, member: members.Member) -> None:
+        """Send news at once and note that another boot replaced this one."""
+        self.woken.set()
+        self.woken = anyio.Event()
+        if self.table.superseded and not self.superseded.is_set():
+            self.superseded.set()
+            events.emit(
+                events.Event.MEMBER_REPLACED,
+                "a newer boot of this node's name took its place; stop this process",
+                node=self.local.node,
+                boot=self.local.boot,
+            )
--- a/src/dogwoodgap/shards.py
+++ b/src/dogwoodgap/shards.py
@@ -5,9 +5,14 @@
 SHARD_COUNT = 1024
 
 
+def hash_of(text: str) -> int:
+    """Return the 64-bit hash that all nodes agree on."""
+    return xxhash.xxh3_64_intdigest(text.encode())
+
+
 def shard_of(text: str) -> int:
     """Return the shard of a text."""
-    return xxhash.xxh3_64_intdigest(text) % SHARD_COUNT
+    return hash_of(text) % SHARD_COUNT
 
 
 def root_of(program: str) -> str:
--- /dev/null
+++ b/tests/fake_network.py
@@ -0,0 +1,82 @@
+"""An in-memory network for tests: encoded frames, delays, cuts, pauses and lost replies."""
+
+import itertools
+import random
+
+import anyio
+
+from dogwoodgap import connections, exceptions, frames, peers
+from dogwoodgap_wire import ttypes
+
+
+class Switchboard:
+    """All nodes of a test by address, and the faults between them."""
+
+    def __init__(self, seed=0, delay_s=0.001):
+        self.nodes = {}
+        self.delay_s = delay_s
+        self.random = random.Random(seed)
+        self.lost_replies = 0.0
+        self.cuts = set()
+        self.paused = {}
+
+    def cut(self, left, right):
+        """Let nothing pass between two groups of addresses."""
+        self.cuts |= {frozenset(pair) for pair in itertools.product(left, right)}
+
+    def passes(self, source, target):
+        """Return whether a message gets through now."""
+        return target in self.nodes and frozenset((source, target)) not in self.cuts
+
+    async def wait_paused(self, address):
+        """Hold whoever talks for a paused node."""
+        while address in self.paused:
+            await self.paused[address].wait()
+
+
+class FakeNetwork:
+    """One node's ``peers.Network`` on a switchboard."""
+
+    def __init__(self, board, address):
+        self.board = board
+        self.address = address
+        self.handlers = peers.Handlers()
+        self.hello = None
+        self.traffic = connections.Traffic()
+        self.partners = set()
+        board.nodes[address] = self
+
+    def set_partners(self, addresses):
+        """Remember the partners; other nodes cost a ``Hello`` for each request."""
+        self.partners = set(addresses)
+
+    def carry(self, target, message, reply):
+        """Count an encoded frame at both ends and return what the other end decodes."""
+        data = frames.encode(1, message, reply=reply)
+        self.traffic.sent_bytes += len(data)
+        target.traffic.received_bytes += len(data)
+        return frames.decode(data[frames.LENGTH.size :]).message
+
+    async def request(self, address, message, expect, *, timeout_s, fresh=False):
+        """Deliver a message and its reply, subject to the faults."""
+        with anyio.move_on_after(timeout_s):
+            await self.board.wait_paused(self.address)
+            if not self.board.passes(self.address, address):
+                await anyio.sleep_forever()
+            target = self.board.nodes[address]
+            if fresh or address not in self.partners:
+                greeting = ttypes.Hello(member=self.hello(), protocol_version=1)
+                self.carry(target, greeting, False)
+                target.carry(self, greeting, True)
+            received = self.carry(target, message, False)
+            await anyio.sleep(self.board.delay_s)
+            await self.board.wait_paused(address)
+            reply = await target.handlers.answer(self.hello(), received)
+            lost = self.board.random.random() < self.board.lost_replies
+            if lost or not self.board.passes(address, self.address):
+                await anyio.sleep_forever()
+            await anyio.sleep(self.board.delay_s)
+            await self.board.wait_paused(self.address)
+            received = target.carry(self, reply, True)
+            return peers.expect_type(target.hello(), received, expect)
+        raise exceptions.PeerUnreachableError(f"no reply from {address} in {timeout_s} s")
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,254 @@
+"""Failure detection on virtual time: deaths, partitions, pauses, restarts, traffic."""
+
+import dataclasses
+
+import anyio
+import fake_network
+import pytest
+import trio.testing
+
+from dogwoodgap import clock, members, membership, settings
+
+DEAD_LIMIT_S = 3.1
+"""3 s of the design, and a tenth for the granularity of the check."""
+
+
+def run(main):
+    """Run a coroutine function on virtual time."""
+    anyio.run(
+        main,
+        backend="trio",
+        backend_options={"clock": trio.testing.MockClock(autojump_threshold=0)},
+    )
+
+
+def address(number):
+    return f"10.0.0.{number}:7080"
+
+
+class Fleet:
+    """Nodes ``n<number>`` on one switchboard; each can be started, killed and paused."""
+
+    def __init__(self, tasks):
+        self.tasks = tasks
+        self.board = fake_network.Switchboard()
+        self.nodes = {}
+        self.scopes = {}
+
+    def start(self, number, boot="b1", seeds=(0,), hooks=None):
+        node_settings = settings.NodeSettings.model_validate(
+            {
+                "node": {
+                    "name": f"n{number:03}",
+                    "data_centre": f"d{number % 3}",
+                    "http_address": f"10.0.0.{number}:8080",
+                    "peer_address": address(number),
+                    "seeds": [address(seed) for seed in seeds],
+                },
+                "platform": {"url": "http://platform"},
+            }
+        )
+        network = fake_network.FakeNetwork(self.board, address(number))
+        self.nodes[number] = membership.Membership(node_settings, boot, network, hooks=hooks)
+        self.scopes[number] = anyio.CancelScope()
+        self.tasks.start_soon(self.run, number)
+
+    async def run(self, number):
+        with self.scopes[number]:
+            await self.nodes[number].run()
+
+    def kill(self, number):
+        self.scopes[number].cancel()
+        del self.board.nodes[address(number)]
+
+    def statuses(self, number):
+        """Return how every other node that runs sees a node."""
+        found = set()
+        for other, node in self.nodes.items():
+            member = node.find(f"n{number:03}")
+            if other != number and address(other) in self.board.nodes:
+                found.add(member and member.status.name)
+        return found
+
+    async def wait_for(self, condition, limit_s):
+        """Return the seconds until a condition holds."""
+        started = clock.now()
+        while not condition():
+            assert clock.now() - started < limit_s, "the condition did not hold in time"
+            await anyio.sleep(0.01)
+        return clock.now() - started
+
+    async def settle(self, count, limit_s=30):
+        full = lambda: all(len(node.alive()) == count for node in self.nodes.values())  # noqa: E731
+        return await self.wait_for(full, limit_s)
+
+
+def with_fleet(count):
+    """Run a test body with a settled fleet."""
+
+    def decorate(body):
+        def test():
+            async def main():
+                async with anyio.create_task_group() as tasks:
+                    fleet = Fleet(tasks)
+                    for number in range(count):
+                        fleet.start(number)
+                    await fleet.settle(count)
+                    await anyio.sleep(3)
+                    await body(fleet)
+                    tasks.cancel_scope.cancel()
+
+            run(main)
+
+        test.__doc__ = body.__doc__
+        return test
+
+    return decorate
+
+
+@with_fleet(5)
+async def test_killed_node_is_dead_in_time_everywhere(fleet):
+    """Guards against late takeovers, and against a new boot hidden by the old one's death."""
+    for number in (4, 0):
+        fleet.kill(number)
+        await fleet.wait_for(lambda n=number: fleet.statuses(n) == {"DEAD"}, DEAD_LIMIT_S)
+    fleet.start(4, boot="b2", seeds=(1,))
+    await fleet.wait_for(lambda: fleet.statuses(4) == {"ALIVE"}, 3)
+    assert fleet.nodes[1].is_dead("n004", "b1")
+    assert not fleet.nodes[1].is_dead("n004", "b2")
+
+
+@with_fleet(5)
+async def test_quick_restart_makes_the_old_boot_dead(fleet):
+    """Guards against shards left with a boot that is gone, when its node came back at once."""
+    fleet.kill(2)
+    fleet.start(2, boot="b2")
+    old_dead = lambda: all(  # noqa: E731
+        node.is_dead("n002", "b1") for number, node in fleet.nodes.items() if number != 2
+    )
+    await fleet.wait_for(old_dead, 1.0)
+    assert fleet.statuses(2) == {"ALIVE"}
+
+
+@with_fleet(5)
+async def test_cut_between_two_nodes_kills_neither(fleet):
+    """Guards against death by one broken path: others reach both nodes."""
+    seen = set()
+    fleet.board.cut([address(0)], [address(1)])
+    for _ in range(200):
+        await anyio.sleep(0.1)
+        seen |= fleet.statuses(0) | fleet.statuses(1)
+    assert seen == {"ALIVE"}
+
+
+@with_fleet(6)
+async def test_partition_and_healing(fleet):
+    """Guards against hearsay of a cut-off group that kills nodes for those who reach them."""
+    here, there = (0, 1, 2), (3, 4, 5)
+    fleet.board.cut(map(address, here), map(address, there))
+    dead = members.Status.DEAD
+    await anyio.sleep(4)
+    for number in here:
+        assert fleet.nodes[number].find("n004").status is dead
+        assert len(fleet.nodes[number].alive()) == 3
+    fleet.board.cuts = {frozenset((address(0), address(other))) for other in there}
+    seen = set()
+    await anyio.sleep(15)
+    for _ in range(100):
+        await anyio.sleep(0.1)
+        seen |= {fleet.nodes[n].find("n004").status.name for n in (1, 2)}
+    assert seen == {"ALIVE"}
+    fleet.board.cuts = set()
+    await fleet.settle(6)
+
+
+@with_fleet(4)
+async def test_hearsay_death_is_refuted(fleet):
+    """Guards against the death, on hearsay, of a node that this one reaches directly."""
+    before = fleet.nodes[0].find("n002").incarnation
+    accusation = dataclasses.replace(fleet.nodes[0].find("n002"), status=members.Status.DEAD)
+    fleet.nodes[0].table.merge(accusation, "n003")
+    assert fleet.statuses(2) == {"ALIVE"}
+    refuted = lambda: all(  # noqa: E731
+        node.find("n002").incarnation > before for node in fleet.nodes.values()
+    )
+    await fleet.wait_for(refuted, 2)
+    assert fleet.statuses(2) == {"ALIVE"}
+
+
+@with_fleet(5)
+async def test_paused_node_wakes_without_killing_others(fleet):
+    """Guards against a woken node that takes the silence of its own pause for deaths."""
+    node = fleet.nodes[3]
+    fleet.board.paused[address(3)] = anyio.Event()
+    await fleet.wait_for(lambda: fleet.statuses(3) == {"DEAD"}, DEAD_LIMIT_S)
+    for member in node.table.others():
+        member.status = members.Status.SUSPECT
+        member.heard_at = member.known_at = clock.now() - 30
+    node.detector.stepped_at = clock.now() - 30  # the fake network stops messages, not tasks
+    deaths = []
+    node.subscribe(lambda member: deaths.append(member.status is members.Status.DEAD))
+    fleet.board.paused.pop(address(3)).set()
+    await fleet.settle(5, limit_s=2)
+    assert not any(deaths)
+
+
+@with_fleet(4)
+async def test_leaving_and_departed_node(fleet):
+    """Guards against new work for a leaving node, and a wait for the silence of a stopped one."""
+    await fleet.nodes[1].leave()
+    assert fleet.statuses(1) == {"LEAVING"}
+    await anyio.sleep(5)
+    assert fleet.statuses(1) == {"LEAVING"}
+    started = clock.now()
+    await fleet.nodes[1].depart()
+    fleet.kill(1)
+    assert fleet.statuses(1) == {"DEAD"}
+    assert clock.now() - started < 0.5
+    await anyio.sleep(5)
+    assert fleet.statuses(1) == {"DEAD"}
+
+
+@with_fleet(4)
+async def test_old_boot_learns_that_it_was_replaced(fleet):
+    """Guards against two processes of one node name that fight for its place for ever."""
+    old = fleet.nodes[3]
+    await anyio.sleep(members.JOIN_WINDOW_S)
+    fleet.start(3, boot="b2")
+    await fleet.wait_for(lambda: fleet.nodes[0].find("n003").boot == "b2", 2)
+    late = fake_network.FakeNetwork(fleet.board, "10.0.1.1:7080")
+    late.hello = old.local.to_wire
+    old.network = late
+    await old.ping_address(address(0))
+    assert old.superseded.is_set()
+    assert fleet.nodes[0].find("n003").boot == "b2"
+
+
+@pytest.mark.parametrize(("count", "limit"), [(5, 4_000), (10, 4_000), (20, 4_000), (40, 4_000)])
+def test_idle_traffic_per_node(count, limit):
+    """Guards against gossip above the 4 KB/s that control may use on a node."""
+
+    async def main():
+        async with anyio.create_task_group() as tasks:
+            fleet = Fleet(tasks)
+            for number in range(count):
+                fleet.start(number)
+            joined = await fleet.settle(count)
+            await anyio.sleep(10)
+            before = {n: total(node) for n, node in fleet.nodes.items()}
+            await anyio.sleep(30)
+            rates = [(total(node) - before[n]) / 30 for n, node in fleet.nodes.items()]
+            print(
+                f"{count} members: {max(rates):.0f} B/s sent and received, joined in {joined:.2f} s"
+            )
+            assert max(rates) < limit
+            fleet.kill(count - 1)
+            took = await fleet.wait_for(lambda: fleet.statuses(count - 1) == {"DEAD"}, 12)
+            print(f"{count} members: dead everywhere after {took:.1f} s")
+            tasks.cancel_scope.cancel()
+
+    run(main)
+
+
+def total(node):
+    return node.network.traffic.sent_bytes + node.network.traffic.received_bytes
