Keep the fleet configuration in force: load, watch, gossip, conditional updates

A writer copies the revision that it replaces into the history before it writes, so the nonce of every generation stays readable and a writer whose reply was lost can tell its own success from another's. One node in two per data centre watches in the tests; the others learn by pings.

Limits of customers are still without tests.

--- a/src/dogwoodgap/documents.py
+++ b/src/dogwoodgap/documents.py
@@ -45,30 +45,33 @@
     return f"{HISTORY_PREFIX}{generation:012}"
 
 
-def decode(data: bytes) -> tuple[Revision, models.FleetConfiguration]:
-    """Return a stored revision and its validated configuration.
+def decode(data: bytes) -> Revision:
+    """Return a stored revision; its document is not validated.
 
     A bare ``FleetConfiguration``, as an operator may upload before the first start, is read as
-    a revision without author.
+    a revision without author. It is at least generation 1, since 0 means that there is none.
 
     Raises
     ------
     SettingsInvalidError
-        When the bytes are no valid configuration.
+        When the bytes are neither.
     """
     try:
         fields = msgspec.json.decode(data, type=dict[str, msgspec.Raw])
         if "document" in fields:
-            revision = msgspec.json.decode(data, type=Revision)
-            configuration = validate(bytes(revision.document))
-        else:
-            configuration = validate(data)
-            revision = Revision(configuration.generation, "", "", 0.0, "", msgspec.Raw(data))
-    except msgspec.DecodeError as error:
+            return msgspec.json.decode(data, type=Revision)
+        generation = msgspec.json.decode(fields.get("generation", b"0"), type=int)
+    except msgspec.MsgspecError as error:
         raise exceptions.SettingsInvalidError(
-            f"{CURRENT_KEY} is not a configuration ({error}); roll back to a valid generation"
+            f"{CURRENT_KEY} is no configuration ({error}); write a valid one"
         ) from error
-    return revision, configuration.model_copy(update={"generation": revision.generation})
+    return Revision(max(1, generation), "", "", 0.0, "", msgspec.Raw(data))
+
+
+def configuration_of(revision: Revision) -> models.FleetConfiguration:
+    """Return the validated configuration of a revision, with its generation."""
+    configuration = validate(bytes(revision.document))
+    return configuration.model_copy(update={"generation": revision.generation})
 
 
 def validate(document: bytes | dict[str, typing.Any]) -> models.FleetConfiguration:
--- /dev/null
+++ b/src/dogwoodgap/editor.py
@@ -0,0 +1,225 @@
+"""Conditional writes of the fleet configuration and its history on the platform."""
+
+import contextlib
+import dataclasses
+import typing
+import uuid
+
+import anyio
+
+from dogwoodgap import clock, documents, exceptions, models, objectstore
+
+HISTORY_LIMIT = 500
+"""About a day of changes at the target size of 440 a day."""
+
+UPDATE_TIMEOUT_S = 10.0
+RETRY_S = 0.2
+KEEP_ATTEMPTS = 10
+TRIM_BATCH = 8
+SHOWN_PATHS = 5
+
+FIRST = documents.Revision(0, "", "", 0.0, "", documents.raw(models.FleetConfiguration(), 0))
+"""In force while the platform holds no configuration."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Current:
+    """The stored current revision and the platform's version of the object."""
+
+    revision: documents.Revision
+    version: int
+    data: bytes
+
+
+class Editor:
+    """Reads and writes revisions.
+
+    A writer copies the revision that it replaces into the history before it writes. So the
+    nonce of every past generation can be read, and a writer whose reply was lost learns who
+    wrote its generation even when others have written since.
+
+    Parameters
+    ----------
+    store : objectstore.ObjectStore
+        The platform.
+    bucket : objectstore.RateBucket, optional
+        This node's share of the platform's write rate.
+    """
+
+    def __init__(
+        self, store: objectstore.ObjectStore, bucket: objectstore.RateBucket | None = None
+    ):
+        self.store = store
+        self.bucket = bucket
+
+    async def read(self) -> Current:
+        """Return the current revision; a missing object is generation 0."""
+        try:
+            stored = await self.store.get(documents.CURRENT_KEY)
+        except exceptions.ObjectMissingError:
+            return Current(FIRST, objectstore.ABSENT, b"")
+        return Current(documents.decode(stored.data), stored.version, stored.data)
+
+    async def get(self, generation: int) -> documents.Revision:
+        """Return a revision, current or past.
+
+        Raises
+        ------
+        NotFoundError
+            When it is not kept.
+        """
+        current = await self.read()
+        if current.revision.generation == generation:
+            return current.revision
+        try:
+            stored = await self.store.get(documents.history_key(generation))
+        except exceptions.ObjectMissingError as error:
+            raise exceptions.NotFoundError(
+                f"generation {generation} is not kept; use one of the history "
+                f"(the last {HISTORY_LIMIT})"
+            ) from error
+        return documents.decode(stored.data)
+
+    async def history(self, limit: int) -> list[documents.Revision]:
+        """Return the newest revisions, the current one first."""
+        found = [(await self.read()).revision]
+        keys = await objectstore.list_all(self.store, documents.HISTORY_PREFIX)
+        for info in reversed(keys):
+            if len(found) >= limit:
+                break
+            if int(info.key.rpartition("/")[2]) < found[0].generation:
+                found.append(documents.decode((await self.store.get(info.key)).data))
+        return found[:limit]
+
+    async def update(
+        self,
+        document: models.FleetConfiguration | dict[str, typing.Any],
+        expected_generation: int,
+        author: str,
+        note: str = "",
+    ) -> tuple[documents.Revision, bytes]:
+        """Write the successor of a generation and return it as it is stored.
+
+        Raises
+        ------
+        SettingsInvalidError
+            Nothing was written.
+        ConfigurationConflictError
+            Another generation is current; carries what changed since the expected one.
+        StoreUnavailableError
+            ``not_run`` is "true" when nothing was sent, otherwise "unknown".
+        """
+        if not isinstance(document, models.FleetConfiguration):
+            document = documents.validate(document)
+        deadline = clock.now() + UPDATE_TIMEOUT_S
+        current = await self.prepare(expected_generation)
+        revision = documents.Revision(
+            generation=expected_generation + 1,
+            nonce=uuid.uuid4().hex,
+            author=author,
+            at=clock.wall(),
+            note=note,
+            document=documents.raw(document, expected_generation + 1),
+        )
+        data = documents.encode(revision)
+        await self.write(revision, data, current.version, deadline)
+        with contextlib.suppress(exceptions.StoreError):
+            await self.trim(revision.generation)
+        return revision, data
+
+    async def prepare(self, expected_generation: int) -> Current:
+        """Check the base of an update and keep it in the history."""
+        try:
+            current = await self.read()
+            if current.revision.generation != expected_generation:
+                raise await self.conflict(expected_generation, current.revision)
+            if current.version != objectstore.ABSENT:
+                await self.keep(current)
+        except exceptions.StoreUnavailableError as error:
+            error.not_run = "true"
+            raise
+        return current
+
+    async def keep(self, current: Current) -> None:
+        """Copy the current revision into the history, if it is not there yet."""
+        key = documents.history_key(current.revision.generation)
+        for _ in range(KEEP_ATTEMPTS - 1):
+            with contextlib.suppress(exceptions.StoreUnavailableError):
+                return await self.keep_once(key, current.data)
+            await anyio.sleep(RETRY_S)
+        return await self.keep_once(key, current.data)
+
+    async def keep_once(self, key: str, data: bytes) -> None:
+        """Create a history object; one that exists has the same content."""
+        with contextlib.suppress(exceptions.VersionConflictError):
+            await self.put(key, data, objectstore.ABSENT)
+
+    async def put(self, key: str, data: bytes, expected: int) -> None:
+        """Write within the write rate."""
+        if self.bucket is not None:
+            await self.bucket.take()
+        await self.store.put(key, data, expected=expected)
+
+    async def write(
+        self, revision: documents.Revision, data: bytes, version: int, deadline: float
+    ) -> None:
+        """Write until it is certain who wrote this generation.
+
+        The write is conditional on the base's version, so a repeat cannot take effect twice.
+        """
+        while True:
+            with contextlib.suppress(
+                exceptions.VersionConflictError, exceptions.StoreUnavailableError
+            ):
+                await self.put(documents.CURRENT_KEY, data, version)
+                return
+            with contextlib.suppress(exceptions.StoreError):
+                writer = await self.writer(revision.generation)
+                if writer is not None and writer.nonce == revision.nonce:
+                    return
+                if writer is not None:
+                    current = (await self.read()).revision
+                    raise await self.conflict(revision.generation - 1, current)
+            if clock.now() >= deadline:
+                raise exceptions.StoreUnavailableError(
+                    f"the platform did not confirm generation {revision.generation} in "
+                    f"{UPDATE_TIMEOUT_S} s; look whether its nonce is {revision.nonce}",
+                    not_run="unknown",
+                )
+            await anyio.sleep(RETRY_S)
+
+    async def writer(self, generation: int) -> documents.Revision | None:
+        """Return the revision that took a generation, or None when it is still free."""
+        current = (await self.read()).revision
+        if current.generation < generation:
+            return None
+        if current.generation == generation:
+            return current
+        stored = await self.store.get(documents.history_key(generation))
+        return documents.decode(stored.data)
+
+    async def conflict(
+        self, expected_generation: int, current: documents.Revision
+    ) -> exceptions.ConfigurationConflictError:
+        """Return the error that shows what changed since the operator's base."""
+        changes: list[documents.PathChange] = []
+        with contextlib.suppress(exceptions.NotFoundError, exceptions.SettingsInvalidError):
+            base = FIRST if expected_generation == 0 else await self.get(expected_generation)
+            changes = documents.diff(
+                documents.configuration_of(base), documents.configuration_of(current)
+            )
+        paths = ", ".join(change.path for change in changes[:SHOWN_PATHS]) or "unknown paths"
+        more = f" and {len(changes) - SHOWN_PATHS} more" if len(changes) > SHOWN_PATHS else ""
+        return exceptions.ConfigurationConflictError(
+            f"generation {current.generation} by {current.author or 'unknown'} is current, not "
+            f"{expected_generation}; it changed {paths}{more}; apply your change to it and retry",
+            generation=current.generation,
+            changes=changes,
+        )
+
+    async def trim(self, generation: int) -> None:
+        """Delete the oldest history beyond the limit, a few objects each time."""
+        page = await self.store.list_page(documents.HISTORY_PREFIX, limit=TRIM_BATCH)
+        for info in page.objects:
+            if int(info.key.rpartition("/")[2]) <= generation - HISTORY_LIMIT:
+                await self.store.delete(info.key)
--- /dev/null
+++ b/src/dogwoodgap/limits.py
@@ -0,0 +1,253 @@
+"""Customers' rate and concurrency limits, as this node applies them."""
+
+import collections
+import collections.abc
+import contextlib
+import math
+
+import anyio
+
+from dogwoodgap import clock, exceptions, members, models, peers, shares
+from dogwoodgap_wire import ttypes
+
+MINIMUM_DELAY_S = 60.0
+"""A starting node has no minimum until all nodes have read a list of VMs that names it twice."""
+
+RENEW_INTERVAL_S = 0.5
+REQUEST_TIMEOUT_S = 0.25
+DEMAND_WINDOW_S = 1.0
+IDLE_S = 10.0
+BURST_S = 1.0
+
+
+class Usage:
+    """What this node uses of one customer's limit."""
+
+    def __init__(self) -> None:
+        self.share = shares.Grant(shares.Amounts(), -math.inf)
+        self.running = 0
+        self.level = 1.0
+        self.filled_at = clock.now()
+        self.used_at = clock.now()
+        self.asked_at = -math.inf
+        self.arrivals: collections.deque[float] = collections.deque(maxlen=4096)
+        self.asking = anyio.Lock()
+
+    def demand(self, refused: int = 0) -> shares.Amounts:
+        """Return what the node could use now, by the arrivals of the last second."""
+        now = clock.now()
+        while self.arrivals and self.arrivals[0] < now - DEMAND_WINDOW_S:
+            self.arrivals.popleft()
+        rate = len(self.arrivals) / DEMAND_WINDOW_S
+        return shares.Amounts(rate * 1.25 + 1.0, self.running + refused + 1)
+
+
+class Limiter:
+    """Admits calls of customers within this node's minimum and shares.
+
+    Parameters
+    ----------
+    node : str
+        Name of this node.
+    configuration : callable
+        Returns the fleet configuration in force.
+    owner : callable
+        Returns the live member that owns a shard, or None.
+    network : peers.Network
+        Connections to the grantors.
+    grantor : Grantor
+        Answers for the shards of this node.
+    node_count : callable
+        Number of nodes in the platform's list of VMs; 0 while unknown.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        boot: str,
+        configuration: collections.abc.Callable[[], models.FleetConfiguration],
+        owner: collections.abc.Callable[[int], members.Member | None],
+        network: peers.Network,
+        ownership: collections.abc.Callable[[int], shares.Ownership | None],
+        node_count: collections.abc.Callable[[], int],
+    ):
+        self.node = node
+        self.holder = f"{node}/{boot}"
+        self.configuration = configuration
+        self.owner = owner
+        self.network = network
+        self.node_count = node_count
+        self.grantor = shares.Grantor(self.limit, ownership, node_count)
+        self.usages: dict[str, Usage] = {}
+        self.started_at = clock.now()
+        network.handlers.register(ttypes.ShareRequest, self.on_request)
+
+    def limit(self, customer: str) -> shares.Amounts:
+        """Return a customer's limit; 0 means that there is none."""
+        found = self.configuration().customers.get(customer)
+        return shares.Amounts(found.rate_per_s, found.concurrency) if found else shares.Amounts()
+
+    def least(self, customer: str) -> shares.Amounts:
+        """Return this node's guaranteed minimum; none while it starts or knows no VM list."""
+        if self.node_count() and clock.now() - self.started_at >= MINIMUM_DELAY_S:
+            return shares.minimum(self.limit(customer), self.node_count())
+        return shares.Amounts()
+
+    def usable(self, customer: str) -> shares.Amounts:
+        """Return the minimum and the unexpired share of this node."""
+        least = self.least(customer)
+        usage = self.usages.get(customer)
+        if usage is None or usage.share.expires_at <= clock.now():
+            return least
+        share = usage.share.amounts
+        return shares.Amounts(least.rate + share.rate, least.concurrency + share.concurrency)
+
+    def refill(self, customer: str, usage: Usage) -> None:
+        """Add the calls earned since the last refill; an expired share earns until its end."""
+        now = clock.now()
+        usable = self.usable(customer)
+        shared_s = min(now, usage.share.expires_at) - usage.filled_at
+        earned = self.least(customer).rate * (now - usage.filled_at)
+        earned += usage.share.amounts.rate * max(0.0, shared_s)
+        usage.level = min(max(1.0, usable.rate * BURST_S), usage.level + earned)
+        usage.filled_at = now
+
+    @contextlib.asynccontextmanager
+    async def admit(self, customer: str) -> collections.abc.AsyncIterator[None]:
+        """Hold one call of a customer within its limits.
+
+        Raises
+        ------
+        CustomerLimitError
+            With the seconds after which a repeat may succeed.
+        """
+        await self.acquire(customer)
+        try:
+            yield
+        finally:
+            self.release(customer)
+
+    async def acquire(self, customer: str) -> None:
+        """Start a call; see :meth:`admit`."""
+        limit = self.limit(customer)
+        usage = self.usages.setdefault(customer, Usage())
+        usage.used_at = clock.now()
+        if limit.rate or limit.concurrency:
+            usage.arrivals.append(clock.now())
+            if not self.fits(customer, limit, usage):
+                await self.ask_soon(customer, usage)
+                if not self.fits(customer, limit, usage):
+                    raise self.refusal(customer, limit, usage)
+            usage.level -= 1.0 if limit.rate else 0.0
+        usage.running += 1
+
+    def release(self, customer: str) -> None:
+        """End a call."""
+        self.usages[customer].running -= 1
+
+    def fits(self, customer: str, limit: shares.Amounts, usage: Usage) -> bool:
+        """Return whether one more call is within what this node may use now."""
+        usable = self.usable(customer)
+        self.refill(customer, usage)
+        if limit.rate and (usage.level < 1.0 or usable.rate <= 0.0):
+            return False
+        return not limit.concurrency or usage.running < usable.concurrency
+
+    def refusal(
+        self, customer: str, limit: shares.Amounts, usage: Usage
+    ) -> exceptions.CustomerLimitError:
+        """Return the error with the time until the next call may fit."""
+        usable = self.usable(customer)
+        wait_s = RENEW_INTERVAL_S
+        if limit.rate and usage.level < 1.0 and usable.rate > 0.0:
+            wait_s = max(wait_s, (1.0 - usage.level) / usable.rate)
+        return exceptions.CustomerLimitError(
+            f"customer {customer!r} reached its limit of {limit.rate:g} calls/s and "
+            f"{limit.concurrency} at a time (0: none); repeat after {wait_s:.1f} s",
+            retry_after_s=min(wait_s, IDLE_S),
+        )
+
+    async def ask_soon(self, customer: str, usage: Usage) -> None:
+        """Ask for a share unless somebody has just asked."""
+        async with usage.asking:
+            if clock.now() - usage.asked_at >= REQUEST_TIMEOUT_S:
+                await self.ask(customer, usage, refused=1)
+
+    async def ask(self, customer: str, usage: Usage, refused: int = 0) -> None:
+        """Ask the owner of the customer's shard for a share; keep the old one on failure.
+
+        The lifetime counts from the moment before the request, which is not later than the
+        grantor's, so a late reply gives no longer use.
+        """
+        usage.asked_at = clock.now()
+        owner = self.owner(shares.customer_shard(customer))
+        demand = usage.demand(refused)
+        if owner is None:
+            return
+        with contextlib.suppress(exceptions.PeerError, exceptions.NotOwnerError):
+            if owner.node == self.node:
+                self.take(customer, usage, self.grantor.grant(customer, self.holder, demand))
+                return
+            request = ttypes.ShareRequest(
+                customer=customer,
+                node=self.holder,
+                demand=demand.rate,
+                concurrency_demand=demand.concurrency,
+            )
+            sent_at = clock.now()
+            reply = await self.network.request(
+                owner.peer_address, request, ttypes.ShareReply, timeout_s=REQUEST_TIMEOUT_S
+            )
+            amounts = shares.Amounts(reply.message.rate, reply.message.concurrency)
+            if reply.message.ttl_seconds > 0:
+                grant = shares.Grant(amounts, sent_at + reply.message.ttl_seconds)
+                self.take(customer, usage, grant)
+
+    def take(self, customer: str, usage: Usage, grant: shares.Grant) -> None:
+        """Use a new share from now on."""
+        self.refill(customer, usage)
+        usage.share = grant
+
+    async def run(self) -> None:
+        """Renew the shares of customers in use until cancelled."""
+        while True:
+            await anyio.sleep(RENEW_INTERVAL_S)
+            async with anyio.create_task_group() as tasks:
+                for customer, usage in list(self.usages.items()):
+                    if self.is_idle(customer, usage):
+                        del self.usages[customer]
+                    elif self.needs_share(customer, usage):
+                        tasks.start_soon(self.ask, customer, usage)
+
+    def is_idle(self, customer: str, usage: Usage) -> bool:
+        """Return whether a customer has made no call for long and has its burst back."""
+        self.refill(customer, usage)
+        unused = usage.running == 0 and clock.now() - usage.used_at >= IDLE_S
+        return unused and usage.level >= 1.0
+
+    def needs_share(self, customer: str, usage: Usage) -> bool:
+        """Return whether the minimum does not cover the demand and the share is half over."""
+        limit = self.limit(customer)
+        least = shares.minimum(limit, max(1, self.node_count()))
+        demand = usage.demand()
+        rate_short = bool(limit.rate) and demand.rate > least.rate
+        count_short = bool(limit.concurrency) and demand.concurrency > least.concurrency
+        aged = usage.share.expires_at - clock.now() < shares.SHARE_TTL_S - RENEW_INTERVAL_S
+        busy = usage.running > 0 or bool(usage.arrivals)
+        return busy and aged and (rate_short or count_short)
+
+    async def on_request(
+        self, sender: ttypes.Member, message: ttypes.ShareRequest
+    ) -> ttypes.ShareReply:
+        """Grant a share to another node; a lifetime of 0 means that none is granted now."""
+        demand = shares.Amounts(message.demand, message.concurrency_demand or 0)
+        try:
+            grant = self.grantor.grant(message.customer, message.node, demand)
+        except exceptions.NotOwnerError:
+            grant = shares.Grant(shares.Amounts(), clock.now())
+        return ttypes.ShareReply(
+            customer=message.customer,
+            rate=grant.amounts.rate,
+            concurrency=grant.amounts.concurrency,
+            ttl_seconds=grant.expires_at - clock.now(),
+        )
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,313 @@
+"""Fleet configuration under racing operators, lost replies, outages and restarts."""
+
+import anyio
+import fake_network
+import hypothesis
+import msgspec
+import pytest
+import trio.testing
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from dogwoodgap import (
+    clock,
+    configuration,
+    documents,
+    editor,
+    exceptions,
+    membership,
+    models,
+    settings,
+)
+from dogwoodgap_lab import objects
+
+NODES = 4
+IN_FORCE_LIMIT_S = 5.0
+
+
+def run(main):
+    """Run a coroutine function on virtual time."""
+    anyio.run(
+        main,
+        backend="trio",
+        backend_options={"clock": trio.testing.MockClock(autojump_threshold=0)},
+    )
+
+
+def with_profile(name, weight=1.0):
+    profiles = {"default": models.Profile(), name: models.Profile(latency_weight=weight)}
+    return models.FleetConfiguration(profiles=profiles)
+
+
+class Node:
+    """Membership and configuration of one boot, with what its subscribers saw."""
+
+    def __init__(self, fleet, number, boot, least):
+        section = {"name": f"n{number}", "data_centre": f"d{number % 2}"}
+        section["peer_address"] = f"10.0.0.{number}:1"
+        section["seeds"] = ["10.0.0.0:1", "10.0.0.1:1"]
+        node_settings = settings.NodeSettings.model_validate(
+            {"node": section, "platform": {"url": "http://platform"}}
+        )
+        network = fake_network.FakeNetwork(fleet.board, section["peer_address"])
+        hooks = membership.Hooks()
+        self.membership = membership.Membership(node_settings, boot, network, hooks=hooks)
+        self.configuration = configuration.Configuration(
+            section["name"],
+            section["data_centre"],
+            fleet.store,
+            network,
+            self.membership.alive,
+            watches_per_data_centre=1,
+        )
+        hooks.generation = self.configuration.known_generation
+        hooks.on_generation = self.configuration.on_higher
+        self.configuration.subscribe(lambda current: self.membership.wake())
+        self.configuration.subscribe(lambda current: self.seen.append(current.generation))
+        self.seen = []
+        self.least = least
+        self.scope = anyio.CancelScope()
+
+    async def run(self):
+        with self.scope:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.membership.run)
+                tasks.start_soon(self.configuration.run)
+                await self.configuration.ready.wait()
+                assert self.configuration.generation >= self.least, "ready with an old one"
+
+
+class Fleet:
+    """Nodes, the platform and the oracle of accepted generations."""
+
+    def __init__(self, tasks, seed=1):
+        self.tasks = tasks
+        self.board = fake_network.Switchboard()
+        self.store = objects.ObjectTable(seed=seed)
+        self.store.faults.delay_s = 0.002
+        self.nodes = {}
+        self.boots = 0
+        self.accepted = {}
+        self.updates = 0
+        for number in range(NODES):
+            self.start(number)
+
+    def start(self, number, least=0):
+        self.boots += 1
+        self.nodes[number] = Node(self, number, f"b{self.boots}", least)
+        self.tasks.start_soon(self.nodes[number].run)
+
+    def restart(self, number):
+        """Kill a node, start a new boot and check what it knows once it is ready."""
+        self.nodes[number].scope.cancel()
+        others = [node for other, node in self.nodes.items() if other != number]
+        least = max(node.configuration.generation for node in others)
+        self.start(number, least)
+
+    async def update(self, number, expected):
+        """Let an operator change the configuration and tell the oracle what was accepted."""
+        self.updates += 1
+        author = f"operator-{self.updates}"
+        target = self.nodes[number].configuration
+        try:
+            generation = await target.update(with_profile(author), expected, author)
+        except (exceptions.ConfigurationConflictError, exceptions.StoreUnavailableError):
+            return False
+        assert generation not in self.accepted, "two operators won one generation"
+        self.accepted[generation] = author
+        return True
+
+    async def race(self, numbers):
+        expected = self.nodes[numbers[0]].configuration.generation
+        async with anyio.create_task_group() as tasks:
+            for number in numbers:
+                tasks.start_soon(self.update, number, expected)
+
+    async def check(self):
+        """End the faults and compare nodes, history and oracle."""
+        self.store.faults = objects.StoreFaults(delay_s=0.002)
+        await anyio.sleep(IN_FORCE_LIMIT_S)
+        current = await editor.Editor(self.store).read()
+        generations = {node.configuration.generation for node in self.nodes.values()}
+        assert generations == {current.revision.generation}
+        for entry in await self.nodes[0].configuration.in_force():
+            assert entry.generation == current.revision.generation
+        for node in self.nodes.values():
+            assert node.seen == sorted(set(node.seen)), "a node reverted"
+        kept = await self.nodes[0].configuration.history(1000)
+        expected = list(range(current.revision.generation, 0, -1)) or [0]
+        assert [revision.generation for revision in kept] == expected, "history has a gap"
+        authors = {revision.generation: revision.author for revision in kept}
+        for generation, author in self.accepted.items():
+            assert authors[generation] == author, "an accepted generation was overwritten"
+
+
+class ConfigurationMachine(stateful.RuleBasedStateMachine):
+    """Collects steps; they run on virtual time when the sequence is complete.
+
+    Guards against a lost, doubled or reverted generation, and against a node that misses an
+    accepted one for more than 5 s after the faults end.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.steps = []
+
+    @stateful.rule(numbers=st.lists(st.integers(0, NODES - 1), min_size=1, max_size=3))
+    def race(self, numbers):
+        self.steps.append(lambda fleet: fleet.race(numbers))
+
+    @stateful.rule(share=st.sampled_from([0.0, 0.3, 0.9]))
+    def lose_replies(self, share):
+        async def step(fleet):
+            fleet.store.faults.lost_replies = share
+
+        self.steps.append(step)
+
+    @stateful.rule(outage=st.booleans())
+    def outage(self, outage):
+        async def step(fleet):
+            fleet.store.faults.outage = outage
+
+        self.steps.append(step)
+
+    @stateful.rule(number=st.integers(0, NODES - 1))
+    def restart(self, number):
+        async def step(fleet):
+            fleet.restart(number)
+
+        self.steps.append(step)
+
+    @stateful.rule(number=st.integers(0, NODES - 1), after_s=st.sampled_from([0.001, 0.005, 0.3]))
+    def die_while_writing(self, number, after_s):
+        """Kill the node in the middle of an update, whose outcome nobody learns."""
+
+        async def step(fleet):
+            with anyio.move_on_after(after_s):
+                await fleet.race([number])
+            fleet.restart(number)
+
+        self.steps.append(step)
+
+    @stateful.rule(seconds=st.sampled_from([0.01, 0.4, 3.0]))
+    def wait(self, seconds):
+        self.steps.append(lambda fleet: anyio.sleep(seconds))
+
+    def teardown(self):
+        async def main():
+            async with anyio.create_task_group() as tasks:
+                fleet = Fleet(tasks)
+                await anyio.sleep(0.5)
+                for step in self.steps:
+                    await step(fleet)
+                await fleet.check()
+                tasks.cancel_scope.cancel()
+
+        run(main)
+
+
+ConfigurationMachine.TestCase.settings = hypothesis.settings(
+    derandomize=True,
+    max_examples=30,
+    stateful_step_count=10,
+    deadline=None,
+    phases=(hypothesis.Phase.generate, hypothesis.Phase.shrink),
+)
+TestConfiguration = ConfigurationMachine.TestCase
+
+
+def with_fleet(body):
+    """Run a test body with four ready nodes."""
+
+    def test():
+        async def main():
+            async with anyio.create_task_group() as tasks:
+                fleet = Fleet(tasks)
+                await anyio.sleep(1)
+                await body(fleet)
+                tasks.cancel_scope.cancel()
+
+        run(main)
+
+    test.__doc__ = body.__doc__
+    return test
+
+
+@with_fleet
+async def test_racing_operator_sees_the_difference(fleet):
+    """Guards against a conflict that does not say what the other operator changed."""
+    target = fleet.nodes[0].configuration
+    await target.update(with_profile("evening", 1.0), 0, "anna")
+    await target.update(with_profile("evening", 2.0), 1, "anna")
+    with pytest.raises(exceptions.ConfigurationConflictError) as caught:
+        await fleet.nodes[1].configuration.update(with_profile("night"), 1, "boris")
+    change = documents.PathChange("profiles.evening.latency_weight", 1.0, 2.0)
+    assert caught.value.changes == [change]
+    assert caught.value.generation == 2
+    assert change.path in caught.value.detail
+    assert await target.rollback(1, 2, "boris") == 3
+    assert documents.diff(await target.get(1), await target.get(3)) == []
+
+
+@with_fleet
+async def test_generation_is_in_force_within_a_second(fleet):
+    """Guards against a fleet that learns of a change only by slow polls."""
+    await fleet.nodes[3].configuration.update(with_profile("evening"), 0, "anna")
+    await anyio.sleep(0.5)
+    assert {entry.generation for entry in await fleet.nodes[0].configuration.in_force()} == {1}
+
+
+@with_fleet
+async def test_only_chosen_nodes_watch(fleet):
+    """Guards against a watch of every node, which would use up the platform's read rate."""
+    await anyio.sleep(60)
+    before = dict(fleet.store.calls)
+    await anyio.sleep(100)
+    assert fleet.store.calls["watch"] - before["watch"] <= 2 * 11
+    assert fleet.store.calls["read"] - before["read"] <= NODES * 4
+
+
+@with_fleet
+async def test_invalid_stored_document_changes_nothing(fleet):
+    """Guards against a node that drops its configuration for an unreadable one."""
+    target = fleet.nodes[0].configuration
+    await target.update(with_profile("evening"), 0, "anna")
+    current = await editor.Editor(fleet.store).read()
+    broken = msgspec.structs.replace(
+        current.revision, generation=2, document=msgspec.Raw(b'{"profiles": 3}')
+    )
+    await fleet.store.put(documents.CURRENT_KEY, documents.encode(broken))
+    await anyio.sleep(3)
+    for node in fleet.nodes.values():
+        assert node.configuration.generation == 1
+        assert "evening" in node.configuration.current.profiles
+    assert await target.update(with_profile("repaired"), 2, "anna") == 3
+
+
+def test_starting_node_without_platform_and_peers_is_not_ready():
+    """Guards against service on a configuration that nobody confirmed."""
+
+    async def main():
+        async with anyio.create_task_group() as tasks:
+            fleet = Fleet(tasks)
+            fleet.store.faults.outage = True
+            await anyio.sleep(30)
+            assert not any(node.configuration.ready.is_set() for node in fleet.nodes.values())
+            fleet.store.faults.outage = False
+            before = clock.now()
+            for node in fleet.nodes.values():
+                await node.configuration.ready.wait()
+            assert clock.now() - before < 3
+            tasks.cancel_scope.cancel()
+
+    run(main)
+
+
+@with_fleet
+async def test_history_is_bounded(fleet):
+    """Guards against history objects that grow without end."""
+    editor_ = editor.Editor(fleet.store)
+    for generation in range(editor.HISTORY_LIMIT + 5):
+        await editor_.update(with_profile("evening"), generation, "anna")
+    keys = [key for key in fleet.store.objects if key.startswith(documents.HISTORY_PREFIX)]
+    assert len(keys) <= editor.HISTORY_LIMIT
