--- a/src/dogwoodgap/limits.py
+++ b/src/dogwoodgap/limits.py
@@ -16,6 +16,7 @@
 RENEW_INTERVAL_S = 0.5
 REQUEST_TIMEOUT_S = 0.25
 DEMAND_WINDOW_S = 1.0
+DEMAND_MARGIN = 1.25
 IDLE_S = 10.0
 BURST_S = 1.0
 
@@ -30,16 +31,23 @@
         self.filled_at = clock.now()
         self.used_at = clock.now()
         self.asked_at = -math.inf
+        self.waiting = 0
         self.arrivals: collections.deque[float] = collections.deque(maxlen=4096)
+        self.refusals: collections.deque[float] = collections.deque(maxlen=4096)
         self.asking = anyio.Lock()
 
-    def demand(self, refused: int = 0) -> shares.Amounts:
-        """Return what the node could use now, by the arrivals of the last second."""
-        now = clock.now()
-        while self.arrivals and self.arrivals[0] < now - DEMAND_WINDOW_S:
-            self.arrivals.popleft()
+    def demand(self) -> shares.Amounts:
+        """Return what the node could use now, with a margin for growth.
+
+        Calls that were refused in the last second count, since their callers come again.
+        """
+        limit = clock.now() - DEMAND_WINDOW_S
+        for times in (self.arrivals, self.refusals):
+            while times and times[0] < limit:
+                times.popleft()
         rate = len(self.arrivals) / DEMAND_WINDOW_S
-        return shares.Amounts(rate * 1.25 + 1.0, self.running + refused + 1)
+        wanted = self.running + self.waiting + len(self.refusals)
+        return shares.Amounts(rate * DEMAND_MARGIN + 1.0, wanted + 1)
 
 
 class Limiter:
@@ -137,6 +145,7 @@
             if not self.fits(customer, limit, usage):
                 await self.ask_soon(customer, usage)
                 if not self.fits(customer, limit, usage):
+                    usage.refusals.append(clock.now())
                     raise self.refusal(customer, limit, usage)
             usage.level -= 1.0 if limit.rate else 0.0
         usage.running += 1
@@ -169,11 +178,15 @@
 
     async def ask_soon(self, customer: str, usage: Usage) -> None:
         """Ask for a share unless somebody has just asked."""
-        async with usage.asking:
-            if clock.now() - usage.asked_at >= REQUEST_TIMEOUT_S:
-                await self.ask(customer, usage, refused=1)
+        usage.waiting += 1
+        try:
+            async with usage.asking:
+                if clock.now() - usage.asked_at >= REQUEST_TIMEOUT_S:
+                    await self.ask(customer, usage)
+        finally:
+            usage.waiting -= 1
 
-    async def ask(self, customer: str, usage: Usage, refused: int = 0) -> None:
+    async def ask(self, customer: str, usage: Usage) -> None:
         """Ask the owner of the customer's shard for a share; keep the old one on failure.
 
         The lifetime counts from the moment before the request, which is not later than the
@@ -181,7 +194,7 @@
         """
         usage.asked_at = clock.now()
         owner = self.owner(shares.customer_shard(customer))
-        demand = usage.demand(refused)
+        demand = usage.demand()
         if owner is None:
             return
         with contextlib.suppress(exceptions.PeerError, exceptions.NotOwnerError):
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,267 @@
+"""Customers' limits: the sum of shares under delays, losses, pauses and grantor changes."""
+
+import dataclasses
+
+import anyio
+import fake_network
+import hypothesis
+import pytest
+import trio.testing
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from dogwoodgap import clock, exceptions, limits, members, models, shares
+
+NODES = 4
+RATE_PER_S = 40.0
+CONCURRENCY = 37
+EPSILON = 1e-6
+
+
+def run(main):
+    """Run a coroutine function on virtual time."""
+    anyio.run(
+        main,
+        backend="trio",
+        backend_options={"clock": trio.testing.MockClock(autojump_threshold=0)},
+    )
+
+
+@dataclasses.dataclass
+class View:
+    """What a node believes of the customer's shard."""
+
+    owner: int
+    version: int
+    acquired_at: float
+    confirmed_at: float
+
+
+class Fleet:
+    """Limiters of four nodes and the true owner of the customer's shard."""
+
+    def __init__(self, tasks):
+        self.tasks = tasks
+        self.board = fake_network.Switchboard()
+        self.truth = View(0, 1, clock.now() - 60, clock.now())
+        self.views = [dataclasses.replace(self.truth) for _ in range(NODES)]
+        customer = models.Customer(rate_per_s=RATE_PER_S, concurrency=CONCURRENCY)
+        self.configuration = models.FleetConfiguration(customers={"acme": customer})
+        self.members = [
+            members.Member(f"n{n}", "b1", "d", f"h{n}:1", f"p{n}:1") for n in range(NODES)
+        ]
+        self.limiters = [self.limiter(number) for number in range(NODES)]
+        self.retries_after_s = []
+
+    def limiter(self, number):
+        network = fake_network.FakeNetwork(self.board, f"p{number}:1")
+        network.hello = self.members[number].to_wire
+        found = limits.Limiter(
+            f"n{number}",
+            "b1",
+            lambda: self.configuration,
+            lambda shard: self.members[self.views[number].owner],
+            network,
+            lambda shard: self.ownership(number),
+            lambda: NODES,
+        )
+        self.tasks.start_soon(found.run)
+        return found
+
+    def ownership(self, number):
+        view = self.views[number]
+        if view.owner != number:
+            return None
+        if self.truth.owner == number:
+            view.confirmed_at = clock.now()
+        return shares.Ownership(view.version, view.acquired_at, view.confirmed_at)
+
+    async def move(self, number, stale):
+        """Give the shard to a node; stale nodes still believe the old assignment."""
+        self.ownership(self.truth.owner)
+        self.truth = View(number, self.truth.version + 1, clock.now(), clock.now())
+        for other in range(NODES):
+            if other == number or other not in stale:
+                self.views[other] = dataclasses.replace(self.truth)
+
+    async def load(self, number, calls, hold_s):
+        for _ in range(calls):
+            self.tasks.start_soon(self.call, number, hold_s)
+
+    async def call(self, number, hold_s):
+        try:
+            async with self.limiters[number].admit("acme"):
+                await anyio.sleep(hold_s)
+        except exceptions.CustomerLimitError as error:
+            self.retries_after_s.append(error.retry_after_s)
+
+    async def pause(self, number, seconds):
+        """Stop a node's messages for a time; its shares stay usable until they expire."""
+        name = f"p{number}:1"
+        if name not in self.board.paused:
+            self.board.paused[name] = anyio.Event()
+            self.tasks.start_soon(self.resume, name, seconds)
+
+    async def resume(self, name, seconds):
+        await anyio.sleep(seconds)
+        self.board.paused.pop(name).set()
+
+    async def observe(self):
+        while True:
+            usable = [limiter.usable("acme") for limiter in self.limiters]
+            rate = sum(amounts.rate for amounts in usable)
+            concurrency = sum(amounts.concurrency for amounts in usable)
+            assert rate <= RATE_PER_S + EPSILON, "rates exceed the limit"
+            assert concurrency <= CONCURRENCY, "concurrency exceeds the limit"
+            await anyio.sleep(0.02)
+
+
+def play(body):
+    """Run a body against a fleet whose nodes have their minimum, under observation."""
+
+    async def main():
+        async with anyio.create_task_group() as tasks:
+            fleet = Fleet(tasks)
+            await anyio.sleep(limits.MINIMUM_DELAY_S)
+            tasks.start_soon(fleet.observe)
+            await body(fleet)
+            tasks.cancel_scope.cancel()
+
+    run(main)
+
+
+class ShareMachine(stateful.RuleBasedStateMachine):
+    """Collects steps; they run on virtual time when the sequence is complete.
+
+    Guards against shares whose sum exceeds the limit of a customer.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.steps = []
+
+    @stateful.rule(
+        number=st.integers(0, NODES - 1),
+        calls=st.sampled_from([1, 15, 60]),
+        hold_s=st.sampled_from([0.1, 3.0]),
+    )
+    def load(self, number, calls, hold_s):
+        self.steps.append(lambda fleet: fleet.load(number, calls, hold_s))
+
+    @stateful.rule(number=st.integers(0, NODES - 1), stale=st.sets(st.integers(0, NODES - 1)))
+    def move(self, number, stale):
+        self.steps.append(lambda fleet: fleet.move(number, stale))
+
+    @stateful.rule(number=st.integers(0, NODES - 1), seconds=st.sampled_from([0.2, 1.9, 6.0]))
+    def pause(self, number, seconds):
+        self.steps.append(lambda fleet: fleet.pause(number, seconds))
+
+    @stateful.rule(delay_s=st.sampled_from([0.001, 0.1, 0.2]), lost=st.sampled_from([0.0, 0.5]))
+    def network(self, delay_s, lost):
+        async def step(fleet):
+            fleet.board.delay_s = delay_s
+            fleet.board.lost_replies = lost
+
+        self.steps.append(step)
+
+    @stateful.rule(seconds=st.sampled_from([0.1, 0.7, 2.5, 5.0]))
+    def wait(self, seconds):
+        self.steps.append(lambda fleet: anyio.sleep(seconds))
+
+    def teardown(self):
+        async def body(fleet):
+            for step in self.steps:
+                await step(fleet)
+            await anyio.sleep(5)
+
+        play(body)
+
+
+ShareMachine.TestCase.settings = hypothesis.settings(
+    derandomize=True,
+    max_examples=60,
+    stateful_step_count=20,
+    deadline=None,
+    phases=(hypothesis.Phase.generate, hypothesis.Phase.shrink),
+)
+TestShares = ShareMachine.TestCase
+
+
+def test_lost_reply_leaves_the_larger_share_counted():
+    """Guards against a smaller grant, never received, that frees what its holder still uses."""
+
+    async def body(fleet):
+        await fleet.load(1, 60, 1.0)
+        await anyio.sleep(1.0)
+        fleet.board.lost_replies = 1.0
+        grantor = fleet.limiters[0].grantor
+        grantor.grant("acme", "n1/b1", shares.Amounts(0.5, 1))
+        fleet.board.lost_replies = 0.0
+        await fleet.load(2, 60, 1.0)
+        await anyio.sleep(0.5)
+
+    play(body)
+
+
+def test_demand_moves_shares_and_refusals_say_when():
+    """Guards against an unused half of the limit, and a node that starves beside a busy one."""
+
+    async def body(fleet):
+        for _ in range(8):
+            await fleet.load(1, 20, 2.0)
+            await anyio.sleep(0.5)
+        busy = fleet.limiters[1].usable("acme")
+        assert busy.rate >= RATE_PER_S / 2
+        assert busy.concurrency >= CONCURRENCY // 2
+        for _ in range(10):
+            await fleet.load(1, 20, 1.0)
+            await fleet.load(2, 20, 1.0)
+            await anyio.sleep(0.5)
+        assert fleet.limiters[2].usable("acme").rate >= RATE_PER_S / 4
+        assert fleet.limiters[2].usable("acme").concurrency >= CONCURRENCY // 4
+        assert fleet.retries_after_s
+        assert all(0 < seconds <= limits.IDLE_S for seconds in fleet.retries_after_s)
+
+    play(body)
+
+
+def test_admitted_calls_stay_near_the_rate():
+    """Guards against bursts that admit a customer's rate many times over."""
+
+    async def body(fleet):
+        admitted = []
+
+        async def press(number):
+            while True:
+                try:
+                    async with fleet.limiters[number].admit("acme"):
+                        admitted.append(clock.now())
+                except exceptions.CustomerLimitError:
+                    pass
+                await anyio.sleep(0.01)
+
+        started = clock.now()
+        for number in range(NODES):
+            fleet.tasks.start_soon(press, number)
+        await anyio.sleep(20)
+        elapsed = clock.now() - started
+        assert len(admitted) <= RATE_PER_S * (elapsed + limits.BURST_S) + NODES
+        assert len(admitted) >= RATE_PER_S * elapsed / 2
+
+    play(body)
+
+
+def test_owner_away_leaves_the_minimum():
+    """Guards against a customer shut out because the grantor is gone."""
+
+    async def body(fleet):
+        del fleet.board.nodes["p0:1"]
+        usable = fleet.limiters[1].usable("acme")
+        assert usable == shares.minimum(shares.Amounts(RATE_PER_S, CONCURRENCY), NODES)
+        for _ in range(usable.concurrency):
+            await fleet.limiters[1].acquire("acme")
+            await anyio.sleep(1.0)
+        with pytest.raises(exceptions.CustomerLimitError):
+            await fleet.limiters[1].acquire("acme")
+
+    play(body)
