--- a/src/dogwoodgap/configuration.py
+++ b/src/dogwoodgap/configuration.py
@@ -11,7 +11,6 @@
 
 from dogwoodgap import (
     clock,
-    documents,
     editor,
     events,
     exceptions,
@@ -19,6 +18,7 @@
     models,
     objectstore,
     peers,
+    revisions,
     shards,
 )
 from dogwoodgap_wire import ttypes
@@ -141,17 +141,17 @@
         self, generation: int, expected_generation: int, author: str, note: str = ""
     ) -> int:
         """Make the document of a past generation the next one."""
-        base = documents.configuration_of(await self.editor.get(generation))
+        base = revisions.configuration_of(await self.editor.get(generation))
         reason = note or f"rollback to generation {generation}"
         return await self.update(base, expected_generation, author, reason)
 
-    async def history(self, limit: int = 20) -> list[documents.Revision]:
+    async def history(self, limit: int = 20) -> list[revisions.Revision]:
         """Return the newest revisions, the current one first."""
         return await self.editor.history(limit)
 
     async def get(self, generation: int) -> models.FleetConfiguration:
         """Return the document of a generation."""
-        return documents.configuration_of(await self.editor.get(generation))
+        return revisions.configuration_of(await self.editor.get(generation))
 
     async def in_force(self) -> list[InForce]:
         """Return the generation of each live member.
@@ -216,7 +216,7 @@
     async def watch(self) -> None:
         """Read once, then wait for one page of changes."""
         page = await self.store.watch(
-            documents.CURRENT_KEY, since=self.cursor, timeout_s=WATCH_TIMEOUT_S
+            revisions.CURRENT_KEY, since=self.cursor, timeout_s=WATCH_TIMEOUT_S
         )
         if page.changes:
             await self.read()
@@ -231,9 +231,9 @@
     async def read(self) -> None:
         """Read the platform's current configuration and apply it."""
         try:
-            stored = await self.store.get(documents.CURRENT_KEY)
+            stored = await self.store.get(revisions.CURRENT_KEY)
         except exceptions.ObjectMissingError:
-            self.apply(documents.encode(editor.FIRST))
+            self.apply(revisions.encode(editor.FIRST))
             return
         self.apply(stored.data)
         self.cursor = max(self.cursor, stored.version)
@@ -310,10 +310,10 @@
         if data == self.invalid_data:
             return
         try:
-            revision = documents.decode(data)
+            revision = revisions.decode(data)
             if revision.generation <= self.generation:
                 return
-            configuration = documents.configuration_of(revision)
+            configuration = revisions.configuration_of(revision)
         except exceptions.SettingsInvalidError as error:
             self.invalid_data = data
             events.emit(
--- a/src/dogwoodgap/editor.py
+++ b/src/dogwoodgap/editor.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from dogwoodgap import clock, documents, exceptions, models, objectstore
+from dogwoodgap import clock, exceptions, models, objectstore, revisions
 
 HISTORY_LIMIT = 500
 """About a day of changes at the target size of 440 a day."""
@@ -18,7 +18,7 @@
 TRIM_BATCH = 8
 SHOWN_PATHS = 5
 
-FIRST = documents.Revision(0, "", "", 0.0, "", documents.raw(models.FleetConfiguration(), 0))
+FIRST = revisions.Revision(0, "", "", 0.0, "", revisions.raw(models.FleetConfiguration(), 0))
 """In force while the platform holds no configuration."""
 
 
@@ -26,7 +26,7 @@
 class Current:
     """The stored current revision and the platform's version of the object."""
 
-    revision: documents.Revision
+    revision: revisions.Revision
     version: int
     data: bytes
 
@@ -55,12 +55,12 @@
     async def read(self) -> Current:
         """Return the current revision; a missing object is generation 0."""
         try:
-            stored = await self.store.get(documents.CURRENT_KEY)
+            stored = await self.store.get(revisions.CURRENT_KEY)
         except exceptions.ObjectMissingError:
             return Current(FIRST, objectstore.ABSENT, b"")
-        return Current(documents.decode(stored.data), stored.version, stored.data)
+        return Current(revisions.decode(stored.data), stored.version, stored.data)
 
-    async def get(self, generation: int) -> documents.Revision:
+    async def get(self, generation: int) -> revisions.Revision:
         """Return a revision, current or past.
 
         Raises
@@ -72,23 +72,23 @@
         if current.revision.generation == generation:
             return current.revision
         try:
-            stored = await self.store.get(documents.history_key(generation))
+            stored = await self.store.get(revisions.history_key(generation))
         except exceptions.ObjectMissingError as error:
             raise exceptions.NotFoundError(
                 f"generation {generation} is not kept; use one of the history "
                 f"(the last {HISTORY_LIMIT})"
             ) from error
-        return documents.decode(stored.data)
+        return revisions.decode(stored.data)
 
-    async def history(self, limit: int) -> list[documents.Revision]:
+    async def history(self, limit: int) -> list[revisions.Revision]:
         """Return the newest revisions, the current one first."""
         found = [(await self.read()).revision]
-        keys = await objectstore.list_all(self.store, documents.HISTORY_PREFIX)
+        keys = await objectstore.list_all(self.store, revisions.HISTORY_PREFIX)
         for info in reversed(keys):
             if len(found) >= limit:
                 break
             if int(info.key.rpartition("/")[2]) < found[0].generation:
-                found.append(documents.decode((await self.store.get(info.key)).data))
+                found.append(revisions.decode((await self.store.get(info.key)).data))
         return found[:limit]
 
     async def update(
@@ -97,7 +97,7 @@
         expected_generation: int,
         author: str,
         note: str = "",
-    ) -> tuple[documents.Revision, bytes]:
+    ) -> tuple[revisions.Revision, bytes]:
         """Write the successor of a generation and return it as it is stored.
 
         Raises
@@ -110,18 +110,18 @@
             ``not_run`` is "true" when nothing was sent, otherwise "unknown".
         """
         if not isinstance(document, models.FleetConfiguration):
-            document = documents.validate(document)
+            document = revisions.validate(document)
         deadline = clock.now() + UPDATE_TIMEOUT_S
         current = await self.prepare(expected_generation)
-        revision = documents.Revision(
+        revision = revisions.Revision(
             generation=expected_generation + 1,
             nonce=uuid.uuid4().hex,
             author=author,
             at=clock.wall(),
             note=note,
-            document=documents.raw(document, expected_generation + 1),
+            document=revisions.raw(document, expected_generation + 1),
         )
-        data = documents.encode(revision)
+        data = revisions.encode(revision)
         await self.write(revision, data, current.version, deadline)
         with contextlib.suppress(exceptions.StoreError):
             await self.trim(revision.generation)
@@ -142,7 +142,7 @@
 
     async def keep(self, current: Current) -> None:
         """Copy the current revision into the history, if it is not there yet."""
-        key = documents.history_key(current.revision.generation)
+        key = revisions.history_key(current.revision.generation)
         for _ in range(KEEP_ATTEMPTS - 1):
             with contextlib.suppress(exceptions.StoreUnavailableError):
                 return await self.keep_once(key, current.data)
@@ -161,7 +161,7 @@
         await self.store.put(key, data, expected=expected)
 
     async def write(
-        self, revision: documents.Revision, data: bytes, version: int, deadline: float
+        self, revision: revisions.Revision, data: bytes, version: int, deadline: float
     ) -> None:
         """Write until it is certain who wrote this generation.
 
@@ -171,7 +171,7 @@
             with contextlib.suppress(
                 exceptions.VersionConflictError, exceptions.StoreUnavailableError
             ):
-                await self.put(documents.CURRENT_KEY, data, version)
+                await self.put(revisions.CURRENT_KEY, data, version)
                 return
             with contextlib.suppress(exceptions.StoreError):
                 writer = await self.writer(revision.generation)
@@ -188,25 +188,25 @@
                 )
             await anyio.sleep(RETRY_S)
 
-    async def writer(self, generation: int) -> documents.Revision | None:
+    async def writer(self, generation: int) -> revisions.Revision | None:
         """Return the revision that took a generation, or None when it is still free."""
         current = (await self.read()).revision
         if current.generation < generation:
             return None
         if current.generation == generation:
             return current
-        stored = await self.store.get(documents.history_key(generation))
-        return documents.decode(stored.data)
+        stored = await self.store.get(revisions.history_key(generation))
+        return revisions.decode(stored.data)
 
     async def conflict(
-        self, expected_generation: int, current: documents.Revision
+        self, expected_generation: int, current: revisions.Revision
     ) -> exceptions.ConfigurationConflictError:
         """Return the error that shows what changed since the operator's base."""
-        changes: list[documents.PathChange] = []
+        changes: list[revisions.PathChange] = []
         with contextlib.suppress(exceptions.NotFoundError, exceptions.SettingsInvalidError):
             base = FIRST if expected_generation == 0 else await self.get(expected_generation)
-            changes = documents.diff(
-                documents.configuration_of(base), documents.configuration_of(current)
+            changes = revisions.diff(
+                revisions.configuration_of(base), revisions.configuration_of(current)
             )
         paths = ", ".join(change.path for change in changes[:SHOWN_PATHS]) or "unknown paths"
         more = f" and {len(changes) - SHOWN_PATHS} more" if len(changes) > SHOWN_PATHS else ""
@@ -219,7 +219,7 @@
 
     async def trim(self, generation: int) -> None:
         """Delete the oldest history beyond the limit, a few objects each time."""
-        page = await self.store.list_page(documents.HISTORY_PREFIX, limit=TRIM_BATCH)
+        page = await self.store.list_page(revisions.HISTORY_PREFIX, limit=TRIM_BATCH)
         for info in page.objects:
             if int(info.key.rpartition("/")[2]) <= generation - HISTORY_LIMIT:
                 await self.store.delete(info.key)
--- a/src/dogwoodgap/peers.py
+++ b/src/dogwoodgap/peers.py
@@ -11,7 +11,7 @@
 import anyio.abc
 import anyio.streams.tls
 
-from dogwoodgap import connections, events, exceptions, frames
+from dogwoodgap import events, exceptions, frames, peer_connections
 from dogwoodgap_wire import ttypes
 
 SERVER_IDLE_S = 10.0
@@ -101,7 +101,7 @@
     def __init__(self, network: "PeerNetwork", address: str):
         self.network = network
         self.address = address
-        self.connection: connections.Connection | None = None
+        self.connection: peer_connections.Connection | None = None
         self.connected = anyio.Event()
         self.wanted = anyio.Event()
         self.scope = anyio.CancelScope()
@@ -130,7 +130,7 @@
                 finally:
                     connection.fail_pending()
                     self.forget(connection)
-        except connections.CONNECTION_ERRORS:
+        except peer_connections.CONNECTION_ERRORS:
             pass
         except exceptions.FrameMalformedError as error:
             report_malformed(self.address, error)
@@ -150,7 +150,7 @@
             self.connection.scope.cancel()
             self.forget(self.connection)
 
-    def forget(self, connection: connections.Connection) -> None:
+    def forget(self, connection: peer_connections.Connection) -> None:
         """Make requests wait for the next connection; only once for each connection."""
         if self.connection is connection:
             self.connection = None
@@ -203,7 +203,7 @@
         self.handlers = Handlers()
         self.hello = lambda: ttypes.Member(node="", boot="")
         self.peers: dict[str, Peer] = {}
-        self.traffic = connections.Traffic()
+        self.traffic = peer_connections.Traffic()
 
     async def request(
         self,
@@ -232,7 +232,7 @@
                     if fresh:
                         peer.replace()
                     sender, reply = await peer.request(message)
-        except connections.CONNECTION_ERRORS as error:
+        except peer_connections.CONNECTION_ERRORS as error:
             raise exceptions.PeerUnreachableError(
                 f"node at {address} gave no reply in {timeout_s} s; try another node"
             ) from error
@@ -245,26 +245,28 @@
         async with self.open(address) as connection, anyio.create_task_group() as tasks:
             tasks.start_soon(self.run_short, connection)
             reply = None
-            with contextlib.suppress(*connections.CONNECTION_ERRORS):
+            with contextlib.suppress(*peer_connections.CONNECTION_ERRORS):
                 reply = await connection.request(message)
             connection.scope.cancel()
         if reply is None:
             raise anyio.BrokenResourceError
         return connection.remote, reply
 
-    async def run_short(self, connection: connections.Connection) -> None:
+    async def run_short(self, connection: peer_connections.Connection) -> None:
         """Read the replies of a short connection and fail its request when it ends."""
         try:
             await connection.run()
-        except connections.CONNECTION_ERRORS:
+        except peer_connections.CONNECTION_ERRORS:
             pass
         except exceptions.FrameMalformedError as error:
             report_malformed("short connection", error)
         connection.fail_pending()
 
-    def open(self, address: str) -> contextlib.AbstractAsyncContextManager[connections.Connection]:
+    def open(
+        self, address: str
+    ) -> contextlib.AbstractAsyncContextManager[peer_connections.Connection]:
         """Return a context that opens a connection and exchanges ``Hello``."""
-        return connections.connect(address, self.hello(), self.traffic, self.client_tls)
+        return peer_connections.connect(address, self.hello(), self.traffic, self.client_tls)
 
     def set_partners(self, addresses: collections.abc.Iterable[str]) -> None:
         """Start and stop the tasks of partners."""
@@ -277,7 +279,7 @@
 
     async def serve(self, *, task_status: anyio.abc.TaskStatus[int]) -> None:
         """Accept connections until cancelled; the start value is the port."""
-        host, port = connections.split_address(self.bind)
+        host, port = peer_connections.split_address(self.bind)
         multi = await anyio.create_tcp_listener(local_host=host, local_port=port)
         listener: anyio.abc.Listener = multi
         if self.server_tls is not None:
@@ -294,7 +296,7 @@
         try:
             async with stream, anyio.create_task_group() as tasks:
                 await accepted.run(tasks)
-        except* connections.CONNECTION_ERRORS:
+        except* peer_connections.CONNECTION_ERRORS:
             pass
         except* exceptions.FrameMalformedError as group:
             report_malformed("accepted connection", group.exceptions[0])
--- a/tests/fake_network.py
+++ b/tests/fake_network.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from dogwoodgap import connections, exceptions, frames, peers
+from dogwoodgap import exceptions, frames, peer_connections, peers
 from dogwoodgap_wire import ttypes
 
 
@@ -42,7 +42,7 @@
         self.address = address
         self.handlers = peers.Handlers()
         self.hello = None
-        self.traffic = connections.Traffic()
+        self.traffic = peer_connections.Traffic()
         self.partners = set()
         board.nodes[address] = self
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -12,11 +12,11 @@
 from dogwoodgap import (
     clock,
     configuration,
-    documents,
     editor,
     exceptions,
     membership,
     models,
+    revisions,
     settings,
 )
 from dogwoodgap_lab import objects
@@ -268,12 +268,12 @@
     await target.update(with_profile("evening", 2.0), 1, "anna")
     with pytest.raises(exceptions.ConfigurationConflictError) as caught:
         await fleet.nodes[1].configuration.update(with_profile("night"), 1, "boris")
-    change = documents.PathChange("profiles.evening.latency_weight", 1.0, 2.0)
+    change = revisions.PathChange("profiles.evening.latency_weight", 1.0, 2.0)
     assert caught.value.changes == [change]
     assert caught.value.generation == 2
     assert change.path in caught.value.detail
     assert await target.rollback(1, 2, "boris") == 3
-    assert documents.diff(await target.get(1), await target.get(3)) == []
+    assert revisions.diff(await target.get(1), await target.get(3)) == []
 
 
 @with_fleet
@@ -303,7 +303,7 @@
     broken = msgspec.structs.replace(
         current.revision, generation=2, document=msgspec.Raw(b'{"profiles": 3}')
     )
-    await fleet.store.put(documents.CURRENT_KEY, documents.encode(broken))
+    await fleet.store.put(revisions.CURRENT_KEY, revisions.encode(broken))
     await anyio.sleep(3)
     for node in fleet.nodes.values():
         assert node.configuration.generation == 1
@@ -336,5 +336,5 @@
     editor_ = editor.Editor(fleet.store)
     for generation in range(editor.HISTORY_LIMIT + 5):
         await editor_.update(with_profile("evening"), generation, "anna")
-    keys = [key for key in fleet.store.objects if key.startswith(documents.HISTORY_PREFIX)]
+    keys = [key for key in fleet.store.objects if key.startswith(revisions.HISTORY_PREFIX)]
     assert len(keys) <= editor.HISTORY_LIMIT
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -7,7 +7,7 @@
 import pytest
 import trustme
 
-from dogwoodgap import connections, events, exceptions, frames, peers
+from dogwoodgap import events, exceptions, frames, peer_connections, peers
 from dogwoodgap_wire import ttypes
 
 
@@ -37,7 +37,7 @@
 
 async def relay(source, target, silent):
     """Copy bytes until ``silent`` is set; then keep both ends open and drop everything."""
-    with contextlib.suppress(*connections.CONNECTION_ERRORS):
+    with contextlib.suppress(*peer_connections.CONNECTION_ERRORS):
         while True:
             data = await source.receive()
             if not silent.is_set():
@@ -75,7 +75,9 @@
             assert (await probe(client, address, fresh=True)).message.reachable
             opened = anyio.Event()
             silences[1].set()
-            with anyio.fail_after(connections.SILENCE_S + 2 * connections.HEARTBEAT_INTERVAL_S):
+            with anyio.fail_after(
+                peer_connections.SILENCE_S + 2 * peer_connections.HEARTBEAT_INTERVAL_S
+            ):
                 await opened.wait()
             assert (await probe(client, address)).message.reachable
             tasks.cancel_scope.cancel()
@@ -100,7 +102,7 @@
             await probe(client, address)
             async with await anyio.connect_tcp("127.0.0.1", port) as stream:
                 await stream.send(garbage)
-                with anyio.fail_after(2), pytest.raises(connections.CONNECTION_ERRORS):
+                with anyio.fail_after(2), pytest.raises(peer_connections.CONNECTION_ERRORS):
                     await stream.receive()
             assert (await probe(client, address)).message.reachable
             assert emitted == [events.Event.PEER_FRAME_MALFORMED]
