--- a/src/dogwoodgap/handover.py
+++ b/src/dogwoodgap/handover.py
@@ -26,6 +26,8 @@
         if node.leaving or target is None:
             continue
         wanted = movable(node, target)
+        if not wanted:
+            continue
         try:
             await hand_over(node, wanted, target)
         except exceptions.StoreError as error:
@@ -53,7 +55,7 @@
     held = counts(node)
     giver = max(held, key=lambda owner: (held[owner], owner))
     target = min(held, key=lambda owner: (held[owner], owner))
-    balanced = held[giver] - held[target] <= held[giver] // 8
+    balanced = held[giver] - held[target] <= max(1, held[giver] // 8)
     return None if balanced or giver != node.me else target
 
 
--- a/src/dogwoodgap/recovery.py
+++ b/src/dogwoodgap/recovery.py
@@ -7,15 +7,14 @@
 import uuid
 
 import anyio
-import xxhash
 
 from dogwoodgap import (
     cleanup,
     clock,
-    entries,
     events,
     exceptions,
     handover,
+    intents,
     journal,
     loading,
     objectstore,
@@ -24,7 +23,6 @@
     sessions,
     shards,
     snapshots,
-    structures,
     transfer,
 )
 
@@ -34,7 +32,6 @@
 takeover takes a few platform calls; a lost race costs one conflict and nothing else."""
 
 MAX_TAKEOVER_RANK = 3
-INTENT_TIMEOUT_S = 5.0
 
 
 class Members(typing.Protocol):
@@ -47,11 +44,6 @@
         """Return whether a boot is known to be gone; a wrong answer costs time, not safety."""
 
 
-async def no_answer(entry: entries.KeyEntry) -> structures.ActionResult | None:
-    """Answer for services that cannot be asked about a key."""
-    return None
-
-
 def ignore(*_: object) -> None:
     """Take no notice."""
 
@@ -76,9 +68,7 @@
     lost: collections.abc.Callable[[set[int]], None] = ignore
     renewed: collections.abc.Callable[[], None] = ignore
     busy: collections.abc.Callable[[int], bool] = lambda shard: False
-    settle_intent: collections.abc.Callable[
-        [entries.KeyEntry], collections.abc.Awaitable[structures.ActionResult | None]
-    ] = no_answer
+    settle_intent: intents.Ask = intents.no_answer
 
 
 class Ownership:
@@ -239,7 +229,7 @@
 
     def rank(self, name: str) -> int:
         """Return this node's place in the rendezvous order of the live nodes."""
-        ordered = rendezvous(name, {owner.node for owner in self.live()})
+        ordered = shards.rendezvous(name, {owner.node for owner in self.live()})
         return ordered.index(self.node)
 
     def waited_s(self, name: str) -> float:
@@ -314,49 +304,13 @@
             return
         await import_shards(session, pending, loaded).wait()
         found = set(loaded.parts)
-        intents = session.table.open_intents(found)
+        open_intents = session.table.open_intents(found)
         session.loaded |= found
         events.emit(events.Event.SHARDS_ACQUIRED, "shards acquired", count=len(found))
-        if intents:
-            tasks.start_soon(self.settle_intents, session, intents)
+        if open_intents:
+            tasks.start_soon(intents.settle, session, open_intents, self.hooks.settle_intent)
         self.hooks.acquired(found)
 
-    async def settle_intents(
-        self, session: sessions.Session, intents: list[entries.KeyEntry]
-    ) -> None:
-        """Record how the intents of a lost owner ended; no key is ever sent again."""
-        for entry in intents:
-            result = await self.ask(entry)
-            outcome = records.ActionOutcome(
-                customer=entry.customer,
-                key=entry.key,
-                digest=entry.digest,
-                result=result,
-                at=clock.wall(),
-            )
-            try:
-                await session.record(outcome).wait()
-            except exceptions.DogwoodgapError as error:
-                loading.skipped(f"intent {entry.key!r}", error)
-
-    async def ask(self, entry: entries.KeyEntry) -> structures.ActionResult:
-        """Return the service's answer about a key, or that the outcome is unknown."""
-        result = None
-        with anyio.move_on_after(INTENT_TIMEOUT_S):
-            try:
-                result = await self.hooks.settle_intent(entry)
-            except exceptions.DogwoodgapError as error:
-                loading.skipped(f"intent {entry.key!r}", error)
-        if result is not None:
-            return result
-        return structures.ActionResult(
-            status=0,
-            body=None,
-            not_run="unknown",
-            code=exceptions.OutcomeUnknownError.code,
-            detail="the owner of the key was lost after the send; ask the service by this key",
-        )
-
     async def clear_sources(self) -> set[shards.Source]:
         """Remove the sources of loaded shards and return them."""
         session = self.session
@@ -398,8 +352,3 @@
             session.journal.stage(records.Imported(shard=shard, state=part))
         session.journal.stage(records.ShardAcquired(shard=shard, generation=generation))
     return session.journal.barrier()
-
-
-def rendezvous(name: str, nodes: collections.abc.Iterable[str]) -> list[str]:
-    """Return nodes in the order of their rendezvous hashes for a name."""
-    return sorted(nodes, key=lambda node: (xxhash.xxh3_64_intdigest(f"{name}@{node}"), node))
--- a/src/dogwoodgap/shards.py
+++ b/src/dogwoodgap/shards.py
@@ -26,7 +26,7 @@
 
 def shard_of(text: str) -> int:
     """Return the shard of a text."""
-    return xxhash.xxh3_64_intdigest(text) % SHARD_COUNT
+    return xxhash.xxh3_64_intdigest(text.encode()) % SHARD_COUNT
 
 
 def root_of(program: str) -> str:
@@ -44,6 +44,13 @@
     return shard_of(f"{customer}/key/{key}")
 
 
+def rendezvous(name: str, nodes: collections.abc.Iterable[str]) -> list[str]:
+    """Return nodes in the order of their rendezvous hashes for a name."""
+    return sorted(
+        nodes, key=lambda node: (xxhash.xxh3_64_intdigest(f"{name}@{node}".encode()), node)
+    )
+
+
 class Owner(msgspec.Struct, frozen=True, array_like=True, order=True):
     """One boot of one node."""
 
--- a/src/dogwoodgap/snapshots.py
+++ b/src/dogwoodgap/snapshots.py
@@ -161,11 +161,17 @@
         self.owner = shards.Owner(log.node, log.boot)
         self.head = Head()
         self.number = 0
+        self.requested = False
         self.head_version = objectstore.ABSENT
 
     def due(self) -> bool:
         """Return whether enough segments were written since the last checkpoint."""
-        return self.log.next_seq - self.head.first_seq >= CHECKPOINT_SEGMENTS
+        written = self.log.next_seq - self.head.first_seq
+        return self.requested or written >= CHECKPOINT_SEGMENTS
+
+    def request(self) -> None:
+        """Make the next checkpoint due at once."""
+        self.requested = True
 
     async def run(self) -> None:
         """Write checkpoints when they are due, until the journal is sealed."""
@@ -224,6 +230,7 @@
             else:
                 raise
         self.head = head
+        self.requested = False
 
 
 def checkpoint_items(table: programs.ProgramTable) -> list[bytes]:
