--- a/src/dogwoodgap/loading.py
+++ b/src/dogwoodgap/loading.py
@@ -59,12 +59,12 @@
     journals = await read_journals(store, pending, reader)
     exported: dict[str, dict[int, list[bytes]]] = {}
     for name, found in journals.items():
-        settle_open_calls(found.table, now)
         exported[name] = transfer.export_shards(found.table, found.wanted)
     loaded = LoadedShards()
     for shard, entry in pending.items():
         try:
-            loaded.parts[shard] = await state_of(store, shard, entry, journals, exported)
+            parts = await state_of(store, shard, entry, journals, exported)
+            loaded.parts[shard] = settled(shard, parts, now)
         except exceptions.StoreError as error:
             skipped(f"shard {shard}", error)
     for found in journals.values():
@@ -146,11 +146,32 @@
         await objectstore.put_until_stored(store, handoff_key(name, number), data)
 
 
-def settle_open_calls(table: programs.ProgramTable, now: float) -> None:
-    """Charge each started, unfinished call its reservation: a runner may have worked on it."""
-    for program in table.programs.values():
-        for entry in program.open_calls():
-            table.apply(lost_call(program, entry, now))
+def settled(shard: int, parts: list[bytes], now: float) -> list[bytes]:
+    """Return a shard's state without open calls.
+
+    This includes hand-overs: the work of an earlier owner can record nothing here, so a call that
+    it left open would hold its reservation for good.
+    """
+    table = programs.ProgramTable()
+    transfer.import_shard(table, shard, 0, parts)
+    if not settle_open_calls(table, now):
+        return parts
+    return transfer.pack(transfer.export_shards(table, {shard})[shard])
+
+
+def settle_open_calls(table: programs.ProgramTable, now: float) -> int:
+    """Charge each started, unfinished call its reservation: a runner may have worked on it.
+
+    Returns the number of such calls.
+    """
+    lost = [
+        lost_call(program, entry, now)
+        for program in table.programs.values()
+        for entry in program.open_calls()
+    ]
+    for record in lost:
+        table.apply(record)
+    return len(lost)
 
 
 def lost_call(program: entries.Program, entry: entries.CallEntry, now: float) -> records.CallFailed:
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -83,12 +83,11 @@
         self.name = name
         self.suspected = False
         self.up = False
-        self.busy = collections.Counter()
 
     def start(self):
         self.gate = Gate()
         self.up = True
-        self.busy.clear()
+        self.busy = collections.Counter()
         self.ownership = recovery.Ownership(
             GatedStore(self.fleet.table, self.gate),
             self.name,
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -12,6 +12,7 @@
     exceptions,
     handover,
     journal,
+    loading,
     objectstore,
     programs,
     records,
@@ -229,6 +230,22 @@
     fleet.run(main)
 
 
+def test_open_call_in_a_hand_over_is_charged():
+    """Guards against a reservation that nobody can settle after a move of the shard."""
+    table = programs.ProgramTable()
+    for record in (created(), started(1)):
+        table.apply(record)
+    shard = shards.program_shard("c", "p")
+    items = transfer.export_shards(table, {shard})[shard]
+    parts = loading.settled(shard, transfer.pack(items), 0.0)
+    moved = programs.ProgramTable()
+    transfer.import_shard(moved, shard, 1, parts)
+    program = moved.get("c", "p")
+    assert (program.spent_tokens, program.reserved_tokens) == (10, 0)
+    assert not program.open_calls()
+    assert program.next_seq == 1
+
+
 def test_retention_of_programs_keys_and_intents():
     """Guards against keys that may be sent again too early, and against state kept for ever."""
 
