--- a/src/dogwoodgap/shards.py
+++ b/src/dogwoodgap/shards.py
@@ -49,6 +49,13 @@
     return shard_of(f"{customer}/key/{key}")
 
 
+def rendezvous(name: str, nodes: collections.abc.Iterable[str]) -> list[str]:
+    """Return nodes in the order of their rendezvous hashes for a name."""
+    return sorted(
+        nodes, key=lambda node: (xxhash.xxh3_64_intdigest(f"{name}@{node}".encode()), node)
+    )
+
+
 class Owner(msgspec.Struct, frozen=True, array_like=True, order=True):
     """One boot of one node."""
 
