Add the directory of runners

One polling task per runner; nodes of a data centre share the polls and pass reports on as digests. A failed poll probes by a fresh connection: an answer replaces the connections, and only a failed probe marks the runner down. Peers' notices of leaving expire unless repeated, since a lost notice of return would otherwise exclude a runner for good. The load test found that a peer's digest overwrote own sends that had not been absorbed yet.

--- /dev/null
+++ b/src/dogwoodgap/runner_tracks.py
@@ -0,0 +1,142 @@
+"""What a node remembers of one runner: reports, sends since then, and signs of leaving."""
+
+import collections
+import collections.abc
+import dataclasses
+
+import anyio
+
+from dogwoodgap import adapters, clock, structures
+
+SAMPLE_S = 0.1
+SAMPLE_HISTORY_S = 10.0
+FRESH_S = 2.0
+AGEING_S = 5.0
+"""Old reports fade: half of the reported load still counts ``AGEING_S`` after ``FRESH_S``."""
+
+REFUSED_LEAVING_S = 5.0
+"""A 503 alone marks a runner as leaving for this long; load reports then decide."""
+
+NOTICE_LIFETIME_S = 5.0
+NOTICE_REPEAT_S = 2.0
+
+LoadOf = collections.abc.Callable[
+    [structures.RunnerView], collections.abc.Awaitable[adapters.LoadReport]
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SentSample:
+    """Requests sent to a runner up to a moment."""
+
+    at: float
+    total: int
+
+
+class SentHistory:
+    """A growing count of sent requests that can be asked for its past."""
+
+    def __init__(self) -> None:
+        self.samples: collections.deque[SentSample] = collections.deque()
+        self.total = 0
+
+    def note(self, total: int) -> None:
+        """Record the count of this moment."""
+        now = clock.now()
+        if total < self.total:
+            # The peer has restarted and counts from zero.
+            self.samples.clear()
+        self.total = total
+        if self.samples and now - self.samples[-1].at < SAMPLE_S:
+            return
+        self.samples.append(SentSample(now, total))
+        while len(self.samples) > 1 and self.samples[1].at < now - SAMPLE_HISTORY_S:
+            self.samples.popleft()
+
+    def since(self, at: float) -> int:
+        """Return how many requests were sent after a moment."""
+        before = self.samples[0].total if self.samples else self.total
+        for sample in reversed(self.samples):
+            if sample.at <= at:
+                before = sample.total
+                break
+        return max(0, self.total - before)
+
+
+class Track:
+    """What the directory keeps about a runner besides its view.
+
+    Attributes
+    ----------
+    written : int
+        Value of ``sent_since_report`` that the directory wrote last; the rest is own sends.
+    own_report : bool
+        Whether this node polled the last report, so that its digests carry it.
+    version : int
+        Rises with each change that peers should hear of.
+    refused_until : float
+        A 503 answer marks the runner as leaving until then.
+    leaving_by_peer : dict
+        Until when each peer's notice counts; peers repeat it while it holds.
+    """
+
+    def __init__(self, view: structures.RunnerView, load_of: LoadOf):
+        self.view = view
+        self.load_of = load_of
+        self.own = SentHistory()
+        self.peers: dict[str, SentHistory] = {}
+        self.report = adapters.LoadReport()
+        self.written = 0
+        self.own_report = False
+        self.version = 0
+        self.refused_until = 0.0
+        self.leaving_by_load = False
+        self.leaving_by_platform = False
+        self.leaving_by_peer: dict[str, float] = {}
+        self.told_leaving = False
+        self.told_at = -1.0
+        self.scope = anyio.CancelScope()
+
+    def absorb(self) -> None:
+        """Take over the sends that the dispatcher counted in the view."""
+        new = self.view.sent_since_report - self.written
+        if new > 0:
+            self.version += 1
+        self.own.note(self.own.total + max(0, new))
+        self.written = self.view.sent_since_report
+
+    def correct(self) -> None:
+        """Write the load of the view: the aged report, and what was sent after it."""
+        self.absorb()
+        view = self.view
+        if view.reported_at < 0.0:
+            return
+        age_s = clock.now() - view.reported_at
+        fade = AGEING_S / (AGEING_S + max(0.0, age_s - FRESH_S))
+        view.queued = round(self.report.queued * fade)
+        view.running = max(round(self.report.running * fade), 0)
+        sent = self.own.since(view.reported_at)
+        sent += sum(peer.since(view.reported_at) for peer in self.peers.values())
+        view.sent_since_report = sent
+        self.written = sent
+
+    def accept(self, report: adapters.LoadReport) -> None:
+        """Take over a load report unless a newer one is known."""
+        made_at = clock.now() - report.age_s
+        if made_at < self.view.reported_at:
+            return
+        self.report = report
+        self.view.reported_at = made_at
+        self.view.cached_tokens = report.cached_tokens
+        self.leaving_by_load = report.leaving
+        self.correct()
+
+    def own_leaving(self) -> bool:
+        """Return whether this node itself saw that the runner is leaving."""
+        refused = clock.now() < self.refused_until
+        return refused or self.leaving_by_load or self.leaving_by_platform
+
+    def leaving(self) -> bool:
+        """Return whether any source says that the runner is leaving."""
+        now = clock.now()
+        return self.own_leaving() or any(until > now for until in self.leaving_by_peer.values())
--- /dev/null
+++ b/tests/test_runners.py
@@ -0,0 +1,210 @@
+"""The directory of runners: configuration, load, leaving and silent connections."""
+
+import anyio
+import trio.testing
+
+from dogwoodgap import adapters, connections, exceptions, models, objectstore, runners
+from dogwoodgap_wire import ttypes
+
+
+def run(main):
+    """Run a coroutine function on virtual time."""
+    anyio.run(
+        main,
+        backend="trio",
+        backend_options={"clock": trio.testing.MockClock(autojump_threshold=0)},
+    )
+
+
+class Backends:
+    """Load reports and probes of all runners, as the directory's outside world."""
+
+    def __init__(self):
+        self.reports: dict[str, adapters.LoadReport] = {}
+        self.silent: set[str] = set()
+        self.probes: dict[str, connections.Probe] = {}
+        self.replaced: list[str] = []
+        self.polls: dict[str, int] = {}
+
+    async def load(self, view) -> adapters.LoadReport:
+        self.polls[view.id] = self.polls.get(view.id, 0) + 1
+        if view.id in self.silent:
+            await anyio.sleep(1.0)
+            raise exceptions.RunnerFailedError("silent")
+        return self.reports.get(view.id, adapters.LoadReport())
+
+    async def probe(self, view) -> connections.Probe:
+        return self.probes.get(view.id, connections.Probe.ANSWERED)
+
+    async def replace(self, view) -> None:
+        self.replaced.append(view.id)
+        self.silent.discard(view.id)
+
+
+def configuration(*ids: str, slots: int = 4) -> models.FleetConfiguration:
+    chosen = [
+        models.Runner(id=id, address=f"http://{id}:1", data_centre="dc", slots=slots) for id in ids
+    ]
+    return models.FleetConfiguration(services={"llm": models.Service(kind="model", runners=chosen)})
+
+
+def directory(backends: Backends, node: str = "n1", notices=None, crashed=None):
+    made = runners.Directory(
+        node,
+        backends,
+        engine_load=backends.load,
+        service_load=backends.load,
+        send=(notices if notices is not None else []).append,
+        crashed=(crashed if crashed is not None else []).append,
+    )
+    made.apply(configuration("r1", "r2"))
+    return made
+
+
+def test_configuration_changes_keep_requests_in_flight():
+    """Guards against in-flight counts that go wrong when operators edit runners."""
+
+    async def main():
+        found = directory(Backends())
+        view = found.view("llm/r1")
+        view.in_flight = 3
+        found.apply(configuration("r1", "r3", slots=9))
+        assert found.view("llm/r1") is view
+        assert (view.in_flight, view.slots) == (3, 9)
+        assert found.view("llm/r2") is None
+        found.apply(configuration("r3"))
+        found.apply(configuration("r1", "r3"))
+        assert found.view("llm/r1") is view
+
+    run(main)
+
+
+def test_load_counts_only_sends_after_the_report_was_made():
+    """Guards against work that is counted twice, or not at all, when reports lag."""
+
+    async def main():
+        backends = Backends()
+        found = directory(backends)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(found.run)
+            await anyio.sleep(5.0)
+            view = found.view("llm/r1")
+            view.sent_since_report += 4
+            found.accept_digests("n2", [ttypes.RunnerLoad("llm/r1", 0, 0, 10)])
+            await anyio.sleep(2.0)
+            assert view.sent_since_report == 0
+            backends.reports["r1"] = adapters.LoadReport(queued=1, running=2, age_s=1.0)
+            await anyio.sleep(2.0)
+            view.sent_since_report += 3
+            found.accept_digests("n2", [ttypes.RunnerLoad("llm/r1", 0, 0, 12)])
+            await anyio.sleep(0.5)
+            assert (view.queued, view.running, view.sent_since_report) == (1, 2, 5)
+            await anyio.sleep(1.5)
+            assert view.sent_since_report == 0
+            tasks.cancel_scope.cancel()
+
+    run(main)
+
+
+def test_nodes_of_a_data_centre_share_the_polls():
+    """Guards against polling load that grows with the number of nodes, and a dead poller."""
+
+    async def main():
+        worlds = {name: Backends() for name in ("n1", "n2")}
+        made = {name: directory(worlds[name], name) for name in worlds}
+
+        async def gossip():
+            while True:
+                await anyio.sleep(0.2)
+                for name, peer in (("n1", "n2"), ("n2", "n1")):
+                    made[peer].accept_digests(name, made[name].digests(peer))
+
+        async with anyio.create_task_group() as tasks:
+            for found in made.values():
+                found.set_nodes(["n1", "n2"])
+                tasks.start_soon(found.run)
+            async with anyio.create_task_group() as gossiping:
+                gossiping.start_soon(gossip)
+                await anyio.sleep(60.0)
+                polls = [worlds[name].polls.get(id, 0) for id in ("r1", "r2") for name in worlds]
+                gossiping.cancel_scope.cancel()
+            assert sorted(polls)[0] <= 3
+            assert sum(polls) < 1.1 * 2 * 60.0 / made["n1"].poll_interval_s()
+            await anyio.sleep(5.0)
+            for found in made.values():
+                assert all(view.reported_at > 60.0 for view in found.views("llm"))
+            tasks.cancel_scope.cancel()
+
+    run(main)
+
+
+def test_leaving_is_known_within_three_seconds_and_ends():
+    """Guards against new work on a runner that leaves, and a runner that stays excluded."""
+
+    async def main():
+        backends = Backends()
+        notices = []
+        found = directory(backends, notices=notices)
+        view = found.view("llm/r1")
+        peer = ttypes.RunnerNotice("llm", "r1", leaving=True, down=False)
+        back = ttypes.RunnerNotice("llm", "r1", leaving=False, down=False)
+        signs = [
+            (
+                lambda: backends.reports.update(r1=adapters.LoadReport(leaving=True)),
+                lambda: backends.reports.update(r1=adapters.LoadReport()),
+            ),
+            (lambda: found.refused(view), lambda: None),
+            (
+                lambda: found.apply_vms([objectstore.Vm("r1", "10.0.0.1", leaving=True)]),
+                lambda: found.apply_vms([objectstore.Vm("r1", "10.0.0.1")]),
+            ),
+            (lambda: found.receive("n2", peer), lambda: found.receive("n2", back)),
+        ]
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(found.run)
+            for begin, end in signs:
+                begin()
+                await anyio.sleep(3.0)
+                assert view.leaving
+                end()
+                await anyio.sleep(6.0)
+                assert not view.leaving
+            told = [notice.leaving for notice in notices]
+            assert told.count(True) >= 3
+            assert told[-1] is False
+            tasks.cancel_scope.cancel()
+
+    run(main)
+
+
+def test_silent_connection_is_replaced_before_the_runner_counts_as_down():
+    """Guards against a healthy runner that is lost to one dead connection, and the reverse."""
+
+    async def main():
+        backends = Backends()
+        crashed = []
+        found = directory(backends, crashed=crashed)
+        view = found.view("llm/r1")
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(found.run)
+            await anyio.sleep(1.0)
+            backends.silent.add("r1")
+            await anyio.sleep(3.0)
+            assert backends.replaced == ["r1"]
+            assert not view.down
+            backends.silent.add("r1")
+            backends.probes["r1"] = connections.Probe.SILENT
+            await anyio.sleep(3.0)
+            assert view.down
+            assert crashed == []
+            backends.probes["r1"] = connections.Probe.ANSWERED
+            backends.silent.discard("r1")
+            await anyio.sleep(3.0)
+            assert not view.down
+            backends.silent.add("r1")
+            backends.probes["r1"] = connections.Probe.REFUSED
+            await anyio.sleep(3.0)
+            assert crashed == [view]
+            tasks.cancel_scope.cancel()
+
+    run(main)
