--- /dev/null
+++ b/src/dogwoodgap/cache_view.py
@@ -0,0 +1,207 @@
+"""Which sessions the engines hold in their caches, and the release of those that are gone."""
+
+import collections
+import collections.abc
+import dataclasses
+
+import anyio
+
+from dogwoodgap import adapters, clock, events, exceptions, structures
+
+STEP_S = 0.5
+EVENTS_INTERVAL_S = 2.0
+EVENTS_AFTER_RELEASE_S = 30.0
+"""A call that was running at the release may store the session again, which events show."""
+
+MIN_COMPARE_S = 30.0
+COMPARE_S_PER_RUNNER = 1.0
+"""A node fetches about one full list a second, whatever the number of runners."""
+
+COMPARE_AFTER_GAP_S = 3.0
+MIN_RETRY_S = 0.5
+MAX_RETRY_S = 30.0
+PARALLEL_REQUESTS = 8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Held:
+    """A session in a runner's cache, as noted at a monotonic time."""
+
+    tokens: int
+    noted_at: float
+
+
+@dataclasses.dataclass(slots=True)
+class Release:
+    """A release that the engine has not confirmed."""
+
+    session: str
+    due_at: float = 0.0
+    delay_s: float = MIN_RETRY_S
+
+
+class RunnerCache:
+    """What is known of one engine's cache."""
+
+    def __init__(self) -> None:
+        self.held: dict[str, Held] = {}
+        self.releases: dict[str, Release] = {}
+        self.cursor = 0
+        self.events_due_at = 0.0
+        self.watched_until = 0.0
+        self.compare_due_at = 0.0
+        self.busy = False
+
+    def next_due_at(self) -> float:
+        """Return when something is next to be done."""
+        due = [self.compare_due_at, *(item.due_at for item in self.releases.values())]
+        if self.held or self.watched_until > clock.now():
+            due.append(self.events_due_at)
+        return min(due)
+
+
+class CacheView:
+    """The caches of all model engines, as one node sees them.
+
+    Parameters
+    ----------
+    engine : adapters.EngineAdapter
+        Talks to the engines.
+    views : callable
+        Returns the views of all runners of model services.
+    is_live : callable
+        Whether a session's program is live; ``None`` when this node cannot judge, because it
+        does not own the shard or has not loaded it yet.
+    """
+
+    def __init__(
+        self,
+        engine: adapters.EngineAdapter,
+        views: collections.abc.Callable[[], list[structures.RunnerView]],
+        is_live: collections.abc.Callable[[str], bool | None],
+    ):
+        self.engine = engine
+        self.views = views
+        self.is_live = is_live
+        self.caches: dict[str, RunnerCache] = collections.defaultdict(RunnerCache)
+        self.limiter = anyio.Semaphore(PARALLEL_REQUESTS)
+
+    def tokens(self, view: structures.RunnerView, session: str) -> int:
+        """Return how many tokens of a session a runner probably holds."""
+        held = self.caches[structures.runner_key(view)].held.get(session)
+        return held.tokens if held else 0
+
+    def holders(self, session: str) -> list[str]:
+        """Return the keys of the runners that probably hold a session."""
+        return [key for key, cache in self.caches.items() if session in cache.held]
+
+    def used(self, view: structures.RunnerView, session: str, tokens: int) -> None:
+        """Note that a call of this node left its prefix on a runner."""
+        cache = self.caches[structures.runner_key(view)]
+        cache.held[session] = Held(tokens, clock.now())
+
+    def release(self, session: str, also: collections.abc.Iterable[str] = ()) -> None:
+        """Release a session on all runners that may hold it.
+
+        Parameters
+        ----------
+        also : iterable of str
+            Keys of more runners, for instance from the program's journalled turns.
+        """
+        for key in {*self.holders(session), *also}:
+            cache = self.caches[key]
+            cache.releases.setdefault(session, Release(session))
+
+    async def run(self) -> None:
+        """Follow events, compare and release until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                views = {structures.runner_key(view): view for view in self.views()}
+                for key in set(self.caches) - set(views):
+                    del self.caches[key]
+                for key, view in views.items():
+                    cache = self.caches[key]
+                    if cache.busy or view.down or cache.next_due_at() > clock.now():
+                        continue
+                    cache.busy = True
+                    tasks.start_soon(self.work, view, cache, len(views))
+                await anyio.sleep(STEP_S)
+
+    async def work(self, view: structures.RunnerView, cache: RunnerCache, runners: int) -> None:
+        """Do what is due for one runner."""
+        try:
+            async with self.limiter:
+                await self.release_due(view, cache)
+                if cache.compare_due_at <= clock.now():
+                    interval_s = max(MIN_COMPARE_S, COMPARE_S_PER_RUNNER * runners)
+                    cache.compare_due_at = clock.now() + interval_s
+                    await self.compare(view, cache)
+                if cache.events_due_at <= clock.now():
+                    cache.events_due_at = clock.now() + EVENTS_INTERVAL_S
+                    await self.follow(view, cache)
+        except exceptions.RunnerFailedError as error:
+            events.emit(events.Event.CACHE_RELEASE_FAILED, error.detail, runner=view.id)
+        finally:
+            cache.busy = False
+
+    async def release_due(self, view: structures.RunnerView, cache: RunnerCache) -> None:
+        """Send the releases that are due; failed ones are repeated until confirmed."""
+        now = clock.now()
+        for release in [item for item in cache.releases.values() if item.due_at <= now]:
+            if self.is_live(release.session) is not False:
+                del cache.releases[release.session]
+                continue
+            release.due_at = now + release.delay_s
+            release.delay_s = min(MAX_RETRY_S, 2.0 * release.delay_s)
+            await self.engine.release(view, release.session)
+            cache.held.pop(release.session, None)
+            cache.releases.pop(release.session, None)
+            cache.watched_until = clock.now() + EVENTS_AFTER_RELEASE_S
+
+    async def compare(self, view: structures.RunnerView, cache: RunnerCache) -> None:
+        """Fetch the full list, correct the view, and release what is gone."""
+        started_at = clock.now()
+        listed = await self.engine.cache(view)
+        newer = {
+            session: held for session, held in cache.held.items() if held.noted_at >= started_at
+        }
+        cache.held = {
+            item.session: Held(item.tokens, started_at)
+            for item in listed
+            if self.is_live(item.session) is not None
+        }
+        cache.held |= newer
+        for item in listed:
+            self.judge(view, cache, item.session)
+
+    async def follow(self, view: structures.RunnerView, cache: RunnerCache) -> None:
+        """Apply new events; a gap or a restart brings the next comparison forward."""
+        page = await self.engine.cache_events(view, cache.cursor)
+        if page.cursor < cache.cursor:
+            cache.held.clear()
+        lost = page.cursor - cache.cursor != len(page.events)
+        cache.cursor = page.cursor
+        for event in page.events:
+            self.apply(view, cache, event)
+        if lost:
+            soon = clock.now() + COMPARE_AFTER_GAP_S
+            cache.compare_due_at = min(cache.compare_due_at, soon)
+
+    def apply(
+        self, view: structures.RunnerView, cache: RunnerCache, event: adapters.CacheEvent
+    ) -> None:
+        """Apply one event; it may be older than a send of this node."""
+        if event.kind != "stored":
+            held = cache.held.get(event.session)
+            if held is not None and held.noted_at < clock.now() - EVENTS_INTERVAL_S:
+                del cache.held[event.session]
+        elif self.is_live(event.session):
+            cache.held[event.session] = Held(event.tokens, clock.now())
+        else:
+            self.judge(view, cache, event.session)
+
+    def judge(self, view: structures.RunnerView, cache: RunnerCache, session: str) -> None:
+        """Release a session whose program is known to be gone."""
+        if self.is_live(session) is False and session not in cache.releases:
+            cache.releases[session] = Release(session)
+            events.emit(events.Event.CACHE_RELEASED, "session of an ended program", runner=view.id)
--- /dev/null
+++ b/src/dogwoodgap/orders.py
@@ -0,0 +1,208 @@
+"""Orders to model engines: one controller per service brings them to the configured state.
+
+The controller compares what each engine has loaded with the configuration and orders what is
+missing, one order at a time per engine, and does so again and again. The fencing number makes
+engines that check it refuse an old controller. ``docs/security.md`` states what holds for those
+that do not.
+"""
+
+import collections.abc
+import dataclasses
+
+import anyio
+
+from dogwoodgap import adapters, clock, events, exceptions, models, structures
+
+REASSERT_S = 5.0
+MAX_ORDER_S = adapters.TRANSFER_TIMEOUT_S
+"""The longest time between a controller's decision and the end of its order's effect."""
+
+PARALLEL_LOADS = 4
+"""Engines of one service that load at once; the weight store is rate-limited."""
+
+Control = collections.abc.Callable[[str], int | None]
+ViewsOf = collections.abc.Callable[[str], list[structures.RunnerView]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DesiredState:
+    """What the engines of a service should have loaded; empty fields are left alone."""
+
+    model: str = ""
+    version: str = ""
+    adapters: tuple[str, ...] = ()
+    role: str = ""
+
+
+def desired_of(service: models.Service) -> DesiredState:
+    """Return the desired state that a service's configuration names."""
+    return DesiredState(service.model, service.version, tuple(service.adapters), service.role)
+
+
+def missing(
+    desired: DesiredState, found: adapters.EngineState, fencing: int
+) -> list[adapters.EngineOrder]:
+    """Return the orders that lead from the found to the desired state.
+
+    A version or model goes first, since engines drop adapters when they change it.
+    """
+    wanted = []
+    if desired.model and found.model != desired.model:
+        wanted.append(adapters.EngineOrder(fencing, "load_model", desired.model))
+    if desired.version and found.version != desired.version:
+        wanted.append(adapters.EngineOrder(fencing, "set_version", desired.version))
+    wanted.extend(
+        adapters.EngineOrder(fencing, "load_adapter", name)
+        for name in desired.adapters
+        if name not in found.adapters
+    )
+    if desired.role and found.role != desired.role:
+        wanted.append(adapters.EngineOrder(fencing, "set_role", desired.role))
+    return wanted
+
+
+class ServiceController:
+    """Brings the engines of one service to the desired state while this node controls it.
+
+    Attributes
+    ----------
+    fencing : int or None
+        Number under which this node controls the service; ``None`` when another node does.
+    acquired_at : float
+        Monotonic time at which it learned of that number.
+    """
+
+    def __init__(self, service: str, engine: adapters.EngineAdapter, control: Control):
+        self.service = service
+        self.engine = engine
+        self.control = control
+        self.desired = DesiredState()
+        self.fencing: int | None = None
+        self.acquired_at = 0.0
+        self.limiter = anyio.Semaphore(PARALLEL_LOADS)
+        self.refused: set[str] = set()
+
+    def refresh(self) -> bool:
+        """Ask whether this node controls the service, and note since when."""
+        fencing = self.control(self.service)
+        if fencing != self.fencing:
+            self.fencing = fencing
+            self.acquired_at = clock.now()
+            self.refused.clear()
+            if fencing is not None:
+                events.emit(
+                    events.Event.CONTROL_ACQUIRED,
+                    "controls the engines of a service",
+                    service=self.service,
+                    fencing=fencing,
+                )
+        return fencing is not None
+
+    def may_order(self, view: structures.RunnerView) -> bool:
+        """Return whether an engine may get orders now.
+
+        An engine that does not check fencing may still receive the last order of the former
+        controller; a successor waits until that order must have ended.
+        """
+        if view.down or structures.runner_key(view) in self.refused:
+            return False
+        return view.checks_fencing or clock.now() >= self.acquired_at + MAX_ORDER_S
+
+    async def assert_all(self, views: list[structures.RunnerView]) -> None:
+        """Read every engine's state back and order what is missing."""
+        if not self.refresh():
+            return
+        async with anyio.create_task_group() as tasks:
+            for view in views:
+                if self.may_order(view):
+                    tasks.start_soon(self.assert_one, view)
+
+    async def assert_one(self, view: structures.RunnerView) -> None:
+        """Order what one engine lacks, reading back after each order."""
+        async with self.limiter:
+            try:
+                state = await self.engine.state(view)
+                while self.refresh() and self.may_order(view):
+                    orders = missing(self.desired, state, self.fencing or 0)
+                    if not orders:
+                        return
+                    state = await self.order(view, orders[0])
+                    if orders[0] in missing(self.desired, state, self.fencing or 0):
+                        raise exceptions.RunnerFailedError(
+                            f"runner {view.id} took {orders[0].kind} without effect; it is "
+                            "ordered again"
+                        )
+            except exceptions.FencingRefusedError as error:
+                self.refused.add(structures.runner_key(view))
+                events.emit(events.Event.ORDER_REFUSED, error.detail, runner=view.id)
+            except exceptions.RunnerFailedError as error:
+                events.emit(events.Event.ORDER_FAILED, error.detail, runner=view.id)
+
+    async def order(
+        self, view: structures.RunnerView, order: adapters.EngineOrder
+    ) -> adapters.EngineState:
+        """Send one order, bounded in time, and return the state that was read back."""
+        events.emit(
+            events.Event.ORDER_SENT, "order sent", runner=view.id, kind=order.kind, to=order.value
+        )
+        with anyio.move_on_after(MAX_ORDER_S):
+            await self.engine.order(view, order)
+        return await self.engine.state(view)
+
+
+class Orders:
+    """The controllers of all model services.
+
+    Parameters
+    ----------
+    engine : adapters.EngineAdapter
+        Sends orders.
+    views : callable
+        Returns the views of a service's runners.
+    control : callable
+        Returns the fencing number under which this node controls a service, or ``None``. The
+        number must rise with every change of the controller.
+    """
+
+    def __init__(self, engine: adapters.EngineAdapter, views: ViewsOf, control: Control):
+        self.engine = engine
+        self.views = views
+        self.control = control
+        self.controllers: dict[str, ServiceController] = {}
+        self.changed = anyio.Event()
+
+    def apply(self, configuration: models.FleetConfiguration) -> None:
+        """Take over the desired state of all model services."""
+        names = {name for name, item in configuration.services.items() if item.kind == "model"}
+        for gone in set(self.controllers) - names:
+            del self.controllers[gone]
+        for name in names:
+            if name not in self.controllers:
+                self.controllers[name] = ServiceController(name, self.engine, self.control)
+            self.controllers[name].desired = desired_of(configuration.services[name])
+        self.notify()
+
+    def notify(self) -> None:
+        """Assert at once; called when the configuration or the assignment changed."""
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    async def run(self) -> None:
+        """Assert the desired state again and again until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            running: dict[str, ServiceController] = {}
+            while True:
+                changed = self.changed
+                for name, controller in self.controllers.items():
+                    if running.get(name) is not controller:
+                        running[name] = controller
+                        tasks.start_soon(self.run_service, name, controller)
+                await changed.wait()
+
+    async def run_service(self, name: str, controller: ServiceController) -> None:
+        """Control one service until it leaves the configuration."""
+        while self.controllers.get(name) is controller:
+            changed = self.changed
+            await controller.assert_all(self.views(name))
+            with anyio.move_on_after(REASSERT_S):
+                await changed.wait()
--- a/src/dogwoodgap_lab/prefix_cache.py
+++ b/src/dogwoodgap_lab/prefix_cache.py
@@ -122,6 +122,8 @@
         """Lose all entries without events, as a crash does."""
         self.entries.clear()
         self.entry_tokens = 0
+        self.events.clear()
+        self.event_seq = 0
 
     def retain(self, key: str, seconds: float) -> bool:
         """Protect a prefix for a while; return whether it is there."""
@@ -143,8 +145,9 @@
         )
 
     def events_since(self, since: int) -> adapters.CacheEventPage:
-        """Return the visible events after a number."""
+        """Return the visible events after a number; a lower cursor shows a restart."""
         now = clock.now()
+        since = since if since <= self.event_seq else 0
         due = [item for item in self.events if item.event.seq > since and item.visible_at <= now]
         cursor = due[-1].event.seq if due else since
         return adapters.CacheEventPage([item.event for item in due if not item.lost], cursor)
--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,153 @@
+"""Control of engines: read back, re-assertion and succession."""
+
+import anyio
+import trio.testing
+
+from dogwoodgap import adapters, exceptions, models, orders, structures
+
+
+def run(main):
+    """Run a coroutine function on virtual time."""
+    anyio.run(
+        main,
+        backend="trio",
+        backend_options={"clock": trio.testing.MockClock(autojump_threshold=0)},
+    )
+
+
+class FakeEngine:
+    """One engine that may check fencing, ignore orders and lose replies."""
+
+    def __init__(self, *, checks: bool):
+        self.checks = checks
+        self.loaded = adapters.EngineState()
+        self.order_s = 0.0
+        self.lost_replies = 0
+        self.log: list[adapters.EngineOrder] = []
+        self.times: list[float] = []
+
+    async def state(self, view) -> adapters.EngineState:
+        return adapters.EngineState(self.loaded.model, list(self.loaded.adapters))
+
+    async def order(self, view, order: adapters.EngineOrder) -> None:
+        if self.checks and order.fencing < self.loaded.fencing:
+            raise exceptions.FencingRefusedError("old")
+        self.loaded.fencing = order.fencing
+        await anyio.sleep(self.order_s)
+        self.log.append(order)
+        self.times.append(anyio.current_time())
+        if order.kind == "load_model":
+            self.loaded.model = order.value
+            self.loaded.adapters = []
+        else:
+            self.loaded.adapters.append(order.value)
+        if self.lost_replies:
+            self.lost_replies -= 1
+            raise exceptions.RunnerFailedError("reply lost")
+
+
+def configuration(model: str) -> models.FleetConfiguration:
+    service = models.Service(kind="model", model=model, adapters=["moisture"])
+    return models.FleetConfiguration(services={"llm": service})
+
+
+def controller(engine: FakeEngine, control, model: str) -> orders.Orders:
+    view = structures.RunnerView("llm", "r", "http://r", "dc", 4, 1, checks_fencing=engine.checks)
+    made = orders.Orders(engine, lambda service: [view], control)
+    made.apply(configuration(model))
+    return made
+
+
+def test_desired_state_is_reached_once_and_asserted_again():
+    """Guards against repeated loads, lost orders, and a restarted engine that stays empty."""
+
+    async def main():
+        engine = FakeEngine(checks=True)
+        engine.lost_replies = 1
+        made = controller(engine, lambda service: 7, "m1")
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(made.run)
+            await anyio.sleep(60.0)
+            assert [order.kind for order in engine.log] == ["load_model", "load_adapter"]
+            engine.loaded = adapters.EngineState()
+            await anyio.sleep(2 * orders.REASSERT_S)
+            assert engine.loaded.model == "m1"
+            made.apply(configuration("m2"))
+            await anyio.sleep(1.0)
+            assert (engine.loaded.model, engine.loaded.adapters) == ("m2", ["moisture"])
+            tasks.cancel_scope.cancel()
+
+    run(main)
+
+
+def test_node_without_control_gives_no_orders():
+    """Guards against two controllers, also when control is lost between two orders."""
+
+    async def main():
+        engine = FakeEngine(checks=False)
+        numbers: dict[str, int | None] = {"llm": None}
+        made = controller(engine, numbers.get, "m1")
+        engine.order_s = 2.0
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(made.run)
+            await anyio.sleep(100.0)
+            assert engine.log == []
+            numbers["llm"] = 1
+            await anyio.sleep(orders.REASSERT_S + orders.MAX_ORDER_S + orders.REASSERT_S)
+            numbers["llm"] = None
+            await anyio.sleep(100.0)
+            assert len(engine.log) <= 2
+            before = len(engine.log)
+            engine.loaded = adapters.EngineState()
+            await anyio.sleep(100.0)
+            assert len(engine.log) == before
+            tasks.cancel_scope.cancel()
+
+    run(main)
+
+
+def test_successor_outwaits_the_old_controller_of_an_engine_without_fencing():
+    """Guards against an old order that takes effect after the successor's."""
+
+    async def main():
+        engine = FakeEngine(checks=False)
+        owner = {"old": 1, "new": None}
+        old = controller(engine, lambda service: owner["old"], "old")
+        new = controller(engine, lambda service: owner["new"], "new")
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(old.run)
+            tasks.start_soon(new.run)
+            await anyio.sleep(orders.MAX_ORDER_S + 1.0)
+            engine.loaded = adapters.EngineState()
+            engine.order_s = orders.MAX_ORDER_S - 1.0
+            old.notify()
+            await anyio.sleep(0.5)
+            engine.order_s = 1.0
+            owner.update(old=None, new=2)
+            new.notify()
+            await anyio.sleep(10 * orders.MAX_ORDER_S)
+            values = [order.value for order in engine.log if order.kind == "load_model"]
+            assert values == ["old", "old", "new"]
+            assert engine.loaded.model == "new"
+            tasks.cancel_scope.cancel()
+
+    run(main)
+
+
+def test_engine_with_fencing_refuses_a_controller_that_still_believes_in_its_control():
+    """Guards against an engine that two controllers change in turn."""
+
+    async def main():
+        engine = FakeEngine(checks=True)
+        old = controller(engine, lambda service: 1, "old")
+        new = controller(engine, lambda service: 2, "new")
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(old.run)
+            await anyio.sleep(2.0)
+            tasks.start_soon(new.run)
+            await anyio.sleep(100.0)
+            assert engine.loaded.model == "new"
+            assert [order.fencing for order in engine.log] == [1, 1, 2, 2]
+            tasks.cancel_scope.cancel()
+
+    run(main)
