--- a/src/dogwoodgap/quarantine.py
+++ b/src/dogwoodgap/quarantine.py
@@ -108,7 +108,7 @@
         self.in_flight: dict[str, list[Run]] = collections.defaultdict(list)
         self.reservations: dict[str, Reservation] = {}
         self.settlements: collections.deque[Settlement] = collections.deque()
-        self.unreported: set[str] = set()
+        self.unreported: dict[str, None] = {}
         self.changed = anyio.Event()
 
     def reserved(self, view: structures.RunnerView) -> bool:
@@ -276,7 +276,7 @@
         for run in runs:
             self.table.add(run.digest, [suspects.Crash(key, self.now(), run.holder)])
         for digest in digests:
-            self.unreported.add(digest)
+            self.unreported[digest] = None
             self.notice(digest, key)
         if digests:
             self.changed.set()
@@ -290,7 +290,7 @@
         suspect = self.table.find(run.digest)
         crashes = list(suspect.crashes) if suspect else []
         if clean and self.table.clear(run.digest):
-            self.unreported.discard(run.digest)
+            self.unreported.pop(run.digest, None)
             self.notice(run.digest, "")
         self.settlements.append(Settlement(run, crashes, clean))
         self.changed.set()
@@ -321,7 +321,7 @@
             if suspect is not None:
                 await self.journal(records.Suspected(digest, suspect.count(), suspect.until))
                 self.learn(await self.claims.report(digest, suspect.crashes))
-            self.unreported.discard(digest)
+            self.unreported.pop(digest, None)
 
     def reserve(self, runner: str, holder: str) -> None:
         """Keep a runner free for a suspect."""
--- a/src/dogwoodgap/runners.py
+++ b/src/dogwoodgap/runners.py
@@ -214,6 +214,18 @@
         self.mark_down(view, down=True)
         return found
 
+    async def idle(self, view: structures.RunnerView, since: float) -> bool:
+        """Return whether a report made after ``since`` (monotonic time) shows no work at all."""
+        track = self.tracks.get(structures.runner_key(view))
+        if track is None:
+            return False
+        try:
+            report = await track.load_of(view)
+        except exceptions.RunnerFailedError:
+            return False
+        made_at = clock.now() - report.age_s
+        return made_at >= since and report.queued + report.running == 0
+
     def mark_down(self, view: structures.RunnerView, *, down: bool) -> None:
         """Note that a runner is down or up again, and tell the peers."""
         if view.down == down:
--- a/src/dogwoodgap_lab/cli.py
+++ b/src/dogwoodgap_lab/cli.py
@@ -75,6 +75,7 @@
     bind: Binds = ["127.0.0.1:9200"],  # noqa: B006
     seed: Seed = 0,
     answers_outcomes: bool = False,
+    execution_s: float = 0.0,
     crash_marker: Marker = "",
     restart_s: Restart = 3.0,
     crash_exits: CrashExits = False,
@@ -85,7 +86,10 @@
     for number, address in enumerate(bind):
         faults_of_runner = switch(seed, number, crash_marker, restart_s)
         service = plain_service.PlainService(
-            ledger, faults_of_runner, answers_outcomes=answers_outcomes
+            ledger,
+            faults_of_runner,
+            answers_outcomes=answers_outcomes,
+            execution_s=execution_s,
         )
         stand_ins.append(serving.StandIn(plain_service.build(service), address, faults_of_runner))
     serving.run(stand_ins, crash_exits=crash_exits)
--- a/tests/test_runners.py
+++ b/tests/test_runners.py
@@ -208,3 +208,20 @@
             tasks.cancel_scope.cancel()
 
     run(main)
+
+
+def test_old_load_report_does_not_show_an_idle_runner():
+    """Guards against a suspect request that runs beside work which a late report omits."""
+
+    async def main():
+        backends = Backends()
+        found = directory(backends)
+        view = found.view("llm/r1")
+        await anyio.sleep(10.0)
+        backends.reports["r1"] = adapters.LoadReport(age_s=2.0)
+        assert not await found.idle(view, since=9.0)
+        assert await found.idle(view, since=8.0)
+        backends.reports["r1"] = adapters.LoadReport(running=1)
+        assert not await found.idle(view, since=8.0)
+
+    run(main)
