--- a/src/dogwoodgap/cache_view.py
+++ b/src/dogwoodgap/cache_view.py
@@ -171,8 +171,17 @@
             if self.is_live(item.session) is not None
         }
         cache.held |= newer
+        before = len(cache.releases)
         for item in listed:
-            self.judge(view, cache, item.session)
+            self.judge(cache, item.session)
+        found = len(cache.releases) - before
+        if found:
+            events.emit(
+                events.Event.CACHE_RELEASED,
+                "the comparison found sessions of ended programs",
+                runner=view.id,
+                sessions=found,
+            )
 
     async def follow(self, view: structures.RunnerView, cache: RunnerCache) -> None:
         """Apply new events; a gap or a restart brings the next comparison forward."""
@@ -182,14 +191,12 @@
         lost = page.cursor - cache.cursor != len(page.events)
         cache.cursor = page.cursor
         for event in page.events:
-            self.apply(view, cache, event)
+            self.apply(cache, event)
         if lost:
             soon = clock.now() + COMPARE_AFTER_GAP_S
             cache.compare_due_at = min(cache.compare_due_at, soon)
 
-    def apply(
-        self, view: structures.RunnerView, cache: RunnerCache, event: adapters.CacheEvent
-    ) -> None:
+    def apply(self, cache: RunnerCache, event: adapters.CacheEvent) -> None:
         """Apply one event; it may be older than a send of this node."""
         if event.kind != "stored":
             held = cache.held.get(event.session)
@@ -198,10 +205,9 @@
         elif self.is_live(event.session):
             cache.held[event.session] = Held(event.tokens, clock.now())
         else:
-            self.judge(view, cache, event.session)
+            self.judge(cache, event.session)
 
-    def judge(self, view: structures.RunnerView, cache: RunnerCache, session: str) -> None:
+    def judge(self, cache: RunnerCache, session: str) -> None:
         """Release a session whose program is known to be gone."""
         if self.is_live(session) is False and session not in cache.releases:
             cache.releases[session] = Release(session)
-            events.emit(events.Event.CACHE_RELEASED, "session of an ended program", runner=view.id)
--- a/src/dogwoodgap/quarantine.py
+++ b/src/dogwoodgap/quarantine.py
@@ -272,9 +272,15 @@
         if not runs:
             # Nothing ran beside an urgent request that could have been the cause.
             runs = self.in_flight.get(key, [])
-        digests = list(dict.fromkeys(run.digest for run in runs))
+        digests = []
         for run in runs:
-            self.table.add(run.digest, [suspects.Crash(key, self.now(), run.holder)])
+            known = self.table.find(run.digest)
+            before = len(known.crashes) if known else 0
+            crash = suspects.Crash(key, self.now(), run.holder)
+            # Several calls and the poll of the directory confirm the same crash. Crashes that
+            # peers counted do not matter here: each node's own ones must reach the store.
+            if len(self.table.add(run.digest, [crash]).crashes) > before:
+                digests.append(run.digest)
         for digest in digests:
             self.unreported[digest] = None
             self.notice(digest, key)
