Probe runners that a peer calls down instead of believing it

A peer that is cut off from a runner would otherwise take it from all nodes, and a peer's notice of leaving reset a runner that this node had found down. The poller of each runner is kept, since hashing all nodes at each poll grew with runners times nodes.

--- a/src/dogwoodgap/runners.py
+++ b/src/dogwoodgap/runners.py
@@ -1,6 +1,7 @@
 """The directory of runners: views, load polling, leaving, health and peers' digests."""
 
 import collections.abc
+import functools
 
 import anyio
 import anyio.abc
@@ -71,6 +72,7 @@
         self.removed: dict[str, runner_tracks.Track] = {}
         self.digest_versions: dict[str, dict[str, int]] = {}
         self.nodes: list[str] = [node]
+        self.pollers: dict[str, str] = {}
         self.tasks: anyio.abc.TaskGroup | None = None
 
     def views(self, service: str) -> list[structures.RunnerView]:
@@ -153,13 +155,20 @@
     def set_nodes(self, nodes: collections.abc.Iterable[str]) -> None:
         """Tell which live nodes of the data centre share the polls; this one is added."""
         self.nodes = sorted({*nodes, self.node})
+        self.pollers.clear()
+
+    def poller(self, key: str) -> str:
+        """Return the node that polls a runner, the same on all nodes with the same members."""
+        if key not in self.pollers:
+            self.pollers[key] = max(
+                self.nodes,
+                key=lambda node: xxhash.xxh3_64_intdigest(f"{node}|{key}".encode()),
+            )
+        return self.pollers[key]
 
     def polls(self, track: runner_tracks.Track) -> bool:
         """Return whether this node polls a runner: its share, and what peers fail to report."""
-        key = structures.runner_key(track.view)
-        poller = max(
-            self.nodes, key=lambda node: xxhash.xxh3_64_intdigest(f"{node}|{key}".encode())
-        )
+        poller = self.poller(structures.runner_key(track.view))
         if poller == self.node or track.view.down or track.leaving():
             return True
         age_s = clock.now() - track.view.reported_at
@@ -197,14 +206,21 @@
         track.version += 1
         self.changed(view.service)
 
-    async def check(self, view: structures.RunnerView) -> connections.Probe:
+    async def check(
+        self, view: structures.RunnerView, *, replace: bool = True
+    ) -> connections.Probe:
         """Probe by a fresh connection: replace silent ones, or mark the runner down or up.
 
         Calls use it after a failed connection, a silent stream or a missed heartbeat.
+
+        Parameters
+        ----------
+        replace : bool
+            An own connection has failed, so the others are replaced when the probe succeeds.
         """
         found = await self.connections.probe(view)
         if found is connections.Probe.ANSWERED:
-            if not view.down:
+            if replace and not view.down:
                 await self.connections.replace(view)
                 events.emit(events.Event.CONNECTION_REPLACED, "replaced", runner=view.id)
             self.mark_down(view, down=False)
@@ -258,7 +274,11 @@
             self.update_leaving(track)
 
     def receive(self, node: str, notice: ttypes.RunnerNotice) -> None:
-        """Take over a peer's notice; own polls confirm or correct it."""
+        """Take over a peer's notice of leaving; a runner called down is probed from here.
+
+        A peer may be cut off from a runner that this node reaches, so its word does not mark a
+        runner as down.
+        """
         track = self.tracks.get(f"{notice.service_name}/{notice.runner}")
         if track is None:
             return
@@ -266,7 +286,8 @@
             track.leaving_by_peer[node] = clock.now() + runner_tracks.NOTICE_LIFETIME_S
         else:
             track.leaving_by_peer.pop(node, None)
-        track.view.down = bool(notice.down)
+        if notice.down and not track.view.down and self.tasks is not None:
+            self.tasks.start_soon(functools.partial(self.check, track.view, replace=False))
         self.update_leaving(track)
         self.changed(track.view.service)
 
--- a/tests/test_runners.py
+++ b/tests/test_runners.py
@@ -225,3 +225,28 @@
         assert not await found.idle(view, since=8.0)
 
     run(main)
+
+
+def test_down_notice_of_a_peer_is_checked_by_an_own_probe():
+    """Guards against a cut-off peer that takes healthy runners from all other nodes."""
+
+    async def main():
+        backends = Backends()
+        found = directory(backends)
+        view = found.view("llm/r1")
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(found.run)
+            await anyio.sleep(1.0)
+            found.receive("n2", ttypes.RunnerNotice("llm", "r1", leaving=False, down=True))
+            await anyio.sleep(0.1)
+            assert not view.down
+            assert backends.replaced == []
+            backends.probes["r1"] = connections.Probe.SILENT
+            found.receive("n2", ttypes.RunnerNotice("llm", "r1", leaving=False, down=True))
+            await anyio.sleep(0.1)
+            assert view.down
+            found.receive("n2", ttypes.RunnerNotice("llm", "r1", leaving=False, down=False))
+            assert view.down
+            tasks.cancel_scope.cancel()
+
+    run(main)
