--- a/src/dogwoodgap/quarantine.py
+++ b/src/dogwoodgap/quarantine.py
@@ -108,7 +108,7 @@
         self.in_flight: dict[str, list[Run]] = collections.defaultdict(list)
         self.reservations: dict[str, Reservation] = {}
         self.settlements: collections.deque[Settlement] = collections.deque()
-        self.unreported: set[str] = set()
+        self.unreported: dict[str, None] = {}
         self.changed = anyio.Event()
 
     def reserved(self, view: structures.RunnerView) -> bool:
@@ -272,11 +272,17 @@
         if not runs:
             # Nothing ran beside an urgent request that could have been the cause.
             runs = self.in_flight.get(key, [])
-        digests = list(dict.fromkeys(run.digest for run in runs))
+        digests = []
         for run in runs:
-            self.table.add(run.digest, [suspects.Crash(key, self.now(), run.holder)])
+            known = self.table.find(run.digest)
+            before = len(known.crashes) if known else 0
+            crash = suspects.Crash(key, self.now(), run.holder)
+            # Several calls and the poll of the directory confirm the same crash. Crashes that
+            # peers counted do not matter here: each node's own ones must reach the store.
+            if len(self.table.add(run.digest, [crash]).crashes) > before:
+                digests.append(run.digest)
         for digest in digests:
-            self.unreported.add(digest)
+            self.unreported[digest] = None
             self.notice(digest, key)
         if digests:
             self.changed.set()
@@ -290,7 +296,7 @@
         suspect = self.table.find(run.digest)
         crashes = list(suspect.crashes) if suspect else []
         if clean and self.table.clear(run.digest):
-            self.unreported.discard(run.digest)
+            self.unreported.pop(run.digest, None)
             self.notice(run.digest, "")
         self.settlements.append(Settlement(run, crashes, clean))
         self.changed.set()
@@ -321,7 +327,7 @@
             if suspect is not None:
                 await self.journal(records.Suspected(digest, suspect.count(), suspect.until))
                 self.learn(await self.claims.report(digest, suspect.crashes))
-            self.unreported.discard(digest)
+            self.unreported.pop(digest, None)
 
     def reserve(self, runner: str, holder: str) -> None:
         """Keep a runner free for a suspect."""
