--- a/src/dogwoodgap/shards.py
+++ b/src/dogwoodgap/shards.py
@@ -7,7 +7,7 @@
 
 def shard_of(text: str) -> int:
     """Return the shard of a text."""
-    return xxhash.xxh3_64_intdigest(text) % SHARD_COUNT
+    return xxhash.xxh3_64_intdigest(text.encode()) % SHARD_COUNT
 
 
 def root_of(program: str) -> str:
