--- a/src/dogwoodgap/adapters.py
+++ b/src/dogwoodgap/adapters.py
@@ -3,6 +3,7 @@
 import collections.abc
 import dataclasses
 import typing
+import urllib.parse
 
 import anyio
 import httpx
@@ -106,8 +107,8 @@
 
     def generate(
         self, runner: structures.RunnerView, request: Generation
-    ) -> collections.abc.AsyncIterator[Chunk]:
-        """Stream the answer to a request."""
+    ) -> collections.abc.AsyncIterator[list[Chunk]]:
+        """Stream the answer to a request, one batch for each piece that was received."""
 
     async def cancel(self, runner: structures.RunnerView, request_id: str) -> None:
         """Stop a stream."""
@@ -127,7 +128,7 @@
 
     async def generate(
         self, runner: structures.RunnerView, request: Generation
-    ) -> collections.abc.AsyncIterator[Chunk]:
+    ) -> collections.abc.AsyncIterator[list[Chunk]]:
         """Stream the answer; raises when the answer is not whole or not to this request."""
         body = {
             "model": request.model,
@@ -142,7 +143,7 @@
         headers = {"Content-Type": "application/json"}
         if request.trace:
             headers["traceparent"] = request.trace
-        finished = False
+        events = EventBuffer(runner, request)
         try:
             async with self.client.stream(
                 "POST",
@@ -153,11 +154,10 @@
             ) as reply:
                 if reply.status_code != httpx.codes.OK:
                     raise refusal(runner, reply.status_code)
-                async for line in reply.aiter_lines():
-                    if line == "data: [DONE]":
-                        finished = True
-                    elif line.startswith("data: "):
-                        yield check_chunk(line, runner, request)
+                async for data in reply.aiter_bytes():
+                    batch = events.feed(data)
+                    if batch:
+                        yield batch
         except (httpx.ConnectError, httpx.ConnectTimeout) as error:
             raise exceptions.RunnerUnreachableError(
                 f"runner {runner.id} refused the connection; another runner may answer"
@@ -166,7 +166,7 @@
             raise exceptions.RunnerFailedError(
                 f"runner {runner.id} broke the stream ({type(error).__name__}); repeat the call"
             ) from error
-        if not finished:
+        if not events.finished:
             raise exceptions.RunnerFailedError(
                 f"runner {runner.id} ended the stream early; repeat the call"
             )
@@ -197,10 +197,19 @@
 
 
 class HttpServiceAdapter:
-    """Talk to plain services over HTTP."""
+    """Talk to plain services over HTTP.
 
-    def __init__(self, client: httpx.AsyncClient):
+    Parameters
+    ----------
+    client : httpx.AsyncClient
+        Keeps connections open; for requests that may be repeated.
+    fresh : httpx.AsyncClient
+        Keeps no connection, so that a stale one cannot make an outcome unknown.
+    """
+
+    def __init__(self, client: httpx.AsyncClient, fresh: httpx.AsyncClient):
         self.client = client
+        self.fresh = fresh
 
     async def act(
         self,
@@ -210,9 +219,12 @@
         *,
         key: str,
         timeout_s: float,
+        trace: str = "",
     ) -> structures.ActionResult:
         """Send one action and return the service's answer.
 
+        A key marks the action as non-idempotent; it then uses a connection of its own.
+
         Raises
         ------
         RunnerUnreachableError
@@ -223,30 +235,98 @@
         headers = {"Content-Type": "application/json"}
         if key:
             headers["Idempotency-Key"] = key
+        if trace:
+            headers["traceparent"] = trace
+        client = self.fresh if key else self.client
+        connected = anyio.Event()
         try:
-            reply = await self.client.post(
-                f"{runner.address}/{path}",
-                content=msgspec.json.encode(payload),
-                headers=headers,
-                timeout=httpx.Timeout(timeout_s, connect=min(timeout_s, CONNECT_TIMEOUT_S)),
-            )
+            with anyio.fail_after(timeout_s):
+                reply = await client.post(
+                    f"{runner.address}/{path}",
+                    content=msgspec.json.encode(payload),
+                    headers=headers,
+                    timeout=httpx.Timeout(timeout_s, connect=min(timeout_s, CONNECT_TIMEOUT_S)),
+                    extensions={"trace": note_connection(connected)},
+                )
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
-            raise exceptions.RunnerUnreachableError(
-                f"runner {runner.id} refused the connection; another runner may answer"
-            ) from error
-        except httpx.HTTPError as error:
+            raise unreachable(runner) from error
+        except (httpx.HTTPError, TimeoutError) as error:
+            if not connected.is_set():
+                raise unreachable(runner) from error
             raise exceptions.OutcomeUnknownError(
                 f"runner {runner.id} did not answer ({type(error).__name__}); "
                 "ask the service what became of the idempotency key"
             ) from error
-        body = msgspec.json.decode(reply.content) if reply.content else None
-        return structures.ActionResult(status=reply.status_code, body=body, not_run="false")
+        return structures.ActionResult(
+            status=reply.status_code,
+            body=body_of(reply),
+            not_run="unknown" if unsettled(reply.status_code) else "false",
+        )
+
+    async def outcome(
+        self, runner: structures.RunnerView, key: str
+    ) -> structures.ActionResult | None:
+        """Return what a service recorded for a key, or None when it does not know it."""
+        try:
+            with anyio.fail_after(CONNECT_TIMEOUT_S):
+                reply = await self.client.get(
+                    f"{runner.address}/outcomes/{urllib.parse.quote(key, safe='')}"
+                )
+            if reply.status_code != httpx.codes.OK:
+                return None
+            found = msgspec.json.decode(reply.content, type=OutcomeReport)
+        except (httpx.HTTPError, TimeoutError, msgspec.DecodeError) as error:
+            raise exceptions.RunnerFailedError(
+                f"runner {runner.id} did not report the outcome of the key; it is asked again"
+            ) from error
+        return structures.ActionResult(status=found.status, body=found.body, not_run="false")
 
     async def load(self, runner: structures.RunnerView) -> LoadReport:
         """Return the runner's load."""
         return await load_of(self.client, runner)
 
 
+class OutcomeReport(msgspec.Struct):
+    """Answer of a service to ``GET /outcomes/{key}``."""
+
+    status: int
+    body: typing.Any = None
+
+
+def unsettled(status: int) -> bool:
+    """Return whether a status leaves open if the action was executed."""
+    return status == httpx.codes.TOO_MANY_REQUESTS or status >= httpx.codes.INTERNAL_SERVER_ERROR
+
+
+def body_of(reply: httpx.Response) -> typing.Any:
+    """Return the decoded body, or its text when it is not JSON."""
+    if not reply.content:
+        return None
+    try:
+        return msgspec.json.decode(reply.content)
+    except msgspec.DecodeError:
+        return reply.text
+
+
+def unreachable(runner: structures.RunnerView) -> exceptions.RunnerUnreachableError:
+    """Return the error for a connection that failed before one byte was sent."""
+    return exceptions.RunnerUnreachableError(
+        f"runner {runner.id} refused the connection; another runner may answer"
+    )
+
+
+def note_connection(
+    connected: anyio.Event,
+) -> collections.abc.Callable[[str, typing.Any], collections.abc.Awaitable[None]]:
+    """Return a trace callback that sets ``connected`` before the first byte is written."""
+
+    async def trace(name: str, info: typing.Any) -> None:
+        if "send_request_headers.started" in name:
+            connected.set()
+
+    return trace
+
+
 async def load_of(client: httpx.AsyncClient, runner: structures.RunnerView) -> LoadReport:
     """Fetch a load report."""
     try:
@@ -268,10 +348,32 @@
     )
 
 
-def check_chunk(line: str, runner: structures.RunnerView, request: Generation) -> Chunk:
+class EventBuffer:
+    """Splits the bytes of an engine's stream into events and checks whose they are."""
+
+    def __init__(self, runner: structures.RunnerView, request: Generation):
+        self.runner = runner
+        self.request = request
+        self.rest = b""
+        self.finished = False
+
+    def feed(self, data: bytes) -> list[Chunk]:
+        """Return the chunks of all lines that ``data`` completes."""
+        lines = (self.rest + data).split(b"\n")
+        self.rest = lines.pop()
+        batch = []
+        for line in lines:
+            if line.startswith(b"data: [DONE]"):
+                self.finished = True
+            elif line.startswith(b"data: "):
+                batch.append(check_chunk(line[len(b"data: ") :], self.runner, self.request))
+        return batch
+
+
+def check_chunk(data: bytes, runner: structures.RunnerView, request: Generation) -> Chunk:
     """Decode one event and check that it belongs to the request."""
     try:
-        event = _chunk_decoder.decode(line[len("data: ") :])
+        event = _chunk_decoder.decode(data)
     except msgspec.DecodeError as error:
         raise exceptions.RunnerFailedError(
             f"runner {runner.id} sent an unreadable event; repeat the call"
@@ -281,7 +383,9 @@
             f"runner {runner.id} answered request {event.id} instead of {request.request_id}"
         )
     choice = event.choices[0] if event.choices else Choice(Delta())
-    usage = event.usage or Usage()
+    if event.usage is None:
+        return Chunk(event.index, choice.delta.content, choice.finish_reason or "")
+    usage = event.usage
     return Chunk(
         index=event.index,
         text=choice.delta.content,
--- /dev/null
+++ b/src/dogwoodgap/answers.py
@@ -0,0 +1,142 @@
+"""Answers of model calls while they are generated, and their followers."""
+
+import collections.abc
+import dataclasses
+import math
+import typing
+
+import anyio
+
+from dogwoodgap import adapters, exceptions, programs, structures
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Token:
+    """A piece of streamed text."""
+
+    index: int
+    text: str
+
+
+class RunningCall:
+    """A call in progress, and everything that it has produced so far.
+
+    Several requests may follow one call; the call goes on when all of them have gone.
+
+    Attributes
+    ----------
+    ran : bool
+        Whether a runner may have worked on the call.
+    finishing : bool
+        Whether the turn is complete and waits to be stored.
+    ended : anyio.Event
+        Set when no runner works on the call any more.
+    closed : anyio.Event
+        Set when the turn is stored or the call has failed.
+    """
+
+    def __init__(self, seq: int, digest: str):
+        self.seq = seq
+        self.digest = digest
+        self.tokens: list[Token] = []
+        self.turn: structures.Turn | None = None
+        self.error: exceptions.DogwoodgapError | None = None
+        self.changed = anyio.Event()
+        self.scope = anyio.CancelScope()
+        self.cancelled_by: exceptions.DogwoodgapError | None = None
+        self.ran = False
+        self.finishing = False
+        self.ended = anyio.Event()
+        self.closed = anyio.Event()
+
+    def notify(self) -> None:
+        """Wake all followers."""
+        if self.changed.statistics().tasks_waiting:
+            self.changed.set()
+            self.changed = anyio.Event()
+
+    def cancel(self, error: exceptions.DogwoodgapError) -> None:
+        """Stop the call with an error; a turn that is complete is still stored."""
+        if not self.finishing:
+            self.cancelled_by = error
+            self.scope.cancel()
+
+    async def follow(
+        self, deadline_at: float = math.inf
+    ) -> collections.abc.AsyncIterator[list[Token]]:
+        """Yield new tokens in batches until the call has ended.
+
+        Raises
+        ------
+        DogwoodgapError
+            The error of the call.
+        StoreUnavailableError
+            When the turn is complete but not stored at the deadline of the follower.
+        DeadlinePassedError
+            When the call has not ended at the deadline of the follower.
+        """
+        sent = 0
+        while True:
+            if sent < len(self.tokens):
+                batch = self.tokens[sent:]
+                sent += len(batch)
+                yield batch
+                continue
+            if self.error is not None:
+                raise self.error
+            if self.turn is not None:
+                return
+            await self.wait_until(deadline_at, self.changed)
+
+    async def result(self, deadline_at: float = math.inf) -> structures.Turn:
+        """Return the stored turn; raises like :meth:`follow`."""
+        while self.error is None and self.turn is None:
+            await self.wait_until(deadline_at, self.closed)
+        if self.error is not None:
+            raise self.error
+        return typing.cast(structures.Turn, self.turn)
+
+    async def wait_until(self, deadline_at: float, event: anyio.Event) -> None:
+        """Wait for an event, or raise what a follower learns at its deadline."""
+        with anyio.CancelScope(deadline=deadline_at) as scope:
+            await event.wait()
+        if not scope.cancelled_caught:
+            return
+        if self.finishing:
+            raise exceptions.StoreUnavailableError(
+                "the turn is complete and waits to be stored; repeat the same seq to get it",
+                not_run="false",
+            )
+        raise exceptions.DeadlinePassedError(
+            "the call is still in progress; repeat the same seq to follow it",
+            not_run="false" if self.ran else "unknown",
+        )
+
+
+def accept(
+    call: RunningCall, chunk: adapters.Chunk, runner: structures.RunnerView
+) -> adapters.Chunk | None:
+    """Append a chunk's token; return the chunk when it is the last one.
+
+    Raises
+    ------
+    RunnerFailedError
+        When the chunk is late or out of order, or when the answer ended with tokens missing.
+    """
+    if (chunk.text or chunk.finish_reason) and chunk.index != len(call.tokens):
+        raise exceptions.RunnerFailedError(
+            f"runner {runner.id} sent token {chunk.index} instead of {len(call.tokens)}"
+        )
+    if chunk.text:
+        call.tokens.append(Token(chunk.index, chunk.text))
+    return chunk if chunk.finish_reason else None
+
+
+def finished_call(entry: programs.CallEntry) -> RunningCall:
+    """Return a call that has ended, for a repeated request."""
+    call = RunningCall(entry.seq, entry.digest)
+    call.turn = entry.turn
+    call.ended.set()
+    call.closed.set()
+    call.tokens = [Token(0, entry.turn.text)]
+    return call
--- a/src/dogwoodgap/app.py
+++ b/src/dogwoodgap/app.py
@@ -1,212 +1,356 @@
 """The callers' HTTP interface."""
 
 import collections.abc
-import math
+import dataclasses
 import typing
-import uuid
 
-import msgspec
-from starlette import applications, requests, responses, routing
-
-from dogwoodgap import calls, clock, exceptions, keys, models, programs, records, structures
-
-if typing.TYPE_CHECKING:
-    from dogwoodgap import node as node_module
-
-PROBLEM_TYPE = "application/problem+json"
-
-
-class ProgramView(msgspec.Struct):
-    """Answer to ``GET /v1/programs/{id}``."""
-
-    id: str
-    service: str
-    profile: str
-    status: str
-    reason: str
-    budget_tokens: int
-    remaining_tokens: int
-    next_seq: int
-    turns: int
-    parent: str
-    children: list[str]
-
-
-class CallView(msgspec.Struct):
-    """Answer to a call and payload of the ``done`` event."""
-
-    program: str
-    turn: structures.Turn
-
-
-class HistoryView(msgspec.Struct):
-    """Answer to ``GET /v1/programs/{id}/history``."""
-
-    program: str
-    turns: list[structures.Turn]
-
-
-class TokenView(msgspec.Struct):
-    """Payload of a ``token`` event."""
-
-    index: int
-    text: str
-
-
-def answer(value: typing.Any, status: int = 200) -> responses.Response:
-    """Return a JSON response."""
-    return responses.Response(msgspec.json.encode(value), status, media_type="application/json")
-
-
-def refuse(error: exceptions.DogwoodgapError) -> responses.Response:
-    """Return the problem document of an error."""
-    headers = {}
-    if error.retry_after_s:
-        headers["Retry-After"] = str(math.ceil(error.retry_after_s))
-    body = msgspec.json.encode(exceptions.problem(error))
-    return responses.Response(body, error.status, headers, media_type=PROBLEM_TYPE)
-
-
-def server_sent(event: str, value: typing.Any) -> bytes:
-    """Return one server-sent event."""
-    return b"event: " + event.encode() + b"\ndata: " + msgspec.json.encode(value) + b"\n\n"
+import pydantic
+from starlette import requests, responses, routing
+
+from dogwoodgap import actions as actions_module
+from dogwoodgap import (
+    answers,
+    bodies,
+    calls,
+    clock,
+    completions,
+    exceptions,
+    forwarding,
+    intents,
+    keys,
+    lifecycle,
+    middleware,
+    models,
+    openapi,
+    programs,
+    settings,
+    shards,
+    structures,
+    views,
+)
+
+DISCOVERY_TTL_S = 5.0
+FOLLOW_GRACE_S = 0.2
+"""A call learns at its deadline why it ended; its followers wait a little longer for that."""
+
+PICK_ATTEMPTS = 64
+
+Entries = collections.abc.Callable[[str, str], list[views.EntryView]]
+
+
+@dataclasses.dataclass
+class Services:
+    """What the callers' interface needs of a node.
+
+    Attributes
+    ----------
+    entries : callable
+        Returns entry addresses for a customer and a program id, which may be empty.
+    """
+
+    settings: settings.NodeSettings
+    table: programs.ProgramTable
+    calls: calls.Calls
+    actions: actions_module.Actions
+    intents: intents.Intents
+    idempotent: actions_module.IdempotentActions
+    lifecycle: lifecycle.Lifecycle
+    forwarder: forwarding.Forwarder
+    configuration: collections.abc.Callable[[], models.FleetConfiguration]
+    entries: Entries
+    health: collections.abc.Callable[[], views.HealthView]
+    ttl_s: float = DISCOVERY_TTL_S
 
 
 class App:
-    """Routes of the callers' interface over one node."""
+    """Handlers of the callers' interface over one node."""
 
-    def __init__(self, node: "node_module.Node"):
-        self.node = node
+    def __init__(self, services: Services):
+        self.services = services
+        self.limit = services.settings.node.max_body_bytes
 
     def identify(self, request: requests.Request) -> keys.Identity:
-        """Return who sends a request."""
+        """Return the caller who sends a request."""
+        if not self.services.health().ready:
+            raise exceptions.NotReadyError("the node is starting; use another entry address")
         header = request.headers.get("authorization", "")
-        return keys.authenticate(header, self.node.configuration)
+        identity = keys.authenticate(header, self.services.configuration())
+        keys.check_caller(identity)
+        return identity
 
     async def body(self, request: requests.Request, model: type[models.M]) -> models.M:
         """Read and validate a body."""
-        limit = self.node.settings.node.max_body_bytes
-        data = bytearray()
-        async for part in request.stream():
-            data += part
-            if len(data) > limit:
-                raise exceptions.BodyTooLargeError(f"the body exceeds {limit} bytes; send less")
-        return models.parse(model, bytes(data))
+        return models.parse(model, await bodies.read(request, self.limit))
+
+    async def elsewhere(
+        self,
+        request: requests.Request,
+        shard: int,
+        body: bytes | None = None,
+        deadline_s: float = 0.0,
+    ) -> responses.Response | None:
+        """Return the owner's reply when another node owns the shard."""
+        if self.services.forwarder.ownership.owns(shard):
+            return None
+        content = bodies.parts(request, self.limit) if body is None else body
+        return await self.services.forwarder.forward(request, shard, content, deadline_s)
+
+    async def program_elsewhere(
+        self, request: requests.Request, body: bytes | None = None, deadline_s: float = 0.0
+    ) -> responses.Response | None:
+        """Return the reply of the owner of the program in the path when it is another node."""
+        identity = self.identify(request)
+        shard = shards.program_shard(identity.customer, request.path_params["program"])
+        return await self.elsewhere(request, shard, body, deadline_s)
 
     def program(self, request: requests.Request) -> programs.Program:
         """Return the program named by the path, of the sender's customer."""
         identity = self.identify(request)
-        return self.node.table.get(identity.customer, request.path_params["program"])
+        return self.services.table.get(identity.customer, request.path_params["program"])
+
+    def view(self, program: programs.Program, status: int = 200) -> responses.Response:
+        """Return the description of a program."""
+        return views.answer(views.view_of(program, self.services.table), status)
+
+    def pick_id(self, customer: str) -> str:
+        """Return a new program id, of a shard of this node when it owns any."""
+        for _ in range(PICK_ATTEMPTS):
+            picked = lifecycle.new_id()
+            if self.services.forwarder.ownership.owns(shards.program_shard(customer, picked)):
+                break
+        return picked
 
     async def create_program(self, request: requests.Request) -> responses.Response:
-        """Handle ``POST /v1/programs``."""
+        """Create a program, or return the one with this id."""
         identity = self.identify(request)
-        body = await self.body(request, models.ProgramRequest)
-        program = await self.node.create_program(identity.customer, body)
-        return answer(self.view(program), 201)
+        data = await bodies.read(request, self.limit)
+        body = models.parse(models.ProgramRequest, data)
+        keys.check_service(identity, body.service)
+        placed = body.parent or body.id or self.pick_id(identity.customer)
+        shard = shards.program_shard(identity.customer, placed)
+        forwarded = await self.elsewhere(request, shard, data)
+        if forwarded is not None:
+            return forwarded
+        if body.parent is None and body.id is None:
+            body.id = placed
+        return self.view(await self.services.lifecycle.create(identity.customer, body), 201)
 
     async def get_program(self, request: requests.Request) -> responses.Response:
-        """Handle ``GET /v1/programs/{id}``."""
-        return answer(self.view(self.program(request)))
+        """Return the state of a program."""
+        return await self.program_elsewhere(request) or self.view(self.program(request))
 
     async def end_program(self, request: requests.Request) -> responses.Response:
-        """Handle ``DELETE /v1/programs/{id}``."""
+        """End or cancel a program and its children."""
+        forwarded = await self.program_elsewhere(request)
+        if forwarded is not None:
+            return forwarded
         program = self.program(request)
-        await self.node.end_program(program, structures.ProgramStatus.FINISHED, "ended by caller")
-        return answer(self.view(program))
+        status = structures.ProgramStatus.FINISHED
+        if programs.key_of(program) in self.services.calls.running:
+            status = structures.ProgramStatus.CANCELLED
+        await self.services.lifecycle.end(program, status, "ended by its caller")
+        return self.view(program)
 
     async def history(self, request: requests.Request) -> responses.Response:
-        """Handle ``GET /v1/programs/{id}/history``."""
+        """Return the stored turns of a program."""
+        forwarded = await self.program_elsewhere(request)
+        if forwarded is not None:
+            return forwarded
         program = self.program(request)
-        return answer(HistoryView(program.id, program.turns()))
+        turns = self.services.calls.stored_turns(program)
+        return views.answer(views.HistoryView(program.id, turns))
+
+    async def heartbeat(self, request: requests.Request) -> responses.Response:
+        """Extend the idle limit of a program whose tool is slow."""
+        forwarded = await self.program_elsewhere(request)
+        if forwarded is not None:
+            return forwarded
+        program = self.program(request)
+        self.services.lifecycle.touch(program)
+        return self.view(program)
 
     async def call(self, request: requests.Request) -> responses.Response:
-        """Handle ``POST /v1/programs/{id}/calls``."""
+        """Run the next call of a program, or attach to the one with this number."""
+        forwarded = await self.program_elsewhere(request)
+        if forwarded is not None:
+            return forwarded
         program = self.program(request)
         body = await self.body(request, models.CallRequest)
-        deadline_s = body.deadline_seconds or self.node.profile(program).call_deadline_seconds
-        running = self.node.calls.submit(program, body, deadline_s)
+        default = self.services.lifecycle.profile(program).call_deadline_seconds
+        deadline_s = default if body.deadline_seconds is None else body.deadline_seconds
+        running = self.submit(program, body, deadline_s, request.headers.get("traceparent", ""))
+        follow_until = clock.now() + deadline_s + FOLLOW_GRACE_S
         if body.stream:
             return responses.StreamingResponse(
-                self.events(program.id, running), media_type="text/event-stream"
+                stream_events(program.id, running, follow_until), media_type="text/event-stream"
             )
-        async for _ in running.follow():
-            pass
-        return answer(CallView(program.id, running.turn))
-
-    async def events(
-        self, program: str, running: calls.RunningCall
-    ) -> collections.abc.AsyncIterator[bytes]:
-        """Yield the server-sent events of a call."""
-        try:
-            async for batch in running.follow():
-                yield b"".join(
-                    server_sent("token", TokenView(token.index, token.text)) for token in batch
-                )
-            yield server_sent("done", CallView(program, running.turn))
-        except exceptions.DogwoodgapError as error:
-            yield server_sent("error", exceptions.problem(error))
-
-    def view(self, program: programs.Program) -> ProgramView:
-        """Describe a program to its caller."""
-        return ProgramView(
-            id=program.id,
-            service=program.service,
-            profile=program.profile,
-            status=program.status,
-            reason=program.reason,
-            budget_tokens=program.budget_tokens,
-            remaining_tokens=self.node.table.remaining_tokens(program),
-            next_seq=program.next_seq,
-            turns=program.turn_count,
-            parent=program.parent,
-            children=program.children,
-        )
-
-    async def health(self, request: requests.Request) -> responses.Response:
-        """Handle ``GET /health``."""
-        return answer({"node": self.node.settings.node.name, "ready": self.node.ready})
-
+        turn = await running.result(follow_until)
+        return views.answer(views.CallView(program.id, turn))
+
+    def submit(
+        self, program: programs.Program, body: models.CallRequest, deadline_s: float, trace: str
+    ) -> answers.RunningCall:
+        """Start a call within the program's limits, or attach to it."""
+        digest = calls.prompts.digest_of(body)
+        attached = self.services.calls.attach(program, body, digest)
+        if attached is not None:
+            return attached
+        self.services.lifecycle.check_limits(program, digest)
+        return self.services.calls.submit(program, body, deadline_s, trace)
+
+    async def program_action(self, request: requests.Request) -> responses.Response:
+        """Run the next action of a program; an urgent idempotent one needs no number."""
+        identity = self.identify(request)
+        data = await bodies.read(request, self.limit)
+        body = models.parse(models.ActionRequest, data)
+        order = self.order(request, identity, body)
+        if body.urgent and body.idempotent and body.seq is None:
+            return views.answer_action(await self.services.idempotent.run(order))
+        if body.seq is None:
+            raise exceptions.InvalidRequestError(
+                "seq is missing; number the action, or mark it urgent and idempotent"
+            )
+        forwarded = await self.program_elsewhere(request, data, body.deadline_seconds)
+        if forwarded is not None:
+            return forwarded
+        program = self.program(request)
+        authorization = request.headers.get("authorization", "")
+        result = await self.services.actions.run(program, body.seq, order, authorization)
+        return views.answer_action(result)
 
-async def on_error(request: requests.Request, error: Exception) -> responses.Response:
-    """Turn a typed error into its problem document."""
-    return refuse(typing.cast(exceptions.DogwoodgapError, error))
+    async def action(self, request: requests.Request) -> responses.Response:
+        """Run an action outside programs."""
+        identity = self.identify(request)
+        data = await bodies.read(request, self.limit)
+        body = models.parse(models.ActionRequest, data)
+        order = self.order(request, identity, body)
+        if body.idempotent:
+            return views.answer_action(await self.services.idempotent.run(order))
+        shard = shards.key_shard(identity.customer, order.key)
+        forwarded = await self.elsewhere(request, shard, data, body.deadline_seconds)
+        if forwarded is not None:
+            return forwarded
+        return views.answer_action(await self.services.intents.run(order))
+
+    def order(
+        self, request: requests.Request, identity: keys.Identity, body: models.ActionRequest
+    ) -> intents.Order:
+        """Return the action that a request describes."""
+        service = request.path_params["service"]
+        keys.check_service(identity, service)
+        configured = self.services.configuration().services
+        if service not in configured or configured[service].kind != "plain":
+            known = [name for name, item in configured.items() if item.kind == "plain"]
+            raise exceptions.UnknownServiceError(
+                f"{service!r} is no plain service; use one of {', '.join(sorted(known))}"
+            )
+        return intents.Order(
+            customer=identity.customer,
+            key="" if body.idempotent else key_of(request),
+            service=service,
+            path=request.path_params["path"],
+            payload=body.payload,
+            deadline_at=clock.now() + body.deadline_seconds,
+            trace=request.headers.get("traceparent", ""),
+            urgent=body.urgent,
+        )
 
+    async def entries(self, request: requests.Request) -> responses.Response:
+        """Return the entry addresses to use."""
+        identity = self.identify(request)
+        program = request.query_params.get("program", "")
+        found = self.services.entries(identity.customer, program)
+        return views.answer(views.EntriesView(found, self.services.ttl_s))
 
-def build(node: "node_module.Node") -> applications.Starlette:
-    """Return the ASGI application of a node."""
-    app = App(node)
+    async def health(self, request: requests.Request) -> responses.Response:
+        """Return whether the node is alive and ready."""
+        return views.answer(self.services.health())
+
+    async def openapi(self, request: requests.Request) -> responses.Response:
+        """Return the description of this interface."""
+        return views.answer(openapi.document(ROUTES))
+
+
+def key_of(request: requests.Request) -> str:
+    """Return the idempotency key of a request."""
+    key = request.headers.get("idempotency-key", "")
+    try:
+        return _key_type.validate_python(key)
+    except pydantic.ValidationError as error:
+        raise exceptions.InvalidRequestError(
+            "send the header Idempotency-Key with 1 to 128 letters, digits or _.:- "
+            "or mark the action idempotent"
+        ) from error
+
+
+_key_type = pydantic.TypeAdapter(models.Name)
+
+
+async def stream_events(
+    program: str, running: answers.RunningCall, deadline_at: float
+) -> collections.abc.AsyncIterator[bytes]:
+    """Yield the server-sent events of a call."""
+    try:
+        async for batch in running.follow(deadline_at):
+            yield views.token_events(batch)
+        turn = typing.cast(structures.Turn, running.turn)
+        yield views.server_sent("done", views.CallView(program, turn))
+    except exceptions.DogwoodgapError as error:
+        yield views.server_sent("error", exceptions.problem(error))
+
+
+R = openapi.Operation
+ROUTES = [
+    R("GET", "/health", "health", None, views.HealthView),
+    R("GET", "/openapi.json", "openapi", None, None),
+    R("GET", "/v1/entries", "entries", None, views.EntriesView, query=("program",)),
+    R("POST", "/v1/programs", "create_program", models.ProgramRequest, views.ProgramView, 201),
+    R("GET", "/v1/programs/{program}", "get_program", None, views.ProgramView),
+    R("DELETE", "/v1/programs/{program}", "end_program", None, views.ProgramView),
+    R("GET", "/v1/programs/{program}/history", "history", None, views.HistoryView),
+    R("POST", "/v1/programs/{program}/heartbeat", "heartbeat", None, views.ProgramView),
+    R("POST", "/v1/programs/{program}/calls", "call", models.CallRequest, views.CallView),
+    R(
+        "POST",
+        "/v1/programs/{program}/actions/{service}/{path:path}",
+        "program_action",
+        models.ActionRequest,
+        structures.ActionResult,
+        headers=("Idempotency-Key",),
+    ),
+    R(
+        "POST",
+        "/v1/actions/{service}/{path:path}",
+        "action",
+        models.ActionRequest,
+        structures.ActionResult,
+        headers=("Idempotency-Key",),
+    ),
+    R(
+        "POST",
+        "/v1/chat/completions",
+        "chat",
+        models.ChatRequest,
+        completions.Completion,
+        headers=(completions.PROGRAM_HEADER,),
+    ),
+]
+
+
+def build(
+    services: Services, extra: collections.abc.Sequence[routing.BaseRoute] = ()
+) -> middleware.Problems:
+    """Return the ASGI application of a node; ``extra`` adds routes of other modules."""
+    handlers = App(services)
+    chat = completions.Completions(handlers)
     routes = [
-        routing.Route("/health", app.health),
-        routing.Route("/v1/programs", app.create_program, methods=["POST"]),
-        routing.Route("/v1/programs/{program}", app.get_program, methods=["GET"]),
-        routing.Route("/v1/programs/{program}", app.end_program, methods=["DELETE"]),
-        routing.Route("/v1/programs/{program}/history", app.history, methods=["GET"]),
-        routing.Route("/v1/programs/{program}/calls", app.call, methods=["POST"]),
+        routing.Route(
+            operation.path,
+            chat.chat if operation.handler == "chat" else getattr(handlers, operation.handler),
+            methods=[operation.method],
+            name=operation.handler,
+        )
+        for operation in ROUTES
     ]
-    return applications.Starlette(
-        routes=routes, exception_handlers={exceptions.DogwoodgapError: on_error}
-    )
-
-
-def new_program_id() -> str:
-    """Return a fresh program id."""
-    return uuid.uuid4().hex
-
-
-def created_record(
-    customer: str, body: models.ProgramRequest, profile: models.Profile, name: str
-) -> records.ProgramCreated:
-    """Return the record of a new program."""
-    now = clock.wall()
-    lifetime = body.deadline_seconds or profile.max_wall_seconds
-    return records.ProgramCreated(
-        customer=customer,
-        program=body.id or new_program_id(),
-        service=body.service,
-        profile=name,
-        budget_tokens=body.budget_tokens or profile.budget_tokens,
-        created_at=now,
-        deadline_at=now + lifetime,
-        parent=body.parent or "",
-    )
+    router = routing.Router([*routes, *extra], redirect_slashes=False)
+    return middleware.Problems(router)
--- a/src/dogwoodgap/calls.py
+++ b/src/dogwoodgap/calls.py
@@ -1,82 +1,47 @@
 """Model calls of programs: order, budget, dispatch and streaming."""
 
 import collections.abc
-import dataclasses
-import uuid
+import contextlib
+import logging
 
 import anyio
 import anyio.abc
 
 from dogwoodgap import (
     adapters,
+    answers,
     clock,
+    events,
     exceptions,
     journal,
     models,
     programs,
+    prompts,
     records,
     scheduler,
     structures,
 )
 
-MESSAGE_OVERHEAD_TOKENS = 8
 MAX_ATTEMPTS = 3
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Token:
-    """A piece of streamed text."""
-
-    index: int
-    text: str
-
-
-class RunningCall:
-    """A call in progress, and everything that it has produced so far.
-
-    Several requests may follow one call; the call goes on when all of them have gone.
-    """
-
-    def __init__(self, digest: str):
-        self.digest = digest
-        self.tokens: list[Token] = []
-        self.turn: structures.Turn | None = None
-        self.error: exceptions.DogwoodgapError | None = None
-        self.changed = anyio.Event()
-
-    def notify(self) -> None:
-        """Wake all followers."""
-        self.changed.set()
-        self.changed = anyio.Event()
-
-    async def follow(self) -> collections.abc.AsyncIterator[list[Token]]:
-        """Yield new tokens in batches until the call has ended; raises its error."""
-        sent = 0
-        while True:
-            changed = self.changed
-            if sent < len(self.tokens):
-                batch = self.tokens[sent:]
-                sent += len(batch)
-                yield batch
-                continue
-            if self.error is not None:
-                raise self.error
-            if self.turn is not None:
-                return
-            await changed.wait()
-
-
-def reservation(messages: list[models.Message], max_tokens: int) -> int:
-    """Return an upper bound of the tokens that a call adds to the conversation.
-
-    No tokenizer makes more tokens than there are bytes.
-    """
-    text_bytes = sum(len(message.content.encode()) for message in messages)
-    return text_bytes + MESSAGE_OVERHEAD_TOKENS * len(messages) + max_tokens
+Holds = collections.abc.Callable[[programs.Program, structures.RunnerView], None]
 
 
 class Calls:
-    """Runs model calls of the programs that the node owns."""
+    """Runs model calls of the programs that the node owns.
+
+    Parameters
+    ----------
+    dispatchers : mapping
+        Dispatcher of each model service.
+    tasks : anyio.abc.TaskGroup
+        Runs the calls, which outlive the requests that follow them.
+    configuration : callable
+        Returns the fleet configuration in force.
+    holds : callable, optional
+        Told ``(program, runner)`` before a call is sent, so that the memory can be released.
+    """
 
     def __init__(
         self,
@@ -85,13 +50,17 @@
         engine: adapters.EngineAdapter,
         dispatchers: collections.abc.Mapping[str, scheduler.Dispatcher],
         tasks: anyio.abc.TaskGroup,
+        configuration: collections.abc.Callable[[], models.FleetConfiguration],
+        holds: Holds | None = None,
     ):
         self.table = table
         self.log = log
         self.engine = engine
         self.dispatchers = dispatchers
         self.tasks = tasks
-        self.running: dict[programs.ProgramKey, RunningCall] = {}
+        self.configuration = configuration
+        self.holds = holds
+        self.running: dict[programs.ProgramKey, answers.RunningCall] = {}
 
     def record(self, *batch: records.Record) -> journal.Commit:
         """Apply records and queue them for the journal."""
@@ -99,42 +68,66 @@
             self.table.apply(record)
         return self.log.stage(*batch)
 
-    def submit(
-        self, program: programs.Program, request: models.CallRequest, deadline_s: float
-    ) -> RunningCall:
-        """Start a call, or return the one that already runs or ran with this number.
+    def attach(
+        self, program: programs.Program, request: models.CallRequest, digest: str
+    ) -> answers.RunningCall | None:
+        """Return the call with this number and body that runs or has finished.
 
         Raises
         ------
-        SequenceConflictError, SequenceGapError, ProgramFinishedError, BudgetExceededError
-            When the call cannot start; nothing was run.
+        SequenceConflictError
+            When the number was used with another body.
         """
-        digest = programs.digest_of(
-            [request.max_tokens, [message.model_dump() for message in request.messages]]
-        )
-        key = programs.ProgramKey(program.customer, program.id)
-        running = self.running.get(key)
         entry = program.entry(request.seq)
-        if entry is not None and entry.digest != digest:
+        if entry is None or (isinstance(entry, programs.ActionEntry) and entry.unused):
+            return None
+        if entry.digest != digest:
             raise exceptions.SequenceConflictError(
                 f"seq {request.seq} was used with another body; continue with {program.next_seq}"
             )
-        if running is not None and entry is not None and entry.seq == request.seq:
+        running = self.running.get(programs.key_of(program))
+        if running is not None and running.seq == request.seq:
             return running
         if isinstance(entry, programs.CallEntry) and entry.turn is not None:
-            return finished_call(entry)
-        if request.seq != program.next_seq or running is not None:
+            return answers.finished_call(entry)
+        return None
+
+    def submit(
+        self,
+        program: programs.Program,
+        request: models.CallRequest,
+        deadline_s: float,
+        trace: str = "",
+    ) -> answers.RunningCall:
+        """Start a call, or return the one that already runs or ran with this number.
+
+        Raises
+        ------
+        SequenceConflictError, SequenceGapError, ProgramFinishedError, BudgetExceededError
+            When the call cannot start; nothing was run.
+        """
+        digest = prompts.digest_of(request)
+        attached = self.attach(program, request, digest)
+        if attached is not None:
+            return attached
+        programs.check_open(program)
+        self.check_order(program, request.seq)
+        return self.start(program, request, digest, clock.now() + deadline_s, trace)
+
+    def check_order(self, program: programs.Program, seq: int) -> None:
+        """Refuse a number that is not the next one, or that comes before the last call ended."""
+        if seq < program.next_seq:
+            raise exceptions.SequenceConflictError(
+                f"seq {seq} was used with another request; continue with {program.next_seq}"
+            )
+        if seq != program.next_seq:
             raise exceptions.SequenceGapError(
-                f"seq {request.seq} is not the next one; continue with {program.next_seq}"
+                f"seq {seq} is not the next one; continue with {program.next_seq}"
             )
-        self.check_open(program)
-        return self.start(program, request, digest, deadline_s)
-
-    def check_open(self, program: programs.Program) -> None:
-        """Refuse work for an ended program."""
-        if program.status != structures.ProgramStatus.ACTIVE:
-            raise exceptions.ProgramFinishedError(
-                f"program {program.id!r} is {program.status}; create a new program"
+        running = self.running.get(programs.key_of(program))
+        if running is not None:
+            raise exceptions.SequenceGapError(
+                f"seq {running.seq} has not ended yet; wait for its result"
             )
 
     def start(
@@ -142,10 +135,11 @@
         program: programs.Program,
         request: models.CallRequest,
         digest: str,
-        deadline_s: float,
-    ) -> RunningCall:
+        deadline_at: float,
+        trace: str,
+    ) -> answers.RunningCall:
         """Reserve the budget and run the call in a task of its own."""
-        reserved = reservation(request.messages, request.max_tokens)
+        reserved = prompts.reservation(request.messages, request.max_tokens)
         remaining = self.table.remaining_tokens(program)
         if reserved > remaining:
             raise exceptions.BudgetExceededError(
@@ -162,25 +156,19 @@
                 at=clock.wall(),
             )
         )
-        call = RunningCall(digest)
-        key = programs.ProgramKey(program.customer, program.id)
-        self.running[key] = call
-        deadline_at = clock.now() + deadline_s
-        self.tasks.start_soon(self.run, key, call, program, request, started, deadline_at)
+        call = answers.RunningCall(request.seq, digest)
+        self.running[programs.key_of(program)] = call
+        work = prompts.Work(call, program, request, started, deadline_at, trace)
+        self.tasks.start_soon(self.run, work)
         return call
 
-    async def run(
-        self,
-        key: programs.ProgramKey,
-        call: RunningCall,
-        program: programs.Program,
-        request: models.CallRequest,
-        started: journal.Commit,
-        deadline_at: float,
-    ) -> None:
+    async def run(self, work: prompts.Work) -> None:
         """Run a call to its end and record how it ended."""
+        call, program = work.call, work.program
         try:
-            turn = await self.attempt(call, program, request, started, deadline_at)
+            turn = await self.attempt_in_time(work)
+            call.finishing = True
+            call.ended.set()
             await self.record(
                 records.CallFinished(customer=program.customer, program=program.id, turn=turn)
             ).wait()
@@ -188,60 +176,92 @@
         except exceptions.JournalSealedError as error:
             call.error = error
         except exceptions.DogwoodgapError as error:
-            call.error = await self.record_failure(program, request, call, error)
+            call.error = error
+            self.record_failure(work, error)
+        except Exception as error:
+            call.error = exceptions.DogwoodgapError(
+                "the node failed while it ran the call; repeat the same seq"
+            )
+            events.emit(
+                events.Event.CALL_FAILED,
+                "unexpected error in a call",
+                level=logging.ERROR,
+                program=program.id,
+                detail=repr(error),
+            )
+            self.record_failure(work, call.error)
         finally:
-            self.running.pop(key, None)
+            self.running.pop(programs.key_of(program), None)
+            call.ended.set()
+            call.closed.set()
             call.notify()
 
-    async def record_failure(
-        self,
-        program: programs.Program,
-        request: models.CallRequest,
-        call: RunningCall,
-        error: exceptions.DogwoodgapError,
-    ) -> exceptions.DogwoodgapError:
-        """Journal a failed call and return the error for its followers."""
-        entry = program.calls[request.seq]
-        charged = 0 if error.not_run == "true" else entry.reserved_tokens
-        commit = self.record(
+    def record_failure(self, work: prompts.Work, error: exceptions.DogwoodgapError) -> None:
+        """Journal a failed call without waiting for it.
+
+        The answer may go out first: a successor that finds only the start record charges the
+        whole reservation, which is never less than what is charged here.
+        """
+        entry = work.program.calls[work.request.seq]
+        self.record(
             records.CallFailed(
-                customer=program.customer,
-                program=program.id,
-                seq=request.seq,
-                digest=call.digest,
-                charged_tokens=charged,
+                customer=work.program.customer,
+                program=work.program.id,
+                seq=work.request.seq,
+                digest=work.call.digest,
+                charged_tokens=entry.reserved_tokens if work.call.ran else 0,
                 code=error.code,
                 at=clock.wall(),
             )
         )
+
+    async def attempt_in_time(self, work: prompts.Work) -> structures.Turn:
+        """Run the attempts until the deadline or until the program ends."""
+        call = work.call
+        call.scope.deadline = work.deadline_at
+        turn = None
         try:
-            await commit.wait()
-        except exceptions.JournalSealedError as sealed:
-            return sealed
-        return error
+            with call.scope:
+                turn = await self.attempt(work)
+        except exceptions.DogwoodgapError as error:
+            if call.ran and error.not_run == "true":
+                # A later attempt was refused, but an earlier one reached a runner.
+                error.not_run = "unknown"
+            raise
+        if turn is not None:
+            return turn
+        raise self.stopped(work)
+
+    def stopped(self, work: prompts.Work) -> exceptions.DogwoodgapError:
+        """Return why a call was stopped before its turn was complete."""
+        not_run: exceptions.NotRun = "false" if work.call.ran else "true"
+        error = work.call.cancelled_by
+        if error is not None:
+            return type(error)(error.detail, not_run=not_run)
+        if not work.started.stored.is_set():
+            return exceptions.StoreUnavailableError(
+                "the start of the call could not be stored before the deadline; repeat it later",
+                not_run=not_run,
+            )
+        return exceptions.DeadlinePassedError(
+            "the call did not finish before its deadline; repeat it with a later one",
+            not_run=not_run,
+        )
 
-    async def attempt(
-        self,
-        call: RunningCall,
-        program: programs.Program,
-        request: models.CallRequest,
-        started: journal.Commit,
-        deadline_at: float,
-    ) -> structures.Turn:
+    async def attempt(self, work: prompts.Work) -> structures.Turn:
         """Place the call, stream it, and return the turn; resumes on another runner."""
-        dispatcher = self.dispatchers.get(program.service)
+        dispatcher = self.dispatchers.get(work.program.service)
         if dispatcher is None:
             raise exceptions.UnknownServiceError(
-                f"service {program.service!r} is not configured; ask an operator to add it"
+                f"service {work.program.service!r} is not configured; ask an operator to add it"
             )
-        item = work_item(program, request, deadline_at)
+        item = self.work_item(work)
         for attempt in range(MAX_ATTEMPTS):
             placement = await dispatcher.acquire(item)
             failed = True
             try:
-                if attempt == 0:
-                    await started.wait()
-                turn = await self.stream(call, program, request, placement)
+                await work.started.wait()
+                turn = await self.stream(work, placement)
                 failed = False
                 return turn
             except exceptions.RunnerFailedError:
@@ -252,44 +272,40 @@
                 dispatcher.release(placement, failed=failed)
         raise exceptions.RunnerFailedError("no attempt was left; repeat the call")
 
-    async def stream(
-        self,
-        call: RunningCall,
-        program: programs.Program,
-        request: models.CallRequest,
-        placement: structures.Placement,
-    ) -> structures.Turn:
-        """Stream one answer from a runner."""
-        new = [structures.Text(message.role, message.content) for message in request.messages]
-        generation = adapters.Generation(
-            request_id=uuid.uuid4().hex,
-            model=program.service,
-            messages=[*conversation(program), *new],
-            max_tokens=request.max_tokens,
-            priority=placement.priority,
-            session=f"{program.customer}/{program.id}",
-            resume_from=len(call.tokens),
-        )
-        last: adapters.Chunk | None = None
-        async for chunk in self.engine.generate(placement.runner, generation):
-            if chunk.text:
-                if chunk.index != len(call.tokens):
-                    raise exceptions.RunnerFailedError(
-                        f"runner {placement.runner.id} sent token {chunk.index} out of order"
-                    )
-                call.tokens.append(Token(chunk.index, chunk.text))
-                call.notify()
-            if chunk.finish_reason:
-                last = chunk
-        if last is None:
-            raise exceptions.RunnerFailedError(
-                f"runner {placement.runner.id} sent no finish reason; repeat the call"
-            )
+    def work_item(self, work: prompts.Work) -> structures.WorkItem:
+        """Describe a call to the scheduler, with the weights of its profile and customer."""
+        item = prompts.work_item(work.program, work.request, work.deadline_at)
+        configuration = self.configuration()
+        profile = configuration.profiles.get(work.program.profile, models.Profile())
+        customer = configuration.customers.get(work.program.customer, models.Customer())
+        item.attained_tokens = self.table.root(work.program).spent_tokens
+        item.digest = work.call.digest
+        item.urgency = profile.urgency
+        item.latency_weight = profile.latency_weight
+        item.cache_weight = profile.cache_weight
+        item.share_weight = profile.share_weight * customer.weight
+        return item
+
+    async def stream(self, work: prompts.Work, placement: structures.Placement) -> structures.Turn:
+        """Stream one answer from a runner, and order it to stop when it is not wanted."""
+        generation = prompts.generation_of(work, placement)
+        if self.holds is not None:
+            self.holds(work.program, placement.runner)
+        before = work.call.ran
+        work.call.ran = True
+        try:
+            last = await self.receive(work.call, placement.runner, generation)
+        except exceptions.RunnerFailedError as error:
+            work.call.ran = before or error.not_run != "true"
+            raise
+        except anyio.get_cancelled_exc_class():
+            self.tasks.start_soon(self.stop, placement.runner, generation.request_id)
+            raise
         return structures.Turn(
-            seq=request.seq,
-            digest=call.digest,
-            messages=new,
-            text="".join(token.text for token in call.tokens),
+            seq=work.request.seq,
+            digest=work.call.digest,
+            messages=prompts.texts(work.request),
+            text="".join(token.text for token in work.call.tokens),
             prompt_tokens=last.prompt_tokens,
             cached_tokens=last.cached_tokens,
             output_tokens=last.output_tokens,
@@ -298,40 +314,44 @@
             finished_at=clock.wall(),
         )
 
-
-def conversation(program: programs.Program) -> list[structures.Text]:
-    """Return the messages of all finished turns."""
-    messages: list[structures.Text] = []
-    for turn in program.turns():
-        messages.extend(turn.messages)
-        messages.append(structures.Text("assistant", turn.text))
-    return messages
-
-
-def finished_call(entry: programs.CallEntry) -> RunningCall:
-    """Return a call that has ended, for a repeated request."""
-    call = RunningCall(entry.digest)
-    call.turn = entry.turn
-    call.tokens = [Token(0, entry.turn.text)]
-    return call
-
-
-def work_item(
-    program: programs.Program, request: models.CallRequest, deadline_at: float
-) -> structures.WorkItem:
-    """Describe a call to the scheduler."""
-    turns = program.turns()
-    return structures.WorkItem(
-        program=program.id,
-        customer=program.customer,
-        service=program.service,
-        profile=program.profile,
-        prompt_tokens=program.context_tokens() + reservation(request.messages, 0),
-        max_tokens=request.max_tokens,
-        attained_tokens=program.spent_tokens,
-        enqueued_at=clock.now(),
-        deadline_at=deadline_at,
-        prefix_runner=turns[-1].runner if turns else "",
-        prefix_tokens=program.context_tokens(),
-        turns=len(turns),
-    )
+    async def receive(
+        self,
+        call: answers.RunningCall,
+        runner: structures.RunnerView,
+        generation: adapters.Generation,
+    ) -> adapters.Chunk:
+        """Append the tokens of an answer to the call and return the last chunk."""
+        last: adapters.Chunk | None = None
+        async with contextlib.aclosing(self.engine.generate(runner, generation)) as batches:
+            async for batch in batches:
+                for chunk in batch:
+                    last = answers.accept(call, chunk, runner) or last
+                call.notify()
+        if last is None:
+            raise exceptions.RunnerFailedError(
+                f"runner {runner.id} sent no finish reason; repeat the call"
+            )
+        return last
+
+    async def stop(self, runner: structures.RunnerView, request_id: str) -> None:
+        """Order a runner to stop a stream; closing the connection stops it as well."""
+        with contextlib.suppress(exceptions.RunnerFailedError):
+            await self.engine.cancel(runner, request_id)
+
+    def cancel(
+        self, program: programs.Program, error: exceptions.DogwoodgapError
+    ) -> anyio.Event | None:
+        """Stop the running call of a program; the event is set when no runner works on it."""
+        running = self.running.get(programs.key_of(program))
+        if running is None:
+            return None
+        running.cancel(error)
+        return running.ended
+
+    def stored_turns(self, program: programs.Program) -> list[structures.Turn]:
+        """Return the turns that are in the journal."""
+        running = self.running.get(programs.key_of(program))
+        turns = program.turns()
+        if running is not None and turns and turns[-1].seq == running.seq:
+            return turns[:-1]
+        return turns
--- /dev/null
+++ b/src/dogwoodgap/completions.py
@@ -0,0 +1,265 @@
+"""The common chat form of a call."""
+
+import collections.abc
+import typing
+
+import msgspec
+from starlette import requests, responses
+
+from dogwoodgap import (
+    answers,
+    bodies,
+    clock,
+    exceptions,
+    keys,
+    models,
+    programs,
+    prompts,
+    shards,
+    structures,
+    views,
+)
+
+if typing.TYPE_CHECKING:
+    from dogwoodgap import app
+
+PROGRAM_HEADER = "Dogwoodgap-Program"
+DEFAULT_MAX_TOKENS = 256
+FOLLOW_GRACE_S = 0.2
+
+
+class Reply(msgspec.Struct):
+    """The message of a completion."""
+
+    content: str
+    role: str = "assistant"
+
+
+class Choice(msgspec.Struct):
+    """The only choice of a completion."""
+
+    message: Reply
+    finish_reason: str
+    index: int = 0
+
+
+class Usage(msgspec.Struct):
+    """Token counts of a completion."""
+
+    prompt_tokens: int
+    completion_tokens: int
+    total_tokens: int
+
+
+class Completion(msgspec.Struct):
+    """Answer to ``POST /v1/chat/completions``."""
+
+    id: str
+    model: str
+    created: int
+    choices: list[Choice]
+    usage: Usage
+    object: str = "chat.completion"
+
+
+class Delta(msgspec.Struct, omit_defaults=True):
+    """A piece of the message."""
+
+    content: str = ""
+    role: str = ""
+
+
+class DeltaChoice(msgspec.Struct):
+    """The only choice of a chunk."""
+
+    delta: Delta
+    finish_reason: str | None = None
+    index: int = 0
+
+
+class CompletionChunk(msgspec.Struct):
+    """One event of a streamed completion."""
+
+    id: str
+    model: str
+    created: int
+    choices: list[DeltaChoice]
+    object: str = "chat.completion.chunk"
+
+
+class ErrorEvent(msgspec.Struct):
+    """The event that ends a failed stream."""
+
+    error: exceptions.Problem
+
+
+class Step(typing.NamedTuple):
+    """The call that a conversation asks for."""
+
+    seq: int
+    messages: list[structures.Text]
+
+
+class Completions:
+    """Handler of the common chat form."""
+
+    def __init__(self, handlers: "app.App"):
+        self.app = handlers
+
+    async def chat(self, request: requests.Request) -> responses.Response:
+        """Answer a conversation; the program named in the header is continued."""
+        identity = self.app.identify(request)
+        data = await bodies.read(request, self.app.limit)
+        body = models.parse(models.ChatRequest, data)
+        keys.check_service(identity, body.model)
+        named = request.headers.get(PROGRAM_HEADER, "")
+        placed = named or self.app.pick_id(identity.customer)
+        shard = shards.program_shard(identity.customer, placed)
+        deadline_s = models.Profile().call_deadline_seconds
+        forwarded = await self.app.elsewhere(request, shard, data, deadline_s)
+        if forwarded is not None:
+            return forwarded
+        sent = [text_of(message, number) for number, message in enumerate(body.messages)]
+        if named:
+            program = self.app.services.table.get(identity.customer, named)
+            check_model(program, body.model)
+        else:
+            wanted = models.ProgramRequest(id=placed, service=body.model)
+            program = await self.app.services.lifecycle.create(identity.customer, wanted)
+        try:
+            running, deadline_s = self.submit(program, body, sent, request)
+        except exceptions.DogwoodgapError:
+            if not named:
+                self.end(program)
+            raise
+        if not named:
+            self.app.services.calls.tasks.start_soon(self.end_after, program, running)
+        return await self.respond(program, running, body, clock.now() + deadline_s)
+
+    def submit(
+        self,
+        program: programs.Program,
+        body: models.ChatRequest,
+        sent: list[structures.Text],
+        request: requests.Request,
+    ) -> tuple[answers.RunningCall, float]:
+        """Start the call that a conversation asks for, or attach to it."""
+        step = self.step_of(program, sent)
+        call = models.CallRequest(
+            seq=step.seq,
+            messages=[
+                models.Message(role=text.role, content=text.content) for text in step.messages
+            ],
+            max_tokens=body.max_completion_tokens or body.max_tokens or DEFAULT_MAX_TOKENS,
+            stream=body.stream,
+        )
+        deadline_s = self.app.services.lifecycle.profile(program).call_deadline_seconds
+        trace = request.headers.get("traceparent", "")
+        return self.app.submit(program, call, deadline_s, trace), deadline_s
+
+    def step_of(self, program: programs.Program, sent: list[structures.Text]) -> Step:
+        """Return which call a conversation asks for.
+
+        A conversation that stops just before the last recorded answer repeats the last call.
+
+        Raises
+        ------
+        HistoryMismatchError
+            When the conversation does not begin with the recorded history.
+        """
+        turns = self.app.services.calls.stored_turns(program)
+        recorded = prompts.conversation_of(turns)
+        if turns and sent == recorded[:-1]:
+            return Step(turns[-1].seq, turns[-1].messages)
+        if sent[: len(recorded)] != recorded or len(sent) == len(recorded):
+            raise exceptions.HistoryMismatchError(
+                f"the first {len(recorded)} messages must equal the recorded history and at least "
+                f"one must follow; read GET /v1/programs/{program.id}/history"
+            )
+        running = self.app.services.calls.running.get(programs.key_of(program))
+        seq = running.seq if running is not None else program.next_seq
+        return Step(seq, sent[len(recorded) :])
+
+    async def respond(
+        self,
+        program: programs.Program,
+        running: answers.RunningCall,
+        body: models.ChatRequest,
+        deadline_at: float,
+    ) -> responses.Response:
+        """Return the completion, streamed or whole."""
+        headers = {PROGRAM_HEADER: program.id}
+        until = deadline_at + FOLLOW_GRACE_S
+        if body.stream:
+            return responses.StreamingResponse(
+                chunks(program, running, until), headers=headers, media_type="text/event-stream"
+            )
+        turn = await running.result(until)
+        return views.answer(completion(program, turn), headers=headers)
+
+    async def end_after(self, program: programs.Program, running: answers.RunningCall) -> None:
+        """End a program of one call when that call is over."""
+        await running.closed.wait()
+        self.end(program)
+
+    def end(self, program: programs.Program) -> None:
+        """End a program of one call."""
+        self.app.services.lifecycle.mark_ended(
+            program, structures.ProgramStatus.FINISHED, "its only call ended"
+        )
+
+
+def check_model(program: programs.Program, model: str) -> None:
+    """Refuse a model that is not the program's service."""
+    if program.service != model:
+        raise exceptions.InvalidRequestError(
+            f"program {program.id!r} uses model {program.service!r}; send that as model"
+        )
+
+
+def text_of(message: dict[str, typing.Any], number: int) -> structures.Text:
+    """Return one message of the common chat form."""
+    role = message.get("role")
+    content = message.get("content")
+    if isinstance(content, list):
+        parts = [part.get("text") if isinstance(part, dict) else None for part in content]
+        content = "".join(parts) if all(isinstance(part, str) for part in parts) else None
+    if role not in typing.get_args(models.Message.model_fields["role"].annotation):
+        raise exceptions.InvalidRequestError(
+            f"messages.{number}.role is {role!r}; use system, user, assistant or tool"
+        )
+    if not isinstance(content, str):
+        raise exceptions.InvalidRequestError(
+            f"messages.{number}.content is not text; send a string or text parts"
+        )
+    return structures.Text(role, content)
+
+
+def completion(program: programs.Program, turn: structures.Turn) -> Completion:
+    """Return the whole completion of a turn."""
+    usage = Usage(turn.prompt_tokens, turn.output_tokens, turn.prompt_tokens + turn.output_tokens)
+    choice = Choice(Reply(turn.text), turn.finish_reason)
+    name = f"{program.id}-{turn.seq}"
+    return Completion(name, program.service, int(turn.finished_at), [choice], usage)
+
+
+async def chunks(
+    program: programs.Program, running: answers.RunningCall, deadline_at: float
+) -> collections.abc.AsyncIterator[bytes]:
+    """Yield the events of a streamed completion."""
+    created = int(clock.wall())
+    name = f"{program.id}-{running.seq}"
+
+    def event(delta: Delta, finish_reason: str | None = None) -> bytes:
+        choice = DeltaChoice(delta, finish_reason)
+        chunk = CompletionChunk(name, program.service, created, [choice])
+        return b"data: " + msgspec.json.encode(chunk) + b"\n\n"
+
+    try:
+        yield event(Delta(role="assistant"))
+        async for batch in running.follow(deadline_at):
+            yield b"".join(event(Delta(token.text)) for token in batch)
+        turn = typing.cast(structures.Turn, running.turn)
+        yield event(Delta(), turn.finish_reason) + b"data: [DONE]\n\n"
+    except exceptions.DogwoodgapError as error:
+        yield b"data: " + msgspec.json.encode(ErrorEvent(exceptions.problem(error))) + b"\n\n"
--- a/src/dogwoodgap/events.py
+++ b/src/dogwoodgap/events.py
@@ -20,6 +20,11 @@
     JOURNAL_WRITE_FAILED = 2002
     CALL_FAILED = 3001
     REQUEST_FAILED = 3002
+    PROGRAM_LIMITED = 3003
+    RELEASE_REPEATED = 3004
+    ACTION_UNKNOWN = 3005
+    CERTIFICATE_REJECTED = 3006
+    STOP_STEP_FAILED = 3007
 
 
 def emit(event: Event, message: str, *, level: int = logging.INFO, **fields: typing.Any) -> None:
--- a/src/dogwoodgap/exceptions.py
+++ b/src/dogwoodgap/exceptions.py
@@ -76,6 +76,18 @@
     code, status, title = "body-too-large", 413, "Body too large"
 
 
+class MethodNotAllowedError(InvalidRequestError):
+    """The path exists but not with this method."""
+
+    code, status, title = "method-not-allowed", 405, "Method not allowed"
+
+
+class SlowSenderError(InvalidRequestError):
+    """The body did not arrive in time."""
+
+    code, status, title = "slow-sender", 408, "Body not received in time"
+
+
 class UnauthorizedError(DogwoodgapError):
     """The bearer key is missing, unknown, expired or revoked."""
 
@@ -154,6 +166,18 @@
     code, title = "program-limit", "Program ended by a limit of its profile"
 
 
+class ChildLimitError(ConflictError):
+    """The profile does not allow the program another child."""
+
+    code, title = "child-limit", "Too many child programs"
+
+
+class HistoryMismatchError(ConflictError):
+    """The messages sent do not begin with the recorded history of the program."""
+
+    code, title = "history-mismatch", "Messages differ from the history"
+
+
 class ConfigurationConflictError(ConflictError):
     """Another operator changed the configuration first."""
 
@@ -217,6 +241,12 @@
     retry_after_s = 0.5
 
 
+class HopLimitError(NotOwnerError):
+    """Nodes disagree on the owner, and the request passed too many of them."""
+
+    code, title = "hop-limit", "Too many hops"
+
+
 class NotReadyError(DogwoodgapError):
     """The node is starting or stopping."""
 
@@ -284,10 +314,14 @@
     return [found[code] for code in sorted(found)]
 
 
+def by_code(code: str) -> type[DogwoodgapError]:
+    """Return the error kind with a code."""
+    return {kind.code: kind for kind in kinds()}.get(code, DogwoodgapError)
+
+
 def from_problem(document: Problem) -> DogwoodgapError:
     """Return the error that a received problem document describes."""
-    by_code = {kind.code: kind for kind in kinds()}
-    kind = by_code.get(document.code, DogwoodgapError)
+    kind = by_code(document.code)
     names: dict[bool | str, NotRun] = {True: "true", False: "false", "unknown": "unknown"}
     return kind(
         document.detail, not_run=names[document.not_run], retry_after_s=document.retry_after_s
--- /dev/null
+++ b/src/dogwoodgap/forwarding.py
@@ -0,0 +1,261 @@
+"""Requests of callers for shards that another node owns."""
+
+import collections.abc
+import typing
+
+import anyio
+import httpx
+import msgspec
+from starlette import requests, responses
+
+from dogwoodgap import clock, exceptions, intents, shards, structures
+
+HOPS_HEADER = "Dogwoodgap-Hops"
+MAX_HOPS = 3
+CONNECT_TIMEOUT_S = 1.0
+READ_TIMEOUT_S = 15.0
+"""Silence of an owner after which its connection is given up, beyond the request's deadline."""
+
+RETRY_DELAY_S = 0.1
+PROBLEM_TYPE = "application/problem+json"
+
+REQUEST_HEADERS = (
+    "authorization",
+    "content-type",
+    "idempotency-key",
+    "dogwoodgap-program",
+    "traceparent",
+)
+REPLY_HEADERS = ("content-type", "retry-after", "dogwoodgap-program")
+
+
+class Owner(typing.NamedTuple):
+    """The boot of a node that owns a shard."""
+
+    node: str
+    boot: str
+
+
+class Ownership(typing.Protocol):
+    """Who owns which shard."""
+
+    def owns(self, shard: int) -> bool:
+        """Return whether this node owns a shard and has loaded it."""
+
+    def owner(self, shard: int) -> Owner | None:
+        """Return the owner of a shard, or None when it is not known."""
+
+
+class SingleNode:
+    """Ownership of a node that owns everything."""
+
+    def __init__(self, node: str, boot: str):
+        self.self_owner = Owner(node, boot)
+
+    def owns(self, shard: int) -> bool:
+        """Return that this node owns the shard."""
+        return True
+
+    def owner(self, shard: int) -> Owner | None:
+        """Return this node."""
+        return self.self_owner
+
+
+class Forwarder:
+    """Sends requests to the owner of their shard.
+
+    Parameters
+    ----------
+    ownership : Ownership
+        Who owns which shard.
+    address : callable
+        Returns the base URL of a node's callers' interface, or an empty text.
+    client : httpx.AsyncClient
+        For connections between nodes.
+    """
+
+    def __init__(
+        self,
+        ownership: Ownership,
+        address: collections.abc.Callable[[str], str],
+        client: httpx.AsyncClient,
+    ):
+        self.ownership = ownership
+        self.address = address
+        self.client = client
+
+    def owner_address(self, shard: int) -> str:
+        """Return the address of the owner of a shard.
+
+        Raises
+        ------
+        NotOwnerError
+            When no owner or no address of it is known.
+        """
+        owner = self.ownership.owner(shard)
+        address = self.address(owner.node) if owner is not None else ""
+        if not address:
+            raise exceptions.NotOwnerError(
+                "the owner of the shard is not known yet; ask GET /v1/entries and repeat"
+            )
+        return address
+
+    async def forward(
+        self,
+        request: requests.Request,
+        shard: int,
+        body: collections.abc.AsyncIterator[bytes] | bytes,
+        deadline_s: float,
+    ) -> responses.Response:
+        """Pass a request on and stream the reply, problem documents included.
+
+        Raises
+        ------
+        HopLimitError, NotOwnerError
+            When the request cannot reach the owner.
+        """
+        hops = hops_of(request) + 1
+        if hops > MAX_HOPS:
+            raise exceptions.HopLimitError(
+                "nodes disagree on the owner of the shard; repeat the request"
+            )
+        headers = {
+            name: request.headers[name] for name in REQUEST_HEADERS if name in request.headers
+        }
+        headers[HOPS_HEADER] = str(hops)
+        outgoing = self.client.build_request(
+            request.method,
+            f"{self.owner_address(shard)}{request.url.path}",
+            params=request.query_params,
+            content=body,
+            headers=headers,
+            timeout=httpx.Timeout(deadline_s + READ_TIMEOUT_S, connect=CONNECT_TIMEOUT_S),
+        )
+        reply = await self.send(outgoing)
+        return responses.StreamingResponse(
+            relay(reply),
+            reply.status_code,
+            {name: reply.headers[name] for name in REPLY_HEADERS if name in reply.headers},
+        )
+
+    async def send(self, outgoing: httpx.Request) -> httpx.Response:
+        """Send a request to the owner and map failures to typed errors."""
+        try:
+            return await self.client.send(outgoing, stream=True)
+        except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
+            raise exceptions.NotOwnerError(
+                "the owner of the shard cannot be reached; ask GET /v1/entries and repeat"
+            ) from error
+        except httpx.HTTPError as error:
+            raise lost_owner(error) from error
+
+    async def key_action(
+        self,
+        order: intents.Order,
+        authorization: str,
+        local: collections.abc.Callable[
+            [intents.Order], collections.abc.Awaitable[structures.ActionResult]
+        ],
+    ) -> structures.ActionResult:
+        """Run an action at the owner of its key, repeating with the same key until the deadline.
+
+        Raises
+        ------
+        DogwoodgapError
+            The owner's refusal, or the last failure to reach it.
+        """
+        shard = shards.key_shard(order.customer, order.key)
+        unsure = False
+        while True:
+            if self.ownership.owns(shard):
+                return await local(order)
+            try:
+                return await self.remote_action(shard, order, authorization)
+            except (exceptions.NotOwnerError, exceptions.NotReadyError) as error:
+                unsure = unsure or error.not_run != "true"
+                last = error
+            if order.remaining_s() <= RETRY_DELAY_S:
+                if unsure:
+                    raise intents.unknown_outcome(order.service) from last
+                raise last
+            await anyio.sleep(RETRY_DELAY_S)
+
+    async def remote_action(
+        self, shard: int, order: intents.Order, authorization: str
+    ) -> structures.ActionResult:
+        """Send an action to the owner of its key over HTTP."""
+        headers = {
+            "Authorization": authorization,
+            "Content-Type": "application/json",
+            "Idempotency-Key": order.key,
+            HOPS_HEADER: "1",
+        }
+        if order.trace:
+            headers["traceparent"] = order.trace
+        remaining = max(0.0, order.remaining_s())
+        outgoing = self.client.build_request(
+            "POST",
+            f"{self.owner_address(shard)}/v1/actions/{order.service}/{order.path}",
+            content=msgspec.json.encode({"payload": order.payload, "deadline_seconds": remaining}),
+            headers=headers,
+            timeout=httpx.Timeout(remaining + CONNECT_TIMEOUT_S, connect=CONNECT_TIMEOUT_S),
+        )
+        reply = await self.send(outgoing)
+        try:
+            data = await reply.aread()
+        except httpx.HTTPError as error:
+            raise lost_owner(error) from error
+        finally:
+            await reply.aclose()
+        return decode_result(reply, data)
+
+
+def decode_result(reply: httpx.Response, data: bytes) -> structures.ActionResult:
+    """Return the result that a node answered, or raise its problem."""
+    try:
+        if reply.status_code == httpx.codes.OK:
+            return msgspec.json.decode(data, type=structures.ActionResult)
+        problem = msgspec.json.decode(data, type=exceptions.Problem)
+    except msgspec.DecodeError as error:
+        raise lost_owner(error) from error
+    raise exceptions.from_problem(problem)
+
+
+def hops_of(request: requests.Request) -> int:
+    """Return how many nodes a request has passed."""
+    value = request.headers.get(HOPS_HEADER, "0")
+    if not value.isdecimal():
+        raise exceptions.InvalidRequestError(
+            f"header {HOPS_HEADER} is {value!r}; leave it out, nodes set it themselves"
+        )
+    return int(value)
+
+
+def lost_owner(error: Exception) -> exceptions.NotOwnerError:
+    """Return the error for an owner that was lost after the request was sent."""
+    return exceptions.NotOwnerError(
+        f"the owner of the shard did not answer ({type(error).__name__}); "
+        "repeat the request with the same seq or key",
+        not_run="unknown",
+    )
+
+
+async def relay(reply: httpx.Response) -> collections.abc.AsyncIterator[bytes]:
+    """Yield the bytes of a reply; a broken event stream ends with an error event."""
+    events = reply.headers.get("content-type", "").startswith("text/event-stream")
+    try:
+        async for data in reply.aiter_raw():
+            yield data
+    except httpx.HTTPError as error:
+        if not events:
+            raise
+        problem = msgspec.json.encode(exceptions.problem(lost_owner(error)))
+        yield b"\n\nevent: error\ndata: " + problem + b"\n\n"
+    finally:
+        with anyio.CancelScope(shield=True):
+            await reply.aclose()
+
+
+def deadline_of(seconds: float | None, default: float) -> float:
+    """Return the monotonic deadline for a number of seconds from now."""
+    return clock.now() + (default if seconds is None else seconds)
--- /dev/null
+++ b/src/dogwoodgap/lifecycle.py
@@ -0,0 +1,300 @@
+"""Creation, limits and end of programs."""
+
+import collections.abc
+import uuid
+
+import anyio
+
+from dogwoodgap import (
+    calls,
+    clock,
+    events,
+    exceptions,
+    journal,
+    metrics,
+    models,
+    programs,
+    records,
+    releases,
+    shards,
+    structures,
+)
+
+STORE_WAIT_S = 10.0
+SWEEP_INTERVAL_S = 1.0
+TOUCH_INTERVAL_S = 1.0
+"""Heartbeats that follow each other faster are not journalled."""
+
+Busy = collections.abc.Callable[[programs.Program], bool]
+
+
+class Lifecycle:
+    """Creates programs, ends them, and holds them to the limits of their profile.
+
+    Parameters
+    ----------
+    configuration : callable
+        Returns the fleet configuration in force.
+    owns : callable
+        Whether this node owns a shard; limits apply to owned programs only.
+    busy : callable, optional
+        Whether an action of the program is running.
+    active_profile : callable, optional
+        Returns the profile that a service uses at this hour.
+    """
+
+    def __init__(
+        self,
+        table: programs.ProgramTable,
+        log: journal.Journal,
+        running: calls.Calls,
+        memory: releases.Releases,
+        configuration: collections.abc.Callable[[], models.FleetConfiguration],
+        owns: collections.abc.Callable[[int], bool],
+        busy: Busy = lambda program: False,
+        active_profile: collections.abc.Callable[[str], str] | None = None,
+    ):
+        self.table = table
+        self.log = log
+        self.calls = running
+        self.memory = memory
+        self.configuration = configuration
+        self.owns = owns
+        self.busy = busy
+        self.active_profile = active_profile or self.service_profile
+        self.commits: dict[programs.ProgramKey, journal.Commit] = {}
+
+    def profile(self, program: programs.Program) -> models.Profile:
+        """Return the profile of a program."""
+        return self.configuration().profiles.get(program.profile, models.Profile())
+
+    def service_profile(self, service: str) -> str:
+        """Return the profile of a service that does not vary by hours."""
+        return self.configuration().services[service].profile
+
+    async def store(self, key: programs.ProgramKey, record: records.Record) -> None:
+        """Apply a record and wait until it is stored."""
+        self.table.apply(record)
+        commit = self.log.stage(record)
+        self.commits[key] = commit
+        await self.wait_stored(key)
+
+    async def wait_stored(self, key: programs.ProgramKey) -> None:
+        """Wait for the last creation or end of a program to be stored.
+
+        Raises
+        ------
+        StoreUnavailableError
+            When it is not stored in time; a repeat waits again.
+        """
+        commit = self.commits.get(key)
+        if commit is None:
+            return
+        with anyio.move_on_after(STORE_WAIT_S) as scope:
+            await commit.wait()
+        if scope.cancelled_caught:
+            raise exceptions.StoreUnavailableError(
+                "the change of the program is not stored yet; repeat the request",
+                not_run="unknown",
+            )
+        if self.commits.get(key) is commit:
+            del self.commits[key]
+
+    async def create(self, customer: str, body: models.ProgramRequest) -> programs.Program:
+        """Create a program, or return the one with this id.
+
+        Raises
+        ------
+        UnknownServiceError, UnknownProfileError, UnknownCustomerError, UnknownProgramError
+            When a name does not exist.
+        ConflictError
+            When a program of this id differs from the one described.
+        """
+        name, profile = self.resolve(customer, body)
+        program_id = self.child_id(customer, body) if body.parent else root_id(body)
+        key = programs.ProgramKey(customer, program_id)
+        known = self.table.programs.get(key)
+        if known is not None:
+            if (known.service, known.profile) != (body.service, name):
+                raise exceptions.ConflictError(
+                    f"program {program_id!r} exists with another service or profile; "
+                    "choose another id"
+                )
+            await self.wait_stored(key)
+            return known
+        now = clock.wall()
+        record = records.ProgramCreated(
+            customer=customer,
+            program=program_id,
+            service=body.service,
+            profile=name,
+            budget_tokens=body.budget_tokens or profile.budget_tokens,
+            created_at=now,
+            deadline_at=now + min(profile.max_wall_seconds, body.deadline_seconds or 1e12),
+            parent=body.parent or "",
+        )
+        await self.store(key, record)
+        return self.table.get(customer, program_id)
+
+    def resolve(self, customer: str, body: models.ProgramRequest) -> tuple[str, models.Profile]:
+        """Return name and content of the profile of a new program."""
+        configuration = self.configuration()
+        if customer not in configuration.customers:
+            raise exceptions.UnknownCustomerError(
+                f"customer {customer!r} is not configured; use a key of a configured customer"
+            )
+        service = configuration.services.get(body.service)
+        if service is None or service.kind != "model":
+            known = [name for name, item in configuration.services.items() if item.kind == "model"]
+            raise exceptions.UnknownServiceError(
+                f"{body.service!r} is no model service; use one of {', '.join(sorted(known))}"
+            )
+        name = body.profile or self.active_profile(body.service)
+        profile = configuration.profiles.get(name)
+        if profile is None:
+            raise exceptions.UnknownProfileError(
+                f"profile {name!r} does not exist; "
+                f"use one of {', '.join(sorted(configuration.profiles))}"
+            )
+        return name, profile
+
+    def child_id(self, customer: str, body: models.ProgramRequest) -> str:
+        """Return the id of a new child; a chosen id is the child's number."""
+        parent = self.table.get(customer, body.parent or "")
+        following = len(parent.children) + 1
+        if body.id is not None and not (body.id.isdecimal() and 1 <= int(body.id) <= following):
+            raise exceptions.InvalidRequestError(
+                f"id {body.id!r} is not the number of a child; use {following} or leave it out"
+            )
+        number = int(body.id) if body.id is not None else following
+        if number == following:
+            programs.check_open(parent)
+            limit = self.profile(parent).max_children
+            if following > limit:
+                raise exceptions.ChildLimitError(
+                    f"program {parent.id!r} has {limit} children already; "
+                    "raise max_children of its profile"
+                )
+        return f"{parent.id}.{number}"
+
+    def check_limits(self, program: programs.Program, digest: str) -> None:
+        """End the program when its next call or action would exceed a limit."""
+        programs.check_open(program)
+        profile = self.profile(program)
+        reason = self.overdue(program)
+        if program.turn_count >= profile.max_turns:
+            reason = f"max_turns of {profile.max_turns} reached"
+        elif repeats(program, digest) >= profile.max_repeats:
+            reason = f"the same request was made {profile.max_repeats} times"
+        if reason:
+            self.limit(program, reason)
+            programs.check_open(program)
+
+    def overdue(self, program: programs.Program) -> str:
+        """Return which time limit a program has passed, or an empty text."""
+        now = clock.wall()
+        if now >= program.deadline_at:
+            return "deadline or max_wall_seconds passed"
+        idle = self.profile(program).idle_seconds
+        tree = self.table.tree(program)
+        if now - max(item.touched_at for item in tree) < idle:
+            return ""
+        if any(programs.key_of(item) in self.calls.running or self.busy(item) for item in tree):
+            return ""
+        return f"idle for {idle:g} s"
+
+    def limit(self, program: programs.Program, reason: str) -> None:
+        """End a program because of a limit."""
+        events.emit(
+            events.Event.PROGRAM_LIMITED,
+            "program ended by a limit",
+            program=program.id,
+            customer=program.customer,
+            reason=reason,
+        )
+        metrics.count("programs.limited")
+        self.mark_ended(program, structures.ProgramStatus.LIMITED, reason)
+
+    async def end(
+        self, program: programs.Program, status: structures.ProgramStatus, reason: str
+    ) -> None:
+        """End a program and its children, and return when that is stored."""
+        self.mark_ended(program, status, reason)
+        await self.wait_stored(programs.key_of(program))
+
+    def mark_ended(
+        self, program: programs.Program, status: structures.ProgramStatus, reason: str
+    ) -> None:
+        """End a program and its children, stop their calls and release their memory."""
+        for item in reversed(self.table.tree(program)):
+            if item.status != structures.ProgramStatus.ACTIVE:
+                continue
+            record = records.ProgramEnded(
+                customer=item.customer,
+                program=item.id,
+                status=status.value,
+                reason=reason,
+                at=clock.wall(),
+            )
+            self.table.apply(record)
+            self.commits[programs.key_of(item)] = self.log.stage(record)
+            self.memory.release(item, self.calls.cancel(item, end_error(item)))
+
+    def touch(self, program: programs.Program) -> None:
+        """Extend the idle limit. A lost heartbeat does no harm, so nothing is awaited."""
+        programs.check_open(program)
+        now = clock.wall()
+        if now - program.touched_at < TOUCH_INTERVAL_S:
+            return
+        record = records.ProgramTouched(customer=program.customer, program=program.id, at=now)
+        self.table.apply(record)
+        self.log.stage(record)
+
+    async def sweep(self) -> None:
+        """End the programs that have passed a time limit, again and again."""
+        while True:
+            await anyio.sleep(SWEEP_INTERVAL_S)
+            for program in list(self.table.programs.values()):
+                self.sweep_one(program)
+            self.commits = {
+                key: commit for key, commit in self.commits.items() if not commit.stored.is_set()
+            }
+
+    def sweep_one(self, program: programs.Program) -> None:
+        """End one program when it has passed a time limit."""
+        if program.status != structures.ProgramStatus.ACTIVE:
+            return
+        if not self.owns(shards.program_shard(program.customer, program.id)):
+            return
+        reason = self.overdue(program)
+        if reason:
+            self.limit(program, reason)
+
+
+def end_error(program: programs.Program) -> exceptions.DogwoodgapError:
+    """Return the error for the call that an ended program leaves behind."""
+    try:
+        programs.check_open(program)
+    except exceptions.ProgramFinishedError as error:
+        return error
+    raise AssertionError(f"program {program.id} has not ended")
+
+
+def repeats(program: programs.Program, digest: str) -> int:
+    """Return how many calls and actions of a program had this digest."""
+    entries = [*program.calls.values(), *program.actions.values()]
+    return sum(entry.digest == digest for entry in entries)
+
+
+def root_id(body: models.ProgramRequest) -> str:
+    """Return the id of a new root program."""
+    if body.id is not None and "." in body.id:
+        raise exceptions.InvalidRequestError(
+            f"id {body.id!r} contains '.', which marks child programs; leave it out"
+        )
+    return body.id or new_id()
+
+
+def new_id() -> str:
+    """Return a fresh program id."""
+    return uuid.uuid4().hex
--- /dev/null
+++ b/src/dogwoodgap/middleware.py
@@ -0,0 +1,105 @@
+"""The outermost ASGI layer: problem documents and the count of running requests."""
+
+import anyio
+from starlette import exceptions as http_exceptions
+from starlette import responses, types
+
+from dogwoodgap import events, exceptions, metrics, views
+
+
+class Problems:
+    """Answers every error with a problem document and counts running requests.
+
+    Replaces the application class of Starlette, whose error layer raises an unexpected error
+    again after it has answered.
+
+    Attributes
+    ----------
+    running : int
+        Requests that have not been answered completely.
+    """
+
+    def __init__(self, application: types.ASGIApp):
+        self.application = application
+        self.running = 0
+        self.changed = anyio.Event()
+
+    async def __call__(self, scope: types.Scope, receive: types.Receive, send: types.Send) -> None:
+        """Handle one request."""
+        # The router raises its own errors only when an application is named.
+        scope["app"] = self
+        if scope["type"] != "http":
+            await self.application(scope, receive, send)
+            return
+        self.running += 1
+        try:
+            await self.handle(scope, receive, send)
+        finally:
+            self.running -= 1
+            self.changed.set()
+            self.changed = anyio.Event()
+
+    async def handle(self, scope: types.Scope, receive: types.Receive, send: types.Send) -> None:
+        """Run the application; an error before the first byte becomes a problem document."""
+        started = False
+
+        async def note_start(message: types.Message) -> None:
+            nonlocal started
+            started = True
+            await send(message)
+
+        try:
+            await self.application(scope, receive, note_start)
+        except Exception as error:
+            if started:
+                report(scope, error)
+                raise
+            await answer_error(scope, error)(scope, receive, send)
+
+    async def wait_idle(self) -> None:
+        """Return when no request is running."""
+        while self.running:
+            await self.changed.wait()
+
+
+def answer_error(scope: types.Scope, error: Exception) -> responses.Response:
+    """Return the problem document of an error of a handler or of the router."""
+    if isinstance(error, exceptions.DogwoodgapError):
+        return views.refuse(error)
+    if isinstance(error, http_exceptions.HTTPException):
+        return views.refuse(router_error(scope, error.status_code))
+    report(scope, error)
+    return views.refuse(
+        exceptions.DogwoodgapError(
+            "the node failed while it handled the request; repeat it with the same seq or key"
+        )
+    )
+
+
+def router_error(scope: types.Scope, status: int) -> exceptions.DogwoodgapError:
+    """Return the typed error for a path or method that has no route."""
+    if status == 404:
+        return exceptions.NotFoundError(
+            f"path {scope['path']} does not exist; see GET /openapi.json"
+        )
+    if status == 405:
+        return exceptions.MethodNotAllowedError(
+            f"{scope['path']} does not take {scope['method']}; see GET /openapi.json"
+        )
+    return exceptions.InvalidRequestError(f"the request is malformed ({status}); correct it")
+
+
+def report(scope: types.Scope, error: Exception) -> None:
+    """Log an unexpected error."""
+    metrics.count("requests.failed")
+    number = events.Event.REQUEST_FAILED
+    events.logger.error(
+        "unexpected error in a request",
+        exc_info=error,
+        extra={
+            "event": int(number),
+            "event_name": number.name,
+            "method": scope["method"],
+            "path": scope["path"],
+        },
+    )
--- a/src/dogwoodgap/programs.py
+++ b/src/dogwoodgap/programs.py
@@ -20,12 +20,19 @@
 
 
 class ActionEntry(msgspec.Struct):
-    """A started or finished action of a program."""
+    """A started or finished action of a program.
+
+    Attributes
+    ----------
+    unused : bool
+        Whether the action was refused as not run, so that another may take the number.
+    """
 
     seq: int
     digest: str
     key: str
     result: structures.ActionResult | None = None
+    unused: bool = False
 
 
 Entry = CallEntry | ActionEntry
@@ -132,6 +139,13 @@
         """Return the root of a program's tree, which accounts for the budget."""
         return self.get(program.customer, shards.root_of(program.id))
 
+    def tree(self, program: Program) -> list[Program]:
+        """Return a program and its descendants, parents first."""
+        found = [program]
+        for item in found:
+            found.extend(self.get(item.customer, child) for child in item.children)
+        return found
+
     def remaining_tokens(self, program: Program) -> int:
         """Return what the tree's budget still allows."""
         root = self.root(program)
@@ -174,6 +188,7 @@
     program = table.get(record.customer, record.program)
     entry = CallEntry(record.seq, record.digest, record.reserved_tokens)
     program.calls[record.seq] = entry
+    program.actions.pop(record.seq, None)
     program.touched_at = record.at
     table.root(program).reserved_tokens += record.reserved_tokens
 
@@ -209,7 +224,8 @@
 def _(record: records.ActionFinished, table: ProgramTable) -> None:
     program = table.get(record.customer, record.program)
     program.actions[record.seq].result = record.result
-    program.next_seq = record.seq + 1
+    # An unknown result may be settled after the program went on.
+    program.next_seq = max(program.next_seq, record.seq + 1)
     program.touched_at = record.at
 
 
@@ -246,6 +262,32 @@
     program.ended_at = record.at
 
 
+def key_of(program: Program) -> ProgramKey:
+    """Return the identity of a program."""
+    return ProgramKey(program.customer, program.id)
+
+
+def session_of(program: Program) -> str:
+    """Return the name under which engines cache the program's prefix."""
+    return f"{program.customer}/{program.id}"
+
+
+def check_open(program: Program) -> None:
+    """Refuse work for an ended program.
+
+    Raises
+    ------
+    ProgramLimitError, ProgramFinishedError
+        With the reason why it ended; nothing was run.
+    """
+    if program.status == structures.ProgramStatus.ACTIVE:
+        return
+    detail = f"program {program.id!r} ended ({program.reason}); create a new program"
+    if program.status == structures.ProgramStatus.LIMITED:
+        raise exceptions.ProgramLimitError(detail)
+    raise exceptions.ProgramFinishedError(detail)
+
+
 def charge_of(program: Program, turn: structures.Turn) -> int:
     """Return the tokens that a turn added to the conversation."""
     return max(0, turn.prompt_tokens - program.context_tokens()) + turn.output_tokens
--- /dev/null
+++ b/src/dogwoodgap/releases.py
@@ -0,0 +1,96 @@
+"""Release of engine memory that ended programs held."""
+
+import collections.abc
+import dataclasses
+import logging
+
+import anyio
+import anyio.abc
+
+from dogwoodgap import adapters, events, exceptions, metrics, programs, structures
+
+RETRY_DELAY_S = 0.2
+MAX_RETRY_DELAY_S = 10.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Held:
+    """Memory of a session on one runner."""
+
+    service: str
+    runner: str
+    session: str
+
+
+class Releases:
+    """Orders runners to free sessions, and repeats each order until it is confirmed.
+
+    Parameters
+    ----------
+    runners : callable
+        Returns the current views of a service's runners.
+    tasks : anyio.abc.TaskGroup
+        Runs one task for each unconfirmed order.
+    """
+
+    def __init__(
+        self,
+        engine: adapters.EngineAdapter,
+        runners: collections.abc.Callable[[str], list[structures.RunnerView]],
+        tasks: anyio.abc.TaskGroup,
+    ):
+        self.engine = engine
+        self.runners = runners
+        self.tasks = tasks
+        self.pending: set[Held] = set()
+        self.holders: dict[programs.ProgramKey, set[str]] = {}
+
+    def note(self, program: programs.Program, runner: structures.RunnerView) -> None:
+        """Remember that a call of the program is about to be sent to a runner."""
+        self.holders.setdefault(programs.key_of(program), set()).add(runner.id)
+
+    def holders_of(self, program: programs.Program) -> set[str]:
+        """Return the runners that may hold the program's prefix, also after a takeover."""
+        recorded = {turn.runner for turn in program.turns()}
+        return recorded | self.holders.get(programs.key_of(program), set())
+
+    def release(self, program: programs.Program, after: anyio.Event | None = None) -> None:
+        """Free the memory of an ended program on all runners that may hold it.
+
+        An order sent while a call still runs would be undone by that call, so the orders wait
+        for ``after``.
+        """
+        holders = self.holders_of(program)
+        self.holders.pop(programs.key_of(program), None)
+        for runner in sorted(holders):
+            held = Held(program.service, runner, programs.session_of(program))
+            if held not in self.pending:
+                self.pending.add(held)
+                self.tasks.start_soon(self.run, held, after)
+
+    async def run(self, held: Held, after: anyio.Event | None) -> None:
+        """Repeat one order until it is confirmed or the runner is gone."""
+        if after is not None:
+            await after.wait()
+        delay = RETRY_DELAY_S
+        while (runner := self.find(held)) is not None:
+            try:
+                await self.engine.release(runner, held.session)
+                metrics.count("releases.confirmed")
+                break
+            except exceptions.RunnerFailedError as error:
+                events.emit(
+                    events.Event.RELEASE_REPEATED,
+                    "release of engine memory was not confirmed; it is repeated",
+                    level=logging.WARNING,
+                    runner=held.runner,
+                    detail=error.detail,
+                )
+            await anyio.sleep(delay)
+            delay = min(delay * 2, MAX_RETRY_DELAY_S)
+        self.pending.discard(held)
+
+    def find(self, held: Held) -> structures.RunnerView | None:
+        """Return the runner of an order, or None when it left and its memory with it."""
+        views = self.runners(held.service)
+        return next((view for view in views if view.id == held.runner), None)
--- /dev/null
+++ b/src/dogwoodgap/tls.py
@@ -0,0 +1,130 @@
+"""TLS contexts from settings, reloaded when the certificate files change."""
+
+import logging
+import os
+import ssl
+import typing
+
+import anyio
+
+from dogwoodgap import events, exceptions, settings
+
+RELOAD_INTERVAL_S = 5.0
+
+
+class FileState(typing.NamedTuple):
+    """What changes when a file is replaced."""
+
+    path: str
+    modified_ns: int
+    size: int
+
+
+class Certificates:
+    """Server and client contexts that follow the certificate files.
+
+    New handshakes use the new certificate; open connections keep theirs.
+    """
+
+    def __init__(self, section: settings.TlsSection):
+        self.section = section
+        self.contexts: list[ssl.SSLContext] = []
+        self.loaded = self.state() if self.enabled else ()
+
+    @property
+    def enabled(self) -> bool:
+        """Whether a certificate is configured."""
+        return bool(self.section.certificate)
+
+    def server_context(self, *, require_client: bool = False) -> ssl.SSLContext | None:
+        """Return a server context, or None when TLS is off.
+
+        Raises
+        ------
+        SettingsInvalidError
+            When the files cannot be used.
+        """
+        if not self.enabled:
+            return None
+        context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        context.minimum_version = ssl.TLSVersion.TLSv1_2
+        context.set_alpn_protocols(["h2", "http/1.1"])
+        self.load(context)
+        if require_client:
+            context.verify_mode = ssl.CERT_REQUIRED
+            self.trust(context)
+        self.contexts.append(context)
+        return context
+
+    def client_context(self) -> ssl.SSLContext | None:
+        """Return a client context that presents the certificate, or None when TLS is off."""
+        if not self.enabled:
+            return None
+        context = ssl.create_default_context()
+        context.minimum_version = ssl.TLSVersion.TLSv1_2
+        self.load(context)
+        self.trust(context)
+        self.contexts.append(context)
+        return context
+
+    def load(self, context: ssl.SSLContext) -> None:
+        """Load certificate and key into a context."""
+        try:
+            context.load_cert_chain(self.section.certificate, self.section.key or None)
+        except (OSError, ssl.SSLError) as error:
+            raise exceptions.SettingsInvalidError(
+                f"tls.certificate {self.section.certificate!r} and tls.key cannot be used "
+                f"({error}); name a readable certificate and its own key"
+            ) from error
+
+    def trust(self, context: ssl.SSLContext) -> None:
+        """Trust the configured authority."""
+        if not self.section.client_authority:
+            return
+        try:
+            context.load_verify_locations(self.section.client_authority)
+        except (OSError, ssl.SSLError) as error:
+            raise exceptions.SettingsInvalidError(
+                f"tls.client_authority {self.section.client_authority!r} cannot be used "
+                f"({error}); name a readable file of certificates"
+            ) from error
+
+    def state(self) -> tuple[FileState, ...]:
+        """Return what identifies the present files."""
+        paths = [self.section.certificate, self.section.key or self.section.certificate]
+        found = []
+        for path in paths:
+            try:
+                status = os.stat(path)
+            except OSError:
+                found.append(FileState(path, 0, 0))
+                continue
+            found.append(FileState(path, status.st_mtime_ns, status.st_size))
+        return tuple(found)
+
+    def reload(self) -> bool:
+        """Load changed files into all contexts; unusable files change nothing."""
+        state = self.state()
+        if state == self.loaded:
+            return False
+        self.loaded = state
+        try:
+            # A failed load can leave a context with a new certificate and an old key.
+            self.load(ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER))
+        except exceptions.SettingsInvalidError as error:
+            events.emit(
+                events.Event.CERTIFICATE_REJECTED,
+                "new certificate files cannot be used; the old certificate stays in use",
+                level=logging.ERROR,
+                detail=error.detail,
+            )
+            return False
+        for context in self.contexts:
+            self.load(context)
+        return True
+
+    async def watch(self) -> None:
+        """Reload the files whenever they change."""
+        while self.enabled:
+            await anyio.sleep(RELOAD_INTERVAL_S)
+            self.reload()
