--- a/src/dogwoodgap/exceptions.py
+++ b/src/dogwoodgap/exceptions.py
@@ -178,6 +178,12 @@
     code, title = "history-mismatch", "Messages differ from the history"
 
 
+class AnswerChangedError(ConflictError):
+    """The client lost a stream, and the answer was then generated differently."""
+
+    code, title, not_run = "answer-changed", "Answer generated again", "false"
+
+
 class ConfigurationConflictError(ConflictError):
     """Another operator changed the configuration first."""
 
--- /dev/null
+++ b/src/dogwoodgap/transport.py
@@ -0,0 +1,132 @@
+"""Connections of the client to entry VMs, and the entry addresses it has learned."""
+
+import collections.abc
+import dataclasses
+import typing
+
+import anyio
+import httpx
+import msgspec
+
+from dogwoodgap import clock, exceptions, views
+
+PROBLEM_TYPE = "application/problem+json"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """One request that may be sent several times."""
+
+    method: str
+    path: str
+    body: typing.Any = None
+    headers: dict[str, str] = dataclasses.field(default_factory=dict)
+    program: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerEvent:
+    """One server-sent event."""
+
+    name: str
+    data: str
+
+
+class Entries:
+    """Entry addresses in order of use, asked for again after their time to live."""
+
+    def __init__(self, seeds: list[str]):
+        self.seeds = [seed.rstrip("/") for seed in seeds]
+        self.known: list[str] = []
+        self.expires_at = -1.0
+        self.failed: set[str] = set()
+
+    def fresh(self) -> bool:
+        """Return whether the last answer is still valid."""
+        return bool(self.known) and clock.now() < self.expires_at
+
+    def update(self, view: views.EntriesView) -> None:
+        """Take over an answer of discovery."""
+        self.known = [entry.address.rstrip("/") for entry in view.entries]
+        self.expires_at = clock.now() + view.ttl_seconds
+        self.failed.clear()
+
+    def order(self) -> list[str]:
+        """Return all addresses, those that failed last."""
+        found = list(dict.fromkeys([*self.known, *self.seeds]))
+        return sorted(found, key=lambda address: address in self.failed)
+
+    def fail(self, address: str) -> None:
+        """Use an address last, and ask for the entries again."""
+        self.failed.add(address)
+        self.expires_at = -1.0
+
+
+class Connection:
+    """A sent request; maps failures to reach an entry to :class:`exceptions.NotOwnerError`."""
+
+    def __init__(self, http: httpx.AsyncClient, address: str, outgoing: httpx.Request):
+        self.http = http
+        self.address = address
+        self.outgoing = outgoing
+
+    async def __aenter__(self) -> httpx.Response:
+        """Return the reply, whose body is not read yet."""
+        try:
+            self.reply = await self.http.send(self.outgoing, stream=True)
+        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+            raise exceptions.NotReadyError(
+                f"entry {self.address} cannot be reached; another one is tried"
+            ) from error
+        except httpx.HTTPError as error:
+            raise lost(self.address, error) from error
+        return self.reply
+
+    async def __aexit__(self, *details: object) -> None:
+        """Close the reply."""
+        with anyio.CancelScope(shield=True):
+            await self.reply.aclose()
+
+
+async def read_events(connection: Connection) -> collections.abc.AsyncIterator[ServerEvent]:
+    """Yield the server-sent events of a reply.
+
+    Raises
+    ------
+    DogwoodgapError
+        The node's refusal, or NotOwnerError when the stream broke before its last event.
+    """
+    async with connection as reply:
+        try:
+            if not reply.is_success:
+                raise problem_of(reply, await reply.aread())
+            name = ""
+            async for line in reply.aiter_lines():
+                if line.startswith("event: "):
+                    name = line.removeprefix("event: ")
+                elif line.startswith("data: "):
+                    yield ServerEvent(name, line.removeprefix("data: "))
+        except httpx.HTTPError as error:
+            raise lost(connection.address, error) from error
+    raise exceptions.NotOwnerError(
+        f"entry {connection.address} ended the stream early; the call is repeated",
+        not_run="unknown",
+    )
+
+
+def problem_of(reply: httpx.Response, data: bytes) -> exceptions.DogwoodgapError:
+    """Return the typed exception of a refused request."""
+    if reply.headers.get("content-type", "").startswith(PROBLEM_TYPE):
+        return exceptions.from_problem(msgspec.json.decode(data, type=exceptions.Problem))
+    return exceptions.DogwoodgapError(
+        f"{reply.request.url.host} answered {reply.status_code} without a problem document; "
+        "check that the address is an entry of dogwoodgap"
+    )
+
+
+def lost(address: str, error: Exception) -> exceptions.NotOwnerError:
+    """Return the error for a reply that did not arrive."""
+    return exceptions.NotOwnerError(
+        f"entry {address} did not answer ({type(error).__name__}); the request is repeated",
+        not_run="unknown",
+    )
--- /dev/null
+++ b/tests/callers.py
@@ -0,0 +1,258 @@
+"""Small fakes and a harness for the tests of the callers' side, on virtual time."""
+
+import contextlib
+import dataclasses
+import hashlib
+
+import anyio
+import trio.testing
+
+from dogwoodgap import (
+    actions,
+    adapters,
+    app,
+    calls,
+    exceptions,
+    forwarding,
+    intents,
+    journal,
+    lifecycle,
+    models,
+    objectstore,
+    programs,
+    releases,
+    scheduler,
+    settings,
+    structures,
+    views,
+)
+from dogwoodgap_lab import objects
+
+KEY = "secret"
+
+
+def run(main):
+    """Run a coroutine function on virtual time."""
+    anyio.run(
+        main,
+        backend="trio",
+        backend_options={"clock": trio.testing.MockClock(autojump_threshold=0)},
+    )
+
+
+@dataclasses.dataclass
+class Attempt:
+    """How the engine answers one request; ``break_after`` tokens it fails."""
+
+    break_after: int | None = None
+    index_error: bool = False
+    token_s: float = 0.02
+
+
+class FakeEngine:
+    """Answers with the tokens ``w0 w1 ...``, after scripted failures."""
+
+    def __init__(self):
+        self.script = []
+        self.requests = []
+        self.open = 0
+        self.released = []
+        self.release_failures = 0
+
+    async def generate(self, runner, request):
+        attempt = self.script.pop(0) if self.script else Attempt()
+        self.requests.append((runner.id, request))
+        self.open += 1
+        try:
+            for index in range(request.resume_from, request.max_tokens):
+                await anyio.sleep(attempt.token_s)
+                if attempt.break_after == index - request.resume_from:
+                    raise exceptions.RunnerFailedError("stream broken")
+                shown = index + 1 if attempt.index_error else index
+                yield [adapters.Chunk(shown, f"w{index} ")]
+            total = request.max_tokens
+            yield [adapters.Chunk(total, "", "stop", 4, 0, total)]
+        finally:
+            self.open -= 1
+
+    async def cancel(self, runner, request_id):
+        await anyio.lowlevel.checkpoint()
+
+    async def release(self, runner, session):
+        await anyio.lowlevel.checkpoint()
+        if self.release_failures:
+            self.release_failures -= 1
+            raise exceptions.RunnerFailedError("release lost")
+        self.released.append((runner.id, session, self.open))
+
+
+class FakeService:
+    """Executes actions into a ledger; ``faults`` are taken one for each attempt."""
+
+    def __init__(self):
+        self.ledger = []
+        self.faults = []
+        self.delay_s = 0.05
+        self.on_execute = None
+
+    async def act(self, runner, path, payload, *, key, timeout_s, trace=""):
+        fault = self.faults.pop(0) if self.faults else ""
+        await anyio.lowlevel.checkpoint()
+        if fault == "unreachable":
+            raise exceptions.RunnerUnreachableError("refused")
+        if fault == "hang":
+            await anyio.sleep(timeout_s)
+            raise exceptions.OutcomeUnknownError("timed out")
+        self.ledger.append((key, path, payload))
+        if self.on_execute is not None:
+            self.on_execute()
+        await anyio.sleep(self.delay_s)
+        if fault == "lost reply":
+            raise exceptions.OutcomeUnknownError("reply lost")
+        status = 503 if fault == "503" else 200
+        not_run = "unknown" if status == 503 else "false"
+        return structures.ActionResult(status, {"number": len(self.ledger)}, not_run)
+
+    async def outcome(self, runner, key):
+        await anyio.lowlevel.checkpoint()
+        found = [entry for entry in self.ledger if entry[0] == key]
+        return structures.ActionResult(200, {"found": key}, "false") if found else None
+
+
+def configuration(**profile):
+    """Return a configuration with one model and one plain service of three runners each."""
+    runners = [
+        models.Runner(id=f"r{number}", address="http://runner", data_centre="a")
+        for number in range(3)
+    ]
+    return models.FleetConfiguration(
+        profiles={"default": models.Profile(**profile)},
+        services={
+            "llm": models.Service(kind="model", runners=runners),
+            "plain": models.Service(kind="plain", runners=runners),
+        },
+        customers={"c": models.Customer()},
+        keys={
+            "k": models.Key(digest=hashlib.sha256(KEY.encode()).hexdigest(), customer="c"),
+            "view": models.Key(
+                digest=hashlib.sha256(b"viewer").hexdigest(), customer="c", role="viewer"
+            ),
+            "old": models.Key(
+                digest=hashlib.sha256(b"old").hexdigest(), customer="c", not_after=1.0
+            ),
+        },
+    )
+
+
+class Harness:
+    """The callers' side of one node over fakes."""
+
+    def __init__(self, tasks, store=None, boot="b1", name="n1", **profile):
+        self.tasks = tasks
+        self.config = configuration(**profile)
+        self.store = store or objects.ObjectTable()
+        self.table = programs.ProgramTable()
+        bucket = objectstore.RateBucket(1000.0, 8.0)
+        self.log = journal.Journal(self.store, name, boot, bucket)
+        self.engine = FakeEngine()
+        self.service = FakeService()
+        self.runners = {
+            service: [
+                structures.RunnerView(service, f"r{number}", "http://runner", "a", 16, 1000)
+                for number in range(3)
+            ]
+            for service in ("llm", "plain")
+        }
+        dispatchers = {"llm": scheduler.Dispatcher("llm", lambda: self.runners["llm"])}
+        self.memory = releases.Releases(self.engine, self.runners.__getitem__, tasks)
+        self.ownership = forwarding.SingleNode(name, boot)
+        self.addresses = {}
+        self.calls = calls.Calls(
+            self.table,
+            self.log,
+            self.engine,
+            dispatchers,
+            tasks,
+            lambda: self.config,
+            self.memory.note,
+        )
+        self.lifecycle = lifecycle.Lifecycle(
+            self.table,
+            self.log,
+            self.calls,
+            self.memory,
+            lambda: self.config,
+            self.owns,
+        )
+        self.intents = intents.Intents(
+            self.table,
+            self.log,
+            self.service,
+            self.runners.__getitem__,
+            lambda: self.config,
+            tasks,
+        )
+        self.idempotent = actions.IdempotentActions(self.service, self.runners.__getitem__)
+        self.actions = actions.Actions(
+            self.table,
+            self.log,
+            self.calls,
+            self.lifecycle,
+            self.idempotent,
+            self.key_owner,
+            tasks,
+        )
+        self.lifecycle.busy = self.actions.busy
+        tasks.start_soon(self.log.run)
+
+    def owns(self, shard):
+        return self.ownership.owns(shard)
+
+    async def key_owner(self, order, authorization):
+        return await self.intents.run(order)
+
+    async def program(self, name="p", parent=None, **fields):
+        body = models.ProgramRequest(id=name, service="llm", parent=parent, **fields)
+        return await self.lifecycle.create("c", body)
+
+    def app(self, name="n1", peers=None):
+        self.forwarder = forwarding.Forwarder(
+            self.ownership, lambda node: self.addresses.get(node, ""), peers
+        )
+        node_settings = settings.NodeSettings.model_validate(
+            {
+                "node": {"name": name, "data_centre": "a", "max_body_bytes": 4096},
+                "platform": {"url": "http://platform"},
+            }
+        )
+        return app.build(
+            app.Services(
+                settings=node_settings,
+                table=self.table,
+                calls=self.calls,
+                actions=self.actions,
+                intents=self.intents,
+                idempotent=self.idempotent,
+                lifecycle=self.lifecycle,
+                forwarder=self.forwarder,
+                configuration=lambda: self.config,
+                entries=lambda customer, program: [
+                    views.EntryView(f"http://{host}") for host in self.addresses
+                ],
+                health=lambda: views.HealthView(name, True),
+            )
+        )
+
+
+@contextlib.asynccontextmanager
+async def harness(**options):
+    """Run the callers' side until the block ends."""
+    async with anyio.create_task_group() as tasks:
+        yield Harness(tasks, **options)
+        tasks.cancel_scope.cancel()
+
+
+def request(seq=1, text="hello", max_tokens=5, **fields):
+    """Return a call."""
+    messages = [models.Message(role="user", content=text)]
+    return models.CallRequest(seq=seq, messages=messages, max_tokens=max_tokens, **fields)
