--- /dev/null
+++ b/src/dogwoodgap/errorpages.py
@@ -0,0 +1,30 @@
+"""Generates ``docs/errors.md``; run ``python -m dogwoodgap.errorpages > docs/errors.md``."""
+
+import inspect
+import sys
+
+from dogwoodgap import exceptions
+
+HEADER = """# Errors
+
+Generated from `dogwoodgap.exceptions`; `python -m dogwoodgap.errorpages > docs/errors.md` writes
+this page. `not_run` is the usual value; a single answer may be more exact.
+
+| code | status | not_run | meaning |
+| --- | --- | --- | --- |
+"""
+
+
+def page() -> str:
+    """Return the page that lists all error kinds."""
+    return HEADER + "".join(row(kind) for kind in exceptions.kinds())
+
+
+def row(kind: type[exceptions.DogwoodgapError]) -> str:
+    """Return the row of one kind."""
+    meaning = (inspect.getdoc(kind) or "").partition("\n")[0]
+    return f"| `{kind.code}` | {kind.status} | {kind.not_run} | {meaning} |\n"
+
+
+if __name__ == "__main__":
+    sys.stdout.write(page())
--- /dev/null
+++ b/tests/test_serving.py
@@ -0,0 +1,179 @@
+"""Graceful stop, TLS reload, keys, and documents that are generated."""
+
+import hashlib
+import pathlib
+import socket
+import ssl
+
+import anyio
+import callers
+import httpx
+import pytest
+import trustme
+
+from dogwoodgap import errorpages, exceptions, keys, middleware, models, serving, settings, tls
+
+
+def free_address():
+    """Return an address that nothing listens on."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+async def slow(scope, receive, send):
+    """Answer after a pause, in two pieces."""
+    if scope["type"] != "http":
+        return
+    await send({"type": "http.response.start", "status": 200, "headers": []})
+    await send({"type": "http.response.body", "body": b"first ", "more_body": True})
+    await anyio.sleep(0.3)
+    await send({"type": "http.response.body", "body": b"second"})
+
+
+def test_stop_finishes_running_requests_and_leaves_no_cancellation():
+    """Guards against a cut stream, and against the CancelledError that ended the node."""
+
+    async def main():
+        application = middleware.Problems(slow)
+        address = free_address()
+        stop = serving.GracefulStop(linger_s=0.0)
+        stop.waits.append(application.wait_idle)
+        steps = []
+
+        async def leave():
+            steps.append(application.running)
+            raise RuntimeError("a failed step does not keep the node from stopping")
+
+        stop.on_stop(leave)
+        closing = anyio.Event()
+        replies = []
+
+        async def drain():
+            await stop.drained()
+            closing.set()
+
+        async def ask():
+            async with httpx.AsyncClient() as http:
+                replies.append((await http.get(f"http://{address}/")).text)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(drain)
+            tasks.start_soon(serving.serve, application, address, None, closing)
+            async with anyio.create_task_group() as callers_tasks:
+                await anyio.sleep(0.1)
+                callers_tasks.start_soon(ask)
+                await anyio.sleep(0.1)
+                stop.request()
+            await closing.wait()
+            tasks.start_soon(anyio.sleep, 60)
+            with anyio.move_on_after(5):
+                await anyio.sleep(0.1)
+            tasks.cancel_scope.cancel()
+        assert replies == ["first second"]
+        assert steps == [1]
+
+    anyio.run(main)
+
+
+def test_serving_in_the_same_task_leaves_it_uncancelled():
+    """Guards against hypercorn's shutdown that cancels the task which called it."""
+
+    async def main():
+        stop = anyio.Event()
+        stop.set()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(anyio.sleep, 60)
+            await serving.serve(middleware.Problems(slow), free_address(), None, stop)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+def test_second_request_to_stop_does_not_wait():
+    """Guards against a node that cannot be stopped because a request never ends."""
+
+    async def main():
+        stop = serving.GracefulStop(linger_s=5.0)
+        stop.waits.append(anyio.sleep_forever)
+        stop.request()
+        with anyio.move_on_after(100) as scope:
+            await stop.drained()
+        assert scope.cancelled_caught
+        stop.request()
+        await stop.drained()
+
+    callers.run(main)
+
+
+def write_certificate(authority, folder, name):
+    """Write a certificate for 127.0.0.1 and return its TLS section."""
+    issued = authority.issue_cert("127.0.0.1", common_name=name)
+    issued.private_key_pem.write_to_path(str(folder / "key.pem"))
+    issued.cert_chain_pems[0].write_to_path(str(folder / "certificate.pem"))
+    authority.cert_pem.write_to_path(str(folder / "authority.pem"))
+    return settings.TlsSection(
+        certificate=str(folder / "certificate.pem"),
+        key=str(folder / "key.pem"),
+        client_authority=str(folder / "authority.pem"),
+    )
+
+
+def presented(server, client):
+    """Return the certificate that a server context presents in a handshake in memory."""
+    to_server, to_client = ssl.MemoryBIO(), ssl.MemoryBIO()
+    receiver = server.wrap_bio(to_server, to_client, server_side=True)
+    sender = client.wrap_bio(to_client, to_server, server_hostname="127.0.0.1")
+    for _ in range(4):
+        for side in (sender, receiver):
+            try:
+                side.do_handshake()
+            except ssl.SSLWantReadError:
+                continue
+    return dict(part[0] for part in sender.getpeercert()["subject"])["commonName"]
+
+
+def test_changed_certificate_is_used_and_a_broken_one_is_not(tmp_path, caplog):
+    """Guards against an expired certificate after renewal, and against a broken renewal."""
+    authority = trustme.CA()
+    certificates = tls.Certificates(write_certificate(authority, tmp_path, "first"))
+    server, client = certificates.server_context(), certificates.client_context()
+    assert presented(server, client) == "first"
+    assert not certificates.reload()
+    write_certificate(authority, tmp_path, "second")
+    assert certificates.reload()
+    assert presented(server, client) == "second"
+    (tmp_path / "key.pem").write_text("broken")
+    assert not certificates.reload()
+    assert presented(server, client) == "second"
+    assert [record.event_name for record in caplog.records] == ["CERTIFICATE_REJECTED"]
+    assert tls.Certificates(settings.TlsSection()).server_context() is None
+    with pytest.raises(exceptions.SettingsInvalidError):
+        certificates.server_context()
+
+
+def test_key_lookup_follows_the_configuration():
+    """Guards against a revoked or expired key that still works, and against scans of all keys."""
+
+    async def main():
+        known = {
+            f"k{number}": models.Key(digest=hashlib.sha256(b"t%d" % number).hexdigest())
+            for number in range(100)
+        }
+        first = models.FleetConfiguration(keys=known)
+        assert keys.authenticate("Bearer t7", first).name == "k7"
+        assert keys.index_of(first) is keys.index_of(first)
+        second = models.FleetConfiguration(keys={"k8": known["k8"]})
+        with pytest.raises(exceptions.UnauthorizedError):
+            keys.authenticate("Bearer t7", second)
+        identity = keys.authenticate("bearer t8", second)
+        with pytest.raises(exceptions.ForbiddenError):
+            keys.check_caller(identity)
+
+    callers.run(main)
+
+
+def test_error_page_is_up_to_date():
+    """Guards against error codes that the documentation does not know."""
+    path = pathlib.Path(__file__).parent.parent / "docs" / "errors.md"
+    assert path.read_text() == errorpages.page()
