--- a/src/dogwoodgap/node.py
+++ b/src/dogwoodgap/node.py
@@ -24,6 +24,7 @@
     metrics,
     models,
     objectstore,
+    pacing,
     programs,
     releases,
     scheduler,
@@ -80,6 +81,11 @@
                 self.client(base_url=self.settings.platform.url)
             )
             self.backends = await stack.enter_async_context(self.client())
+            self.engines = await stack.enter_async_context(
+                httpx.AsyncClient(
+                    transport=pacing.PacedTransport(self.certificates.client_context())
+                )
+            )
             self.fresh = await stack.enter_async_context(self.client(keep_alive=0))
             tasks = await stack.enter_async_context(anyio.create_task_group())
             self.build(tasks)
@@ -98,7 +104,7 @@
         self.store = objectstore.HttpObjectStore(self.platform, self.settings.platform.timeout_s)
         bucket = objectstore.RateBucket(self.settings.platform.writes_per_s, WRITE_BURST)
         self.journal = journal.Journal(self.store, self.settings.node.name, self.boot, bucket)
-        self.engine = adapters.HttpEngineAdapter(self.backends)
+        self.engine = adapters.HttpEngineAdapter(self.engines)
         self.service = adapters.HttpServiceAdapter(self.backends, self.fresh)
         self.releases = releases.Releases(self.engine, self.runners, tasks)
         self.calls = calls.Calls(
