--- a/src/dogwoodgap/adapters.py
+++ b/src/dogwoodgap/adapters.py
@@ -41,8 +41,7 @@
     trace: str = ""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Chunk:
+class Chunk(msgspec.Struct):
     """A piece of generated text; the last one carries the usage."""
 
     index: int
@@ -140,7 +139,7 @@
             "session": request.session,
             "resume_from": request.resume_from,
         }
-        headers = {"Content-Type": "application/json"}
+        headers = {"Content-Type": "application/json", "Accept-Encoding": "identity"}
         if request.trace:
             headers["traceparent"] = request.trace
         events = EventBuffer(runner, request)
@@ -154,7 +153,8 @@
             ) as reply:
                 if reply.status_code != httpx.codes.OK:
                     raise refusal(runner, reply.status_code)
-                async for data in reply.aiter_bytes():
+                # Two layers of httpx are passed over; the engine is asked for plain bytes.
+                async for data in typing.cast(httpx.AsyncByteStream, reply.stream):
                     batch = events.feed(data)
                     if batch:
                         yield batch
--- a/src/dogwoodgap/answers.py
+++ b/src/dogwoodgap/answers.py
@@ -1,17 +1,16 @@
 """Answers of model calls while they are generated, and their followers."""
 
 import collections.abc
-import dataclasses
 import math
 import typing
 
 import anyio
+import msgspec
 
 from dogwoodgap import adapters, exceptions, programs, structures
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Token:
+class Token(msgspec.Struct):
     """A piece of streamed text."""
 
     index: int
@@ -42,6 +41,7 @@
         self.turn: structures.Turn | None = None
         self.error: exceptions.DogwoodgapError | None = None
         self.changed = anyio.Event()
+        self.waiting = False
         self.scope = anyio.CancelScope()
         self.cancelled_by: exceptions.DogwoodgapError | None = None
         self.ran = False
@@ -51,7 +51,8 @@
 
     def notify(self) -> None:
         """Wake all followers."""
-        if self.changed.statistics().tasks_waiting:
+        if self.waiting:
+            self.waiting = False
             self.changed.set()
             self.changed = anyio.Event()
 
@@ -98,6 +99,7 @@
 
     async def wait_until(self, deadline_at: float, event: anyio.Event) -> None:
         """Wait for an event, or raise what a follower learns at its deadline."""
+        self.waiting = True
         with anyio.CancelScope(deadline=deadline_at) as scope:
             await event.wait()
         if not scope.cancelled_caught:
