Let a forwarded call be silent for as long as its deadline allows

The forwarding node gave up after 15 s without a byte, so a call without a stream that took longer ended as not-owner. The body is now read before the request is forwarded, for its deadline.

--- a/src/dogwoodgap/app.py
+++ b/src/dogwoodgap/app.py
@@ -78,9 +78,10 @@
         keys.check_caller(identity)
         return identity
 
-    async def body(self, request: requests.Request, model: type[models.M]) -> models.M:
-        """Read and validate a body."""
-        return models.parse(model, await bodies.read(request, self.limit))
+    def longest_call_s(self) -> float:
+        """Return the longest time in which a call without a deadline of its own may be silent."""
+        profiles = self.services.configuration().profiles.values()
+        return max((profile.call_deadline_seconds for profile in profiles), default=0.0)
 
     async def elsewhere(
         self,
@@ -171,11 +172,14 @@
 
     async def call(self, request: requests.Request) -> responses.Response:
         """Run the next call of a program, or attach to the one with this number."""
-        forwarded = await self.program_elsewhere(request)
+        self.identify(request)
+        data = await bodies.read(request, self.limit)
+        body = models.parse(models.CallRequest, data)
+        wait_s = self.longest_call_s() if body.deadline_seconds is None else body.deadline_seconds
+        forwarded = await self.program_elsewhere(request, data, wait_s)
         if forwarded is not None:
             return forwarded
         program = self.program(request)
-        body = await self.body(request, models.CallRequest)
         default = self.services.lifecycle.profile(program).call_deadline_seconds
         deadline_s = default if body.deadline_seconds is None else body.deadline_seconds
         running = self.submit(program, body, deadline_s, request.headers.get("traceparent", ""))
--- a/src/dogwoodgap/completions.py
+++ b/src/dogwoodgap/completions.py
@@ -115,8 +115,7 @@
         named = request.headers.get(PROGRAM_HEADER, "")
         placed = named or self.app.pick_id(identity.customer)
         shard = shards.program_shard(identity.customer, placed)
-        deadline_s = models.Profile().call_deadline_seconds
-        forwarded = await self.app.elsewhere(request, shard, data, deadline_s)
+        forwarded = await self.app.elsewhere(request, shard, data, self.app.longest_call_s())
         if forwarded is not None:
             return forwarded
         sent = [text_of(message, number) for number, message in enumerate(body.messages)]
--- a/tests/test_app.py
+++ b/tests/test_app.py
@@ -8,7 +8,7 @@
 import pytest
 from test_actions import order
 
-from dogwoodgap import exceptions, forwarding
+from dogwoodgap import exceptions, forwarding, models
 
 AUTH = {"Authorization": f"Bearer {callers.KEY}"}
 KEYED = AUTH | {"Idempotency-Key": "k1"}
@@ -214,8 +214,10 @@
 
     def __init__(self, applications):
         self.applications = applications
+        self.read_timeouts = []
 
     async def handle_async_request(self, request):
+        self.read_timeouts.append(request.extensions["timeout"]["read"])
         found = self.applications.get(request.url.host)
         if found is None:
             raise httpx.ConnectError("refused", request=request)
@@ -230,11 +232,14 @@
             applications = {"n1": owner.app()}
             node.addresses = {"n1": "http://n1", "n2": "http://n2"}
             node.ownership = Elsewhere("n1")
-            applications["n2"] = node.app("n2", httpx.AsyncClient(transport=Hosts(applications)))
+            hosts = Hosts(applications)
+            applications["n2"] = node.app("n2", httpx.AsyncClient(transport=hosts))
             async with connect(applications["n2"]) as http:
                 await http.post("/v1/programs", json={"id": "p", "service": "llm"})
                 reply = await http.post(f"{PROGRAM}/calls", json=CALL | {"stream": True})
                 assert events_of(reply)[-1][0] == "done"
+                # A call may be silent in the queue for as long as its deadline allows.
+                assert hosts.read_timeouts[-1] > models.Profile().call_deadline_seconds
                 reply = await http.post(f"{PROGRAM}/calls", json=CALL | {"seq": 7})
                 assert reply.json()["code"] == "sequence-gap"
                 reply = await http.post("/v1/actions/plain/x", json={}, headers=KEYED)
