Keep the node alive when a shard is given up while a call runs

Recording the failure of such a call raised UnknownProgramError in the task group of the node, which ended the process. Found while reading the takeover steps; the new test failed before the change.

--- a/src/dogwoodgap/calls.py
+++ b/src/dogwoodgap/calls.py
@@ -176,6 +176,9 @@
         except exceptions.JournalSealedError as error:
             call.error = error
         except exceptions.DogwoodgapError as error:
+            if call.ran and error.not_run == "true":
+                # Refused by a later step, but a runner was asked before.
+                error.not_run = "unknown"
             call.error = error
             self.record_failure(work, error)
         except Exception as error:
@@ -202,6 +205,9 @@
         The answer may go out first: a successor that finds only the start record charges the
         whole reservation, which is never less than what is charged here.
         """
+        if self.table.programs.get(programs.key_of(work.program)) is not work.program:
+            # The shard was given up; its new owner charges the call.
+            return
         entry = work.program.calls[work.request.seq]
         self.record(
             records.CallFailed(
@@ -220,14 +226,8 @@
         call = work.call
         call.scope.deadline = work.deadline_at
         turn = None
-        try:
-            with call.scope:
-                turn = await self.attempt(work)
-        except exceptions.DogwoodgapError as error:
-            if call.ran and error.not_run == "true":
-                # A later attempt was refused, but an earlier one reached a runner.
-                error.not_run = "unknown"
-            raise
+        with call.scope:
+            turn = await self.attempt(work)
         if turn is not None:
             return turn
         raise self.stopped(work)
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -147,6 +147,23 @@
     callers.run(main)
 
 
+def test_call_of_a_program_that_moved_away_ends_alone():
+    """Guards against a node that dies because a shard was given up while a call ran."""
+
+    async def main():
+        async with callers.harness() as node:
+            program = await node.program()
+            running = node.calls.submit(program, callers.request(), 10.0)
+            await anyio.sleep(0.05)
+            node.table.programs.clear()
+            with pytest.raises(exceptions.DogwoodgapError) as caught:
+                await running.result()
+            assert caught.value.not_run == "unknown"
+            assert (await node.program("other")).id == "other"
+
+    callers.run(main)
+
+
 def test_end_stops_the_call_then_releases_until_confirmed():
     """Guards against memory held for ended programs, also when a release order is lost."""
 
