--- a/src/dogwoodgap/admin.py
+++ b/src/dogwoodgap/admin.py
@@ -18,8 +18,8 @@
     admin_http,
     admin_parts,
     admin_resources,
-    app,
     exceptions,
+    views,
 )
 
 PREFIX = "/admin/v1"
@@ -63,7 +63,7 @@
 
 async def on_unknown(request: requests.Request, error: Exception) -> responses.Response:
     """Turn an unknown path or method into a problem document."""
-    return app.refuse(
+    return views.refuse(
         exceptions.NotFoundError(
             f"{request.method} {request.url.path} is not part of the administration API; "
             f"see docs/operations.md"
--- a/src/dogwoodgap/admin_configuration.py
+++ b/src/dogwoodgap/admin_configuration.py
@@ -5,7 +5,7 @@
 import msgspec
 from starlette import requests, responses, routing
 
-from dogwoodgap import admin_changes, admin_http, admin_parts, app, keys, models, roles
+from dogwoodgap import admin_changes, admin_http, admin_parts, keys, models, roles, views
 
 DEFAULT_HISTORY = 20
 MAX_HISTORY = 500
@@ -61,14 +61,14 @@
         """Return who changed what; limited keys do not see the notes."""
         limit = admin_http.number(request, "limit", DEFAULT_HISTORY, MAX_HISTORY)
         entries = await self.configuration.history(limit)
-        return app.answer([history_view(identity, entry) for entry in entries])
+        return views.answer([history_view(identity, entry) for entry in entries])
 
     async def in_force(
         self, request: requests.Request, identity: keys.Identity
     ) -> responses.Response:
         """Return the generation in force on each live node."""
         nodes = dict(self.configuration.in_force())
-        return app.answer(admin_parts.InForce(self.configuration.current.generation, nodes))
+        return views.answer(admin_parts.InForce(self.configuration.current.generation, nodes))
 
 
 def document_response(
--- a/src/dogwoodgap/admin_fleet.py
+++ b/src/dogwoodgap/admin_fleet.py
@@ -11,7 +11,6 @@
 from dogwoodgap import (
     admin_http,
     admin_parts,
-    app,
     dump,
     events,
     exceptions,
@@ -20,6 +19,7 @@
     programs,
     roles,
     structures,
+    views,
 )
 
 FOLLOW_INTERVAL_S = 0.25
@@ -187,7 +187,7 @@
         )
         found = self.programs.select(query, lambda info: sees_program(identity, info))
         last = f"{found[-1].customer}/{found[-1].id}" if len(found) == limit else ""
-        return app.answer(admin_parts.Page(found, last))
+        return views.answer(admin_parts.Page(found, last))
 
     def find(self, request: requests.Request, identity: keys.Identity) -> admin_parts.ProgramInfo:
         """Return the program that a request names, if the key sees it."""
@@ -209,7 +209,7 @@
         self, request: requests.Request, identity: keys.Identity
     ) -> responses.Response:
         """Return one program."""
-        return app.answer(self.find(request, identity))
+        return views.answer(self.find(request, identity))
 
     async def cancel_program(
         self, request: requests.Request, identity: keys.Identity
@@ -227,7 +227,7 @@
             program=info.id,
             note=note,
         )
-        return app.answer(self.programs.show(info.customer, info.id))
+        return views.answer(self.programs.show(info.customer, info.id))
 
     async def follow_program(
         self, request: requests.Request, identity: keys.Identity
@@ -244,7 +244,7 @@
 
         The key is checked again each time, so that a revoked key does not follow on.
         """
-        yield app.server_sent("program", info)
+        yield views.server_sent("program", info)
         silent_s = 0.0
         while info.status == structures.ProgramStatus.ACTIVE:
             await anyio.sleep(FOLLOW_INTERVAL_S)
@@ -254,21 +254,21 @@
                 latest = self.programs.show(info.customer, info.id)
             except exceptions.DogwoodgapError as error:
                 # When the shard moved to another node, the reader follows it there.
-                yield app.server_sent("error", exceptions.problem(error))
+                yield views.server_sent("error", exceptions.problem(error))
                 return
             if latest != info:
                 info, silent_s = latest, 0.0
-                yield app.server_sent("program", info)
+                yield views.server_sent("program", info)
             elif silent_s >= FOLLOW_HEARTBEAT_S:
                 silent_s = 0.0
                 yield b": alive\n\n"
-        yield app.server_sent("end", info)
+        yield views.server_sent("end", info)
 
     async def list_nodes(
         self, request: requests.Request, identity: keys.Identity
     ) -> responses.Response:
         """Return all nodes."""
-        return app.answer(self.nodes.list())
+        return views.answer(self.nodes.list())
 
     async def drain(self, request: requests.Request, identity: keys.Identity) -> responses.Response:
         """Begin the planned stop of this node."""
@@ -283,7 +283,7 @@
             events.Event.NODE_DRAIN_REQUESTED, "drain requested", author=identity.name, node=name
         )
         await self.nodes.drain(identity.name)
-        return app.answer(self.own_node(), 202)
+        return views.answer(self.own_node(), 202)
 
     def own_node(self) -> typing.Any:
         """Return this node's entry."""
@@ -299,7 +299,7 @@
     ) -> responses.Response:
         """Return the figures of this node."""
         roles.require_unlimited(identity)
-        return app.answer(summarize(self.nodes.own, self.configuration.current.generation))
+        return views.answer(summarize(self.nodes.own, self.configuration.current.generation))
 
 
 def sees_program(identity: keys.Identity, info: admin_parts.ProgramInfo) -> bool:
--- a/src/dogwoodgap/admin_http.py
+++ b/src/dogwoodgap/admin_http.py
@@ -12,13 +12,13 @@
 from dogwoodgap import (
     admin_changes,
     admin_parts,
-    app,
     events,
     exceptions,
     keys,
     metrics,
     models,
     roles,
+    views,
 )
 
 CHANGE_HEADER = "dogwoodgap-change"
@@ -76,7 +76,7 @@
             return await handler(request, identity)
         except exceptions.DogwoodgapError as error:
             report(request, name, error)
-            return app.refuse(error)
+            return views.refuse(error)
         except Exception as error:
             events.emit(
                 events.Event.REQUEST_FAILED,
@@ -86,7 +86,7 @@
                 path=request.url.path,
                 error=repr(error),
             )
-            return app.refuse(
+            return views.refuse(
                 exceptions.DogwoodgapError(
                     "the node failed on this request; see event 3002 in its log"
                 )
@@ -139,7 +139,7 @@
 
 def outcome(result: admin_parts.Outcome, status: int = 200) -> responses.Response:
     """Return the answer to a change with the new entity tag."""
-    response = app.answer(result, status)
+    response = views.answer(result, status)
     response.headers["ETag"] = etag(result.generation)
     return response
 
--- a/src/dogwoodgap/admin_resources.py
+++ b/src/dogwoodgap/admin_resources.py
@@ -12,12 +12,12 @@
     admin_changes,
     admin_http,
     admin_parts,
-    app,
     clock,
     exceptions,
     keys,
     models,
     roles,
+    views,
 )
 
 TOKEN_BYTES = 32
@@ -237,7 +237,7 @@
 
 def tagged(document: typing.Any, current: models.FleetConfiguration) -> responses.Response:
     """Return a document with the generation that it belongs to."""
-    response = app.answer(document)
+    response = views.answer(document)
     response.headers["ETag"] = admin_http.etag(current.generation)
     return response
 
--- a/src/dogwoodgap/entries.py
+++ b/src/dogwoodgap/entries.py
@@ -53,12 +53,23 @@
 
 
 class ActionEntry(msgspec.Struct):
-    """A started or finished action of a program."""
+    """A started or finished action of a program.
+
+    Attributes
+    ----------
+    unused : bool
+        Whether the action was refused as not run, so that another may take the number.
+    """
 
     seq: int
     digest: str
     key: str
     result: structures.ActionResult | None = None
+    unused: bool = False
+
+    def settled(self) -> bool:
+        """Return whether the result is final; an unknown one may still be learned."""
+        return self.result is not None and self.result.not_run != "unknown"
 
 
 Entry = CallEntry | ActionEntry
@@ -153,6 +164,10 @@
     at: float
     result: structures.ActionResult | None = None
 
+    def settled(self) -> bool:
+        """Return whether the result is final; an unknown one may still be learned."""
+        return self.result is not None and self.result.not_run != "unknown"
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ProgramKey:
--- a/src/dogwoodgap/programs.py
+++ b/src/dogwoodgap/programs.py
@@ -56,6 +56,13 @@
         """Return the root of a program's tree, which accounts for the budget."""
         return self.get(program.customer, shards.root_of(program.id))
 
+    def tree(self, program: Program) -> list[Program]:
+        """Return a program and its descendants, parents first."""
+        found = [program]
+        for item in found:
+            found.extend(self.get(item.customer, child) for child in item.children)
+        return found
+
     def remaining_tokens(self, program: Program) -> int:
         """Return what the tree's budget still allows."""
         root = self.root(program)
@@ -147,6 +154,7 @@
     if program is None or record.seq in program.calls:
         return
     program.calls[record.seq] = CallEntry(record.seq, record.digest, record.reserved_tokens)
+    program.actions.pop(record.seq, None)
     program.touched_at = record.at
     table.root(program).reserved_tokens += record.reserved_tokens
 
@@ -180,8 +188,13 @@
 @apply_record.register
 def _(record: records.ActionStarted, table: ProgramTable) -> None:
     program = table.find(record.customer, record.program)
-    if program is None or record.seq in program.actions:
+    if program is None:
+        return
+    known = program.actions.get(record.seq)
+    if known is not None and (known.settled() or known.digest == record.digest):
+        known.unused = False
         return
+    # Another action takes the number of one that was refused as not run.
     program.actions[record.seq] = ActionEntry(record.seq, record.digest, record.key)
     program.touched_at = record.at
 
@@ -190,10 +203,11 @@
 def _(record: records.ActionFinished, table: ProgramTable) -> None:
     program = table.find(record.customer, record.program)
     entry = program.actions.get(record.seq) if program is not None else None
-    if entry is None or entry.result is not None:
+    if entry is None or entry.settled():
         return
     entry.result = record.result
-    program.next_seq = record.seq + 1
+    # An unknown result may be settled after the program went on.
+    program.next_seq = max(program.next_seq, record.seq + 1)
     program.touched_at = record.at
 
 
@@ -216,7 +230,7 @@
 @apply_record.register
 def _(record: records.ActionOutcome, table: ProgramTable) -> None:
     entry = table.key(record.customer, record.key)
-    if entry is None or entry.result is not None:
+    if entry is None or entry.settled():
         return
     entry.result = record.result
     entry.at = record.at
@@ -246,6 +260,32 @@
         table.suspects[record.digest] = record
 
 
+def key_of(program: Program) -> ProgramKey:
+    """Return the identity of a program."""
+    return ProgramKey(program.customer, program.id)
+
+
+def session_of(program: Program) -> str:
+    """Return the name under which engines cache the program's prefix."""
+    return f"{program.customer}/{program.id}"
+
+
+def check_open(program: Program) -> None:
+    """Refuse work for an ended program.
+
+    Raises
+    ------
+    ProgramLimitError, ProgramFinishedError
+        With the reason why it ended; nothing was run.
+    """
+    if program.status == structures.ProgramStatus.ACTIVE:
+        return
+    detail = f"program {program.id!r} ended ({program.reason}); create a new program"
+    if program.status == structures.ProgramStatus.LIMITED:
+        raise exceptions.ProgramLimitError(detail)
+    raise exceptions.ProgramFinishedError(detail)
+
+
 def settle(table: ProgramTable, program: Program, entry: CallEntry, charged: int) -> None:
     """Replace the reservation of a call by its charge.
 
--- a/src/dogwoodgap/sessions.py
+++ b/src/dogwoodgap/sessions.py
@@ -4,6 +4,14 @@
 
 from dogwoodgap import exceptions, journal, objectstore, programs, records, shards, snapshots
 
+STARTS = (
+    records.ProgramCreated,
+    records.CallStarted,
+    records.ActionStarted,
+    records.ActionIntent,
+)
+"""Records that begin work, which a shard that is about to move does not accept."""
+
 
 class Session:
     """What a node holds between its start, or a seal, and the next seal.
@@ -72,6 +80,10 @@
                 raise exceptions.NotOwnerError(
                     f"shard {shard} is served by another node; ask GET /v1/entries"
                 )
+            if shard in self.frozen and isinstance(record, STARTS):
+                raise exceptions.NotOwnerError(
+                    f"shard {shard} is moving to another node; repeat the request"
+                )
             check_open(record, self.table)
         for record in batch:
             self.table.apply(record)
@@ -121,12 +133,12 @@
 def _(record: records.ActionFinished, table: programs.ProgramTable) -> None:
     program = table.get(record.customer, record.program)
     entry = program.actions.get(record.seq)
-    if entry is None or entry.result is not None or entry.digest != record.digest:
+    if entry is None or entry.settled() or entry.digest != record.digest:
         raise stale(f"action {record.seq} of program {record.program!r}")
 
 
 @check_open.register
 def _(record: records.ActionOutcome, table: programs.ProgramTable) -> None:
     entry = table.key(record.customer, record.key)
-    if entry is None or entry.result is not None:
+    if entry is None or entry.settled():
         raise stale(f"the action with key {record.key!r}")
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -8,7 +8,7 @@
 import trio.testing
 import typer.testing
 
-from dogwoodgap import app, ctl, ctl_session, exceptions, keys, metrics
+from dogwoodgap import ctl, ctl_session, exceptions, keys, metrics, views
 
 
 class LossyTransport(httpx.AsyncBaseTransport):
@@ -35,7 +35,7 @@
         if request.url.host == "silent":
             raise httpx.ReadTimeout("silent")
         if request.url.host == "starting":
-            body = app.refuse(exceptions.NotReadyError("the node is starting")).body
+            body = views.refuse(exceptions.NotReadyError("the node is starting")).body
             return httpx.Response(503, content=body, request=request)
         loss = self.losses.pop(0) if request.method != "GET" and self.losses else ""
         if self.down:
--- a/tests/test_settle.py
+++ b/tests/test_settle.py
@@ -7,7 +7,7 @@
 import trio.testing
 from hypothesis import strategies
 
-from dogwoodgap import app, ctl_client, exceptions
+from dogwoodgap import ctl_client, exceptions, views
 
 MAX_FAULTS = 12
 
@@ -41,7 +41,7 @@
             raise httpx.ReadError(fault)
         if fault == "unavailable":
             error = exceptions.StoreUnavailableError("the platform did not answer")
-            body = app.refuse(error).body
+            body = views.refuse(error).body
             return httpx.Response(503, content=body, request=request)
         return reply
 
