--- a/src/dogwoodgap/actions.py
+++ b/src/dogwoodgap/actions.py
@@ -19,6 +19,7 @@
     lifecycle,
     metrics,
     programs,
+    protection,
     records,
     sessions,
     structures,
@@ -43,9 +44,15 @@
     Needs neither platform, owner nor queue, so any node runs them during an outage.
     """
 
-    def __init__(self, service: adapters.HttpServiceAdapter, runners: intents.Runners):
+    def __init__(
+        self,
+        service: adapters.HttpServiceAdapter,
+        runners: intents.Runners,
+        guard: protection.Protection | None = None,
+    ):
         self.service = service
         self.runners = runners
+        self.guard = guard or protection.Unprotected()
 
     async def run(self, order: intents.Order) -> structures.ActionResult:
         """Return the first answer that settles the action.
@@ -69,7 +76,7 @@
             tried.add(runner.id)
             try:
                 last = await self.attempt(runner, order)
-            except exceptions.RunnerUnreachableError:
+            except (exceptions.RunnerUnreachableError, exceptions.RunnerLeavingError):
                 continue
             except exceptions.OutcomeUnknownError:
                 received = True
@@ -92,14 +99,15 @@
         share = URGENT_ATTEMPT_S if order.urgent else max(MIN_ATTEMPT_S, remaining / 2)
         runner.in_flight += 1
         try:
-            return await self.service.act(
-                runner,
-                order.path,
-                order.payload,
-                key="",
-                timeout_s=min(remaining, share),
-                trace=order.trace,
-            )
+            async with self.guard.around(runner, order.digest(), urgent=order.urgent):
+                return await self.service.act(
+                    runner,
+                    order.path,
+                    order.payload,
+                    key="",
+                    timeout_s=min(remaining, share),
+                    trace=order.trace,
+                )
         finally:
             runner.in_flight -= 1
 
--- a/src/dogwoodgap/calls.py
+++ b/src/dogwoodgap/calls.py
@@ -17,6 +17,7 @@
     models,
     programs,
     prompts,
+    protection,
     records,
     scheduler,
     sessions,
@@ -42,6 +43,8 @@
         Runs the calls, which outlive the requests that follow them.
     configuration : callable
         Returns the fleet configuration in force.
+    guard : protection.Protection, optional
+        Surrounds each request to a runner.
     holds : callable, optional
         Told ``(program, runner)`` before a call is sent, so that the memory can be released.
     """
@@ -54,6 +57,7 @@
         tasks: anyio.abc.TaskGroup,
         configuration: collections.abc.Callable[[], models.FleetConfiguration],
         holds: Holds | None = None,
+        guard: protection.Protection | None = None,
     ):
         self.session = session
         self.table = session.table
@@ -62,6 +66,7 @@
         self.tasks = tasks
         self.configuration = configuration
         self.holds = holds
+        self.guard = guard or protection.Unprotected()
         self.running: dict[programs.ProgramKey, answers.RunningCall] = {}
 
     def record(self, *batch: records.Record) -> journal.Commit:
@@ -257,6 +262,7 @@
                 f"service {work.program.service!r} is not configured; ask an operator to add it"
             )
         item = self.work_item(work)
+        self.guard.first_attempt(work.program.service)
         for attempt in range(MAX_ATTEMPTS):
             placement = await dispatcher.acquire(item)
             failed = True
@@ -266,7 +272,7 @@
                 failed = False
                 return turn
             except exceptions.RunnerFailedError:
-                if attempt == MAX_ATTEMPTS - 1:
+                if attempt == MAX_ATTEMPTS - 1 or not self.guard.may_retry(work.program.service):
                     raise
                 item.exclude.add(placement.runner.id)
             finally:
@@ -290,14 +296,19 @@
     async def stream(self, work: prompts.Work, placement: structures.Placement) -> structures.Turn:
         """Stream one answer from a runner, and order it to stop when it is not wanted."""
         generation = prompts.generation_of(work, placement)
-        if self.holds is not None:
-            self.holds(work.program, placement.runner)
         before = work.call.ran
-        work.call.ran = True
         try:
-            last = await self.receive(work.call, placement.runner, generation)
+            async with self.guard.around(
+                placement.runner,
+                protection.digest_of(generation),
+                expected_s=placement.estimated_finish_s,
+            ):
+                if self.holds is not None:
+                    self.holds(work.program, placement.runner)
+                work.call.ran = True
+                last = await self.receive(work.call, placement.runner, generation)
         except exceptions.RunnerFailedError as error:
-            work.call.ran = before or error.not_run != "true"
+            work.call.ran = before or (work.call.ran and error.not_run != "true")
             raise
         except anyio.get_cancelled_exc_class():
             self.tasks.start_soon(self.stop, placement.runner, generation.request_id)
--- a/src/dogwoodgap/intents.py
+++ b/src/dogwoodgap/intents.py
@@ -18,6 +18,7 @@
     metrics,
     models,
     programs,
+    protection,
     records,
     sessions,
     structures,
@@ -115,6 +116,7 @@
         runners: Runners,
         configuration: collections.abc.Callable[[], models.FleetConfiguration],
         tasks: anyio.abc.TaskGroup,
+        guard: protection.Protection | None = None,
     ):
         self.session = session
         self.table = session.table
@@ -122,6 +124,7 @@
         self.runners = runners
         self.configuration = configuration
         self.tasks = tasks
+        self.guard = guard or protection.Unprotected()
         self.running: dict[programs.ActionKey, RunningAction] = {}
 
     def record(self, record: records.Record) -> journal.Commit:
@@ -226,28 +229,31 @@
                 await anyio.sleep(min(RETRY_DELAY_S, order.remaining_s()))
                 continue
             tried.add(runner.id)
-            # Set before the call, so that a cancelled send is never reported as not run.
-            running.sent = True
             try:
-                return await self.act(runner, order)
-            except exceptions.RunnerUnreachableError:
+                return await self.act(runner, order, running)
+            except (exceptions.RunnerUnreachableError, exceptions.RunnerLeavingError):
                 running.sent = False
             except exceptions.OutcomeUnknownError:
                 return await self.learn(order)
         return not_sent("no runner could be reached before the deadline; use a new key")
 
-    async def act(self, runner: structures.RunnerView, order: Order) -> structures.ActionResult:
+    async def act(
+        self, runner: structures.RunnerView, order: Order, running: RunningAction
+    ) -> structures.ActionResult:
         """Send the action to one runner and count it as in flight."""
         runner.in_flight += 1
         try:
-            return await self.service.act(
-                runner,
-                order.path,
-                order.payload,
-                key=order.key,
-                timeout_s=order.remaining_s(),
-                trace=order.trace,
-            )
+            async with self.guard.around(runner, running.digest):
+                # Set before the send, so that a cancelled one is never reported as not run.
+                running.sent = True
+                return await self.service.act(
+                    runner,
+                    order.path,
+                    order.payload,
+                    key=order.key,
+                    timeout_s=order.remaining_s(),
+                    trace=order.trace,
+                )
         finally:
             runner.in_flight -= 1
 
