Refuse messages with missing or unknown fields instead of ending the gossip

A member with an unknown status raised ValueError in the monitor's task, and a ping without versions a TypeError; both ended the node's membership. Border checks now refuse them with an event.

--- a/src/dogwoodgap/configuration.py
+++ b/src/dogwoodgap/configuration.py
@@ -286,7 +286,8 @@
             )
         except exceptions.PeerError:
             return UNKNOWN
-        return reply.message.generation
+        found = reply.message.generation
+        return UNKNOWN if found is None else found
 
     async def fetch(self, address: str) -> None:
         """Fetch and apply a peer's configuration if it is newer."""
--- a/src/dogwoodgap/limits.py
+++ b/src/dogwoodgap/limits.py
@@ -211,9 +211,10 @@
             reply = await self.network.request(
                 owner.peer_address, request, ttypes.ShareReply, timeout_s=REQUEST_TIMEOUT_S
             )
-            amounts = shares.Amounts(reply.message.rate, reply.message.concurrency)
-            if reply.message.ttl_seconds > 0:
-                grant = shares.Grant(amounts, sent_at + reply.message.ttl_seconds)
+            amounts = shares.Amounts(reply.message.rate or 0.0, reply.message.concurrency or 0)
+            lifetime_s = reply.message.ttl_seconds or 0.0
+            if lifetime_s > 0:
+                grant = shares.Grant(amounts, sent_at + lifetime_s)
                 self.take(customer, usage, grant)
 
     def take(self, customer: str, usage: Usage, grant: shares.Grant) -> None:
@@ -253,7 +254,9 @@
         self, sender: ttypes.Member, message: ttypes.ShareRequest
     ) -> ttypes.ShareReply:
         """Grant a share to another node; a lifetime of 0 means that none is granted now."""
-        demand = shares.Amounts(message.demand, message.concurrency_demand or 0)
+        demand = shares.Amounts(
+            max(0.0, message.demand or 0.0), max(0, message.concurrency_demand or 0)
+        )
         try:
             grant = self.grantor.grant(message.customer, message.node, demand)
         except exceptions.NotOwnerError:
--- a/src/dogwoodgap/members.py
+++ b/src/dogwoodgap/members.py
@@ -6,7 +6,7 @@
 import logging
 import math
 
-from dogwoodgap import clock, events, shards
+from dogwoodgap import clock, events, exceptions, shards
 from dogwoodgap_wire import ttypes
 
 FULL_MESH_NODES = 16
@@ -82,15 +82,26 @@
 
 
 def from_wire(wire: ttypes.Member) -> Member:
-    """Return a received member; missing fields become empty."""
+    """Return a received member; missing addresses become empty.
+
+    Raises
+    ------
+    FrameMalformedError
+        When the node, the boot or a known status is missing.
+    """
+    if not wire.node or not wire.boot or wire.status not in ttypes.MemberStatus._VALUES_TO_NAMES:
+        raise exceptions.FrameMalformedError(
+            f"member {wire.node!r} has boot {wire.boot!r} and status {wire.status!r}; "
+            "check the sender's version"
+        )
     return Member(
-        node=wire.node or "",
-        boot=wire.boot or "",
+        node=wire.node,
+        boot=wire.boot,
         data_centre=wire.data_centre or "",
         http_address=wire.http_address or "",
         peer_address=wire.peer_address or "",
         incarnation=wire.incarnation or 0,
-        status=Status(wire.status or Status.ALIVE),
+        status=Status(wire.status),
         changed_at=clock.now(),
         known_at=clock.now(),
     )
--- a/src/dogwoodgap/membership.py
+++ b/src/dogwoodgap/membership.py
@@ -212,10 +212,10 @@
                 timeout_s=timeout_s or self.interval_s,
                 fresh=fresh,
             )
+            self.table.delivered(node, sent)
+            await self.absorb(reply.sender, reply.message)
         except exceptions.PeerError:
             return False
-        self.table.delivered(node, sent)
-        await self.absorb(reply.sender, reply.message)
         return not node or reply.sender.node == node
 
     async def run_contacts(self) -> None:
@@ -278,11 +278,13 @@
         member = self.table.hear(sender, message.incarnation or 0, bool(message.leaving))
         if member is None:
             return
-        member.configuration_generation = message.configuration_generation
-        if message.configuration_generation > self.hooks.generation():
-            self.hooks.on_generation(member, message.configuration_generation)
-        if message.assignment_version > self.hooks.assignment_version():
-            self.hooks.on_assignment(member, message.assignment_version)
+        generation = number_or_unknown(message.configuration_generation)
+        version = number_or_unknown(message.assignment_version)
+        member.configuration_generation = generation
+        if generation > self.hooks.generation():
+            self.hooks.on_generation(member, generation)
+        if version > self.hooks.assignment_version():
+            self.hooks.on_assignment(member, version)
         self.hooks.on_load(member, message.services or [], message.runners or [])
         await self.compare(member, message.table_digest)
 
@@ -331,3 +333,8 @@
                 node=self.local.node,
                 boot=self.local.boot,
             )
+
+
+def number_or_unknown(value: int | None) -> int:
+    """Return a received version, or -1 when the field is missing."""
+    return -1 if value is None else value
--- a/src/dogwoodgap/peers.py
+++ b/src/dogwoodgap/peers.py
@@ -52,14 +52,14 @@
             return ttypes.Ack(ok=False)
         try:
             return await handler(sender, message)
-        except exceptions.DogwoodgapError as error:
+        except Exception as error:  # a faulty message must not end the listener
             events.emit(
                 events.Event.PEER_HANDLER_FAILED,
                 "a message of another node was refused",
                 level=logging.WARNING,
                 kind=type(message).__name__,
                 sender=sender.node,
-                detail=error.detail,
+                detail=repr(error),
             )
             return ttypes.Ack(ok=False)
 
@@ -324,10 +324,13 @@
 
     def identify(self, frame: frames.Frame) -> ttypes.Member:
         """Return the sender; the first frame has to be its ``Hello``."""
-        if isinstance(frame.message, ttypes.Hello) and frame.message.member is not None:
-            self.sender = frame.message.member
+        if isinstance(frame.message, ttypes.Hello):
+            member = frame.message.member
+            self.sender = member if member is not None and member.node and member.boot else None
         if self.sender is None:
-            raise exceptions.FrameMalformedError("the first frame is no Hello; send Hello first")
+            raise exceptions.FrameMalformedError(
+                "the first frame is no Hello that names node and boot; send Hello first"
+            )
         return self.sender
 
     async def answer(self, frame: frames.Frame, sender: ttypes.Member) -> None:
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -276,6 +276,26 @@
     assert documents.diff(await target.get(1), await target.get(3)) == []
 
 
+@with_fleet
+async def test_lost_reply_is_settled_when_others_have_written_since(fleet):
+    """Guards against an accepted change reported as refused, because it is no longer current."""
+    put = fleet.store.put
+
+    async def losing(key, data, *, expected=None):
+        version = await put(key, data, expected=expected)
+        if key == documents.CURRENT_KEY:
+            fleet.store.put = put
+            await fleet.nodes[1].configuration.update(with_profile("night"), 1, "boris")
+            raise exceptions.StoreUnavailableError("reply lost after the write; read back")
+        return version
+
+    fleet.store.put = losing
+    assert await fleet.nodes[0].configuration.update(with_profile("evening"), 0, "anna") == 1
+    await anyio.sleep(1)
+    kept = await fleet.nodes[2].configuration.history()
+    assert [(entry.generation, entry.author) for entry in kept] == [(2, "boris"), (1, "anna")]
+
+
 @with_fleet
 async def test_generation_is_in_force_within_a_second(fleet):
     """Guards against a fleet that learns of a change only by slow polls."""
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -7,7 +7,9 @@
 import pytest
 import trio.testing
 
-from dogwoodgap import clock, members, membership, settings
+from dogwoodgap import clock, members, membership, objectstore, settings
+from dogwoodgap_lab import objects
+from dogwoodgap_wire import ttypes
 
 DEAD_LIMIT_S = 3.1
 """3 s of the design, and a tenth for the granularity of the check."""
@@ -35,7 +37,7 @@
         self.nodes = {}
         self.scopes = {}
 
-    def start(self, number, boot="b1", seeds=(0,), hooks=None):
+    def start(self, number, boot="b1", seeds=(0,), hooks=None, store=None):
         node_settings = settings.NodeSettings.model_validate(
             {
                 "node": {
@@ -49,7 +51,7 @@
             }
         )
         network = fake_network.FakeNetwork(self.board, address(number))
-        self.nodes[number] = membership.Membership(node_settings, boot, network, hooks=hooks)
+        self.nodes[number] = membership.Membership(node_settings, boot, network, store, hooks)
         self.scopes[number] = anyio.CancelScope()
         self.tasks.start_soon(self.run, number)
 
@@ -224,6 +226,30 @@
     assert fleet.nodes[0].find("n003").boot == "b2"
 
 
+@with_fleet(3)
+async def test_list_of_vms_replaces_seeds(fleet):
+    """Guards against a node that stays alone because all its seeds were replaced."""
+    store = objects.ObjectTable()
+    store.machines = [objectstore.Vm(f"n{n}", address(n)) for n in (1, 2, 77)]
+    fleet.start(3, seeds=(99,), store=store)
+    await fleet.wait_for(lambda: fleet.statuses(3) == {"ALIVE"}, 10)
+    assert fleet.nodes[3].reach() == 1.0
+
+
+@with_fleet(3)
+async def test_message_with_missing_or_unknown_fields_is_refused(fleet):
+    """Guards against one node of another version that ends the gossip of the others."""
+    node = fleet.nodes[0]
+    sender = fleet.nodes[1].local.to_wire()
+    strange = ttypes.Member(node="n009", boot="b", status=99)
+    answer = await node.network.handlers.answer(sender, ttypes.Ping(changes=[strange]))
+    assert answer == ttypes.Ack(ok=False)
+    answer = await node.network.handlers.answer(sender, ttypes.Ping())
+    assert isinstance(answer, ttypes.PingReply)
+    await anyio.sleep(1)
+    assert len(node.alive()) == 3
+
+
 @pytest.mark.parametrize(("count", "limit"), [(5, 4_000), (10, 4_000), (20, 4_000), (40, 4_000)])
 def test_idle_traffic_per_node(count, limit):
     """Guards against gossip above the 4 KB/s that control may use on a node."""
