--- a/src/dogwoodgap/detection.py
+++ b/src/dogwoodgap/detection.py
@@ -33,6 +33,7 @@
         self.random = random.Random(f"{membership.local.node}/{membership.local.boot}")
         self.monitors: dict[str, anyio.CancelScope] = {}
         self.pinged_at: dict[str, float] = {}
+        self.refreshed_version = -1
         self.stepped_at = clock.now()
         self.resumed_at = clock.now()
 
@@ -51,7 +52,15 @@
     def refresh(self, tasks: anyio.abc.TaskGroup) -> None:
         """Follow the table: partners, their tasks and expired entries."""
         self.step()
-        self.membership.table.suspect_after_s = self.membership.suspect_after_s
+        if self.refreshed_version != self.membership.table.version:
+            self.refreshed_version = self.membership.table.version
+            self.membership.table.suspect_after_s = self.membership.suspect_after_s
+            self.refresh_partners(tasks)
+        self.expire_suspects()
+        self.membership.table.forget()
+
+    def refresh_partners(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Start and stop monitors and connections."""
         wanted = members.choose_partners(
             self.membership.local.node, (member.node for member in self.membership.table.others())
         )
@@ -67,8 +76,6 @@
         self.membership.network.set_partners(
             member.peer_address for member in self.partner_members()
         )
-        self.expire_suspects()
-        self.membership.table.forget()
 
     def partner_members(self) -> list[members.Member]:
         """Return the partners by name."""
--- a/src/dogwoodgap/members.py
+++ b/src/dogwoodgap/members.py
@@ -130,17 +130,22 @@
         self.superseded = False
         self.departed = False
         self.subscribers: list[collections.abc.Callable[[Member], None]] = []
+        self.others_version = -1
+        self.others_list: list[Member] = []
         self.digest_version = -1
         self.digest_value = 0
 
     def others(self) -> list[Member]:
         """Return all members that are not dead, without the local one, by name."""
-        found = [
-            member
-            for member in self.members.values()
-            if member is not self.local and member.status is not Status.DEAD
-        ]
-        return sorted(found, key=lambda member: member.node)
+        if self.others_version != self.version:
+            found = [
+                member
+                for member in self.members.values()
+                if member is not self.local and member.status is not Status.DEAD
+            ]
+            self.others_list = sorted(found, key=lambda member: member.node)
+            self.others_version = self.version
+        return self.others_list
 
     def note(self, member: Member, source: str = "") -> None:
         """Queue a change for all partners but its source and tell the subscribers."""
