--- a/src/dogwoodgap/detection.py
+++ b/src/dogwoodgap/detection.py
@@ -102,28 +102,30 @@
                 await self.rest(node)
 
     async def rest(self, node: str) -> None:
-        """Wait for the next step of a monitor, or until there is news to send."""
+        """Wait until a ping may be due, or until there is news to send."""
         woken = self.membership.woken
-        await anyio.sleep(MIN_PING_GAP_S)
-        delay = self.membership.interval_s / 2 - MIN_PING_GAP_S
-        if delay > 0 and not self.membership.table.pending.get(node):
-            with anyio.move_on_after(delay):
+        started_at = clock.now()
+        member = self.membership.table.members.get(node)
+        if member is not None and not self.membership.table.pending.get(node):
+            delay = self.due_at(member) - started_at
+            with anyio.move_on_after(min(max(MIN_PING_GAP_S, delay), self.membership.interval_s)):
                 await woken.wait()
+        gap = started_at + MIN_PING_GAP_S - clock.now()
+        if gap > 0:
+            await anyio.sleep(gap)
+
+    def due_at(self, member: members.Member) -> float:
+        """Return when to ping a silent partner; of a pair the smaller name pings regularly."""
+        patience = 1.0 if self.membership.local.node < member.node else 1.5
+        return member.heard_at + patience * self.membership.interval_s
 
     def is_due(self, member: members.Member) -> bool:
-        """Return whether to ping a partner; of a pair the smaller name pings regularly."""
-        if (
-            self.membership.table.pending.get(member.node)
-            or member.node in self.membership.table.accused
-        ):
+        """Return whether to ping a partner now, for news or after its silence."""
+        table = self.membership.table
+        if table.pending.get(member.node) or member.node in table.accused:
             return True
         pinged_at = self.pinged_at.get(member.node, 0.0)
-        if pinged_at < self.membership.forced_at:
-            return True
-        patience = 1.0 if self.membership.local.node < member.node else 1.5
-        return (
-            clock.now() - member.heard_at >= patience * self.membership.interval_s - MIN_PING_GAP_S
-        )
+        return pinged_at < self.membership.forced_at or clock.now() >= self.due_at(member)
 
     async def ping(
         self, member: members.Member, fresh: bool = False, timeout_s: float | None = None
