--- a/src/dogwoodgap/configuration.py
+++ b/src/dogwoodgap/configuration.py
@@ -32,6 +32,13 @@
 
 START_RETRY_S = 0.2
 FETCH_TIMEOUT_S = 2.0
+START_SETTLE_S = 1.0
+"""In an outage a starting node listens this long after the first peer's answer.
+
+The first peers that it knows may not have heard of the newest generation yet; two ping intervals
+bring it the whole member table and the generation of each partner.
+"""
+
 START_PEERS = 16
 PARALLEL_QUESTIONS = 32
 ONLY_GENERATION = 2**62
@@ -94,6 +101,7 @@
         self.cursor = 0
         self.invalid_data = b""
         self.ready = anyio.Event()
+        self.peers_since: float | None = None
         self.offer: Offer | None = None
         self.offered = anyio.Event()
         self.random = random.Random(node)
@@ -250,7 +258,7 @@
             self.offer = None
 
     async def read_from_peers(self) -> bool:
-        """Apply the highest generation among the peers; return whether any peer knew one."""
+        """Apply the highest generation among the peers; return whether it can be relied on."""
         offers: list[Offer] = []
 
         async def ask(member: members.Member) -> None:
@@ -264,11 +272,14 @@
                 tasks.start_soon(ask, member)
         if not offers:
             return False
+        if self.peers_since is None:
+            self.peers_since = clock.now()
         best = max(offers, key=lambda offer: offer.generation)
         if best.generation > self.generation:
             with contextlib.suppress(exceptions.PeerError):
                 await self.fetch(best.address)
-        return self.generation >= best.generation
+        settled = clock.now() - self.peers_since >= START_SETTLE_S
+        return settled and self.generation >= best.generation
 
     def peers(self) -> list[members.Member]:
         """Return the other live members."""
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -350,6 +350,16 @@
     run(main)
 
 
+@with_fleet
+async def test_starting_node_in_an_outage_learns_the_newest_generation(fleet):
+    """Guards against a start with the answer of the first peer, which may lag behind others."""
+    await fleet.race([3])
+    fleet.store.faults.outage = True
+    fleet.restart(0)
+    await fleet.nodes[0].configuration.ready.wait()
+    assert fleet.nodes[0].configuration.generation == 1
+
+
 @with_fleet
 async def test_history_is_bounded(fleet):
     """Guards against history objects that grow without end."""
