--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -283,7 +283,7 @@
 
     async def losing(key, data, *, expected=None):
         version = await put(key, data, expected=expected)
-        if key == documents.CURRENT_KEY:
+        if key == revisions.CURRENT_KEY:
             fleet.store.put = put
             await fleet.nodes[1].configuration.update(with_profile("night"), 1, "boris")
             raise exceptions.StoreUnavailableError("reply lost after the write; read back")
