--- a/src/dogwoodgap/admin_configuration.py
+++ b/src/dogwoodgap/admin_configuration.py
@@ -67,7 +67,7 @@
         self, request: requests.Request, identity: keys.Identity
     ) -> responses.Response:
         """Return the generation in force on each live node."""
-        nodes = dict(self.configuration.in_force())
+        nodes = dict(await self.configuration.in_force())
         return views.answer(admin_parts.InForce(self.configuration.current.generation, nodes))
 
 
--- a/src/dogwoodgap/admin_fleet.py
+++ b/src/dogwoodgap/admin_fleet.py
@@ -81,11 +81,22 @@
 
 @dataclasses.dataclass
 class TablePrograms:
-    """The programs of a node's table, for operators."""
+    """The programs of a node's table, for operators.
 
-    table: programs.ProgramTable
+    Attributes
+    ----------
+    present : callable
+        Returns the table of the present boot.
+    """
+
+    present: collections.abc.Callable[[], programs.ProgramTable]
     end: End
 
+    @property
+    def table(self) -> programs.ProgramTable:
+        """The table of the present boot."""
+        return self.present()
+
     def select(
         self,
         query: admin_parts.ProgramQuery,
--- a/src/dogwoodgap/admin_parts.py
+++ b/src/dogwoodgap/admin_parts.py
@@ -39,7 +39,7 @@
     async def get(self, generation: int) -> models.FleetConfiguration:
         """Return a stored generation."""
 
-    def in_force(self) -> collections.abc.Mapping[str, int]:
+    async def in_force(self) -> collections.abc.Mapping[str, int]:
         """Return the generation in force on each live node."""
 
 
--- a/src/dogwoodgap/app.py
+++ b/src/dogwoodgap/app.py
@@ -19,6 +19,7 @@
     intents,
     keys,
     lifecycle,
+    limits,
     middleware,
     models,
     openapi,
@@ -60,6 +61,7 @@
     entries: Entries
     health: collections.abc.Callable[[], views.HealthView]
     ttl_s: float = DISCOVERY_TTL_S
+    limiter: limits.Limiter | None = None
 
 
 class App:
@@ -182,7 +184,8 @@
         program = self.program(request)
         default = self.services.lifecycle.profile(program).call_deadline_seconds
         deadline_s = default if body.deadline_seconds is None else body.deadline_seconds
-        running = self.submit(program, body, deadline_s, request.headers.get("traceparent", ""))
+        trace = request.headers.get("traceparent", "")
+        running = await self.submit(program, body, deadline_s, trace)
         follow_until = clock.now() + deadline_s + FOLLOW_GRACE_S
         if body.stream:
             return responses.StreamingResponse(
@@ -191,7 +194,7 @@
         turn = await running.result(follow_until)
         return views.answer(views.CallView(program.id, turn))
 
-    def submit(
+    async def submit(
         self, program: programs.Program, body: models.CallRequest, deadline_s: float, trace: str
     ) -> answers.RunningCall:
         """Start a call within the program's limits, or attach to it."""
@@ -200,7 +203,21 @@
         if attached is not None:
             return attached
         self.services.lifecycle.check_limits(program, digest)
-        return self.services.calls.submit(program, body, deadline_s, trace)
+        if self.services.limiter is None:
+            return self.services.calls.submit(program, body, deadline_s, trace)
+        await self.services.limiter.acquire(program.customer)
+        try:
+            running = self.services.calls.submit(program, body, deadline_s, trace)
+        except BaseException:
+            self.services.limiter.release(program.customer)
+            raise
+        self.services.calls.tasks.start_soon(self.release_limit, program.customer, running)
+        return running
+
+    async def release_limit(self, customer: str, running: answers.RunningCall) -> None:
+        """Give the share of a customer's limit back when a call has ended."""
+        await running.closed.wait()
+        self.services.limiter.release(customer)
 
     async def program_action(self, request: requests.Request) -> responses.Response:
         """Run the next action of a program; an urgent idempotent one needs no number."""
--- /dev/null
+++ b/src/dogwoodgap/backends.py
@@ -0,0 +1,196 @@
+"""Everything a node needs to reach backend servers."""
+
+import functools
+import ssl
+
+import anyio
+import anyio.abc
+import httpx
+
+from dogwoodgap import (
+    adapters,
+    breakers,
+    cache_view,
+    connections,
+    exceptions,
+    members,
+    metrics,
+    models,
+    objectstore,
+    orders,
+    programs,
+    protection,
+    quarantine,
+    runners,
+    scheduler,
+    shards,
+    structures,
+    suspects,
+)
+from dogwoodgap import fleet as fleet_module
+from dogwoodgap_wire import ttypes
+
+VM_INTERVAL_S = 10.0
+SUSPECT_SHARE = 10
+"""One runner of ten may be kept free for suspects."""
+
+
+class Backends:
+    """Connections, directory, protection, caches, orders and dispatchers.
+
+    Parameters
+    ----------
+    fresh : httpx.AsyncClient
+        Keeps no connections open; for non-idempotent actions.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        data_centre: str,
+        fleet: fleet_module.Fleet,
+        store: objectstore.ObjectStore,
+        fresh: httpx.AsyncClient,
+        tasks: anyio.abc.TaskGroup,
+        client_tls: ssl.SSLContext | None = None,
+    ):
+        self.name = name
+        self.data_centre = data_centre
+        self.fleet = fleet
+        self.store = store
+        self.tasks = tasks
+        self.dispatchers: dict[str, scheduler.Dispatcher] = {}
+        self.connections = connections.Connections(client_tls)
+        self.engine = adapters.HttpEngineAdapter(self.connections.client)
+        self.service = adapters.HttpServiceAdapter(self.connections.client, fresh)
+        self.directory = runners.Directory(
+            name,
+            self.connections,
+            engine_load=self.engine.load,
+            service_load=self.service.load,
+            send=fleet.broadcast,
+            changed=self.notify,
+            crashed=self.on_crash,
+        )
+        self.quarantine = quarantine.Quarantine(
+            name,
+            claims=suspects.Claims(store),
+            journal=lambda record: fleet.ownership.session.record(record).wait(),
+            send=fleet.broadcast,
+            idle=self.directory.idle,
+            probe=self.directory.check,
+            reserve_limit=lambda service: len(self.directory.views(service)) // SUSPECT_SHARE,
+        )
+        self.guards = breakers.Guards()
+        self.protection = protection.RunnerProtection(
+            self.directory, self.quarantine, self.guards, tasks
+        )
+        self.cache = cache_view.CacheView(self.engine, self.model_views, self.is_live)
+        self.orders = orders.Orders(self.engine, self.directory.views, fleet.fencing)
+        self.wire()
+
+    def wire(self) -> None:
+        """Connect the parts to the fleet."""
+        fleet = self.fleet
+        fleet.configuration.subscribe(self.apply)
+        fleet.membership.subscribe(self.on_member)
+        fleet.ping.runners = self.directory.digests
+        fleet.ping.on_load = self.on_load
+        fleet.network.handlers.register(ttypes.RunnerNotice, self.on_runner_notice)
+        fleet.network.handlers.register(ttypes.SuspectNotice, self.on_suspect_notice)
+
+    def start(self) -> None:
+        """Start the background tasks."""
+        for part in (self.directory, self.quarantine, self.cache, self.orders):
+            self.tasks.start_soon(part.run)
+        self.tasks.start_soon(self.follow_vms)
+
+    def apply(self, configuration: models.FleetConfiguration) -> None:
+        """Take over a new configuration."""
+        self.directory.apply(configuration)
+        for name, service in configuration.services.items():
+            if service.kind == "model" and name not in self.dispatchers:
+                usable = functools.partial(self.usable_views, name)
+                self.dispatchers[name] = scheduler.Dispatcher(name, usable)
+        for gone in set(self.dispatchers) - set(configuration.services):
+            del self.dispatchers[gone]
+        self.orders.apply(configuration)
+
+    def views(self, service: str) -> list[structures.RunnerView]:
+        """Return the views of a service's runners."""
+        return self.directory.views(service)
+
+    def usable_views(self, service: str) -> list[structures.RunnerView]:
+        """Return the runners that placement may choose."""
+        return [view for view in self.directory.views(service) if self.protection.usable(view)]
+
+    def model_views(self) -> list[structures.RunnerView]:
+        """Return the views of all runners of model services."""
+        return [view for name in self.dispatchers for view in self.directory.views(name)]
+
+    def notify(self, service: str) -> None:
+        """Wake the calls that wait for a runner of a service."""
+        dispatcher = self.dispatchers.get(service)
+        if dispatcher is not None:
+            dispatcher.notify()
+
+    def is_live(self, session: str) -> bool | None:
+        """Return whether a session's program is live; None when this node cannot judge."""
+        customer, _, program = session.partition("/")
+        ownership = self.fleet.ownership
+        if not ownership.owns(shards.program_shard(customer, program)):
+            return None
+        found = ownership.table.find(customer, program)
+        return found is not None and found.status == structures.ProgramStatus.ACTIVE
+
+    def used(self, program: programs.Program, runner: structures.RunnerView, tokens: int) -> None:
+        """Note that a call left its prefix on a runner."""
+        self.cache.used(runner, programs.session_of(program), tokens)
+
+    def on_member(self, member: members.Member) -> None:
+        """Share the polls of runners between the live nodes of the data centre."""
+        alive = self.fleet.membership.alive()
+        near = [item.node for item in alive if item.data_centre == self.data_centre]
+        self.directory.set_nodes(near)
+        if member.status is members.Status.DEAD:
+            self.directory.forget_peer(member.node)
+
+    def on_crash(self, view: structures.RunnerView) -> object:
+        """Suspect the requests that were in flight on a runner that crashed."""
+        return self.quarantine.crashed(view)
+
+    def on_load(
+        self,
+        member: members.Member,
+        services: list[ttypes.ServiceLoad],
+        loads: list[ttypes.RunnerLoad],
+    ) -> None:
+        """Take over what a peer knows of runners."""
+        self.directory.accept_digests(member.node, loads)
+
+    async def on_runner_notice(
+        self, sender: ttypes.Member, message: ttypes.RunnerNotice
+    ) -> ttypes.Ack:
+        """Take over a peer's notice of a runner."""
+        self.directory.receive(sender.node, message)
+        return ttypes.Ack(ok=True)
+
+    async def on_suspect_notice(
+        self, sender: ttypes.Member, message: ttypes.SuspectNotice
+    ) -> ttypes.Ack:
+        """Take over a peer's notice of a suspect."""
+        self.quarantine.receive(message)
+        return ttypes.Ack(ok=True)
+
+    async def follow_vms(self) -> None:
+        """Take over the platform's list of VMs again and again."""
+        while True:
+            try:
+                self.directory.apply_vms(await self.store.vms())
+            except exceptions.StoreError:
+                metrics.count("vms.unavailable")
+            await anyio.sleep(VM_INTERVAL_S)
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        await self.connections.aclose()
--- a/src/dogwoodgap/completions.py
+++ b/src/dogwoodgap/completions.py
@@ -126,7 +126,7 @@
             wanted = models.ProgramRequest(id=placed, service=body.model)
             program = await self.app.services.lifecycle.create(identity.customer, wanted)
         try:
-            running, deadline_s = self.submit(program, body, sent, request)
+            running, deadline_s = await self.submit(program, body, sent, request)
         except exceptions.DogwoodgapError:
             if not named:
                 self.end(program)
@@ -135,7 +135,7 @@
             self.app.services.calls.tasks.start_soon(self.end_after, program, running)
         return await self.respond(program, running, body, clock.now() + deadline_s)
 
-    def submit(
+    async def submit(
         self,
         program: programs.Program,
         body: models.ChatRequest,
@@ -154,7 +154,7 @@
         )
         deadline_s = self.app.services.lifecycle.profile(program).call_deadline_seconds
         trace = request.headers.get("traceparent", "")
-        return self.app.submit(program, call, deadline_s, trace), deadline_s
+        return await self.app.submit(program, call, deadline_s, trace), deadline_s
 
     def step_of(self, program: programs.Program, sent: list[structures.Text]) -> Step:
         """Return which call a conversation asks for.
--- /dev/null
+++ b/src/dogwoodgap/fleet.py
@@ -0,0 +1,208 @@
+"""How a node takes part in the fleet: peers, membership, configuration, shards and limits."""
+
+import contextlib
+import ssl
+
+import anyio
+import anyio.abc
+
+from dogwoodgap import (
+    clock,
+    configuration,
+    discovery,
+    exceptions,
+    limits,
+    members,
+    membership,
+    models,
+    objectstore,
+    peers,
+    recovery,
+    settings,
+    shards,
+    shares,
+    views,
+)
+from dogwoodgap_wire import ttypes
+
+WRITE_BURST = 8.0
+NOTICE_TIMEOUT_S = 1.0
+CONFIRM_INTERVAL_S = 1.0
+"""A grantor of limits must know within 2 s that it still owns its shards."""
+
+
+class Members:
+    """Members as the recovery of shards sees them."""
+
+    def __init__(self, source: "Fleet"):
+        self.source = source
+
+    def live(self) -> list[shards.Owner]:
+        """Return the live nodes that do not leave, with their boots."""
+        alive = self.source.membership.alive()
+        return [shards.Owner(member.node, member.boot) for member in alive]
+
+    def is_dead(self, owner: shards.Owner) -> bool:
+        """Return whether a boot is known to be gone."""
+        return self.source.membership.is_dead(owner.node, owner.boot)
+
+
+class Fleet:
+    """Everything that concerns other nodes.
+
+    Parameters
+    ----------
+    hooks : recovery.Hooks
+        What the node does when the ownership of shards changes.
+    scheme : str
+        ``http`` or ``https``, for the callers' addresses of nodes.
+    """
+
+    def __init__(
+        self,
+        node_settings: settings.NodeSettings,
+        store: objectstore.ObjectStore,
+        tasks: anyio.abc.TaskGroup,
+        hooks: recovery.Hooks,
+        scheme: str,
+        server_tls: ssl.SSLContext | None = None,
+        client_tls: ssl.SSLContext | None = None,
+    ):
+        section = node_settings.node
+        self.settings = node_settings
+        self.scheme = scheme
+        self.name = section.name
+        self.store = store
+        self.tasks = tasks
+        platform = node_settings.platform
+        self.bucket = objectstore.RateBucket(platform.writes_per_s, WRITE_BURST)
+        self.network = peers.PeerNetwork(section.peer_bind, tasks, server_tls, client_tls)
+        self.ping = membership.Hooks()
+        self.acquired_at: dict[int, float] = {}
+        self.confirmed_at = -1.0
+        self.ownership = recovery.Ownership(store, section.name, self.bucket, Members(self), hooks)
+        self.membership = membership.Membership(
+            node_settings, self.ownership.boot, self.network, store, self.ping
+        )
+        self.configuration = configuration.Configuration(
+            section.name,
+            section.data_centre,
+            store,
+            self.network,
+            self.membership.alive,
+            platform.watches_per_data_centre,
+            self.bucket,
+        )
+        self.discovery = discovery.Discovery(
+            self.membership.alive,
+            self.owner_name,
+            section.data_centre,
+            node_settings.membership.discovery_ttl_s,
+        )
+        self.limiter = limits.Limiter(
+            section.name,
+            self.ownership.boot,
+            lambda: self.configuration.current,
+            self.owner_member,
+            self.network,
+            self.hold,
+            lambda: self.membership.vm_count,
+        )
+        self.wire()
+
+    def wire(self) -> None:
+        """Connect the parts to each other."""
+        self.ping.generation = self.configuration.known_generation
+        self.ping.on_generation = self.configuration.on_higher
+        self.configuration.subscribe(lambda current: self.membership.wake())
+        self.membership.subscribe(self.on_member)
+
+    async def start(self) -> None:
+        """Open the listener for peers and start all background tasks."""
+        await self.tasks.start(self.network.serve)
+        for part in (self.membership, self.configuration, self.limiter, self.ownership):
+            self.tasks.start_soon(part.run)
+        self.tasks.start_soon(self.confirm_always)
+
+    def on_member(self, member: members.Member) -> None:
+        """Share the platform's write rate between the live nodes."""
+        live = max(1, len(self.membership.alive()))
+        self.ownership.journal.set_rate(self.settings.platform.writes_per_s / live)
+
+    def note_acquired(self, acquired: set[int]) -> None:
+        """Remember when shards were acquired."""
+        now = clock.now()
+        for shard in acquired:
+            self.acquired_at[shard] = now
+
+    async def announce_boot(self) -> None:
+        """Tell the peers of a new boot after the journal was sealed."""
+        self.membership.local.boot = self.ownership.boot
+        self.on_member(self.membership.local)
+        await self.membership.announce(members.Status.ALIVE)
+
+    def owner_name(self, shard: int) -> str:
+        """Return the name of the node that owns a shard, or an empty text."""
+        owner = self.ownership.owner(shard)
+        return owner.node if owner is not None else ""
+
+    def owner_member(self, shard: int) -> members.Member | None:
+        """Return the member that owns a shard."""
+        return self.membership.find(self.owner_name(shard))
+
+    def address_of(self, node: str) -> str:
+        """Return the base URL of a node's callers' interface, or an empty text."""
+        member = self.membership.find(node)
+        return self.url(member.http_address) if member is not None else ""
+
+    def url(self, address: str) -> str:
+        """Return an address with its scheme."""
+        return address if "://" in address else f"{self.scheme}://{address}"
+
+    def entries(self, customer: str, program: str) -> list[views.EntryView]:
+        """Return the entry addresses in order of use."""
+        found = self.discovery.entries(customer, program).entries
+        return [
+            views.EntryView(self.url(item.address), item.node, item.data_centre) for item in found
+        ]
+
+    def hold(self, shard: int) -> shares.Ownership | None:
+        """Return this node's hold on a shard, for the grants of customers' limits."""
+        if not self.ownership.owns(shard):
+            return None
+        entry = self.ownership.assignment.current.shards[shard]
+        acquired_at = self.acquired_at.get(shard, clock.now())
+        return shares.Ownership(entry.generation, acquired_at, self.confirmed_at)
+
+    def fencing(self, service: str) -> int | None:
+        """Return the fencing number under which this node controls a service's engines."""
+        shard = shards.shard_of(f"service/{service}")
+        if not self.ownership.owns(shard):
+            return None
+        return self.ownership.assignment.current.shards[shard].generation
+
+    async def confirm_always(self) -> None:
+        """Confirm the ownership by reading the assignment while customers have limits."""
+        while True:
+            if any(limited(item) for item in self.configuration.current.customers.values()):
+                started = clock.now()
+                with contextlib.suppress(exceptions.StoreError):
+                    await self.ownership.assignment.load()
+                    self.confirmed_at = started
+            await anyio.sleep(CONFIRM_INTERVAL_S)
+
+    def broadcast(self, message: object) -> None:
+        """Send a notice to all live peers; it may get lost."""
+        for member in self.membership.alive():
+            if member.node != self.name:
+                self.tasks.start_soon(self.send_notice, member.peer_address, message)
+
+    async def send_notice(self, address: str, message: object) -> None:
+        """Send a notice to one peer."""
+        with contextlib.suppress(exceptions.PeerError):
+            await self.network.request(address, message, ttypes.Ack, timeout_s=NOTICE_TIMEOUT_S)
+
+
+def limited(customer: models.Customer) -> bool:
+    """Return whether a customer has a limit."""
+    return customer.rate_per_s > 0 or customer.concurrency > 0
--- a/src/dogwoodgap/membership.py
+++ b/src/dogwoodgap/membership.py
@@ -36,7 +36,7 @@
     on_generation, on_assignment : callable
         Called with a member whose version is higher than this node's, and that version.
     services, runners : callable
-        Loads to send.
+        Loads to send; those of runners depend on the receiving node.
     on_load : callable
         Called with the member, its service loads and its runner loads.
     """
@@ -46,7 +46,7 @@
     on_generation: collections.abc.Callable[[members.Member, int], None] = lambda *args: None
     on_assignment: collections.abc.Callable[[members.Member, int], None] = lambda *args: None
     services: collections.abc.Callable[[], list[ttypes.ServiceLoad]] = list
-    runners: collections.abc.Callable[[], list[ttypes.RunnerLoad]] = list
+    runners: collections.abc.Callable[[str], list[ttypes.RunnerLoad]] = lambda node: []
     on_load: collections.abc.Callable[[members.Member, list, list], None] = lambda *args: None
 
 
@@ -203,7 +203,7 @@
     ) -> bool:
         """Exchange a ping with whoever listens at an address."""
         sent = self.table.outgoing(node)
-        message = ttypes.Ping(changes=sent, **self.state())
+        message = ttypes.Ping(changes=sent, **self.state(node))
         try:
             reply = await self.network.request(
                 address,
@@ -257,13 +257,13 @@
 
     # Messages
 
-    def state(self) -> dict:
+    def state(self, node: str) -> dict:
         """Return the fields that a ping and its reply share."""
         return {
             "configuration_generation": self.hooks.generation(),
             "assignment_version": self.hooks.assignment_version(),
             "services": self.hooks.services()[:MAX_SERVICE_LOADS],
-            "runners": self.hooks.runners()[:MAX_RUNNER_LOADS],
+            "runners": self.hooks.runners(node)[:MAX_RUNNER_LOADS],
             "incarnation": self.local.incarnation,
             "leaving": self.local.status is not members.Status.ALIVE,
             "table_digest": self.table.digest(),
@@ -301,7 +301,7 @@
     async def on_ping(self, sender: ttypes.Member, message: ttypes.Ping) -> ttypes.PingReply:
         """Answer a ping."""
         await self.absorb(sender, message)
-        return ttypes.PingReply(changes=self.table.outgoing(sender.node), **self.state())
+        return ttypes.PingReply(changes=self.table.outgoing(sender.node), **self.state(sender.node))
 
     async def on_probe(
         self, sender: ttypes.Member, message: ttypes.ProbeRequest
--- a/src/dogwoodgap/metrics.py
+++ b/src/dogwoodgap/metrics.py
@@ -48,6 +48,7 @@
     Metric("actions.unknown_in_program", Kind.COUNTER, "actions", "The same, seen by programs."),
     Metric("releases.confirmed", Kind.COUNTER, "orders", "Engine memory releases confirmed."),
     Metric("requests.failed", Kind.COUNTER, "requests", "Requests that failed unexpectedly."),
+    Metric("vms.unavailable", Kind.COUNTER, "reads", "Failed reads of the platform's VM list."),
     Metric("checkpoint.write", Kind.TIMING, "s", "Time to store one checkpoint."),
     Metric("admin.requests", Kind.COUNTER, "requests", "Requests to the administration API."),
     Metric("admin.refused", Kind.COUNTER, "requests", "Administration requests that were refused."),
--- a/src/dogwoodgap/node.py
+++ b/src/dogwoodgap/node.py
@@ -1,43 +1,41 @@
 """The node: builds every part and runs it."""
 
 import contextlib
-import logging
 import signal
-import uuid
 
 import anyio
 import anyio.abc
 import httpx
-import msgspec
+from starlette import routing
 
 from dogwoodgap import (
-    actions,
-    adapters,
+    admin,
+    admin_fleet,
     app,
-    calls,
+    backends,
+    dump,
+    entries,
     events,
-    exceptions,
+    fleet,
     forwarding,
     intents,
-    journal,
-    lifecycle,
     metrics,
     models,
     objectstore,
-    pacing,
+    operators,
+    outbound,
     programs,
+    recovery,
     releases,
-    scheduler,
     serving,
     settings,
     structures,
     tls,
     views,
+    workers,
 )
 
-CONFIGURATION_KEY = "config/current"
-WRITE_BURST = 8.0
-EXPIRE_INTERVAL_S = 60.0
+REPORT_INTERVAL_S = 5.0
 
 
 class Node:
@@ -47,219 +45,215 @@
     ----------
     node_settings : settings.NodeSettings
         Validated settings.
-    ownership : forwarding.Ownership, optional
-        Who owns which shard; without one this node owns everything.
 
     Attributes
     ----------
+    workers : workers.Workers
+        The work of the present boot; replaced after a seal.
     stop : serving.GracefulStop
         ``stop.on_stop(callback)`` adds a step of the planned stop.
     """
 
-    def __init__(
-        self,
-        node_settings: settings.NodeSettings,
-        ownership: forwarding.Ownership | None = None,
-    ):
+    def __init__(self, node_settings: settings.NodeSettings):
         self.settings = node_settings
-        self.boot = uuid.uuid4().hex[:12]
-        self.ownership = ownership or forwarding.SingleNode(node_settings.node.name, self.boot)
-        self.configuration = models.FleetConfiguration()
-        self.table = programs.ProgramTable()
-        self.ready = False
-        self.views: dict[str, list[structures.RunnerView]] = {}
-        self.dispatchers: dict[str, scheduler.Dispatcher] = {}
         self.certificates = tls.Certificates(node_settings.tls)
         self.stop = serving.GracefulStop(node_settings.membership.discovery_ttl_s)
+        self.ready = False
 
     async def run(self) -> None:
         """Serve until a planned stop has finished."""
         section = self.settings.statsd
         metrics.configure(section.host, section.port, section.prefix)
         async with contextlib.AsyncExitStack() as stack:
-            self.platform = await stack.enter_async_context(
+            platform = await stack.enter_async_context(
                 self.client(base_url=self.settings.platform.url)
             )
-            self.backends = await stack.enter_async_context(self.client())
-            self.engines = await stack.enter_async_context(
-                httpx.AsyncClient(
-                    transport=pacing.PacedTransport(self.certificates.client_context())
-                )
-            )
-            self.fresh = await stack.enter_async_context(self.client(keep_alive=0))
+            self.peers = await stack.enter_async_context(self.client())
+            fresh = await stack.enter_async_context(self.client(keep_alive=0))
             tasks = await stack.enter_async_context(anyio.create_task_group())
-            self.build(tasks)
-            await self.serve(tasks)
+            self.tasks = tasks
+            self.build(platform, fresh)
+            await self.serve()
+            await self.fleet.membership.depart()
+            await self.backends.aclose()
             tasks.cancel_scope.cancel()
         events.emit(events.Event.NODE_STOPPED, "node stopped", node=self.settings.node.name)
 
     def client(self, base_url: str = "", keep_alive: int = 100) -> httpx.AsyncClient:
         """Return an HTTP client; ``keep_alive`` bounds the idle connections that it keeps."""
         limits = httpx.Limits(max_connections=None, max_keepalive_connections=keep_alive)
-        verify = self.certificates.client_context() or True
-        return httpx.AsyncClient(base_url=base_url, limits=limits, verify=verify)
+        context = self.certificates.client_context()
+        if context is not None:
+            return httpx.AsyncClient(base_url=base_url, limits=limits, verify=context)
+        return outbound.client(base_url=base_url, limits=limits)
 
-    def build(self, tasks: anyio.abc.TaskGroup) -> None:
-        """Create the parts of the callers' side."""
-        self.store = objectstore.HttpObjectStore(self.platform, self.settings.platform.timeout_s)
-        bucket = objectstore.RateBucket(self.settings.platform.writes_per_s, WRITE_BURST)
-        self.journal = journal.Journal(self.store, self.settings.node.name, self.boot, bucket)
-        self.engine = adapters.HttpEngineAdapter(self.engines)
-        self.service = adapters.HttpServiceAdapter(self.backends, self.fresh)
-        self.releases = releases.Releases(self.engine, self.runners, tasks)
-        self.calls = calls.Calls(
-            self.table,
-            self.journal,
-            self.engine,
-            self.dispatchers,
-            tasks,
-            self.in_force,
-            self.releases.note,
+    def build(self, platform: httpx.AsyncClient, fresh: httpx.AsyncClient) -> None:
+        """Create all parts."""
+        section = self.settings.node
+        self.store = objectstore.HttpObjectStore(platform, self.settings.platform.timeout_s)
+        hooks = recovery.Hooks(
+            acquired=self.on_acquired,
+            renewed=self.on_renewed,
+            busy=self.is_busy,
+            settle_intent=self.settle_intent,
         )
-        self.lifecycle = lifecycle.Lifecycle(
-            self.table,
-            self.journal,
-            self.calls,
-            self.releases,
-            self.in_force,
-            self.ownership.owns,
+        scheme = "https" if self.certificates.enabled else "http"
+        client_tls = self.certificates.client_context()
+        self.fleet = fleet.Fleet(
+            self.settings,
+            self.store,
+            self.tasks,
+            hooks,
+            scheme,
+            self.certificates.server_context(),
+            client_tls,
+        )
+        self.backends = backends.Backends(
+            section.name, section.data_centre, self.fleet, self.store, fresh, self.tasks, client_tls
         )
-        self.intents = intents.Intents(
-            self.table, self.journal, self.service, self.runners, self.in_force, tasks
+        self.forwarder = forwarding.Forwarder(
+            self.fleet.ownership, self.fleet.address_of, self.peers
         )
-        self.idempotent = actions.IdempotentActions(self.service, self.runners)
-        self.forwarder = forwarding.Forwarder(self.ownership, self.address_of, self.backends)
-        self.actions = actions.Actions(
-            self.table,
-            self.journal,
-            self.calls,
-            self.lifecycle,
-            self.idempotent,
+        self.memory = releases.Releases(self.backends.engine, self.backends.views, self.tasks)
+        self.workers = self.new_workers()
+        self.services = self.new_services()
+        self.app = app.build(self.services, extra=[self.administration()])
+        self.stop.on_stop(self.fleet.membership.leave)
+        self.stop.on_stop(self.fleet.ownership.hand_over_all)
+        self.stop.waits += [self.app.wait_idle, self.wait_workers]
+
+    def new_workers(self) -> workers.Workers:
+        """Return workers for the present boot."""
+        return workers.Workers(
+            self.fleet.ownership.session,
+            self.backends,
+            self.memory,
+            self.in_force,
             self.key_owner,
-            tasks,
+            self.tasks,
         )
-        self.lifecycle.busy = self.actions.busy
-        self.app = app.build(self.services())
-        self.stop.waits += [self.app.wait_idle, self.wait_calls]
 
-    def services(self) -> app.Services:
+    def new_services(self) -> app.Services:
         """Return what the callers' interface uses."""
         return app.Services(
             settings=self.settings,
-            table=self.table,
-            calls=self.calls,
-            actions=self.actions,
-            intents=self.intents,
-            idempotent=self.idempotent,
-            lifecycle=self.lifecycle,
+            table=self.workers.session.table,
+            calls=self.workers.calls,
+            actions=self.workers.actions,
+            intents=self.workers.intents,
+            idempotent=self.workers.idempotent,
+            lifecycle=self.workers.lifecycle,
             forwarder=self.forwarder,
             configuration=self.in_force,
-            entries=self.entries,
+            entries=self.fleet.entries,
             health=self.health,
             ttl_s=self.settings.membership.discovery_ttl_s,
+            limiter=self.fleet.limiter,
+        )
+
+    def administration(self) -> routing.Mount:
+        """Return the routes of the administration API and register the collectors of the dump."""
+        dump.register_process(self.settings)
+        parts = admin.Administration(
+            configuration=operators.ConfigurationPart(self.fleet.configuration),
+            programs=admin_fleet.TablePrograms(
+                lambda: self.workers.session.table, self.end_program
+            ),
+            nodes=operators.NodesPart(self.fleet, self.stop),
+            bootstrap_digest=self.settings.admin.bootstrap_key_digest,
+            is_configured=self.fleet.configuration.ready.is_set,
         )
+        return routing.Mount(admin.PREFIX, app=parts.build())
 
-    async def serve(self, tasks: anyio.abc.TaskGroup) -> None:
+    async def serve(self) -> None:
         """Run the background tasks and serve callers until the stop has drained."""
-        tasks.start_soon(self.stop.watch_signals, signal.SIGTERM, signal.SIGINT)
-        tasks.start_soon(self.journal.run)
-        tasks.start_soon(self.lifecycle.sweep)
-        tasks.start_soon(self.expire_keys)
-        tasks.start_soon(self.certificates.watch)
         closing = anyio.Event()
-        tasks.start_soon(self.drain, closing)
-        await self.load_configuration()
-        self.ready = True
-        events.emit(events.Event.NODE_STARTED, "node started", node=self.settings.node.name)
+        self.tasks.start_soon(self.stop.watch_signals, signal.SIGTERM, signal.SIGINT)
+        self.tasks.start_soon(self.certificates.watch)
+        self.tasks.start_soon(self.drain, closing)
+        self.tasks.start_soon(self.start)
+        self.tasks.start_soon(self.report_always)
         context = self.certificates.server_context()
         await serving.serve(self.app, self.settings.node.http_bind, context, closing)
 
+    async def start(self) -> None:
+        """Join the fleet; callers are served when the configuration is known."""
+        await self.fleet.start()
+        self.backends.start()
+        self.tasks.start_soon(self.sweep_always)
+        await self.fleet.configuration.ready.wait()
+        self.ready = True
+        events.emit(events.Event.NODE_STARTED, "node started", node=self.settings.node.name)
+
     async def drain(self, closing: anyio.Event) -> None:
         """Close the listener when the planned stop has drained."""
         await self.stop.drained()
         events.emit(events.Event.NODE_STOPPING, "node drained", node=self.settings.node.name)
         closing.set()
 
-    async def wait_calls(self) -> None:
-        """Return when no call or action runs; they outlive the requests that follow them."""
-        while self.calls.running:
-            await next(iter(self.calls.running.values())).closed.wait()
-        while waiting := [*self.actions.running.values(), *self.intents.running.values()]:
-            await waiting[0].done.wait()
+    async def wait_workers(self) -> None:
+        """Return when no call or action runs."""
+        await self.workers.wait_idle()
 
-    async def expire_keys(self) -> None:
-        """Forget idempotency keys past their retention, again and again."""
+    async def sweep_always(self) -> None:
+        """End programs that have passed a time limit, again and again."""
         while True:
-            await anyio.sleep(EXPIRE_INTERVAL_S)
-            self.intents.expire(self.ownership.owns)
+            with anyio.CancelScope() as self.sweeping:
+                await self.workers.lifecycle.sweep()
 
-    def in_force(self) -> models.FleetConfiguration:
-        """Return the fleet configuration in force."""
-        return self.configuration
+    async def report_always(self) -> None:
+        """Report gauges again and again."""
+        while True:
+            active = sum(
+                program.status == structures.ProgramStatus.ACTIVE
+                for program in self.workers.session.table.programs.values()
+            )
+            metrics.gauge("programs.active", active)
+            await anyio.sleep(REPORT_INTERVAL_S)
 
-    def runners(self, service: str) -> list[structures.RunnerView]:
-        """Return the views of a service's runners."""
-        return self.views.get(service, [])
+    def on_acquired(self, acquired: set[int]) -> None:
+        """Take over what came with acquired shards."""
+        self.fleet.note_acquired(acquired)
+        for suspect in self.workers.session.table.suspects.values():
+            self.backends.quarantine.replay(suspect)
+        self.backends.orders.notify()
 
-    def address_of(self, node: str) -> str:
-        """Return the address of a node's callers' interface."""
-        return self.own_address() if node == self.settings.node.name else ""
+    def on_renewed(self) -> None:
+        """Go on under a new boot: everything that runs belongs to the sealed one."""
+        self.workers.abandon()
+        self.workers = self.new_workers()
+        self.sweeping.cancel()
+        for name, value in vars(self.new_services()).items():
+            setattr(self.services, name, value)
+        self.tasks.start_soon(self.fleet.announce_boot)
 
-    def own_address(self) -> str:
-        """Return the address at which callers reach this node."""
-        section = self.settings.node
-        scheme = "https" if self.certificates.enabled else "http"
-        return section.http_address or f"{scheme}://{section.http_bind}"
+    def is_busy(self, shard: int) -> bool:
+        """Return whether work of a shard is running here."""
+        return self.workers.is_busy(shard)
 
-    def entries(self, customer: str, program: str) -> list[views.EntryView]:
-        """Return the entry addresses in order of use."""
-        section = self.settings.node
-        if self.stop.requested.is_set():
-            return []
-        return [views.EntryView(self.own_address(), section.name, section.data_centre)]
+    async def settle_intent(self, entry: entries.KeyEntry) -> structures.ActionResult | None:
+        """Ask the service how an intent of a lost owner ended."""
+        return await self.workers.intents.ask(entry.service, entry.key)
 
-    def health(self) -> views.HealthView:
-        """Return whether the node is ready."""
-        return views.HealthView(self.settings.node.name, self.ready, self.stop.requested.is_set())
+    async def end_program(
+        self, program: programs.Program, status: structures.ProgramStatus, reason: str
+    ) -> None:
+        """End a program and release its engine memory."""
+        await self.workers.lifecycle.end(program, status, reason)
 
     async def key_owner(self, order: intents.Order, authorization: str) -> structures.ActionResult:
         """Run an action at the owner of its key."""
-        return await self.forwarder.key_action(order, authorization, self.intents.run)
+        return await self.forwarder.key_action(order, authorization, self.run_intent)
 
-    async def load_configuration(self) -> None:
-        """Read the fleet configuration from the platform."""
-        while True:
-            try:
-                stored = await self.store.get(CONFIGURATION_KEY)
-                break
-            except exceptions.ObjectMissingError:
-                return
-            except exceptions.StoreError as error:
-                logging.getLogger("dogwoodgap").warning(error.detail)
-                await anyio.sleep(0.2)
-        self.apply_configuration(models.FleetConfiguration.model_validate_json(stored.data))
+    async def run_intent(self, order: intents.Order) -> structures.ActionResult:
+        """Run an action whose key this node owns."""
+        return await self.workers.intents.run(order)
 
-    def apply_configuration(self, configuration: models.FleetConfiguration) -> None:
-        """Put a fleet configuration in force."""
-        self.configuration = configuration
-        for name, service in configuration.services.items():
-            self.views[name] = [
-                structures.RunnerView(
-                    service=name,
-                    id=runner.id,
-                    address=runner.address,
-                    data_centre=runner.data_centre,
-                    slots=runner.slots,
-                    cache_tokens=runner.cache_tokens,
-                    checks_fencing=runner.checks_fencing,
-                )
-                for runner in service.runners
-            ]
-            if service.kind == "model":
-                self.dispatchers[name] = scheduler.Dispatcher(
-                    name, lambda name=name: self.views[name]
-                )
+    def in_force(self) -> models.FleetConfiguration:
+        """Return the fleet configuration in force."""
+        return self.fleet.configuration.current
 
-    def dump(self) -> bytes:
-        """Return the state of the process as JSON."""
-        return msgspec.json.encode({"node": self.settings.node.name, "boot": self.boot})
+    def health(self) -> views.HealthView:
+        """Return whether the node is ready."""
+        stopping = self.stop.requested.is_set()
+        return views.HealthView(self.settings.node.name, self.ready, stopping)
--- /dev/null
+++ b/src/dogwoodgap/operators.py
@@ -0,0 +1,77 @@
+"""What the administration API needs, made from the parts of a node."""
+
+from dogwoodgap import admin_parts, configuration, fleet, models, revisions, serving
+
+
+class ConfigurationPart:
+    """The fleet configuration for operators."""
+
+    def __init__(self, source: configuration.Configuration):
+        self.source = source
+
+    @property
+    def current(self) -> models.FleetConfiguration:
+        """The configuration in force on this node."""
+        return self.source.current
+
+    async def update(
+        self,
+        document: models.FleetConfiguration,
+        expected_generation: int,
+        author: str,
+        note: str,
+    ) -> models.FleetConfiguration:
+        """Store the next generation, or raise ConfigurationConflictError."""
+        generation = await self.source.update(document, expected_generation, author, note)
+        return document.model_copy(update={"generation": generation})
+
+    async def history(self, limit: int) -> list[revisions.Revision]:
+        """Return the latest generations, newest first."""
+        return await self.source.history(limit)
+
+    async def get(self, generation: int) -> models.FleetConfiguration:
+        """Return a stored generation."""
+        return await self.source.get(generation)
+
+    async def in_force(self) -> dict[str, int]:
+        """Return the generation in force on each live node."""
+        return {item.node: item.generation for item in await self.source.in_force()}
+
+
+class NodesPart:
+    """The members of the fleet for operators."""
+
+    def __init__(self, source: fleet.Fleet, stop: serving.GracefulStop):
+        self.source = source
+        self.stop = stop
+
+    @property
+    def own(self) -> str:
+        """The name of this node."""
+        return self.source.name
+
+    def list(self) -> list[admin_parts.NodeInfo]:
+        """Return all known nodes."""
+        table = self.source.membership.table.members
+        return [
+            admin_parts.NodeInfo(
+                name=member.node,
+                boot=member.boot,
+                data_centre=member.data_centre,
+                state=member.status.name.lower(),
+                http_address=self.source.url(member.http_address),
+                generation=self.generation(member.node),
+            )
+            for member in sorted(table.values(), key=lambda item: item.node)
+        ]
+
+    def generation(self, node: str) -> int:
+        """Return the generation that a node has in force as far as this node knows."""
+        if node == self.own:
+            return self.source.configuration.generation
+        member = self.source.membership.find(node)
+        return member.configuration_generation if member is not None else 0
+
+    async def drain(self, author: str) -> None:
+        """Begin the planned stop of this node."""
+        self.stop.request()
--- /dev/null
+++ b/src/dogwoodgap/workers.py
@@ -0,0 +1,88 @@
+"""The work of one boot: calls, actions and the life cycle of its programs."""
+
+import collections.abc
+
+import anyio.abc
+
+from dogwoodgap import (
+    actions,
+    backends,
+    calls,
+    exceptions,
+    intents,
+    lifecycle,
+    models,
+    releases,
+    sessions,
+    shards,
+)
+
+
+class Workers:
+    """Everything that records through one session.
+
+    After a seal the node makes new workers for the new session; the old ones end what they run
+    without recording anything more.
+
+    Parameters
+    ----------
+    key_owner : callable
+        Sends an order to the owner of its idempotency key.
+    active_profile : callable
+        Returns the profile that a service uses at this hour.
+    """
+
+    def __init__(
+        self,
+        session: sessions.Session,
+        reach: backends.Backends,
+        memory: releases.Releases,
+        configuration: collections.abc.Callable[[], models.FleetConfiguration],
+        key_owner: actions.KeyOwner,
+        tasks: anyio.abc.TaskGroup,
+        active_profile: collections.abc.Callable[[str], str] | None = None,
+    ):
+        self.session = session
+        self.calls = calls.Calls(
+            session,
+            reach.engine,
+            reach.dispatchers,
+            tasks,
+            configuration,
+            memory.note,
+            reach.protection,
+        )
+        self.lifecycle = lifecycle.Lifecycle(
+            session, self.calls, memory, configuration, active_profile=active_profile
+        )
+        self.intents = intents.Intents(
+            session, reach.service, reach.views, configuration, tasks, reach.protection
+        )
+        self.idempotent = actions.IdempotentActions(reach.service, reach.views, reach.protection)
+        self.actions = actions.Actions(
+            session, self.calls, self.lifecycle, self.idempotent, key_owner, tasks
+        )
+        self.lifecycle.busy = self.actions.busy
+
+    def is_busy(self, shard: int) -> bool:
+        """Return whether work of a shard is running or waits to be stored."""
+        program_keys = [*self.calls.running, *self.actions.running, *self.lifecycle.commits]
+        if any(shards.program_shard(key.customer, key.program) == shard for key in program_keys):
+            return True
+        return any(shards.key_shard(key.customer, key.key) == shard for key in self.intents.running)
+
+    async def wait_idle(self) -> None:
+        """Return when no call or action runs; they outlive the requests that follow them."""
+        while self.calls.running:
+            await next(iter(self.calls.running.values())).closed.wait()
+        while waiting := [*self.actions.running.values(), *self.intents.running.values()]:
+            await waiting[0].done.wait()
+
+    def abandon(self) -> None:
+        """Stop the calls of a sealed session; its successor has charged them."""
+        for call in list(self.calls.running.values()):
+            call.cancel(
+                exceptions.JournalSealedError(
+                    "another node took over; ask GET /v1/entries and repeat the request there"
+                )
+            )
--- a/tests/fake_admin.py
+++ b/tests/fake_admin.py
@@ -62,7 +62,7 @@
             raise exceptions.NotFoundError(f"generation {generation} does not exist")
         return self.documents[generation - self.start]
 
-    def in_force(self):
+    async def in_force(self):
         current = self.documents[-1].generation
         self.behind = max(0, self.behind - 1)
         return {"n1": current, "n2": current - (1 if self.behind else 0)}
@@ -125,7 +125,7 @@
     def set_bootstrap(self, digest: str) -> None:
         self.administration = admin.Administration(
             self.configuration,
-            admin_fleet.TablePrograms(self.table, self.end),
+            admin_fleet.TablePrograms(lambda: self.table, self.end),
             self.nodes,
             digest,
         )
--- a/tests/test_adapters.py
+++ b/tests/test_adapters.py
@@ -35,7 +35,7 @@
         transport = httpx.MockTransport(lambda _: httpx.Response(status, stream=Parts(*parts)))
         async with httpx.AsyncClient(transport=transport) as client:
             stream = adapters.HttpEngineAdapter(client).generate(VIEW, generation())
-            return [chunk async for chunk in stream]
+            return [chunk async for batch in stream for chunk in batch]
 
     return anyio.run(main)
 
