--- /dev/null
+++ b/src/dogwoodgap/ordering.py
@@ -0,0 +1,149 @@
+"""Plug-ins that order the waiting calls of a service.
+
+A key is an integer in milliseconds; the lowest key runs first, in the node's queue and as priority
+in the engine's queue. Keys are on the wall clock so that engines can compare keys of several nodes.
+"""
+
+import dataclasses
+import math
+import typing
+
+from dogwoodgap import clock, registry, structures
+
+URGENCY_STEP_S = 86_400.0
+ATTAINED_TOKENS_PER_S = 200.0
+MAX_ATTAINED_PENALTY_S = 900.0
+FAIR_HALF_LIFE_S = 120.0
+MAX_FAIR_EXCESS = 3.0
+MAX_CUSTOMERS = 4_096
+
+
+class Ordering(typing.Protocol):
+    """What the dispatcher needs of an ordering."""
+
+    def key(self, item: structures.WorkItem) -> int:
+        """Return the key of a call that starts to wait."""
+
+    def served(self, item: structures.WorkItem, tokens: int) -> None:
+        """Learn that a call was served."""
+
+
+@registry.register("ordering", "fcfs")
+class FirstComeOrdering:
+    """First come, first served."""
+
+    def key(self, item: structures.WorkItem) -> int:
+        """Return the same key for all calls; queues keep the order of arrival."""
+        return 0
+
+    def served(self, item: structures.WorkItem, tokens: int) -> None:
+        """Ignore service."""
+
+
+@registry.register("ordering", "call-priority")
+class CallOrdering:
+    """Shortest call first by prompt and output, without knowledge of programs."""
+
+    def __init__(self, prefill_tokens_per_s: float = 8_000.0, decode_tokens_per_s: float = 50.0):
+        self.prefill_tokens_per_s = prefill_tokens_per_s
+        self.decode_tokens_per_s = decode_tokens_per_s
+
+    def key(self, item: structures.WorkItem) -> int:
+        """Return the nominal duration of the call."""
+        prefill_s = item.prompt_tokens / self.prefill_tokens_per_s
+        decode_s = (item.expected_output_tokens or item.max_tokens) / self.decode_tokens_per_s
+        return int(1_000 * (prefill_s + decode_s))
+
+    def served(self, item: structures.WorkItem, tokens: int) -> None:
+        """Ignore service."""
+
+
+@dataclasses.dataclass(slots=True)
+class Usage:
+    """Decayed service of one customer on this node, in tokens divided by its weight."""
+
+    tokens: float = 0.0
+    at: float = 0.0
+
+    def decayed(self, now: float) -> float:
+        """Return the usage at a later time."""
+        return self.tokens * math.exp2((self.at - now) / FAIR_HALF_LIFE_S)
+
+
+@registry.register("ordering", "program")
+class ProgramOrdering:
+    """Urgency, then least attained service of the program tree, with ageing.
+
+    The key is a point in time, so a waiting call gains on every call that arrives later. Every
+    penalty is bounded, so a call overtakes all calls that arrive more than the sum of the bounds
+    later and nothing starves.
+
+    Parameters
+    ----------
+    attained_gain : float
+        Seconds of penalty per second of service that the tree has received; 0 turns it off.
+    program_age : float
+        Share of the program's age that counts as waiting time; favours old programs.
+    fair_s : float
+        Penalty of a customer that received twice the mean service; 0 turns fair sharing off.
+    slack : bool
+        Raise calls whose deadline is near.
+    """
+
+    def __init__(
+        self,
+        attained_gain: float = 1.0,
+        program_age: float = 0.0,
+        fair_s: float = 10.0,
+        slack: bool = True,
+    ):
+        self.attained_gain = attained_gain
+        self.program_age = program_age
+        self.fair_s = fair_s
+        self.slack = slack
+        self.usage: dict[str, Usage] = {}
+        self.total = Usage()
+
+    def key(self, item: structures.WorkItem) -> int:
+        """Return the key of a call that starts to wait."""
+        now = clock.wall()
+        point = now + self.attained_penalty(item) + self.fair_penalty(item)
+        if self.program_age and item.started_at:
+            point -= self.program_age * (now - item.started_at)
+        if self.slack:
+            point = min(point, now + item.deadline_at - clock.now())
+        return int(1_000 * (point - item.urgency * URGENCY_STEP_S))
+
+    def attained_penalty(self, item: structures.WorkItem) -> float:
+        """Return the penalty for service already received, in seconds."""
+        attained_s = item.attained_tokens / ATTAINED_TOKENS_PER_S
+        penalty = self.attained_gain * attained_s / max(item.latency_weight, 0.01)
+        return min(penalty, MAX_ATTAINED_PENALTY_S)
+
+    def fair_penalty(self, item: structures.WorkItem) -> float:
+        """Return the penalty of a customer that received more than its share, in seconds."""
+        used = self.usage.get(item.customer)
+        if used is None or not self.fair_s:
+            return 0.0
+        now = clock.now()
+        mean = self.total.decayed(now) / len(self.usage)
+        if mean <= 0.0:
+            return 0.0
+        excess = used.decayed(now) / mean - 1.0
+        return self.fair_s * min(max(excess, 0.0), MAX_FAIR_EXCESS)
+
+    def served(self, item: structures.WorkItem, tokens: int) -> None:
+        """Count the service of a customer."""
+        if len(self.usage) >= MAX_CUSTOMERS and item.customer not in self.usage:
+            self.forget_idle()
+        weighted = tokens / max(item.share_weight, 0.01)
+        now = clock.now()
+        for usage in (self.usage.setdefault(item.customer, Usage()), self.total):
+            usage.tokens = usage.decayed(now) + weighted
+            usage.at = now
+
+    def forget_idle(self) -> None:
+        """Drop the half of the customers that were served longest ago."""
+        by_age = sorted(self.usage, key=lambda name: self.usage[name].at)
+        for name in by_age[: len(by_age) // 2]:
+            del self.usage[name]
--- /dev/null
+++ b/src/dogwoodgap/placement.py
@@ -0,0 +1,249 @@
+"""Plug-ins that choose the runner of a call.
+
+:class:`RunnerIndex` finds a bounded set of candidates, so that the cost of a decision does not
+depend on the number of runners.
+"""
+
+import collections
+import collections.abc
+import dataclasses
+import random
+import typing
+
+from dogwoodgap import registry, structures
+
+SAMPLED_RUNNERS = 6
+MAX_SHARED_HOLDERS = 4
+MAX_SHARED_PREFIXES = 1_024
+FAR_PENALTY_S = 0.05
+IMPORT_TOKENS_PER_S = 60_000.0
+# Share by which each request of a batch slows the others, fitted to the lab's engine model.
+BATCH_SLOWDOWN = 0.1
+PREFILL_SLOWDOWN = 0.6
+
+
+class RunnerIndex:
+    """The runners of a service by id, by distance and by the shared prefixes that they hold.
+
+    Parameters
+    ----------
+    data_centre : str
+        The node's own data centre.
+    seed : int
+        Of the sampling; nodes use different seeds so that they sample different runners.
+    """
+
+    def __init__(self, data_centre: str = "", seed: int = 0):
+        self.data_centre = data_centre
+        self.random = random.Random(seed)
+        self.views: list[structures.RunnerView] = []
+        self.size = -1
+        self.by_id: dict[str, structures.RunnerView] = {}
+        self.near: list[structures.RunnerView] = []
+        self.shared: collections.OrderedDict[str, collections.OrderedDict[str, int]] = (
+            collections.OrderedDict()
+        )
+        self.evaluated = 0
+
+    def refresh(self, views: list[structures.RunnerView], *, force: bool = False) -> None:
+        """Rebuild the index when the list of runners is another one."""
+        if views is self.views and len(views) == self.size and not force:
+            return
+        self.views = views
+        self.size = len(views)
+        self.by_id = {view.id: view for view in views}
+        self.near = [view for view in views if view.data_centre == self.data_centre]
+
+    def candidates(self, item: structures.WorkItem) -> list[structures.RunnerView]:
+        """Return the prefix holder, shared-prefix holders and a few sampled runners."""
+        found: dict[str, structures.RunnerView] = {}
+        holder = self.by_id.get(item.prefix_runner)
+        if holder is not None:
+            found[holder.id] = holder
+        for runner in self.shared.get(item.shared_prefix, ()):
+            if runner in self.by_id:
+                found[runner] = self.by_id[runner]
+        for view in self.sample():
+            found[view.id] = view
+        usable = [view for view in found.values() if is_usable(view, item)]
+        if usable:
+            return usable
+        return [view for view in self.views if is_usable(view, item)][:SAMPLED_RUNNERS]
+
+    def sample(self) -> collections.abc.Iterable[structures.RunnerView]:
+        """Return a few runners, half of them from the near data centre."""
+        if self.size <= SAMPLED_RUNNERS:
+            return self.views
+        near = self.near or self.views
+        half = SAMPLED_RUNNERS // 2
+        chosen = [near[int(self.random.random() * len(near))] for _ in range(half)]
+        chosen += [self.views[int(self.random.random() * self.size)] for _ in range(half)]
+        return chosen
+
+    def note_shared(self, prefix: str, runner: str, tokens: int) -> None:
+        """Learn that a runner holds, or with 0 tokens no longer holds, a shared prefix."""
+        holders = self.shared.get(prefix)
+        if tokens <= 0:
+            if holders is not None:
+                holders.pop(runner, None)
+            return
+        if holders is None:
+            if len(self.shared) >= MAX_SHARED_PREFIXES:
+                self.shared.popitem(last=False)
+            holders = self.shared[prefix] = collections.OrderedDict()
+        holders[runner] = tokens
+        holders.move_to_end(runner)
+        if len(holders) > MAX_SHARED_HOLDERS:
+            holders.popitem(last=False)
+
+
+def is_usable(view: structures.RunnerView, item: structures.WorkItem) -> bool:
+    """Return whether a runner may get a call."""
+    return not view.down and not view.leaving and view.id not in item.exclude
+
+
+@dataclasses.dataclass(slots=True)
+class Choice:
+    """The runner that a plug-in prefers.
+
+    Attributes
+    ----------
+    finish_s : float
+        Estimated seconds until the call would finish there.
+    """
+
+    runner: structures.RunnerView
+    finish_s: float = 0.0
+
+
+class Placement(typing.Protocol):
+    """What the dispatcher needs of a placement plug-in.
+
+    Attributes
+    ----------
+    holds : bool
+        Whether calls wait in the node while the engine's queue is long.
+    """
+
+    holds: bool
+
+    def choose(self, item: structures.WorkItem, index: RunnerIndex) -> Choice | None:
+        """Return the best runner, or None when none is usable."""
+
+    def observe(self, duration_s: float) -> None:
+        """Learn how long a call took at a runner, without its wait in the node."""
+
+
+class Baseline:
+    """Base of the simple plug-ins: calls go to the engine's queue at once."""
+
+    holds = False
+
+    def observe(self, duration_s: float) -> None:
+        """Ignore durations."""
+
+
+@registry.register("placement", "round-robin")
+class RoundRobinPlacement(Baseline):
+    """Each runner in turn."""
+
+    def __init__(self):
+        self.turn = 0
+
+    def choose(self, item: structures.WorkItem, index: RunnerIndex) -> Choice | None:
+        """Return the next usable runner."""
+        usable = [view for view in index.views if is_usable(view, item)]
+        if not usable:
+            return None
+        self.turn += 1
+        return Choice(usable[self.turn % len(usable)])
+
+
+@registry.register("placement", "least-loaded")
+class LeastLoadedPlacement(Baseline):
+    """The runner with the fewest requests, among all runners."""
+
+    def choose(self, item: structures.WorkItem, index: RunnerIndex) -> Choice | None:
+        """Return the least loaded usable runner."""
+        usable = [view for view in index.views if is_usable(view, item)]
+        if not usable:
+            return None
+        return Choice(min(usable, key=lambda view: (view.load() / view.slots, view.id)))
+
+
+@registry.register("placement", "prefix-affinity")
+class PrefixAffinityPlacement(LeastLoadedPlacement):
+    """The runner that holds the prefix unless it is overloaded, else the least loaded.
+
+    Parameters
+    ----------
+    imbalance : float
+        Requests per slot by which the holder may exceed the least loaded runner.
+    """
+
+    def __init__(self, imbalance: float = 1.0):
+        self.imbalance = imbalance
+
+    def choose(self, item: structures.WorkItem, index: RunnerIndex) -> Choice | None:
+        """Return the holder or the least loaded runner."""
+        least = super().choose(item, index)
+        holder = index.by_id.get(item.prefix_runner)
+        if least is None or holder is None or not is_usable(holder, item):
+            return least
+        excess = holder.load() / holder.slots - least.runner.load() / least.runner.slots
+        return Choice(holder) if excess <= self.imbalance else least
+
+
+@registry.register("placement", "estimated-finish")
+class EstimatedFinishPlacement:
+    """The candidate with the earliest estimated finish.
+
+    Parameters
+    ----------
+    shared_cost : float
+        Weight of the time that the call's prefill takes from the other requests of the batch.
+    """
+
+    holds = True
+
+    def __init__(self, shared_cost: float = 1.0, service_s: float = 8.0):
+        self.shared_cost = shared_cost
+        self.service_s = service_s
+
+    def choose(self, item: structures.WorkItem, index: RunnerIndex) -> Choice | None:
+        """Return the best candidate."""
+        best: Choice | None = None
+        lowest = 0.0
+        for view in index.candidates(item):
+            index.evaluated += 1
+            finish, cost = self.estimate(item, view, index)
+            if best is None or cost < lowest:
+                best = Choice(view, finish)
+                lowest = cost
+        return best
+
+    def estimate(
+        self, item: structures.WorkItem, view: structures.RunnerView, index: RunnerIndex
+    ) -> tuple[float, float]:
+        """Return the estimated finish and the cost that is compared, both in seconds."""
+        if view.id == item.prefix_runner:
+            cached = item.prefix_tokens
+        else:
+            holders = index.shared.get(item.shared_prefix)
+            cached = holders.get(view.id, 0) if holders else 0
+        imported = max(0, item.exported_tokens - cached)
+        uncached = max(0, item.prompt_tokens - cached - imported)
+        prefill_s = uncached / view.prefill_tokens_per_s
+        output = item.expected_output_tokens or item.max_tokens
+        work_s = prefill_s + output / view.decode_tokens_per_s
+        load = view.load()
+        batch = min(load, view.slots)
+        wait_s = max(0, load - view.slots + 1) * self.service_s / view.slots
+        finish = wait_s + imported / IMPORT_TOKENS_PER_S + work_s * (1 + BATCH_SLOWDOWN * batch)
+        if view.data_centre != index.data_centre:
+            finish += FAR_PENALTY_S
+        return finish, finish + self.shared_cost * prefill_s * PREFILL_SLOWDOWN * batch
+
+    def observe(self, duration_s: float) -> None:
+        """Learn the mean duration of a call at a runner."""
+        self.service_s += 0.02 * (duration_s - self.service_s)
--- /dev/null
+++ b/src/dogwoodgap/retention.py
@@ -0,0 +1,141 @@
+"""Plug-ins that decide what happens to a program's prefix while its tool runs."""
+
+import bisect
+import dataclasses
+import typing
+
+from dogwoodgap import registry, structures
+
+BUCKET_COUNT = 24
+BUCKET_FIRST_S = 0.25
+BUCKET_RATIO = 1.5
+BUCKET_EDGES_S = [BUCKET_FIRST_S * BUCKET_RATIO**number for number in range(BUCKET_COUNT)]
+PRIOR_WEIGHT = 4.0
+HISTORY_LIMIT = 2_000
+EXPORT_TOKENS_PER_S = 60_000.0
+EXPORT_OVERHEAD_S = 0.1
+MAX_HISTOGRAMS = 4_096
+
+
+@dataclasses.dataclass
+class PauseHistogram:
+    """Lengths of the pauses of one profile and tool, in buckets that grow by a constant ratio.
+
+    Starts with a weak prior of one pause per bucket up to about a minute.
+    """
+
+    counts: list[float] = dataclasses.field(
+        default_factory=lambda: [PRIOR_WEIGHT / BUCKET_COUNT] * BUCKET_COUNT
+    )
+
+    def observe(self, pause_s: float) -> None:
+        """Count a pause; old ones lose weight so that a changed tool is learned again."""
+        bucket = min(bisect.bisect_left(BUCKET_EDGES_S, pause_s), BUCKET_COUNT - 1)
+        self.counts[bucket] += 1.0
+        if sum(self.counts) > HISTORY_LIMIT:
+            self.counts = [count / 2 for count in self.counts]
+
+    def residual_s(self, elapsed_s: float) -> float:
+        """Return the expected rest of a pause that has lasted ``elapsed_s`` seconds."""
+        first = bisect.bisect_right(BUCKET_EDGES_S, elapsed_s)
+        total = sum(self.counts[first:])
+        if total <= 0.0:
+            return max(elapsed_s, BUCKET_EDGES_S[-1])
+        pairs = zip(BUCKET_EDGES_S[first:], self.counts[first:], strict=True)
+        return sum((edge - elapsed_s) * count for edge, count in pairs) / total
+
+
+class Retention(typing.Protocol):
+    """What the session table needs of a retention plug-in.
+
+    Attributes
+    ----------
+    releases : bool
+        Whether the memory of ended and idle programs is released.
+    """
+
+    releases: bool
+
+    def observe(self, profile: str, tool: str, pause_s: float) -> None:
+        """Learn the length of a pause."""
+
+    def choose(self, pause: structures.Pause) -> structures.CacheAction:
+        """Return what to do with the prefix of a paused program."""
+
+
+@registry.register("retention", "none")
+class NoRetention:
+    """Leave everything to the engine's own eviction."""
+
+    releases = False
+
+    def observe(self, profile: str, tool: str, pause_s: float) -> None:
+        """Ignore pauses."""
+
+    def choose(self, pause: structures.Pause) -> structures.CacheAction:
+        """Leave the prefix in the engine."""
+        return structures.CacheAction.RETAIN
+
+
+@registry.register("retention", "release")
+class ReleaseOnlyRetention(NoRetention):
+    """Release the memory of programs that are gone; leave paused ones to the engine."""
+
+    releases = True
+
+
+@registry.register("retention", "cost")
+class CostRetention:
+    """Compare the cost of holding a prefix with the cost of getting it back.
+
+    Holding a share of a runner's memory for the expected rest of the pause costs that share of
+    the runner's time, weighed by how full the memory is and by the profile's ``cache_weight``.
+    Getting the prefix back costs the time of an import or of computing it again, weighed by the
+    profile's ``latency_weight``.
+
+    Parameters
+    ----------
+    floor : float
+        Value of empty memory relative to full memory.
+    export : bool
+        Whether the engine can export and import KV cache.
+    """
+
+    releases = True
+
+    def __init__(self, floor: float = 0.02, export: bool = True):
+        self.floor = floor
+        self.export = export
+        self.histograms: dict[tuple[str, str], PauseHistogram] = {}
+
+    def histogram(self, profile: str, tool: str) -> PauseHistogram:
+        """Return the histogram of a profile and tool."""
+        key = (profile, tool)
+        found = self.histograms.get(key)
+        if found is None:
+            if len(self.histograms) >= MAX_HISTOGRAMS:
+                self.histograms.pop(next(iter(self.histograms)))
+            found = self.histograms[key] = PauseHistogram()
+        return found
+
+    def observe(self, profile: str, tool: str, pause_s: float) -> None:
+        """Learn the length of a pause."""
+        self.histogram(profile, tool).observe(pause_s)
+
+    def choose(self, pause: structures.Pause) -> structures.CacheAction:
+        """Return the cheapest action."""
+        rest_s = self.histogram(pause.profile, pause.tool).residual_s(pause.elapsed_s)
+        return self.choose_for_rest(pause, rest_s)
+
+    def choose_for_rest(self, pause: structures.Pause, rest_s: float) -> structures.CacheAction:
+        """Return the cheapest action for an expected rest of the pause."""
+        share = pause.tokens / max(pause.memory_tokens, 1)
+        value = self.floor + (1.0 - self.floor) * min(max(pause.pressure, 0.0), 1.0) ** 2
+        hold_s = pause.cache_weight * share * rest_s * value
+        export_s = pause.latency_weight * (EXPORT_OVERHEAD_S + pause.tokens / EXPORT_TOKENS_PER_S)
+        compute_s = pause.latency_weight * pause.tokens / pause.prefill_tokens_per_s
+        if hold_s <= min(export_s if self.export else compute_s, compute_s):
+            return structures.CacheAction.RETAIN
+        if self.export and export_s < compute_s:
+            return structures.CacheAction.EXPORT
+        return structures.CacheAction.RELEASE
--- a/src/dogwoodgap/scheduler.py
+++ b/src/dogwoodgap/scheduler.py
@@ -1,10 +1,38 @@
 """The dispatcher: chooses when and on which runner a model call runs."""
 
+import collections
 import collections.abc
+import dataclasses
 
 import anyio
+import sortedcontainers
 
-from dogwoodgap import clock, exceptions, structures
+from dogwoodgap import admission as admission_module
+from dogwoodgap import clock, exceptions, placement, registry, sessions, structures
+from dogwoodgap import ordering as ordering_module
+from dogwoodgap import retention as retention_module
+
+# A shorter engine queue leaves slots empty between a finish and the node's next send; a longer one
+# binds calls to runners too early.
+ENGINE_QUEUE_SHARE = 0.25
+# Calls per round that are looked at when the first ones have to wait for their runner.
+LOOKAHEAD = 8
+OUTPUT_LEARNING_RATE = 0.05
+MAX_PROFILES = 1_024
+
+
+@dataclasses.dataclass(slots=True)
+class Waiting:
+    """A call in the node's queue."""
+
+    key: int
+    number: int
+    item: structures.WorkItem
+    granted: structures.Placement | None = None
+    woken: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+
+    def __lt__(self, other: "Waiting") -> bool:
+        return (self.key, self.number) < (other.key, other.number)
 
 
 class Dispatcher:
@@ -16,16 +44,43 @@
         Name of the service.
     runners : callable
         Returns the current views of the service's runners.
+    ordering, placement, retention, admission : plug-ins, optional
+        The defaults are the ones that :class:`models.Service` names.
+    data_centre : str, optional
+        The node's own data centre.
+    seed : int, optional
+        Of the sampling of runners.
     """
 
     def __init__(
         self,
         service: str,
         runners: collections.abc.Callable[[], list[structures.RunnerView]],
+        *,
+        ordering: ordering_module.Ordering | None = None,
+        placement: placement.Placement | None = None,
+        retention: retention_module.Retention | None = None,
+        admission: admission_module.Admission | None = None,
+        data_centre: str = "",
+        seed: int = 0,
     ):
+        registry.load()
         self.service = service
         self.runners = runners
-        self.changed = anyio.Event()
+        self.ordering = ordering or registry.create("ordering", "program")
+        self.placement = placement or registry.create("placement", "estimated-finish")
+        self.retention = retention or registry.create("retention", "cost")
+        self.admission = admission or registry.create("admission", "deadline")
+        self.index = new_index(data_centre, seed)
+        self.queue: sortedcontainers.SortedList = sortedcontainers.SortedList()
+        self.sessions = sessions.SessionTable(self.retention, self.view)
+        self.output_tokens: dict[str, float] = {}
+        self.sends: dict[str, collections.deque[float]] = {}
+        self.finishes: dict[str, collections.deque[float]] = {}
+        self.arrivals = 0
+        self.refused = 0
+
+    # Calls.
 
     async def acquire(self, item: structures.WorkItem) -> structures.Placement:
         """Wait for a runner and count the call as in flight there.
@@ -33,41 +88,214 @@
         Raises
         ------
         OverloadedError
-            When the deadline passes first.
+            When the call is refused or its deadline passes first; it was not sent.
         """
-        while True:
-            runner = self.choose(item)
-            if runner is not None:
-                runner.in_flight += 1
-                runner.sent_since_report += 1
-                return structures.Placement(runner, priority=0)
-            await self.wait_for_change(item)
-
-    def choose(self, item: structures.WorkItem) -> structures.RunnerView | None:
-        """Return the least loaded usable runner."""
-        usable = [
-            view
-            for view in self.runners()
-            if not view.down and not view.leaving and view.id not in item.exclude
-        ]
-        return min(usable, key=lambda view: (view.in_flight, view.id), default=None)
-
-    async def wait_for_change(self, item: structures.WorkItem) -> None:
-        """Wait until a runner may have become usable."""
-        changed = self.changed
-        with anyio.move_on_after(max(0.0, item.deadline_at - clock.now())) as scope:
-            await changed.wait()
-        if scope.cancelled_caught:
+        self.sessions.resume(item)
+        try:
+            return await self.wait(item)
+        except exceptions.OverloadedError:
+            self.refused += 1
+            self.sessions.refused(item)
+            raise
+
+    async def wait(self, item: structures.WorkItem) -> structures.Placement:
+        """Admit a call and wait until it is granted."""
+        learned = self.output_tokens.get(item.profile, item.max_tokens)
+        item.expected_output_tokens = max(1, min(int(learned), item.max_tokens))
+        self.admit(item)
+        self.arrivals += 1
+        waiting = Waiting(self.ordering.key(item), self.arrivals, item)
+        self.queue.add(waiting)
+        self.dispatch()
+        if waiting.granted is None:
+            await self.wait_for_grant(waiting)
+        return waiting.granted
+
+    def admit(self, item: structures.WorkItem) -> None:
+        """Refuse a call that would miss its deadline."""
+        self.index.refresh(self.runners())
+        choice = self.placement.choose(item, self.index)
+        finish_s = 0.0 if choice is None else choice.finish_s + self.queue_wait_s()
+        retry_after_s = self.admission.refuse_after_s(item, finish_s, len(self.queue))
+        if retry_after_s is None:
+            return
+        raise exceptions.OverloadedError(
+            f"service {self.service} would finish the call after its deadline; "
+            "repeat it later or with a longer deadline",
+            not_run="true",
+            retry_after_s=retry_after_s,
+        )
+
+    def queue_wait_s(self) -> float:
+        """Return the wait behind the calls that are already in this node's queue."""
+        slots = sum(view.slots for view in self.index.views[: placement.SAMPLED_RUNNERS])
+        sampled = min(self.index.size, placement.SAMPLED_RUNNERS)
+        fleet_slots = slots * self.index.size / max(sampled, 1)
+        service_s = getattr(self.placement, "service_s", 0.0)
+        return len(self.queue) * service_s / max(fleet_slots, 1.0)
+
+    async def wait_for_grant(self, waiting: Waiting) -> None:
+        """Wait in the node's queue until a runner is granted or the deadline passes."""
+        remaining_s = max(0.0, waiting.item.deadline_at - clock.now())
+        try:
+            with anyio.move_on_after(remaining_s):
+                await waiting.woken.wait()
+        except BaseException:
+            self.give_back(waiting)
+            raise
+        if waiting.granted is None:
+            self.queue.discard(waiting)
             raise exceptions.OverloadedError(
-                f"no runner of {self.service} was free before the deadline; repeat later"
+                f"no runner of {self.service} was free before the deadline; repeat later",
+                not_run="true",
             )
 
+    def give_back(self, waiting: Waiting) -> None:
+        """Undo the wait of a cancelled call."""
+        if waiting.granted is None:
+            self.queue.discard(waiting)
+        else:
+            self.release(waiting.granted, failed=True)
+
+    def dispatch(self) -> None:
+        """Grant runners to waiting calls, best key first."""
+        self.index.refresh(self.runners())
+        skipped = 0
+        position = 0
+        while position < len(self.queue) and skipped < LOOKAHEAD:
+            waiting = self.queue[position]
+            choice = self.placement.choose(waiting.item, self.index)
+            if choice is None:
+                return
+            if self.placement.holds and not has_room(choice.runner):
+                skipped += 1
+                position += 1
+                continue
+            del self.queue[position]
+            self.grant(waiting, choice)
+
+    def grant(self, waiting: Waiting, choice: placement.Choice) -> None:
+        """Send a call to a runner."""
+        item = waiting.item
+        view = choice.runner
+        view.in_flight += 1
+        view.sent_since_report += 1
+        self.sends.setdefault(view.id, collections.deque()).append(clock.now())
+        held = item.prefix_tokens if view.id == item.prefix_runner else 0
+        waiting.granted = structures.Placement(
+            view,
+            priority=waiting.key,
+            estimated_finish_s=choice.finish_s,
+            import_tokens=item.exported_tokens if item.exported_tokens > held else 0,
+            item=item,
+        )
+        waiting.woken.set()
+
     def release(self, placement: structures.Placement, *, failed: bool = False) -> None:
         """Count a call as finished."""
-        placement.runner.in_flight -= 1
+        view = placement.runner
+        view.in_flight -= 1
+        view.finished_since_report += 1
+        self.finishes.setdefault(view.id, collections.deque()).append(clock.now())
         self.notify()
 
+    def finished(
+        self, placement: structures.Placement, output_tokens: int, duration_s: float
+    ) -> list[structures.CacheOrder]:
+        """Learn from a whole answer; call it before :meth:`release`.
+
+        Returns
+        -------
+        list of CacheOrder
+            Releases a copy of the prefix that stayed on another runner.
+        """
+        item = placement.item
+        learned = self.output_tokens.get(item.profile, float(output_tokens))
+        if len(self.output_tokens) >= MAX_PROFILES and item.profile not in self.output_tokens:
+            self.output_tokens.clear()
+        learned += OUTPUT_LEARNING_RATE * (output_tokens - learned)
+        self.output_tokens[item.profile] = learned
+        self.placement.observe(duration_s)
+        self.ordering.served(item, max(0, item.prompt_tokens - item.prefix_tokens) + output_tokens)
+        orders = self.sessions.moved(item, placement.runner.id)
+        tokens = item.prompt_tokens + output_tokens
+        self.sessions.finish(item, placement.runner.id, tokens)
+        return orders
+
+    # Programs.
+
+    def paused(
+        self, item: structures.WorkItem, tool: str, idle_limit_s: float
+    ) -> list[structures.CacheOrder]:
+        """Decide about the prefix of a program that waits for a tool."""
+        return self.sessions.pause(item, tool, idle_limit_s)
+
+    def program_ended(self, customer: str, program: str) -> list[structures.CacheOrder]:
+        """Free the memory of a program that ended, was cancelled or reached a limit."""
+        return self.sessions.end(customer, program)
+
+    def sweep(self) -> list[structures.CacheOrder]:
+        """Decide again about paused programs; called every second."""
+        return self.sessions.sweep()
+
+    # Runners.
+
+    def view(self, runner: str) -> structures.RunnerView | None:
+        """Return the view of a runner."""
+        self.index.refresh(self.runners())
+        return self.index.by_id.get(runner)
+
+    def reported(self, runner: str, made_at: float) -> None:
+        """Correct a new load report by what this node sent and saw finish after it was made."""
+        view = self.view(runner)
+        if view is None:
+            return
+        view.reported_at = made_at
+        view.sent_since_report = count_after(self.sends.get(runner), made_at)
+        view.finished_since_report = count_after(self.finishes.get(runner), made_at)
+        self.notify()
+
+    def peers_sent(self, runner: str, sent_at: float, count: int = 1) -> None:
+        """Learn from gossip that peers sent calls to a runner."""
+        view = self.view(runner)
+        if view is None or sent_at <= view.reported_at:
+            return
+        view.sent_since_report += count
+        self.sends.setdefault(runner, collections.deque()).extend([sent_at] * count)
+
+    def cache_event(self, runner: str, name: str, tokens: int) -> None:
+        """Learn from an engine's event what is left of a session or shared prefix."""
+        if "/" in name:
+            self.sessions.cache_event(runner, name, tokens)
+        else:
+            self.index.note_shared(name, runner, tokens)
+
+    def reconcile(
+        self, runner: str, held: collections.abc.Iterable[str]
+    ) -> list[structures.CacheOrder]:
+        """Find memory that lost orders or lost events left behind."""
+        return self.sessions.reconcile(runner, held)
+
     def notify(self) -> None:
-        """Wake all waiting calls; called when runners or loads change."""
-        self.changed.set()
-        self.changed = anyio.Event()
+        """Look at the waiting calls again; called when runners or loads change."""
+        if self.queue:
+            self.dispatch()
+
+
+def new_index(data_centre: str, seed: int) -> placement.RunnerIndex:
+    """Return an empty index; a parameter of the dispatcher shadows the module's name."""
+    return placement.RunnerIndex(data_centre, seed)
+
+
+def has_room(view: structures.RunnerView) -> bool:
+    """Return whether the engine's queue at a runner is short."""
+    return view.load() < view.slots + max(1, int(view.slots * ENGINE_QUEUE_SHARE))
+
+
+def count_after(times: collections.deque[float] | None, made_at: float) -> int:
+    """Drop times up to a report and return how many are left; times may be slightly unordered."""
+    if not times:
+        return 0
+    while times and times[0] <= made_at:
+        times.popleft()
+    return len(times)
--- /dev/null
+++ b/src/dogwoodgap/sessions.py
@@ -0,0 +1,217 @@
+"""Where the prefixes of a node's programs are, and orders about them."""
+
+import collections
+import collections.abc
+import dataclasses
+
+from dogwoodgap import clock, structures
+from dogwoodgap import retention as retention_module
+
+REFUSED_TOOL = "(refused)"
+
+
+@dataclasses.dataclass(slots=True)
+class Session:
+    """The engine memory of one live program.
+
+    Attributes
+    ----------
+    runner : str
+        Holder of the prefix; empty when no runner holds it.
+    tokens : int
+        Length of the prefix.
+    exported : int
+        Tokens that any runner can import.
+    paused_at : float
+        Monotonic time; negative while a call runs.
+    """
+
+    item: structures.WorkItem
+    runner: str = ""
+    tokens: int = 0
+    exported: int = 0
+    paused_at: float = -1.0
+    tool: str = ""
+    idle_limit_s: float = 900.0
+
+
+def session_of(item: structures.WorkItem) -> str:
+    """Return the name of a program's session at the engines."""
+    return f"{item.customer}/{item.program}"
+
+
+class SessionTable:
+    """Engine memory of the live programs of one service on one node.
+
+    Parameters
+    ----------
+    retention : Retention
+        Plug-in that decides about paused programs.
+    views : callable
+        Returns the view of a runner, or None.
+    max_exported_tokens : int
+        Bound of the exported KV cache; the oldest exports are dropped first.
+    """
+
+    def __init__(
+        self,
+        retention: retention_module.Retention,
+        views: collections.abc.Callable[[str], structures.RunnerView | None],
+        max_exported_tokens: int = 2_000_000,
+    ):
+        self.retention = retention
+        self.views = views
+        self.max_exported_tokens = max_exported_tokens
+        self.sessions: dict[str, Session] = {}
+        self.exports: collections.OrderedDict[str, int] = collections.OrderedDict()
+        self.exported_tokens = 0
+
+    def resume(self, item: structures.WorkItem) -> None:
+        """Fill in where the program's prefix is, and learn how long its pause was."""
+        session = self.sessions.get(session_of(item))
+        if session is None:
+            return
+        if session.paused_at >= 0.0:
+            pause_s = clock.now() - session.paused_at
+            self.retention.observe(item.profile, session.tool, pause_s)
+            session.paused_at = -1.0
+        item.prefix_runner = session.runner
+        item.prefix_tokens = session.tokens if session.runner else 0
+        item.exported_tokens = session.exported
+
+    def refused(self, item: structures.WorkItem) -> None:
+        """Count a program whose call was refused as paused, since its caller may never return."""
+        session = self.sessions.get(session_of(item))
+        if session is not None:
+            session.paused_at = clock.now()
+            session.tool = REFUSED_TOOL
+
+    def finish(self, item: structures.WorkItem, runner: str, tokens: int) -> None:
+        """Learn that a runner now holds the prefix of a program."""
+        name = session_of(item)
+        self.drop_export(name)
+        session = self.sessions.get(name)
+        if session is None:
+            session = self.sessions[name] = Session(item)
+        session.item = item
+        session.runner = runner
+        session.tokens = tokens
+        session.exported = 0
+        session.paused_at = clock.now()
+        session.tool = ""
+
+    def moved(self, item: structures.WorkItem, runner: str) -> list[structures.CacheOrder]:
+        """Release the copy that stays behind when a call runs on another runner."""
+        if not self.retention.releases or item.prefix_runner in ("", runner):
+            return []
+        return [self.release_order(item.prefix_runner, session_of(item), "moved")]
+
+    def pause(
+        self, item: structures.WorkItem, tool: str, idle_limit_s: float
+    ) -> list[structures.CacheOrder]:
+        """Learn that the program waits for a tool, and decide about its prefix."""
+        session = self.sessions.get(session_of(item))
+        if session is None:
+            return []
+        session.paused_at = clock.now()
+        session.tool = tool
+        session.idle_limit_s = idle_limit_s
+        return self.decide(session)
+
+    def decide(self, session: Session) -> list[structures.CacheOrder]:
+        """Retain, export or release the prefix of a paused program."""
+        view = self.views(session.runner)
+        if view is None:
+            return []
+        pause = structures.Pause(
+            profile=session.item.profile,
+            tool=session.tool,
+            tokens=session.tokens,
+            elapsed_s=clock.now() - session.paused_at,
+            pressure=view.cached_tokens / max(view.cache_tokens, 1),
+            memory_tokens=view.cache_tokens,
+            prefill_tokens_per_s=view.prefill_tokens_per_s,
+            latency_weight=session.item.latency_weight,
+            cache_weight=session.item.cache_weight,
+        )
+        action = self.retention.choose(pause)
+        if action == structures.CacheAction.RETAIN:
+            return []
+        name = session_of(session.item)
+        order = structures.CacheOrder(action, session.runner, name, session.tokens, "pause")
+        view.cached_tokens = max(0, view.cached_tokens - session.tokens)
+        session.runner = ""
+        if action == structures.CacheAction.EXPORT:
+            self.add_export(name, session)
+        return [order]
+
+    def end(self, customer: str, program: str) -> list[structures.CacheOrder]:
+        """Forget a program that ended, was cancelled or reached a limit, and free its memory."""
+        name = f"{customer}/{program}"
+        self.drop_export(name)
+        session = self.sessions.pop(name, None)
+        if session is None or not session.runner or not self.retention.releases:
+            return []
+        return [self.release_order(session.runner, name, "ended")]
+
+    def sweep(self) -> list[structures.CacheOrder]:
+        """Decide again about paused programs, and free the memory of idle ones."""
+        orders: list[structures.CacheOrder] = []
+        now = clock.now()
+        for name, session in list(self.sessions.items()):
+            if session.paused_at < 0.0:
+                continue
+            if now - session.paused_at >= session.idle_limit_s:
+                orders += self.end(session.item.customer, session.item.program)
+                self.sessions.pop(name, None)
+            elif session.runner:
+                orders += self.decide(session)
+        return orders
+
+    def reconcile(
+        self, runner: str, held: collections.abc.Iterable[str]
+    ) -> list[structures.CacheOrder]:
+        """Compare an engine's report with the live programs.
+
+        Parameters
+        ----------
+        runner : str
+            The reporting runner.
+        held : iterable of str
+            Sessions of this node's shards that the runner holds.
+        """
+        if not self.retention.releases:
+            return []
+        orders = []
+        for name in held:
+            session = self.sessions.get(name)
+            if session is None or (session.paused_at >= 0.0 and session.runner != runner):
+                orders.append(self.release_order(runner, name, "not live"))
+        return orders
+
+    def cache_event(self, runner: str, name: str, tokens: int) -> None:
+        """Learn from an engine's event that it evicted part of a prefix."""
+        session = self.sessions.get(name)
+        if session is not None and session.runner == runner and session.paused_at >= 0.0:
+            session.tokens = min(session.tokens, tokens)
+            if tokens <= 0:
+                session.runner = ""
+
+    def release_order(self, runner: str, name: str, reason: str) -> structures.CacheOrder:
+        """Return the order that frees a session's memory."""
+        return structures.CacheOrder(structures.CacheAction.RELEASE, runner, name, reason=reason)
+
+    def add_export(self, name: str, session: Session) -> None:
+        """Account an export and drop the oldest ones over the bound."""
+        session.exported = session.tokens
+        self.exports[name] = session.tokens
+        self.exported_tokens += session.tokens
+        while self.exported_tokens > self.max_exported_tokens:
+            oldest = next(iter(self.exports))
+            self.drop_export(oldest)
+            if oldest in self.sessions:
+                self.sessions[oldest].exported = 0
+
+    def drop_export(self, name: str) -> None:
+        """Forget an export."""
+        self.exported_tokens -= self.exports.pop(name, 0)
--- a/src/dogwoodgap/structures.py
+++ b/src/dogwoodgap/structures.py
@@ -98,6 +98,12 @@
     down: bool = False
     prefill_tokens_per_s: float = 8_000.0
     decode_tokens_per_s: float = 50.0
+    finished_since_report: int = 0
+
+    def load(self) -> int:
+        """Return requests at the runner: its report, corrected by what is known since."""
+        reported = self.queued + self.running + self.sent_since_report - self.finished_since_report
+        return max(self.in_flight, reported)
 
 
 @dataclasses.dataclass(slots=True)
@@ -114,6 +120,12 @@
         Runner that holds the program's prefix; empty when none does.
     prefix_tokens : int
         Length of that prefix.
+    started_at : float
+        Wall time at which the program started; 0 when unknown.
+    expected_output_tokens : int
+        Learned by the scheduler; 0 means that ``max_tokens`` is used.
+    exported_tokens : int
+        Prefix that any runner can import; set by the scheduler.
     """
 
     program: str
@@ -135,6 +147,8 @@
     digest: str = ""
     started_at: float = 0.0
     turns: int = 0
+    expected_output_tokens: int = 0
+    exported_tokens: int = 0
     exclude: set[str] = dataclasses.field(default_factory=set)
 
 
@@ -146,8 +160,62 @@
     ----------
     priority : int
         For the engine; lower runs first.
+    import_tokens : int
+        Exported tokens that the runner has to import before it starts.
     """
 
     runner: RunnerView
     priority: int
     estimated_finish_s: float = 0.0
+    import_tokens: int = 0
+    item: WorkItem | None = None
+
+
+class CacheAction(enum.StrEnum):
+    """What happens to the prefix of a program while a tool runs, in order of memory held."""
+
+    RETAIN = "retain"
+    EXPORT = "export"
+    RELEASE = "release"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CacheOrder:
+    """An order to an engine about the cache of one program.
+
+    Attributes
+    ----------
+    session : str
+        ``customer/program``, the session name that the engine knows.
+    """
+
+    action: CacheAction
+    runner: str
+    session: str
+    tokens: int = 0
+    reason: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class Pause:
+    """A program that waits for a tool, as the retention plug-in sees it.
+
+    Attributes
+    ----------
+    tokens : int
+        Length of the cached prefix.
+    elapsed_s : float
+        Seconds since the pause began.
+    pressure : float
+        Share of the runner's memory in use; 1 means full.
+    """
+
+    profile: str
+    tool: str
+    tokens: int
+    elapsed_s: float
+    pressure: float
+    memory_tokens: int
+    prefill_tokens_per_s: float
+    latency_weight: float = 1.0
+    cache_weight: float = 1.0
--- /dev/null
+++ b/src/dogwoodgap_lab/figures.py
@@ -0,0 +1,48 @@
+"""Figures of one run of an experiment."""
+
+import dataclasses
+
+import numpy as np
+
+
+@dataclasses.dataclass(slots=True)
+class Outcome:
+    """How one program ended."""
+
+    customer: str
+    profile: str
+    latency_s: float
+    ideal_s: float
+    counted: bool
+    failed: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Result:
+    """Figures of one run; times in seconds."""
+
+    programs: int
+    mean_s: float
+    median_s: float
+    p95_s: float
+    p99_s: float
+    wasted: float
+    fairness: float
+    calls: int
+    refused: int
+    failed: int
+    cached_share: float
+    busy: float
+    completed_per_s: float
+    wasted_ended: float
+    wasted_unused: float
+
+
+def jain(outcomes: list[Outcome]) -> float:
+    """Return Jain's fairness index over the customers' mean slowdowns."""
+    slowdowns: dict[str, list[float]] = {}
+    for outcome in outcomes:
+        slowdown = outcome.latency_s / max(outcome.ideal_s, 0.001)
+        slowdowns.setdefault(outcome.customer, []).append(slowdown)
+    means = np.array([np.mean(values) for values in slowdowns.values()])
+    return float(means.sum() ** 2 / (len(means) * (means**2).sum()))
--- /dev/null
+++ b/src/dogwoodgap_lab/simulation.py
@@ -0,0 +1,327 @@
+"""One run of a workload through real dispatchers and engine models, on virtual time."""
+
+import dataclasses
+
+import anyio
+import anyio.abc
+import anyio.lowlevel
+import numpy as np
+import trio
+import trio.testing
+
+from dogwoodgap import adapters, clock, exceptions, structures
+from dogwoodgap_lab import direct_adapter, engine_model, figures, fleet, strategies, workload
+
+IDLE_LIMIT_S = 300.0
+CALL_DEADLINE_S = 600.0
+MAX_REPEATS = 8
+MAX_REFUSALS = 40
+WALL_START_S = 1_800_000_000.0
+
+
+@dataclasses.dataclass(slots=True)
+class Tree:
+    """A program tree's service so far."""
+
+    attained_tokens: int = 0
+    started_at: float = 0.0
+
+
+class Simulation:
+    """Drives programs through dispatchers.
+
+    Parameters
+    ----------
+    horizon_s : float
+        Programs arrive up to this time and all run to their end.
+    warmup_s : float
+        Programs that arrive earlier, and memory held earlier, are not counted.
+    concurrency : int
+        Run a closed loop of this many programs instead of open-loop arrivals; 0 means open loop.
+    """
+
+    def __init__(
+        self,
+        deployment: workload.Deployment,
+        strategy: strategies.Strategy,
+        load: float,
+        *,
+        seed: int = 1,
+        horizon_s: float = 2_400.0,
+        warmup_s: float = 300.0,
+        concurrency: int = 0,
+    ):
+        self.deployment = deployment
+        self.strategy = strategy
+        self.concurrency = concurrency
+        self.horizon_s = horizon_s
+        self.warmup_s = warmup_s
+        self.programs = workload.generate(deployment, load, horizon_s, seed)
+        self.memory = engine_model.MemorySeconds(warmup_s, horizon_s)
+        self.fleet = fleet.Fleet(deployment, strategy, self.memory, seed)
+        self.outcomes: list[figures.Outcome] = []
+        self.calls = 0
+        self.refused = 0
+        self.completed_in_window = 0
+        self.busy_s = 0.0
+
+    async def run(self) -> None:
+        """Run to the end of the last program."""
+        clock.set_wall(WALL_START_S)
+        self.start = clock.now()
+        self.memory.window_start += self.start
+        self.memory.window_end += self.start
+        async with anyio.create_task_group() as background:
+            background.start_soon(self.fleet.run)
+            background.start_soon(self.measure_busy)
+            await anyio.lowlevel.checkpoint()
+            async with anyio.create_task_group() as callers:
+                if self.concurrency:
+                    await self.run_closed_loop(callers)
+                else:
+                    await self.run_open_loop(callers)
+            background.cancel_scope.cancel()
+        for runner in self.fleet.runners.values():
+            runner.close()
+
+    async def measure_busy(self) -> None:
+        """Remember at the horizon how long the runners were busy."""
+        await clock.sleep_until(self.start + self.horizon_s)
+        self.busy_s = sum(runner.busy_s for runner in self.fleet.runners.values())
+
+    async def run_open_loop(self, callers: anyio.abc.TaskGroup) -> None:
+        """Start every program when it arrives."""
+        for program in self.programs:
+            await clock.sleep_until(self.start + program.arrives_at)
+            callers.start_soon(self.caller, program)
+
+    async def run_closed_loop(self, callers: anyio.abc.TaskGroup) -> None:
+        """Start a program whenever another one ends, up to the horizon."""
+        remaining = iter(self.programs)
+
+        async def worker() -> None:
+            for program in remaining:
+                if clock.now() - self.start >= self.horizon_s:
+                    return
+                await self.caller(program)
+
+        for _ in range(self.concurrency):
+            callers.start_soon(worker)
+
+    # Callers.
+
+    async def caller(self, program: workload.ProgramSpec) -> None:
+        """Run a root program and record its outcome."""
+        arrived = clock.now()
+        failed = False
+        try:
+            await self.run_program(program, Tree(started_at=clock.wall()))
+        except exceptions.OverloadedError:
+            failed = True
+        ended = clock.now() - self.start
+        if self.warmup_s <= ended <= self.horizon_s:
+            self.completed_in_window += 1
+        counted = (
+            program.arrives_at >= self.warmup_s and not program.abandoned and not program.looping
+        )
+        self.outcomes.append(
+            figures.Outcome(
+                program.customer,
+                program.profile,
+                clock.now() - arrived,
+                program.ideal_s(),
+                counted,
+                failed,
+            )
+        )
+
+    async def run_program(self, program: workload.ProgramSpec, tree: Tree) -> None:
+        """Run a program to its end."""
+        node = self.fleet.owner(f"{program.customer}/{program.id}")
+        try:
+            await self.run_turns(node, program, tree)
+        finally:
+            for runner in self.fleet.runners.values():
+                runner.session_ended(f"{program.customer}/{program.id}")
+        if not program.abandoned:
+            self.fleet.execute(node.dispatcher.program_ended(program.customer, program.id))
+
+    async def run_turns(self, node: fleet.Node, program: workload.ProgramSpec, tree: Tree) -> None:
+        """Run the turns of a program, with its tools and helpers."""
+        context = program.shared_tokens
+        repeats = 0
+        last = len(program.turns) - 1
+        for number, turn in enumerate(program.turns):
+            item = self.item(program, tree, context, turn, number)
+            await self.call(node, program, item, turn)
+            context += turn.new_tokens + turn.output_tokens
+            tree.attained_tokens += turn.new_tokens + turn.output_tokens
+            repeats = repeats + 1 if turn.tool == "retry" else 0
+            if self.strategy.limits and repeats >= MAX_REPEATS:
+                return
+            if number < last or program.abandoned:
+                self.fleet.execute(node.dispatcher.paused(item, turn.tool, IDLE_LIMIT_S))
+            if number < last:
+                await self.use_tool(turn, tree)
+
+    async def use_tool(self, turn: workload.TurnSpec, tree: Tree) -> None:
+        """Wait for the tool or the helper programs of a turn."""
+        if not turn.helpers:
+            await anyio.sleep(turn.pause_s)
+            return
+        async with anyio.create_task_group() as tasks:
+            for helper in turn.helpers:
+                tasks.start_soon(self.run_helper, helper, tree)
+
+    async def run_helper(self, helper: workload.ProgramSpec, tree: Tree) -> None:
+        """Run a helper program; its parent goes on without it when it is refused."""
+        try:
+            await self.run_program(helper, tree)
+        except exceptions.OverloadedError:
+            return
+
+    def item(
+        self,
+        program: workload.ProgramSpec,
+        tree: Tree,
+        context: int,
+        turn: workload.TurnSpec,
+        number: int,
+    ) -> structures.WorkItem:
+        """Describe a call to the scheduler, which does not know the output's length."""
+        weights = self.strategy.profile_weights or (
+            self.deployment.latency_weight,
+            self.deployment.cache_weight,
+        )
+        return structures.WorkItem(
+            program=program.id,
+            customer=program.customer,
+            service=self.deployment.name,
+            profile=program.profile,
+            prompt_tokens=context + turn.new_tokens,
+            max_tokens=1_500,
+            attained_tokens=tree.attained_tokens,
+            enqueued_at=clock.now(),
+            deadline_at=clock.now() + CALL_DEADLINE_S,
+            urgency=program.urgency,
+            latency_weight=weights[0],
+            cache_weight=weights[1],
+            shared_prefix=f"prefix:{program.profile}",
+            started_at=tree.started_at,
+            turns=number,
+        )
+
+    async def call(
+        self,
+        node: fleet.Node,
+        program: workload.ProgramSpec,
+        item: structures.WorkItem,
+        turn: workload.TurnSpec,
+    ) -> None:
+        """Make one call; a refused caller repeats it after the time that it was told."""
+        for _ in range(MAX_REFUSALS):
+            try:
+                placement = await node.dispatcher.acquire(item)
+                break
+            except exceptions.OverloadedError as error:
+                self.refused += 1
+                await anyio.sleep(max(1.0, error.retry_after_s))
+                item.deadline_at = clock.now() + CALL_DEADLINE_S
+        else:
+            raise exceptions.OverloadedError("the caller gave up after many refusals")
+        await self.generate(node, program, item, turn, placement)
+
+    async def generate(
+        self,
+        node: fleet.Node,
+        program: workload.ProgramSpec,
+        item: structures.WorkItem,
+        turn: workload.TurnSpec,
+        placement: structures.Placement,
+    ) -> None:
+        """Run a placed call at its runner."""
+        self.calls += 1
+        node.sent[placement.runner.id] = node.sent.get(placement.runner.id, 0) + 1
+        session = f"{program.customer}/{program.id}"
+        if placement.import_tokens:
+            self.fleet.adapter.import_next(
+                session, min(placement.import_tokens, item.prompt_tokens) - program.shared_tokens
+            )
+        request = adapters.Generation(
+            request_id=f"{session}/{item.turns}",
+            model=self.deployment.name,
+            messages=direct_adapter.prompt(
+                item.shared_prefix,
+                program.shared_tokens,
+                item.prompt_tokens - program.shared_tokens,
+            ),
+            max_tokens=turn.output_tokens,
+            priority=placement.priority,
+            session=session,
+        )
+        sent_at = clock.now()
+        async for _ in self.fleet.adapter.generate(placement.runner, request):
+            pass
+        duration_s = clock.now() - sent_at
+        self.fleet.execute(node.dispatcher.finished(placement, turn.output_tokens, duration_s))
+        node.dispatcher.release(placement)
+
+    def result(self) -> figures.Result:
+        """Return the figures of the run."""
+        counted = [outcome for outcome in self.outcomes if outcome.counted]
+        latencies = np.array([outcome.latency_s for outcome in counted])
+        prompt = sum(
+            model.prefill_computed + model.cached_served for model in self.fleet.runners.values()
+        )
+        cached = sum(model.cached_served for model in self.fleet.runners.values())
+        held = self.memory.running + self.memory.reused + self.memory.unused + self.memory.ended
+        return figures.Result(
+            programs=len(counted),
+            mean_s=float(latencies.mean()),
+            median_s=float(np.percentile(latencies, 50)),
+            p95_s=float(np.percentile(latencies, 95)),
+            p99_s=float(np.percentile(latencies, 99)),
+            wasted=self.memory.wasted_share(),
+            fairness=figures.jain(counted),
+            calls=self.calls,
+            refused=self.refused,
+            failed=sum(outcome.failed for outcome in counted),
+            cached_share=cached / max(prompt, 1),
+            busy=self.busy_s / (self.horizon_s * len(self.fleet.runners)),
+            completed_per_s=self.completed_in_window / (self.horizon_s - self.warmup_s),
+            wasted_ended=self.memory.ended / max(held, 1.0),
+            wasted_unused=self.memory.unused / max(held, 1.0),
+        )
+
+
+def calibrate(deployment: workload.Deployment) -> float:
+    """Return the capacity in programs a second.
+
+    It is what prefix affinity with first come, first served completes in a closed loop of twice
+    as many programs as there are slots; about half of the programs wait for tools.
+    """
+    result = simulate(
+        deployment,
+        strategies.BASELINES["prefix-affinity"],
+        4.0,
+        horizon_s=3_000.0,
+        concurrency=2 * fleet.SPEED.slots * deployment.runners,
+    )
+    return result.completed_per_s
+
+
+def simulate(
+    deployment: workload.Deployment, strategy: strategies.Strategy, load: float, **options
+) -> figures.Result:
+    """Run one simulation on virtual time; the same arguments give the same result."""
+    # trio shuffles tasks that are ready at the same time; only these private names make the
+    # order reproducible.
+    trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
+    trio._core._run._r.seed(0)
+    simulation = Simulation(deployment, strategy, load, **options)
+    anyio.run(
+        simulation.run,
+        backend="trio",
+        backend_options={"clock": trio.testing.MockClock(autojump_threshold=0)},
+    )
+    return simulation.result()
--- /dev/null
+++ b/src/dogwoodgap_lab/strategies.py
@@ -0,0 +1,76 @@
+"""Strategies that experiments compare: a plug-in and its options for each decision."""
+
+import dataclasses
+import typing
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Strategy:
+    """Names and options of the plug-ins.
+
+    Attributes
+    ----------
+    limits : bool
+        Whether looping programs are ended after ``max_repeats`` identical calls.
+    shares_load : bool
+        Whether nodes learn of their peers' sends.
+    reconciles : bool
+        Whether engines' reports are compared with live programs.
+    """
+
+    ordering: str = "program"
+    placement: str = "estimated-finish"
+    retention: str = "cost"
+    admission: str = "deadline"
+    ordering_options: dict[str, typing.Any] = dataclasses.field(default_factory=dict)
+    placement_options: dict[str, typing.Any] = dataclasses.field(default_factory=dict)
+    retention_options: dict[str, typing.Any] = dataclasses.field(default_factory=dict)
+    limits: bool = True
+    shares_load: bool = True
+    reconciles: bool = True
+    profile_weights: tuple[float, float] | None = None
+
+
+def baseline(ordering: str, placement: str) -> Strategy:
+    """Return a baseline, which knows nothing of programs."""
+    return Strategy(
+        ordering, placement, "none", "none", limits=False, shares_load=False, reconciles=False
+    )
+
+
+FULL = Strategy()
+
+BASELINES = {
+    "round-robin": baseline("fcfs", "round-robin"),
+    "least-loaded": baseline("fcfs", "least-loaded"),
+    "prefix-affinity": baseline("fcfs", "prefix-affinity"),
+    "call-priority": baseline("call-priority", "prefix-affinity"),
+}
+
+ABLATIONS = {
+    "order: first come": dataclasses.replace(FULL, ordering="fcfs"),
+    "order: by call": dataclasses.replace(FULL, ordering="call-priority"),
+    "order: no attained service": dataclasses.replace(
+        FULL, ordering_options={"attained_gain": 0.0}
+    ),
+    "order: no fair share": dataclasses.replace(FULL, ordering_options={"fair_s": 0.0}),
+    "order: no deadline slack": dataclasses.replace(FULL, ordering_options={"slack": False}),
+    "placement: prefix affinity": dataclasses.replace(FULL, placement="prefix-affinity"),
+    "placement: least loaded": dataclasses.replace(FULL, placement="least-loaded"),
+    "placement: no cost to others": dataclasses.replace(
+        FULL, placement_options={"shared_cost": 0.0}
+    ),
+    "placement: without peers' sends": dataclasses.replace(FULL, shares_load=False),
+    "retention: release ended only": dataclasses.replace(FULL, retention="release"),
+    "retention: no release": dataclasses.replace(FULL, retention="none"),
+    "retention: no export": dataclasses.replace(FULL, retention_options={"export": False}),
+    "memory: no comparison with reports": dataclasses.replace(FULL, reconciles=False),
+    "loops: no limit": dataclasses.replace(FULL, limits=False),
+    "admission: none": dataclasses.replace(FULL, admission="none"),
+}
+
+TRADE = {
+    "latency_weight 4, cache_weight 1": dataclasses.replace(FULL, profile_weights=(4.0, 1.0)),
+    "latency_weight 1, cache_weight 1": dataclasses.replace(FULL, profile_weights=(1.0, 1.0)),
+    "latency_weight 1, cache_weight 4": dataclasses.replace(FULL, profile_weights=(1.0, 4.0)),
+}
--- /dev/null
+++ b/src/dogwoodgap_lab/workload.py
@@ -0,0 +1,294 @@
+"""Seeded workloads of the two deployments."""
+
+import dataclasses
+import math
+
+import numpy as np
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tool:
+    """Pause of a tool: log-normal, or Pareto when ``tail`` is set.
+
+    Attributes
+    ----------
+    median_s : float
+        Median pause.
+    spread : float
+        Sigma of the log-normal distribution.
+    tail : float
+        Exponent of the Pareto distribution; smaller is heavier.
+    """
+
+    name: str
+    median_s: float
+    spread: float = 0.8
+    tail: float = 0.0
+
+    def draw(self, generator: np.random.Generator) -> float:
+        """Draw a pause, at most ten minutes."""
+        if self.tail:
+            scale = self.median_s / 2 ** (1 / self.tail)
+            pause = scale * (1.0 + generator.pareto(self.tail))
+        else:
+            pause = self.median_s * math.exp(self.spread * generator.standard_normal())
+        return min(float(pause), 600.0)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Kind:
+    """A kind of program; ``first`` and ``new`` are median prompt tokens of the turns."""
+
+    name: str
+    share: float
+    turns: tuple[int, int]
+    shared_tokens: int
+    first: int
+    new: int
+    output: int
+    tools: tuple[Tool, ...]
+    helper_share: float = 0.0
+    urgency_share: float = 0.0
+    skew: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Deployment:
+    """A deployment: fleet, customers and kinds of programs.
+
+    Attributes
+    ----------
+    capacity_per_s : float
+        Programs a second that prefix affinity with first come, first served completes while it is
+        saturated; measured once with ``dogwoodgap-lab calibrate`` and fixed.
+    """
+
+    name: str
+    nodes: int
+    runners: int
+    memory_tokens: int
+    customers: int
+    data_centres: tuple[str, ...]
+    delay_s: float
+    capacity_per_s: float
+    kinds: tuple[Kind, ...]
+    helper: Kind
+    latency_weight: float = 1.0
+    cache_weight: float = 1.0
+
+
+@dataclasses.dataclass(slots=True)
+class TurnSpec:
+    """One turn: new prompt tokens, output tokens, then a pause for a tool."""
+
+    new_tokens: int
+    output_tokens: int
+    tool: str
+    pause_s: float
+    helpers: list["ProgramSpec"] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class ProgramSpec:
+    """One program of the workload.
+
+    Attributes
+    ----------
+    abandoned : bool
+        The caller dies after the last turn, without ending the program.
+    looping : bool
+        The last turns repeat the same call.
+    """
+
+    arrives_at: float
+    id: str
+    customer: str
+    profile: str
+    shared_tokens: int
+    turns: list[TurnSpec]
+    urgency: int = 0
+    abandoned: bool = False
+    looping: bool = False
+
+    def ideal_s(self) -> float:
+        """Return the latency on an idle engine that caches everything."""
+        total = self.shared_tokens / 8_000.0
+        for turn in self.turns:
+            helpers = max((helper.ideal_s() for helper in turn.helpers), default=0.0)
+            total += turn.new_tokens / 8_000.0 + turn.output_tokens / 50.0
+            total += max(turn.pause_s, helpers)
+        return total
+
+
+ORECHOV_HELPER = Kind("helper", 0.0, (1, 3), 800, 500, 250, 110, (Tool("notes", 1.5),))
+LAKESHORE_HELPER = Kind("helper", 0.0, (1, 2), 800, 500, 250, 110, (Tool("notes", 1.5),))
+
+ORECHOV = Deployment(
+    name="orechov",
+    nodes=7,
+    runners=5,
+    memory_tokens=120_000,
+    customers=6,
+    data_centres=("brno-a", "brno-b", "znojmo"),
+    delay_s=0.0005,
+    capacity_per_s=0.431,
+    kinds=(
+        Kind(
+            "planner",
+            0.35,
+            (6, 20),
+            3_000,
+            1_500,
+            700,
+            220,
+            (Tool("stock", 2.0), Tool("weather", 3.0), Tool("approval", 15.0, tail=1.2)),
+            helper_share=0.12,
+        ),
+        Kind(
+            "advisor",
+            0.65,
+            (2, 7),
+            2_000,
+            800,
+            400,
+            160,
+            (Tool("sensor", 1.0), Tool("weather", 3.0), Tool("dryer", 8.0, tail=1.5)),
+            urgency_share=0.03,
+        ),
+    ),
+    helper=ORECHOV_HELPER,
+    latency_weight=4.0,
+    cache_weight=1.0,
+)
+
+LAKESHORE = Deployment(
+    name="lakeshore",
+    nodes=9,
+    runners=5,
+    memory_tokens=200_000,
+    customers=36,
+    data_centres=("lakes-a", "lakes-b", "lakes-c"),
+    delay_s=0.0015,
+    capacity_per_s=0.407,
+    kinds=(
+        Kind(
+            "quote",
+            0.75,
+            (2, 8),
+            2_500,
+            4_000,
+            600,
+            180,
+            (Tool("photos", 3.0), Tool("prices", 1.5), Tool("customer", 20.0, tail=1.2)),
+        ),
+        Kind(
+            "route",
+            0.25,
+            (8, 51),
+            3_500,
+            1_200,
+            650,
+            160,
+            (Tool("map", 1.5), Tool("traffic", 2.0), Tool("permit", 20.0, tail=1.3)),
+            skew=2.0,
+        ),
+    ),
+    helper=LAKESHORE_HELPER,
+    latency_weight=1.0,
+    cache_weight=4.0,
+)
+
+DEPLOYMENTS = {deployment.name: deployment for deployment in (ORECHOV, LAKESHORE)}
+ABANDONED_SHARE = 0.08
+LOOPING_SHARE = 0.02
+LOOP_TURNS = 24
+
+
+def around(generator: np.random.Generator, median: float, spread: float = 0.6) -> int:
+    """Draw a positive number of tokens around a median."""
+    return max(8, int(median * math.exp(spread * generator.standard_normal())))
+
+
+def draw_turns(generator: np.random.Generator, kind: Kind) -> list[TurnSpec]:
+    """Draw the turns of a program."""
+    low, high = kind.turns
+    count = low + int((high - low + 1) * generator.random() ** kind.skew)
+    turns = []
+    for number in range(count):
+        tool = kind.tools[int(generator.integers(len(kind.tools)))]
+        turns.append(
+            TurnSpec(
+                around(generator, kind.new if number else kind.first),
+                min(around(generator, kind.output), 1_500),
+                tool.name,
+                tool.draw(generator),
+            )
+        )
+    turns[-1].pause_s = 0.0
+    return turns
+
+
+def add_helpers(
+    generator: np.random.Generator, deployment: Deployment, kind: Kind, program: ProgramSpec
+) -> None:
+    """Let some turns start helper programs as their tool."""
+    number = 0
+    for turn in program.turns[:-1]:
+        if generator.random() >= kind.helper_share:
+            continue
+        for _ in range(int(generator.integers(2, 5))):
+            number += 1
+            turns = draw_turns(generator, deployment.helper)
+            turn.helpers.append(
+                ProgramSpec(
+                    0.0,
+                    f"{program.id}.{number}",
+                    program.customer,
+                    "helper",
+                    deployment.helper.shared_tokens,
+                    turns,
+                )
+            )
+        turn.tool = "helpers"
+        turn.pause_s = 0.0
+
+
+def apply_fault(generator: np.random.Generator, program: ProgramSpec) -> None:
+    """Make some programs end in the middle or loop."""
+    fate = generator.random()
+    if fate < ABANDONED_SHARE and len(program.turns) > 1:
+        keep = int(generator.integers(1, len(program.turns)))
+        del program.turns[keep:]
+        program.abandoned = True
+    elif fate < ABANDONED_SHARE + LOOPING_SHARE:
+        repeated = dataclasses.replace(program.turns[-1], pause_s=1.0, tool="retry", helpers=[])
+        program.turns += [dataclasses.replace(repeated) for _ in range(LOOP_TURNS)]
+        program.looping = True
+
+
+def generate(deployment: Deployment, load: float, horizon_s: float, seed: int) -> list[ProgramSpec]:
+    """Draw the programs that arrive up to ``horizon_s`` seconds, open loop."""
+    generator = np.random.default_rng([seed, deployment.nodes])
+    weights = 1.0 / np.arange(1, deployment.customers + 1) ** 0.7
+    weights /= weights.sum()
+    shares = [kind.share for kind in deployment.kinds]
+    programs = []
+    now = 0.0
+    while True:
+        now += float(generator.exponential(1.0 / (load * deployment.capacity_per_s)))
+        if now > horizon_s:
+            return programs
+        kind = deployment.kinds[int(generator.choice(len(shares), p=shares))]
+        customer = f"customer-{int(generator.choice(deployment.customers, p=weights))}"
+        program = ProgramSpec(
+            now,
+            f"p{len(programs)}",
+            customer,
+            kind.name,
+            kind.shared_tokens,
+            draw_turns(generator, kind),
+            urgency=1 if generator.random() < kind.urgency_share else 0,
+        )
+        add_helpers(generator, deployment, kind, program)
+        apply_fault(generator, program)
+        programs.append(program)
