--- a/src/dogwoodgap/retention.py
+++ b/src/dogwoodgap/retention.py
@@ -15,6 +15,10 @@
 EXPORT_TOKENS_PER_S = 60_000.0
 EXPORT_OVERHEAD_S = 0.1
 MAX_HISTOGRAMS = 4_096
+# Above this share of memory the engine starts to evict; a full memory of the lab's engine model
+# turns over in about this time.
+EVICTION_PRESSURE = 0.7
+TURNOVER_S = 15.0
 
 
 @dataclasses.dataclass
@@ -130,12 +134,20 @@
     def choose_for_rest(self, pause: structures.Pause, rest_s: float) -> structures.CacheAction:
         """Return the cheapest action for an expected rest of the pause."""
         share = pause.tokens / max(pause.memory_tokens, 1)
-        value = self.floor + (1.0 - self.floor) * min(max(pause.pressure, 0.0), 1.0) ** 2
-        hold_s = pause.cache_weight * share * rest_s * value
-        export_s = pause.latency_weight * (EXPORT_OVERHEAD_S + pause.tokens / EXPORT_TOKENS_PER_S)
+        pressure = min(max(pause.pressure, 0.0), 1.0)
+        value = self.floor + (1.0 - self.floor) * pressure**2
         compute_s = pause.latency_weight * pause.tokens / pause.prefill_tokens_per_s
+        export_s = pause.latency_weight * (EXPORT_OVERHEAD_S + pause.tokens / EXPORT_TOKENS_PER_S)
+        hold_s = pause.cache_weight * share * rest_s * value
+        hold_s += compute_s * eviction_share(pressure, rest_s)
         if hold_s <= min(export_s if self.export else compute_s, compute_s):
             return structures.CacheAction.RETAIN
         if self.export and export_s < compute_s:
             return structures.CacheAction.EXPORT
         return structures.CacheAction.RELEASE
+
+
+def eviction_share(pressure: float, rest_s: float) -> float:
+    """Return the probability that the engine evicts the prefix, or another one for it."""
+    full = max(0.0, pressure - EVICTION_PRESSURE) / (1.0 - EVICTION_PRESSURE)
+    return full * min(1.0, rest_s / TURNOVER_S)
--- a/src/dogwoodgap/scheduler.py
+++ b/src/dogwoodgap/scheduler.py
@@ -160,6 +160,8 @@
     def dispatch(self) -> None:
         """Grant runners to waiting calls, best key first."""
         self.index.refresh(self.runners())
+        if self.placement.holds and not any(map(has_room, self.index.sample())):
+            return
         skipped = 0
         position = 0
         while position < len(self.queue) and skipped < LOOKAHEAD:
@@ -246,14 +248,16 @@
         return self.index.by_id.get(runner)
 
     def reported(self, runner: str, made_at: float) -> None:
-        """Correct a new load report by what this node sent and saw finish after it was made."""
+        """Correct a new load report by what this node sent and saw finish after it was made.
+
+        Call :meth:`notify` after a batch of reports.
+        """
         view = self.view(runner)
         if view is None:
             return
         view.reported_at = made_at
         view.sent_since_report = count_after(self.sends.get(runner), made_at)
         view.finished_since_report = count_after(self.finishes.get(runner), made_at)
-        self.notify()
 
     def peers_sent(self, runner: str, sent_at: float, count: int = 1) -> None:
         """Learn from gossip that peers sent calls to a runner."""
--- a/src/dogwoodgap_lab/fleet.py
+++ b/src/dogwoodgap_lab/fleet.py
@@ -124,6 +124,8 @@
             self.deliver_reports(reports, made_at)
             self.gossip(made_at)
             self.deliver_events()
+            for node in self.nodes:
+                node.dispatcher.notify()
             ticks += 1
             if ticks % SWEEP_TICKS == 0:
                 for node in self.nodes:
@@ -152,8 +154,9 @@
                     continue
                 for runner, count in peer.items():
                     # About half of the interval's sends are newer than the report.
-                    newer = count * REPORT_LAG_S / TICK_S
-                    node.dispatcher.peers_sent(runner, made_at + 1e-6, math.floor(newer + 0.5))
+                    newer = math.floor(count * REPORT_LAG_S / TICK_S + 0.5)
+                    if newer:
+                        node.dispatcher.peers_sent(runner, made_at + 1e-6, newer)
 
     def deliver_events(self) -> None:
         """Deliver cache events late and with gaps."""
--- a/src/dogwoodgap_lab/simulation.py
+++ b/src/dogwoodgap_lab/simulation.py
@@ -17,6 +17,7 @@
 MAX_REPEATS = 8
 MAX_REFUSALS = 40
 WALL_START_S = 1_800_000_000.0
+UNLIMITED_MEMORY_TOKENS = 100_000_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -295,17 +296,19 @@
 
 
 def calibrate(deployment: workload.Deployment) -> float:
-    """Return the capacity in programs a second.
+    """Return the capacity of the engines in programs a second.
 
-    It is what prefix affinity with first come, first served completes in a closed loop of twice
-    as many programs as there are slots; about half of the programs wait for tools.
+    It is what they complete in a closed loop of four times as many programs as there are slots
+    when the prefix cache never has to evict. It depends on the engines and the programs alone,
+    and not on a strategy; memory limits keep every strategy somewhat below it.
     """
+    unlimited = dataclasses.replace(deployment, memory_tokens=UNLIMITED_MEMORY_TOKENS)
     result = simulate(
-        deployment,
+        unlimited,
         strategies.BASELINES["prefix-affinity"],
         4.0,
         horizon_s=3_000.0,
-        concurrency=2 * fleet.SPEED.slots * deployment.runners,
+        concurrency=4 * fleet.SPEED.slots * deployment.runners,
     )
     return result.completed_per_s
 
--- a/src/dogwoodgap_lab/workload.py
+++ b/src/dogwoodgap_lab/workload.py
@@ -59,8 +59,8 @@
     Attributes
     ----------
     capacity_per_s : float
-        Programs a second that prefix affinity with first come, first served completes while it is
-        saturated; measured once with ``dogwoodgap-lab calibrate`` and fixed.
+        Programs a second that the engines complete while they are saturated and the cache never
+        evicts; measured once with ``dogwoodgap-lab calibrate`` and fixed.
     """
 
     name: str
@@ -131,7 +131,7 @@
     customers=6,
     data_centres=("brno-a", "brno-b", "znojmo"),
     delay_s=0.0005,
-    capacity_per_s=0.431,
+    capacity_per_s=0.461,
     kinds=(
         Kind(
             "planner",
@@ -169,7 +169,7 @@
     customers=36,
     data_centres=("lakes-a", "lakes-b", "lakes-c"),
     delay_s=0.0015,
-    capacity_per_s=0.407,
+    capacity_per_s=0.527,
     kinds=(
         Kind(
             "quote",
