--- a/src/dogwoodgap/ordering.py
+++ b/src/dogwoodgap/ordering.py
@@ -16,6 +16,7 @@
 FAIR_HALF_LIFE_S = 120.0
 MAX_FAIR_EXCESS = 3.0
 MAX_CUSTOMERS = 4_096
+PREFILL_TOKENS_PER_S = 8_000.0
 
 
 class Ordering(typing.Protocol):
@@ -88,6 +89,9 @@
         Penalty of a customer that received twice the mean service; 0 turns fair sharing off.
     slack : bool
         Raise calls whose deadline is near.
+    resident_gain : float
+        Seconds of advance per second of prefill that a prefix held by a runner saves; 0 turns it
+        off.
     """
 
     def __init__(
@@ -96,11 +100,13 @@
         program_age: float = 0.0,
         fair_s: float = 10.0,
         slack: bool = True,
+        resident_gain: float = 10.0,
     ):
         self.attained_gain = attained_gain
         self.program_age = program_age
         self.fair_s = fair_s
         self.slack = slack
+        self.resident_gain = resident_gain
         self.usage: dict[str, Usage] = {}
         self.total = Usage()
 
@@ -110,6 +116,8 @@
         point = now + self.attained_penalty(item) + self.fair_penalty(item)
         if self.program_age and item.started_at:
             point -= self.program_age * (now - item.started_at)
+        if item.prefix_runner:
+            point -= self.resident_gain * item.prefix_tokens / PREFILL_TOKENS_PER_S
         if self.slack:
             point = min(point, now + item.deadline_at - clock.now())
         return int(1_000 * (point - item.urgency * URGENCY_STEP_S))
--- a/src/dogwoodgap/retention.py
+++ b/src/dogwoodgap/retention.py
@@ -17,8 +17,11 @@
 MAX_HISTOGRAMS = 4_096
 # Above this share of memory the engine starts to evict; a full memory of the lab's engine model
 # turns over in about this time.
-EVICTION_PRESSURE = 0.7
-TURNOVER_S = 15.0
+EVICTION_PRESSURE = 0.5
+TURNOVER_S = 10.0
+# Computing a prefix again slows the other requests of a batch; in the lab's engine model one
+# second of prefill takes about four seconds of work from a full batch.
+RECOMPUTE_COST = 4.0
 
 
 @dataclasses.dataclass
@@ -136,7 +139,9 @@
         share = pause.tokens / max(pause.memory_tokens, 1)
         pressure = min(max(pause.pressure, 0.0), 1.0)
         value = self.floor + (1.0 - self.floor) * pressure**2
-        compute_s = pause.latency_weight * pause.tokens / pause.prefill_tokens_per_s
+        compute_s = (
+            pause.latency_weight * RECOMPUTE_COST * pause.tokens / pause.prefill_tokens_per_s
+        )
         export_s = pause.latency_weight * (EXPORT_OVERHEAD_S + pause.tokens / EXPORT_TOKENS_PER_S)
         hold_s = pause.cache_weight * share * rest_s * value
         hold_s += compute_s * eviction_share(pressure, rest_s)
--- a/src/dogwoodgap/scheduler.py
+++ b/src/dogwoodgap/scheduler.py
@@ -191,6 +191,7 @@
             import_tokens=item.exported_tokens if item.exported_tokens > held else 0,
             item=item,
         )
+        self.sessions.granted(item)
         waiting.woken.set()
 
     def release(self, placement: structures.Placement, *, failed: bool = False) -> None:
--- a/src/dogwoodgap/sessions.py
+++ b/src/dogwoodgap/sessions.py
@@ -8,6 +8,7 @@
 from dogwoodgap import retention as retention_module
 
 REFUSED_TOOL = "(refused)"
+QUEUE_TOOL = "(queue)"
 
 
 @dataclasses.dataclass(slots=True)
@@ -24,6 +25,8 @@
         Tokens that any runner can import.
     paused_at : float
         Monotonic time; negative while a call runs.
+    queued : bool
+        Whether the program waits in the node's queue since ``paused_at``, and not for a tool.
     """
 
     item: structures.WorkItem
@@ -33,6 +36,14 @@
     paused_at: float = -1.0
     tool: str = ""
     idle_limit_s: float = 900.0
+    queued: bool = False
+
+
+def fill_in(session: Session) -> None:
+    """Tell the current call of a program where its prefix is."""
+    session.item.prefix_runner = session.runner
+    session.item.prefix_tokens = session.tokens if session.runner else 0
+    session.item.exported_tokens = session.exported
 
 
 def session_of(item: structures.WorkItem) -> str:
@@ -74,10 +85,20 @@
         if session.paused_at >= 0.0:
             pause_s = clock.now() - session.paused_at
             self.retention.observe(item.profile, session.tool, pause_s)
-            session.paused_at = -1.0
-        item.prefix_runner = session.runner
-        item.prefix_tokens = session.tokens if session.runner else 0
-        item.exported_tokens = session.exported
+        session.item = item
+        session.paused_at = clock.now()
+        session.tool = QUEUE_TOOL
+        session.queued = True
+        fill_in(session)
+
+    def granted(self, item: structures.WorkItem) -> None:
+        """Learn that a call leaves the node's queue for a runner."""
+        session = self.sessions.get(session_of(item))
+        if session is None or not session.queued:
+            return
+        self.retention.observe(item.profile, QUEUE_TOOL, clock.now() - session.paused_at)
+        session.queued = False
+        session.paused_at = -1.0
 
     def refused(self, item: structures.WorkItem) -> None:
         """Count a program whose call was refused as paused, since its caller may never return."""
@@ -85,6 +106,7 @@
         if session is not None:
             session.paused_at = clock.now()
             session.tool = REFUSED_TOOL
+            session.queued = False
 
     def finish(self, item: structures.WorkItem, runner: str, tokens: int) -> None:
         """Learn that a runner now holds the prefix of a program."""
@@ -143,6 +165,8 @@
         session.runner = ""
         if action == structures.CacheAction.EXPORT:
             self.add_export(name, session)
+        if session.queued:
+            fill_in(session)
         return [order]
 
     def end(self, customer: str, program: str) -> list[structures.CacheOrder]:
@@ -161,7 +185,7 @@
         for name, session in list(self.sessions.items()):
             if session.paused_at < 0.0:
                 continue
-            if now - session.paused_at >= session.idle_limit_s:
+            if not session.queued and now - session.paused_at >= session.idle_limit_s:
                 orders += self.end(session.item.customer, session.item.program)
                 self.sessions.pop(name, None)
             elif session.runner:
@@ -196,6 +220,8 @@
             session.tokens = min(session.tokens, tokens)
             if tokens <= 0:
                 session.runner = ""
+            if session.queued:
+                fill_in(session)
 
     def release_order(self, runner: str, name: str, reason: str) -> structures.CacheOrder:
         """Return the order that frees a session's memory."""
--- a/src/dogwoodgap_lab/engine_model.py
+++ b/src/dogwoodgap_lab/engine_model.py
@@ -74,12 +74,19 @@
 
 @dataclasses.dataclass(slots=True)
 class CacheEntry:
-    """Cached tokens of a session or of a shared prefix; idle since ``since`` unless pinned."""
+    """Cached tokens of a session or of a shared prefix; idle since ``since`` unless pinned.
+
+    Attributes
+    ----------
+    base : int
+        Length of the shared prefix in front of the session's own tokens.
+    """
 
     tokens: int
     since: float
     pins: int = 0
     ended: bool = False
+    base: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -105,7 +112,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CacheEvent:
-    """A change of the prefix cache; ``tokens`` is what is left."""
+    """A change of the prefix cache; ``tokens`` is what is left, with the shared prefix."""
 
     at: float
     key: str
@@ -148,6 +155,7 @@
         self.busy_s = 0.0
         self.prefill_computed = 0
         self.cached_served = 0
+        self.prompt_tokens = 0
 
     # Progress of the batch.
 
@@ -257,6 +265,7 @@
             work.shared_tokens + work.prompt_tokens - work.cached_tokens - work.import_tokens
         )
         self.cached_served += work.cached_tokens
+        self.prompt_tokens += work.shared_tokens + work.prompt_tokens
         self.enter(work, Phase.IMPORT if work.import_tokens else Phase.PREFILL)
         return True
 
@@ -297,8 +306,8 @@
         now = clock.now()
         self.memory.running += work.allocated * self.memory.span(work.started_at, now)
         kept = blocks(work.prompt_tokens + work.output_tokens)
-        self.entries[work.session] = CacheEntry(kept, now)
-        self.note(work.session, kept)
+        self.entries[work.session] = CacheEntry(kept, now, base=work.shared_tokens)
+        self.note(work.session, work.shared_tokens + kept)
         shared = self.entries.get(work.shared)
         if shared is not None:
             self.memory.running += shared.tokens * self.memory.span(shared.since, now)
@@ -333,7 +342,7 @@
         self.used_tokens -= freed
         if entry.tokens == 0:
             del self.entries[key]
-        self.note(key, entry.tokens)
+        self.note(key, entry.base + entry.tokens if entry.tokens else 0)
         return freed
 
     def account_waste(self, entry: CacheEntry, tokens: int) -> None:
--- a/src/dogwoodgap_lab/figures.py
+++ b/src/dogwoodgap_lab/figures.py
@@ -32,6 +32,7 @@
     refused: int
     failed: int
     cached_share: float
+    computed_share: float
     busy: float
     completed_per_s: float
     wasted_ended: float
--- a/src/dogwoodgap_lab/simulation.py
+++ b/src/dogwoodgap_lab/simulation.py
@@ -271,9 +271,9 @@
         """Return the figures of the run."""
         counted = [outcome for outcome in self.outcomes if outcome.counted]
         latencies = np.array([outcome.latency_s for outcome in counted])
-        prompt = sum(
-            model.prefill_computed + model.cached_served for model in self.fleet.runners.values()
-        )
+        runners = self.fleet.runners.values()
+        prompt = sum(model.prompt_tokens for model in runners)
+        computed = sum(model.prefill_computed for model in runners)
         cached = sum(model.cached_served for model in self.fleet.runners.values())
         held = self.memory.running + self.memory.reused + self.memory.unused + self.memory.ended
         return figures.Result(
@@ -288,6 +288,7 @@
             refused=self.refused,
             failed=sum(outcome.failed for outcome in counted),
             cached_share=cached / max(prompt, 1),
+            computed_share=computed / max(prompt, 1),
             busy=self.busy_s / (self.horizon_s * len(self.fleet.runners)),
             completed_per_s=self.completed_in_window / (self.horizon_s - self.warmup_s),
             wasted_ended=self.memory.ended / max(held, 1.0),
