--- a/src/dogwoodgap/placement.py
+++ b/src/dogwoodgap/placement.py
@@ -17,11 +17,16 @@
 MAX_SHARED_PREFIXES = 1_024
 FAR_PENALTY_S = 0.05
 IMPORT_TOKENS_PER_S = 60_000.0
+TRANSFER_OVERHEAD_S = 0.1
 # Share by which each request of a batch slows the others, fitted to the lab's engine model.
 BATCH_SLOWDOWN = 0.1
 PREFILL_SLOWDOWN = 0.6
 
 
+# Compared cost, estimated finish (both in seconds), whether the prefix moves.
+Estimate = tuple[float, float, bool]
+
+
 class RunnerIndex:
     """The runners of a service by id, by distance and by the shared prefixes that they hold.
 
@@ -110,10 +115,13 @@
     ----------
     finish_s : float
         Estimated seconds until the call would finish there.
+    transfers : bool
+        Whether the prefix moves there from its holder, which costs an export and an import.
     """
 
     runner: structures.RunnerView
     finish_s: float = 0.0
+    transfers: bool = False
 
 
 class Placement(typing.Protocol):
@@ -202,47 +210,55 @@
     ----------
     shared_cost : float
         Weight of the time that the call's prefill takes from the other requests of the batch.
+    transfer : bool
+        Whether a prefix may move from its holder to a less loaded runner.
     """
 
     holds = True
 
-    def __init__(self, shared_cost: float = 1.0, service_s: float = 8.0):
+    def __init__(self, shared_cost: float = 1.0, service_s: float = 8.0, transfer: bool = True):
         self.shared_cost = shared_cost
+        self.transfer = transfer
         self.service_s = service_s
 
     def choose(self, item: structures.WorkItem, index: RunnerIndex) -> Choice | None:
         """Return the best candidate."""
-        best: Choice | None = None
-        lowest = 0.0
+        best: structures.RunnerView | None = None
+        lowest: Estimate = (0.0, 0.0, False)
         for view in index.candidates(item):
             index.evaluated += 1
-            finish, cost = self.estimate(item, view, index)
-            if best is None or cost < lowest:
-                best = Choice(view, finish)
-                lowest = cost
-        return best
+            estimate = self.estimate(item, view, index)
+            if best is None or estimate < lowest:
+                best = view
+                lowest = estimate
+        return None if best is None else Choice(best, lowest[1], lowest[2])
 
     def estimate(
         self, item: structures.WorkItem, view: structures.RunnerView, index: RunnerIndex
-    ) -> tuple[float, float]:
-        """Return the estimated finish and the cost that is compared, both in seconds."""
+    ) -> Estimate:
+        """Return the estimate for one runner; a plain tuple, since it is made for each candidate."""
+        moved = 0
         if view.id == item.prefix_runner:
             cached = item.prefix_tokens
         else:
             holders = index.shared.get(item.shared_prefix)
             cached = holders.get(view.id, 0) if holders else 0
-        imported = max(0, item.exported_tokens - cached)
-        uncached = max(0, item.prompt_tokens - cached - imported)
-        prefill_s = uncached / view.prefill_tokens_per_s
+            moved = item.prefix_tokens - cached if self.transfer else 0
+        imported = max(0, item.exported_tokens - cached, moved)
+        import_s = imported / IMPORT_TOKENS_PER_S
+        if moved > 0:
+            import_s += import_s + TRANSFER_OVERHEAD_S
+        prefill_s = max(0, item.prompt_tokens - cached - imported) / view.prefill_tokens_per_s
         output = item.expected_output_tokens or item.max_tokens
         work_s = prefill_s + output / view.decode_tokens_per_s
         load = view.load()
         batch = min(load, view.slots)
         wait_s = max(0, load - view.slots + 1) * self.service_s / view.slots
-        finish = wait_s + imported / IMPORT_TOKENS_PER_S + work_s * (1 + BATCH_SLOWDOWN * batch)
+        finish = wait_s + import_s + work_s * (1 + BATCH_SLOWDOWN * batch)
         if view.data_centre != index.data_centre:
             finish += FAR_PENALTY_S
-        return finish, finish + self.shared_cost * prefill_s * PREFILL_SLOWDOWN * batch
+        cost = finish + self.shared_cost * prefill_s * PREFILL_SLOWDOWN * batch
+        return cost, finish, moved > 0
 
     def observe(self, duration_s: float) -> None:
         """Learn the mean duration of a call at a runner."""
--- a/src/dogwoodgap/retention.py
+++ b/src/dogwoodgap/retention.py
@@ -110,7 +110,7 @@
 
     releases = True
 
-    def __init__(self, floor: float = 0.02, export: bool = True):
+    def __init__(self, floor: float = 0.3, export: bool = True):
         self.floor = floor
         self.export = export
         self.histograms: dict[tuple[str, str], PauseHistogram] = {}
--- a/src/dogwoodgap/scheduler.py
+++ b/src/dogwoodgap/scheduler.py
@@ -184,11 +184,13 @@
         view.sent_since_report += 1
         self.sends.setdefault(view.id, collections.deque()).append(clock.now())
         held = item.prefix_tokens if view.id == item.prefix_runner else 0
+        importable = item.prefix_tokens if choice.transfers else item.exported_tokens
         waiting.granted = structures.Placement(
             view,
             priority=waiting.key,
             estimated_finish_s=choice.finish_s,
-            import_tokens=item.exported_tokens if item.exported_tokens > held else 0,
+            import_tokens=importable if importable > held else 0,
+            export_from=item.prefix_runner if choice.transfers else "",
             item=item,
         )
         self.sessions.granted(item)
--- a/src/dogwoodgap/structures.py
+++ b/src/dogwoodgap/structures.py
@@ -162,12 +162,15 @@
         For the engine; lower runs first.
     import_tokens : int
         Exported tokens that the runner has to import before it starts.
+    export_from : str
+        Runner that holds the prefix and has to export it first; empty when none has to.
     """
 
     runner: RunnerView
     priority: int
     estimated_finish_s: float = 0.0
     import_tokens: int = 0
+    export_from: str = ""
     item: WorkItem | None = None
 
 
--- a/src/dogwoodgap_lab/simulation.py
+++ b/src/dogwoodgap_lab/simulation.py
@@ -244,6 +244,9 @@
         self.calls += 1
         node.sent[placement.runner.id] = node.sent.get(placement.runner.id, 0) + 1
         session = f"{program.customer}/{program.id}"
+        if placement.export_from:
+            source = node.dispatcher.view(placement.export_from)
+            await self.fleet.adapter.export(source, session, placement.import_tokens)
         if placement.import_tokens:
             self.fleet.adapter.import_next(
                 session, min(placement.import_tokens, item.prompt_tokens) - program.shared_tokens
--- a/src/dogwoodgap_lab/strategies.py
+++ b/src/dogwoodgap_lab/strategies.py
@@ -60,6 +60,9 @@
     "placement: no cost to others": dataclasses.replace(
         FULL, placement_options={"shared_cost": 0.0}
     ),
+    "placement: no transfer of prefixes": dataclasses.replace(
+        FULL, placement_options={"transfer": False}
+    ),
     "placement: without peers' sends": dataclasses.replace(FULL, shares_load=False),
     "retention: release ended only": dataclasses.replace(FULL, retention="release"),
     "retention: no release": dataclasses.replace(FULL, retention="none"),
