--- a/src/dogwoodgap/ordering.py
+++ b/src/dogwoodgap/ordering.py
@@ -15,6 +15,9 @@
 MAX_ATTAINED_PENALTY_S = 900.0
 FAIR_HALF_LIFE_S = 120.0
 MAX_FAIR_EXCESS = 3.0
+# Customers up to this multiple of the mean keep their place. At 1.0 a penalty from the mean on
+# lowered Jain's index of slowdowns, since large customers are not slowed less than small ones.
+FAIR_TOLERANCE = 2.0
 MAX_CUSTOMERS = 4_096
 PREFILL_TOKENS_PER_S = 8_000.0
 
@@ -86,7 +89,7 @@
     program_age : float
         Share of the program's age that counts as waiting time; favours old programs.
     fair_s : float
-        Penalty of a customer that received twice the mean service; 0 turns fair sharing off.
+        Penalty of a customer per mean share of service beyond twice the mean; 0 turns it off.
     slack : bool
         Raise calls whose deadline is near.
     resident_gain : float
@@ -137,7 +140,7 @@
         mean = self.total.decayed(now) / len(self.usage)
         if mean <= 0.0:
             return 0.0
-        excess = used.decayed(now) / mean - 1.0
+        excess = used.decayed(now) / mean - FAIR_TOLERANCE
         return self.fair_s * min(max(excess, 0.0), MAX_FAIR_EXCESS)
 
     def served(self, item: structures.WorkItem, tokens: int) -> None:
--- a/src/dogwoodgap/placement.py
+++ b/src/dogwoodgap/placement.py
@@ -23,6 +23,7 @@
 PREFILL_SLOWDOWN = 0.6
 
 
+NO_HOLDERS: dict[str, int] = {}
 # Compared cost, estimated finish (both in seconds), whether the prefix moves.
 Estimate = tuple[float, float, bool]
 
@@ -61,18 +62,21 @@
 
     def candidates(self, item: structures.WorkItem) -> list[structures.RunnerView]:
         """Return the prefix holder, shared-prefix holders and a few sampled runners."""
-        found: dict[str, structures.RunnerView] = {}
-        holder = self.by_id.get(item.prefix_runner)
+        by_id = self.by_id
+        found: dict[str, structures.RunnerView] = {view.id: view for view in self.sample()}
+        holder = by_id.get(item.prefix_runner)
         if holder is not None:
             found[holder.id] = holder
         for runner in self.shared.get(item.shared_prefix, ()):
-            if runner in self.by_id:
-                found[runner] = self.by_id[runner]
-        for view in self.sample():
-            found[view.id] = view
-        usable = [view for view in found.values() if is_usable(view, item)]
+            if runner in by_id:
+                found[runner] = by_id[runner]
+        exclude = item.exclude
+        usable = [
+            view for view in found.values() if not (view.down or view.leaving or view.id in exclude)
+        ]
         if usable:
             return usable
+        # Rare: all candidates are unusable, so one scan replaces a needless refusal.
         return [view for view in self.views if is_usable(view, item)][:SAMPLED_RUNNERS]
 
     def sample(self) -> collections.abc.Iterable[structures.RunnerView]:
@@ -223,42 +227,52 @@
 
     def choose(self, item: structures.WorkItem, index: RunnerIndex) -> Choice | None:
         """Return the best candidate."""
+        source = index.by_id.get(item.prefix_runner)
+        movable = item.prefix_tokens if self.can_move(source) else 0
+        holders = index.shared.get(item.shared_prefix, NO_HOLDERS)
         best: structures.RunnerView | None = None
         lowest: Estimate = (0.0, 0.0, False)
-        for view in index.candidates(item):
-            index.evaluated += 1
-            estimate = self.estimate(item, view, index)
+        candidates = index.candidates(item)
+        index.evaluated += len(candidates)
+        for view in candidates:
+            if view is source:
+                estimate = self.estimate(item, view, item.prefix_tokens, 0)
+            else:
+                estimate = self.estimate(item, view, holders.get(view.id, 0), movable)
+            if view.data_centre != index.data_centre:
+                estimate = (estimate[0] + FAR_PENALTY_S, estimate[1] + FAR_PENALTY_S, estimate[2])
             if best is None or estimate < lowest:
                 best = view
                 lowest = estimate
         return None if best is None else Choice(best, lowest[1], lowest[2])
 
+    def can_move(self, source: structures.RunnerView | None) -> bool:
+        """Return whether the holder of a prefix can export it."""
+        return self.transfer and source is not None and not source.down
+
     def estimate(
-        self, item: structures.WorkItem, view: structures.RunnerView, index: RunnerIndex
+        self, item: structures.WorkItem, view: structures.RunnerView, cached: int, movable: int
     ) -> Estimate:
-        """Return the estimate for one runner; a plain tuple, since it is made for each candidate."""
-        moved = 0
-        if view.id == item.prefix_runner:
-            cached = item.prefix_tokens
-        else:
-            holders = index.shared.get(item.shared_prefix)
-            cached = holders.get(view.id, 0) if holders else 0
-            moved = item.prefix_tokens - cached if self.transfer else 0
-        imported = max(0, item.exported_tokens - cached, moved)
-        import_s = imported / IMPORT_TOKENS_PER_S
-        if moved > 0:
-            import_s += import_s + TRANSFER_OVERHEAD_S
-        prefill_s = max(0, item.prompt_tokens - cached - imported) / view.prefill_tokens_per_s
+        """Return the estimate for a runner that holds ``cached`` tokens; made per candidate."""
+        exported = item.exported_tokens
+        moves = movable > cached and movable > exported
+        gained = (movable if moves else exported) - cached
+        import_s = 0.0
+        if gained > 0:
+            import_s = gained / IMPORT_TOKENS_PER_S
+            cached += gained
+            if moves:
+                import_s += import_s + TRANSFER_OVERHEAD_S
+        uncached = item.prompt_tokens - cached
+        prefill_s = uncached / view.prefill_tokens_per_s if uncached > 0 else 0.0
         output = item.expected_output_tokens or item.max_tokens
         work_s = prefill_s + output / view.decode_tokens_per_s
-        load = view.load()
-        batch = min(load, view.slots)
-        wait_s = max(0, load - view.slots + 1) * self.service_s / view.slots
-        finish = wait_s + import_s + work_s * (1 + BATCH_SLOWDOWN * batch)
-        if view.data_centre != index.data_centre:
-            finish += FAR_PENALTY_S
-        cost = finish + self.shared_cost * prefill_s * PREFILL_SLOWDOWN * batch
-        return cost, finish, moved > 0
+        batch = view.load()
+        if batch >= view.slots:
+            import_s += (batch - view.slots + 1) * self.service_s / view.slots
+            batch = view.slots
+        finish = import_s + work_s * (1.0 + BATCH_SLOWDOWN * batch)
+        return finish + self.shared_cost * prefill_s * PREFILL_SLOWDOWN * batch, finish, moves
 
     def observe(self, duration_s: float) -> None:
         """Learn the mean duration of a call at a runner."""
--- a/src/dogwoodgap/scheduler.py
+++ b/src/dogwoodgap/scheduler.py
@@ -19,6 +19,7 @@
 LOOKAHEAD = 8
 OUTPUT_LEARNING_RATE = 0.05
 MAX_PROFILES = 1_024
+MAX_TIMES = 4_096
 
 
 @dataclasses.dataclass(slots=True)
@@ -93,28 +94,35 @@
         self.sessions.resume(item)
         try:
             return await self.wait(item)
-        except exceptions.OverloadedError:
-            self.refused += 1
-            self.sessions.refused(item)
+        except BaseException as error:
+            self.refused += isinstance(error, exceptions.OverloadedError)
+            self.sessions.interrupted(item)
             raise
 
     async def wait(self, item: structures.WorkItem) -> structures.Placement:
         """Admit a call and wait until it is granted."""
         learned = self.output_tokens.get(item.profile, item.max_tokens)
         item.expected_output_tokens = max(1, min(int(learned), item.max_tokens))
-        self.admit(item)
+        self.index.refresh(self.runners())
+        choice = self.placement.choose(item, self.index)
+        self.admit(item, choice)
         self.arrivals += 1
         waiting = Waiting(self.ordering.key(item), self.arrivals, item)
+        if choice is not None and not self.queue and self.may_send(choice):
+            self.grant(waiting, choice)
+            return waiting.granted
         self.queue.add(waiting)
         self.dispatch()
         if waiting.granted is None:
             await self.wait_for_grant(waiting)
         return waiting.granted
 
-    def admit(self, item: structures.WorkItem) -> None:
+    def may_send(self, choice: placement.Choice) -> bool:
+        """Return whether a call may leave the node's queue for a runner."""
+        return not self.placement.holds or has_room(choice.runner)
+
+    def admit(self, item: structures.WorkItem, choice: placement.Choice | None) -> None:
         """Refuse a call that would miss its deadline."""
-        self.index.refresh(self.runners())
-        choice = self.placement.choose(item, self.index)
         finish_s = 0.0 if choice is None else choice.finish_s + self.queue_wait_s()
         retry_after_s = self.admission.refuse_after_s(item, finish_s, len(self.queue))
         if retry_after_s is None:
@@ -169,7 +177,7 @@
             choice = self.placement.choose(waiting.item, self.index)
             if choice is None:
                 return
-            if self.placement.holds and not has_room(choice.runner):
+            if not self.may_send(choice):
                 skipped += 1
                 position += 1
                 continue
@@ -182,7 +190,7 @@
         view = choice.runner
         view.in_flight += 1
         view.sent_since_report += 1
-        self.sends.setdefault(view.id, collections.deque()).append(clock.now())
+        times_of(self.sends, view.id).append(clock.now())
         held = item.prefix_tokens if view.id == item.prefix_runner else 0
         importable = item.prefix_tokens if choice.transfers else item.exported_tokens
         waiting.granted = structures.Placement(
@@ -201,7 +209,9 @@
         view = placement.runner
         view.in_flight -= 1
         view.finished_since_report += 1
-        self.finishes.setdefault(view.id, collections.deque()).append(clock.now())
+        times_of(self.finishes, view.id).append(clock.now())
+        if failed and placement.item is not None:
+            self.sessions.interrupted(placement.item)
         self.notify()
 
     def finished(
@@ -239,6 +249,10 @@
         """Free the memory of a program that ended, was cancelled or reached a limit."""
         return self.sessions.end(customer, program)
 
+    def order_failed(self, order: structures.CacheOrder) -> None:
+        """Learn that an engine did not carry out an order."""
+        self.sessions.order_failed(order)
+
     def sweep(self) -> list[structures.CacheOrder]:
         """Decide again about paused programs; called every second."""
         return self.sessions.sweep()
@@ -268,7 +282,7 @@
         if view is None or sent_at <= view.reported_at:
             return
         view.sent_since_report += count
-        self.sends.setdefault(runner, collections.deque()).extend([sent_at] * count)
+        times_of(self.sends, runner).extend([sent_at] * count)
 
     def cache_event(self, runner: str, name: str, tokens: int) -> None:
         """Learn from an engine's event what is left of a session or shared prefix."""
@@ -299,6 +313,11 @@
     return view.load() < view.slots + max(1, int(view.slots * ENGINE_QUEUE_SHARE))
 
 
+def times_of(table: dict[str, collections.deque[float]], runner: str) -> collections.deque[float]:
+    """Return the times kept for a runner; bounded, since a silent runner sends no reports."""
+    return table.setdefault(runner, collections.deque(maxlen=MAX_TIMES))
+
+
 def count_after(times: collections.deque[float] | None, made_at: float) -> int:
     """Drop times up to a report and return how many are left; times may be slightly unordered."""
     if not times:
--- a/src/dogwoodgap/sessions.py
+++ b/src/dogwoodgap/sessions.py
@@ -7,7 +7,7 @@
 from dogwoodgap import clock, structures
 from dogwoodgap import retention as retention_module
 
-REFUSED_TOOL = "(refused)"
+INTERRUPTED_TOOL = "(interrupted)"
 QUEUE_TOOL = "(queue)"
 
 
@@ -100,14 +100,27 @@
         session.queued = False
         session.paused_at = -1.0
 
-    def refused(self, item: structures.WorkItem) -> None:
-        """Count a program whose call was refused as paused, since its caller may never return."""
+    def interrupted(self, item: structures.WorkItem) -> None:
+        """Count a program as paused after a refused, cancelled or failed call.
+
+        Its caller may never return, and only paused programs reach the idle limit.
+        """
         session = self.sessions.get(session_of(item))
         if session is not None:
             session.paused_at = clock.now()
-            session.tool = REFUSED_TOOL
+            session.tool = INTERRUPTED_TOOL
             session.queued = False
 
+    def order_failed(self, order: structures.CacheOrder) -> None:
+        """Count on the old copy again after a failed export; releases are found again later."""
+        session = self.sessions.get(order.session)
+        if order.action != structures.CacheAction.EXPORT or session is None:
+            return
+        self.drop_export(order.session)
+        session.exported = 0
+        if not session.runner:
+            session.runner = order.runner
+
     def finish(self, item: structures.WorkItem, runner: str, tokens: int) -> None:
         """Learn that a runner now holds the prefix of a program."""
         name = session_of(item)
@@ -119,6 +132,7 @@
         session.runner = runner
         session.tokens = tokens
         session.exported = 0
+        session.queued = False
         session.paused_at = clock.now()
         session.tool = ""
 
@@ -229,6 +243,7 @@
 
     def add_export(self, name: str, session: Session) -> None:
         """Account an export and drop the oldest ones over the bound."""
+        self.drop_export(name)
         session.exported = session.tokens
         self.exports[name] = session.tokens
         self.exported_tokens += session.tokens
--- a/src/dogwoodgap/structures.py
+++ b/src/dogwoodgap/structures.py
@@ -103,7 +103,7 @@
     def load(self) -> int:
         """Return requests at the runner: its report, corrected by what is known since."""
         reported = self.queued + self.running + self.sent_since_report - self.finished_since_report
-        return max(self.in_flight, reported)
+        return reported if reported > self.in_flight else self.in_flight
 
 
 @dataclasses.dataclass(slots=True)
--- /dev/null
+++ b/src/dogwoodgap_lab/decision_cost.py
@@ -0,0 +1,122 @@
+"""Cost of one scheduling decision at different numbers of runners."""
+
+import dataclasses
+import time
+
+import anyio
+import trio.testing
+
+from dogwoodgap import clock, registry, scheduler, structures
+
+FLEETS = (10, 620)
+DECISIONS = 5_000
+ROUNDS = 5
+DATA_CENTRES = ("a", "b", "c")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DecisionCost:
+    """Processor time of one decision.
+
+    Attributes
+    ----------
+    choose_us : float
+        Order of the call and choice of its runner, in microseconds.
+    whole_us : float
+        The same with admission, queue, accounting and the end of the call.
+    candidates : float
+        Runners that were compared for one call.
+    """
+
+    runners: int
+    choose_us: float
+    whole_us: float
+    candidates: float
+
+
+def views(count: int) -> list[structures.RunnerView]:
+    """Return views of idle runners in three data centres."""
+    return [
+        structures.RunnerView(
+            service="model",
+            id=f"r{number}",
+            address="",
+            data_centre=DATA_CENTRES[number % len(DATA_CENTRES)],
+            slots=16,
+            cache_tokens=200_000,
+        )
+        for number in range(count)
+    ]
+
+
+def item(number: int, runners: int) -> structures.WorkItem:
+    """Return the call of one of 500 programs, whose prefix some runner holds."""
+    return structures.WorkItem(
+        program=f"p{number % 500}",
+        customer=f"c{number % 40}",
+        service="model",
+        profile="default",
+        prompt_tokens=6_000,
+        max_tokens=300,
+        attained_tokens=number % 9_000,
+        enqueued_at=0.0,
+        deadline_at=clock.now() + 60.0,
+        prefix_runner=f"r{number % runners}",
+        prefix_tokens=5_000,
+        shared_prefix="prefix:default",
+    )
+
+
+async def measure(runners: int) -> DecisionCost:
+    """Measure the best of several rounds, which excludes pauses of the machine."""
+    fleet = views(runners)
+    dispatcher = scheduler.Dispatcher("model", lambda: fleet, data_centre="a")
+    for number in range(4):
+        dispatcher.cache_event(f"r{number}", "prefix:default", 3_000)
+    items = [item(number, runners) for number in range(DECISIONS)]
+    dispatcher.index.refresh(fleet)
+    choose_s = []
+    whole_s = []
+    for _ in range(ROUNDS):
+        began = time.perf_counter()
+        for work in items:
+            dispatcher.ordering.key(work)
+            dispatcher.placement.choose(work, dispatcher.index)
+        choose_s.append(time.perf_counter() - began)
+    evaluated = dispatcher.index.evaluated / (ROUNDS * DECISIONS)
+    for _ in range(ROUNDS):
+        began = time.perf_counter()
+        for work in items:
+            granted = await dispatcher.acquire(work)
+            dispatcher.finished(granted, 200, 5.0)
+            dispatcher.release(granted)
+        whole_s.append(time.perf_counter() - began)
+    scale = 1e6 / DECISIONS
+    return DecisionCost(runners, min(choose_s) * scale, min(whole_s) * scale, evaluated)
+
+
+def run() -> list[DecisionCost]:
+    """Measure all fleet sizes."""
+    registry.load()
+    return [
+        anyio.run(
+            measure,
+            size,
+            backend="trio",
+            backend_options={"clock": trio.testing.MockClock(autojump_threshold=0)},
+        )
+        for size in FLEETS
+    ]
+
+
+def lines(costs: list[DecisionCost]) -> list[str]:
+    """Return the figures as Markdown table rows."""
+    rows = [
+        "| runners | choose (µs) | whole call (µs) | candidates |",
+        "| --- | --- | --- | --- |",
+    ]
+    rows += [
+        f"| {cost.runners} | {cost.choose_us:.1f} | {cost.whole_us:.1f} | {cost.candidates:.1f} |"
+        for cost in costs
+    ]
+    return rows
--- /dev/null
+++ b/src/dogwoodgap_lab/experiment_report.py
@@ -0,0 +1,189 @@
+"""Tables, plots and the Markdown report of an experiment."""
+
+import collections.abc
+import dataclasses
+import pathlib
+
+from dogwoodgap_lab import decision_cost, experiment, fleet, workload
+
+BASELINE_NAMES = ("round-robin", "least-loaded", "prefix-affinity", "call-priority")
+COLUMNS = (
+    "strategy | mean s | median s | p95 s | p99 s | wasted cache | computed prompt "
+    "| refused calls | failed programs | fairness"
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Aim:
+    """An aim at 1.0 of capacity: the best baseline's figure divided by ours."""
+
+    name: str
+    field: str
+    factor: float
+
+
+AIMS = (
+    Aim("mean program latency", "mean_s", 1.5),
+    Aim("p95 program latency", "p95_s", 1.3),
+    Aim("wasted cache", "wasted", 4.0),
+)
+AT_HALF_LOAD = ("mean_s", "median_s", "p95_s", "p99_s", "wasted", "refused", "failed")
+
+
+def header() -> list[str]:
+    """Return the head of a table of runs."""
+    return [f"| {COLUMNS} |", "|" + " --- |" * (COLUMNS.count("|") + 1)]
+
+
+def row(run: experiment.Run) -> str:
+    """Return one run as a table row."""
+    result = run.result
+    return (
+        f"| {run.job.name} | {result.mean_s:.1f} | {result.median_s:.1f} | {result.p95_s:.1f} "
+        f"| {result.p99_s:.1f} | {result.wasted:.3f} | {result.computed_share:.3f} "
+        f"| {result.refused} | {result.failed} | {result.fairness:.3f} |"
+    )
+
+
+def table(runs: collections.abc.Iterable[experiment.Run]) -> list[str]:
+    """Return runs as a table."""
+    return [*header(), *map(row, runs)]
+
+
+def select(
+    runs: list[experiment.Run], part: experiment.Part, load: float = 1.0
+) -> list[experiment.Run]:
+    """Return the runs of one part and load."""
+    return [run for run in runs if run.job.part == part and run.job.load == load]
+
+
+def split(runs: list[experiment.Run], load: float) -> tuple[list[experiment.Run], experiment.Run]:
+    """Return the baselines and the full strategy at a load."""
+    compared = select(runs, experiment.Part.COMPARISON, load)
+    baselines = [run for run in compared if run.job.name in BASELINE_NAMES]
+    full = next(run for run in compared if run.job.name == experiment.FULL_NAME)
+    return baselines, full
+
+
+def best(baselines: list[experiment.Run], field: str) -> float:
+    """Return the best baseline's figure."""
+    return min(getattr(run.result, field) for run in baselines)
+
+
+def aims(runs: list[experiment.Run]) -> list[str]:
+    """Compare the full strategy with the best baseline for each figure."""
+    baselines, full = split(runs, 1.0)
+    lines = ["| at 1.0 | best baseline | dogwoodgap | factor | aim | |", "|" + " --- |" * 6]
+    for aim in AIMS:
+        theirs = best(baselines, aim.field)
+        ours = getattr(full.result, aim.field)
+        factor = theirs / max(ours, 1e-9)
+        met = "met" if factor >= aim.factor else "missed"
+        lines.append(
+            f"| {aim.name} | {theirs:.3f} | {ours:.3f} | {factor:.2f} | {aim.factor} | {met} |"
+        )
+    return lines
+
+
+def half_load(runs: list[experiment.Run]) -> list[str]:
+    """Compare at half load, where nothing may be worse."""
+    baselines, full = split(runs, 0.5)
+    lines = ["| at 0.5 | best baseline | dogwoodgap | |", "|" + " --- |" * 4]
+    for field in AT_HALF_LOAD:
+        theirs = best(baselines, field)
+        ours = getattr(full.result, field)
+        verdict = "not worse" if ours <= theirs else f"worse by {ours - theirs:.3f}"
+        lines.append(f"| {field} | {theirs:.3f} | {ours:.3f} | {verdict} |")
+    theirs = max(run.result.fairness for run in baselines)
+    ours = full.result.fairness
+    verdict = "not worse" if ours >= theirs else f"worse by {theirs - ours:.4f}"
+    lines.append(f"| fairness | {theirs:.4f} | {ours:.4f} | {verdict} |")
+    return lines
+
+
+def render(deployment: workload.Deployment, runs: list[experiment.Run]) -> str:
+    """Return the report of one deployment."""
+    first = runs[0].job
+    lines = [
+        f"# Experiment: {deployment.name}",
+        "",
+        f"Seed {first.seed}; {first.horizon_s:.0f} s of open-loop arrivals, of which the first "
+        f"{first.warmup_s:.0f} s are not counted; capacity {deployment.capacity_per_s} programs/s; "
+        f"{deployment.nodes} nodes, {deployment.runners} runners with {fleet.SPEED.slots} slots "
+        f"and {deployment.memory_tokens} tokens of memory.",
+        "",
+        "Latency is that of whole programs with their tool pauses. Abandoned and looping programs "
+        "use the engines but are not counted. Wasted cache is the share of token-seconds of engine "
+        "memory held for ended programs, or held and not used again by the same engine. Computed "
+        "prompt is the share of prompt tokens that were neither cached nor imported. Fairness is "
+        "Jain's index of the customers' mean slowdowns. A refused call is repeated by its caller.",
+        "",
+    ]
+    for load in sorted({run.job.load for run in runs}):
+        lines += [f"## Load {load}", ""]
+        lines += table(select(runs, experiment.Part.COMPARISON, load))
+        lines.append("")
+        if load == 0.5:
+            lines += [*half_load(runs), ""]
+        if load == 1.0:
+            lines += [*aims(runs), ""]
+    ablation = select(runs, experiment.Part.ABLATION)
+    if ablation:
+        lines += ["## Each decision replaced or left out, at 1.0", ""]
+        lines += [*table([split(runs, 1.0)[1], *ablation]), ""]
+    trade = select(runs, experiment.Part.TRADE)
+    if trade:
+        lines += ["## Profile weights, at 1.0", "", *table(trade), ""]
+    lines += [f"![Latency and wasted cache]({deployment.name}.png)", ""]
+    return "\n".join(lines)
+
+
+def plot(deployment: workload.Deployment, runs: list[experiment.Run], path: pathlib.Path) -> None:
+    """Draw mean, p95 and wasted cache over load."""
+    import matplotlib.figure
+
+    picture = matplotlib.figure.Figure(figsize=(13, 4), layout="constrained")
+    panels = picture.subplots(1, 3)
+    fields = (("mean_s", "mean latency (s)"), ("p95_s", "p95 (s)"), ("wasted", "wasted cache"))
+    loads = sorted({run.job.load for run in runs})
+    for panel, (field, label) in zip(panels, fields, strict=True):
+        for name in (*BASELINE_NAMES, experiment.FULL_NAME):
+            values = [
+                getattr(run.result, field)
+                for load in loads
+                for run in select(runs, experiment.Part.COMPARISON, load)
+                if run.job.name == name
+            ]
+            panel.plot(loads, values, marker="o", label=name)
+        panel.set_xlabel("load (share of capacity)")
+        panel.set_ylabel(label)
+    panels[0].set_yscale("log")
+    panels[1].set_yscale("log")
+    panels[2].legend()
+    picture.suptitle(deployment.name)
+    picture.savefig(path, dpi=80, metadata={"Software": None})
+
+
+def write(
+    deployment: workload.Deployment, runs: list[experiment.Run], folder: pathlib.Path
+) -> pathlib.Path:
+    """Write report and plot; return the report's path."""
+    folder.mkdir(parents=True, exist_ok=True)
+    path = folder / f"{deployment.name}.md"
+    path.write_text(render(deployment, runs), encoding="utf-8")
+    plot(deployment, runs, folder / f"{deployment.name}.png")
+    return path
+
+
+def write_decision_cost(costs: list[decision_cost.DecisionCost], folder: pathlib.Path) -> None:
+    """Write the cost of one decision."""
+    folder.mkdir(parents=True, exist_ok=True)
+    head = [
+        "# Cost of one decision",
+        "",
+        "Processor time on one core, best of several rounds. *Choose* orders a call and chooses "
+        "its runner; *whole call* adds admission, accounting, sessions and the end of the call.",
+        "",
+    ]
+    text = "\n".join([*head, *decision_cost.lines(costs), ""])
+    (folder / "decision-cost.md").write_text(text, encoding="utf-8")
