--- /dev/null
+++ b/src/dogwoodgap/profiles.py
@@ -0,0 +1,174 @@
+"""The active profile of a service by local hours, and a peak window learned from demand."""
+
+import collections.abc
+import dataclasses
+import datetime
+import zoneinfo
+
+from dogwoodgap import models
+
+HOURS_PER_DAY = 24
+KEPT_WEEKS = 8
+# A week that is one week older counts this much less, so that a peak that moves later every year
+# is followed.
+WEEK_DECAY = 0.8
+MIN_DAYS = 7
+# 0.8 cut a peak that had moved by two hours down to the one hour that old and new weeks share.
+PEAK_SHARE = 0.6
+MAX_PEAK_HOURS = 12
+
+
+def active_profile(service: models.Service, wall_s: float) -> str:
+    """Return the profile that a service uses at a time.
+
+    The first window that contains the local time wins. A window that ends before it starts passes
+    midnight and belongs to the day on which it starts. Windows follow local clock time, so one is
+    an hour shorter or longer on the days on which the clocks change.
+
+    Parameters
+    ----------
+    service : Service
+        With its windows and its time zone.
+    wall_s : float
+        Wall time in seconds since the Unix epoch.
+    """
+    local = datetime.datetime.fromtimestamp(wall_s, zoneinfo.ZoneInfo(service.time_zone))
+    hour = local.hour + local.minute / 60 + local.second / 3_600
+    for window in service.hours:
+        if in_window(window, local.weekday(), hour):
+            return window.profile
+    return service.profile
+
+
+def in_window(window: models.ProfileHours, weekday: int, hour: float) -> bool:
+    """Return whether a window contains a local time; Monday is day 0."""
+    if window.start_hour < window.end_hour:
+        return weekday in window.days and window.start_hour <= hour < window.end_hour
+    if hour >= window.start_hour:
+        return weekday in window.days
+    return hour < window.end_hour and (weekday - 1) % 7 in window.days
+
+
+def next_change(service: models.Service, wall_s: float) -> float | None:
+    """Return when the active profile changes next within a week, to the minute, or None."""
+    current = active_profile(service, wall_s)
+    edges = {window.start_hour for window in service.hours}
+    edges |= {window.end_hour for window in service.hours}
+    zone = zoneinfo.ZoneInfo(service.time_zone)
+    today = datetime.datetime.fromtimestamp(wall_s, zone).date()
+    times = sorted(
+        local_time(today + datetime.timedelta(days=day), edge, zone)
+        for day in range(9)
+        for edge in edges
+    )
+    return next(
+        (at for at in times if at > wall_s and active_profile(service, at) != current), None
+    )
+
+
+def local_time(day: datetime.date, hour: float, zone: zoneinfo.ZoneInfo) -> float:
+    """Return wall time in seconds of a local clock time."""
+    minutes = round(hour * 60)
+    local = datetime.datetime.combine(day, datetime.time(), zone)
+    return local.replace(hour=minutes // 60, minute=minutes % 60).timestamp()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeakProposal:
+    """A window of high demand, for operators to accept or ignore.
+
+    Attributes
+    ----------
+    start_hour, end_hour : int
+        Local hours; the window passes midnight when it ends before it starts.
+    share : float
+        Part of the day's demand that falls into the window.
+    moved_hours : float
+        By how much the middle of the peak of the newer weeks is later than that of the older ones.
+    """
+
+    start_hour: int
+    end_hour: int
+    share: float
+    moved_hours: float
+
+
+@dataclasses.dataclass
+class HourlyDemand:
+    """Calls of a service per local day and hour over the past weeks.
+
+    Parameters
+    ----------
+    time_zone : str
+        Of the service.
+    """
+
+    time_zone: str = "UTC"
+    days: dict[int, list[float]] = dataclasses.field(default_factory=dict)
+
+    def record(self, wall_s: float, calls: float = 1.0) -> None:
+        """Count calls."""
+        local = datetime.datetime.fromtimestamp(wall_s, zoneinfo.ZoneInfo(self.time_zone))
+        day = local.date().toordinal()
+        if day not in self.days:
+            self.days[day] = [0.0] * HOURS_PER_DAY
+            self.forget(day)
+        self.days[day][local.hour] += calls
+
+    def forget(self, today: int) -> None:
+        """Drop days that are older than the kept weeks."""
+        for day in [day for day in self.days if day <= today - 7 * KEPT_WEEKS]:
+            del self.days[day]
+
+    def mean_day(self, days: collections.abc.Collection[int]) -> list[float]:
+        """Return the demand of a mean day, newer weeks counting more."""
+        newest = max(days)
+        mean = [0.0] * HOURS_PER_DAY
+        total = sum(WEEK_DECAY ** ((newest - day) // 7) for day in days)
+        for day in days:
+            weight = WEEK_DECAY ** ((newest - day) // 7) / total
+            for hour, calls in enumerate(self.days[day]):
+                mean[hour] += weight * calls
+        return mean
+
+    def propose_peak(self) -> PeakProposal | None:
+        """Return the learned peak window, or None before a week of demand is known.
+
+        Nothing is applied; an operator decides.
+        """
+        if len(self.days) < MIN_DAYS:
+            return None
+        mean = self.mean_day(self.days)
+        if sum(mean) <= 0.0:
+            return None
+        start, length = peak_of(mean)
+        share = sum(mean[(start + step) % HOURS_PER_DAY] for step in range(length)) / sum(mean)
+        return PeakProposal(start, (start + length) % HOURS_PER_DAY, share, self.peak_movement())
+
+    def peak_movement(self) -> float:
+        """Return by how many hours the peak of the newer half of the days is later."""
+        ordered = sorted(self.days)
+        half = len(ordered) // 2
+        older = peak_of(self.mean_day(ordered[:half]))
+        newer = peak_of(self.mean_day(ordered[half:]))
+        moved = newer[0] + newer[1] / 2 - older[0] - older[1] / 2
+        return (moved + HOURS_PER_DAY / 2) % HOURS_PER_DAY - HOURS_PER_DAY / 2
+
+
+def peak_of(mean: list[float]) -> tuple[int, int]:
+    """Return start and length in hours of the window around the busiest hour.
+
+    The window grows towards its busier neighbour while that hour has a large share of the
+    busiest hour's demand.
+    """
+    busiest = max(range(HOURS_PER_DAY), key=lambda hour: mean[hour])
+    start, length = busiest, 1
+    while length < MAX_PEAK_HOURS:
+        before = mean[(start - 1) % HOURS_PER_DAY]
+        after = mean[(start + length) % HOURS_PER_DAY]
+        if max(before, after) < PEAK_SHARE * mean[busiest]:
+            break
+        if before > after:
+            start = (start - 1) % HOURS_PER_DAY
+        length += 1
+    return start, length
--- /dev/null
+++ b/tests/test_scheduler.py
@@ -0,0 +1,231 @@
+"""Failures of ordering, placement, admission and the dispatcher's queue."""
+
+import math
+
+import anyio
+import pytest
+import trio.testing
+
+from dogwoodgap import clock, exceptions, ordering, placement, scheduler, structures
+
+
+def run(main):
+    """Run a coroutine function on virtual time."""
+    anyio.run(
+        main,
+        backend="trio",
+        backend_options={"clock": trio.testing.MockClock(autojump_threshold=0)},
+    )
+
+
+def view(name="r0", **fields):
+    values = {"service": "m", "address": "", "data_centre": "a", "slots": 2, "cache_tokens": 10_000}
+    return structures.RunnerView(id=name, **(values | fields))
+
+
+def item(program="p", **fields):
+    values = {
+        "customer": "c",
+        "service": "m",
+        "profile": "default",
+        "prompt_tokens": 1_000,
+        "max_tokens": 100,
+        "attained_tokens": 0,
+        "enqueued_at": clock.now(),
+        "deadline_at": clock.now() + 1_000.0,
+    }
+    return structures.WorkItem(program=program, **(values | fields))
+
+
+def test_a_long_program_is_not_starved_by_new_short_ones():
+    """Guards against least attained service that never serves an old, large program."""
+
+    async def main():
+        runners = [view(slots=1)]
+        dispatcher = scheduler.Dispatcher("m", lambda: runners)
+        served_at = []
+
+        async def call(work, hold_s):
+            placed = await dispatcher.acquire(work)
+            if work.program == "large":
+                served_at.append(clock.now())
+            await anyio.sleep(hold_s)
+            dispatcher.release(placed)
+
+        async with anyio.create_task_group() as tasks:
+            for number in range(3):
+                tasks.start_soon(call, item(f"first{number}"), 1.0)
+            await anyio.sleep(0.1)
+            large = item("large", attained_tokens=10**9, deadline_at=clock.now() + 10**6)
+            tasks.start_soon(call, large, 1.0)
+            for number in range(2_000):
+                tasks.start_soon(call, item(f"s{number}", deadline_at=clock.now() + 10**6), 1.0)
+                await anyio.sleep(1.0)
+        bound = ordering.MAX_ATTAINED_PENALTY_S + ordering.MAX_FAIR_EXCESS * 10.0 + 10.0
+        assert served_at[0] <= bound
+
+    run(main)
+
+
+def test_urgent_calls_and_small_programs_come_first():
+    """Guards against an order that ignores urgency or attained service."""
+
+    async def main():
+        order = ordering.ProgramOrdering()
+        small = order.key(item(attained_tokens=100))
+        large = order.key(item(attained_tokens=100_000))
+        urgent = order.key(item(attained_tokens=100_000, urgency=1))
+        late = order.key(item(attained_tokens=100_000, deadline_at=clock.now() + 0.05))
+        assert urgent < late < small < large
+
+    run(main)
+
+
+def test_a_flooding_customer_waits_behind_others():
+    """Guards against one customer that takes the service of all others."""
+
+    async def main():
+        order = ordering.ProgramOrdering()
+        for number in range(10):
+            order.served(item(customer=f"c{number}"), 100)
+        order.served(item(customer="c0"), 50_000)
+        assert order.key(item(customer="c0")) > order.key(item(customer="c1"))
+        weighted = order.key(item(customer="c2"))
+        assert weighted == order.key(item(customer="c1"))
+
+    run(main)
+
+
+def test_refused_calls_were_never_sent():
+    """Guards against a refusal that says "not run" for a call that reached a runner."""
+
+    async def main():
+        runners = [view(queued=50, running=2)]
+        dispatcher = scheduler.Dispatcher("m", lambda: runners)
+        with pytest.raises(exceptions.OverloadedError) as early:
+            await dispatcher.acquire(item(deadline_at=clock.now() + 1.0))
+        assert clock.now() == 0.0
+        with pytest.raises(exceptions.OverloadedError) as late:
+            await dispatcher.acquire(item(deadline_at=clock.now() + 900.0))
+        assert clock.now() == 900.0
+        assert [early.value.not_run, late.value.not_run] == ["true", "true"]
+        assert early.value.retry_after_s >= 1.0
+        assert runners[0].in_flight == runners[0].sent_since_report == 0
+        assert not dispatcher.queue
+
+    run(main)
+
+
+def test_the_queue_is_bounded_but_open_to_urgent_calls():
+    """Guards against a queue without bound, and against a refused belt stop."""
+
+    async def main():
+        runners = [view(queued=10, running=2)]
+        dispatcher = scheduler.Dispatcher("m", lambda: runners)
+        dispatcher.admission.max_waiting = 3
+        refused = []
+
+        async def call(**fields):
+            try:
+                await dispatcher.acquire(item(**fields))
+            except exceptions.OverloadedError:
+                refused.append(fields)
+
+        async with anyio.create_task_group() as tasks:
+            for _ in range(5):
+                tasks.start_soon(call)
+            await anyio.sleep(0.1)
+            tasks.start_soon(call)
+            await anyio.sleep(0.1)
+            assert (len(dispatcher.queue), len(refused)) == (3, 3)
+            async with anyio.create_task_group() as urgent:
+                urgent.start_soon(lambda: call(urgency=5))
+                await anyio.sleep(0.1)
+                assert len(dispatcher.queue) == 4
+                assert dispatcher.queue[0].item.urgency == 5
+                urgent.cancel_scope.cancel()
+            assert len(dispatcher.queue) == 3
+            tasks.cancel_scope.cancel()
+        assert not dispatcher.queue
+
+    run(main)
+
+
+def test_a_cancelled_call_gives_its_grant_back():
+    """Guards against in-flight counts that leak when the caller goes at the same moment."""
+
+    async def main():
+        runners = [view(slots=1)]
+        dispatcher = scheduler.Dispatcher("m", lambda: runners)
+        first = await dispatcher.acquire(item())
+        second = await dispatcher.acquire(item())
+
+        async def call():
+            placed = await dispatcher.acquire(item())
+            try:
+                await anyio.sleep_forever()
+            finally:
+                dispatcher.release(placed, failed=True)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(call)
+            await anyio.sleep(0.1)
+            dispatcher.release(first)
+            tasks.cancel_scope.cancel()
+        dispatcher.release(second)
+        assert runners[0].in_flight == 0
+
+    run(main)
+
+
+@pytest.mark.parametrize("count", [10, 620])
+def test_the_number_of_candidates_does_not_grow_with_the_fleet(count):
+    """Guards against a decision whose cost grows with the number of runners."""
+
+    async def main():
+        runners = [view(f"r{number}", data_centre="ab"[number % 2]) for number in range(count)]
+        dispatcher = scheduler.Dispatcher("m", lambda: runners, data_centre="a")
+        for number in range(count):
+            dispatcher.cache_event(f"r{number}", "prefix", 500)
+        work = item(prefix_runner="r3", prefix_tokens=900, shared_prefix="prefix")
+        placed = await dispatcher.acquire(work)
+        limit = 1 + placement.MAX_SHARED_HOLDERS + placement.SAMPLED_RUNNERS
+        assert 1 < dispatcher.index.evaluated <= limit
+        assert placed.runner.id == "r3"
+
+    run(main)
+
+
+def test_runners_that_are_down_leaving_or_excluded_get_nothing():
+    """Guards against new work for a leaving runner when all candidates are unusable."""
+
+    async def main():
+        runners = [view(f"r{number}", down=True) for number in range(100)]
+        runners[40].down = False
+        runners[41].down, runners[41].leaving = False, True
+        runners[42].down = False
+        dispatcher = scheduler.Dispatcher("m", lambda: runners)
+        for _ in range(3):
+            placed = await dispatcher.acquire(item(exclude={"r42"}))
+            assert placed.runner.id == "r40"
+
+    run(main)
+
+
+def test_load_is_corrected_by_own_and_peers_sends():
+    """Guards against herding on the runner whose report is old."""
+
+    async def main():
+        runners = [view("r0"), view("r1")]
+        dispatcher = scheduler.Dispatcher("m", lambda: runners)
+        await anyio.sleep(1.0)
+        dispatcher.reported("r0", clock.now())
+        dispatcher.peers_sent("r0", clock.now() + 0.1, 5)
+        dispatcher.peers_sent("r1", runners[1].reported_at - 1.0, 5)
+        assert (runners[0].load(), runners[1].load()) == (5, 0)
+        assert (await dispatcher.acquire(item())).runner.id == "r1"
+        await anyio.sleep(1.0)
+        dispatcher.reported("r0", clock.now())
+        assert math.isclose(runners[0].load(), 0)
+
+    run(main)
