Estimate waits from observed grants; drop the weight for slowing other requests

Admission counted only the node's own queue against the whole fleet's slots, so with 9 nodes it saw a ninth of the wait; and with unlearned outputs it could refuse every call for good. Engines without export keep prefixes that they may evict: releasing made the loss certain.

--- a/src/dogwoodgap/admission.py
+++ b/src/dogwoodgap/admission.py
@@ -41,7 +41,7 @@
         reduced by this share misses the deadline.
     """
 
-    def __init__(self, max_waiting: int = 1_000, margin: float = 0.3):
+    def __init__(self, max_waiting: int = 1_000, margin: float = 0.0):
         self.max_waiting = max_waiting
         self.margin = margin
 
--- a/src/dogwoodgap/placement.py
+++ b/src/dogwoodgap/placement.py
@@ -20,12 +20,11 @@
 TRANSFER_OVERHEAD_S = 0.1
 # Share by which each request of a batch slows the others, fitted to the lab's engine model.
 BATCH_SLOWDOWN = 0.1
-PREFILL_SLOWDOWN = 0.6
 
 
 NO_HOLDERS: dict[str, int] = {}
-# Compared cost, estimated finish (both in seconds), whether the prefix moves.
-Estimate = tuple[float, float, bool]
+# Estimated finish in seconds, and whether the prefix moves.
+Estimate = tuple[float, bool]
 
 
 class RunnerIndex:
@@ -212,16 +211,13 @@
 
     Parameters
     ----------
-    shared_cost : float
-        Weight of the time that the call's prefill takes from the other requests of the batch.
     transfer : bool
         Whether a prefix may move from its holder to a less loaded runner.
     """
 
     holds = True
 
-    def __init__(self, shared_cost: float = 1.0, service_s: float = 8.0, transfer: bool = True):
-        self.shared_cost = shared_cost
+    def __init__(self, service_s: float = 8.0, transfer: bool = True):
         self.transfer = transfer
         self.service_s = service_s
 
@@ -231,7 +227,7 @@
         movable = item.prefix_tokens if self.can_move(source) else 0
         holders = index.shared.get(item.shared_prefix, NO_HOLDERS)
         best: structures.RunnerView | None = None
-        lowest: Estimate = (0.0, 0.0, False)
+        lowest: Estimate = (0.0, False)
         candidates = index.candidates(item)
         index.evaluated += len(candidates)
         for view in candidates:
@@ -240,11 +236,11 @@
             else:
                 estimate = self.estimate(item, view, holders.get(view.id, 0), movable)
             if view.data_centre != index.data_centre:
-                estimate = (estimate[0] + FAR_PENALTY_S, estimate[1] + FAR_PENALTY_S, estimate[2])
+                estimate = (estimate[0] + FAR_PENALTY_S, estimate[1])
             if best is None or estimate < lowest:
                 best = view
                 lowest = estimate
-        return None if best is None else Choice(best, lowest[1], lowest[2])
+        return None if best is None else Choice(best, *lowest)
 
     def can_move(self, source: structures.RunnerView | None) -> bool:
         """Return whether the holder of a prefix can export it."""
@@ -271,8 +267,7 @@
         if batch >= view.slots:
             import_s += (batch - view.slots + 1) * self.service_s / view.slots
             batch = view.slots
-        finish = import_s + work_s * (1.0 + BATCH_SLOWDOWN * batch)
-        return finish + self.shared_cost * prefill_s * PREFILL_SLOWDOWN * batch, finish, moves
+        return import_s + work_s * (1.0 + BATCH_SLOWDOWN * batch), moves
 
     def observe(self, duration_s: float) -> None:
         """Learn the mean duration of a call at a runner."""
--- a/src/dogwoodgap/retention.py
+++ b/src/dogwoodgap/retention.py
@@ -105,7 +105,8 @@
     floor : float
         Value of empty memory relative to full memory.
     export : bool
-        Whether the engine can export and import KV cache.
+        Whether the engine can export and import KV cache. Without it a likely eviction is no
+        reason to release: releasing makes the loss certain.
     """
 
     releases = True
@@ -144,8 +145,9 @@
         )
         export_s = pause.latency_weight * (EXPORT_OVERHEAD_S + pause.tokens / EXPORT_TOKENS_PER_S)
         hold_s = pause.cache_weight * share * rest_s * value
-        hold_s += compute_s * eviction_share(pressure, rest_s)
-        if hold_s <= min(export_s if self.export else compute_s, compute_s):
+        if self.export:
+            hold_s += compute_s * eviction_share(pressure, rest_s)
+        if hold_s <= (min(export_s, compute_s) if self.export else compute_s):
             return structures.CacheAction.RETAIN
         if self.export and export_s < compute_s:
             return structures.CacheAction.EXPORT
--- a/src/dogwoodgap/scheduler.py
+++ b/src/dogwoodgap/scheduler.py
@@ -18,6 +18,12 @@
 # Calls per round that are looked at when the first ones have to wait for their runner.
 LOOKAHEAD = 8
 OUTPUT_LEARNING_RATE = 0.05
+# Admission corrects estimates by how they turned out; a stalled runner must not close admission.
+ESTIMATE_LEARNING_RATE = 0.02
+MAX_ESTIMATE_RATIO = 4.0
+GRANT_LEARNING_RATE = 0.05
+# Expected output of a profile of which no call has finished yet.
+DEFAULT_OUTPUT_TOKENS = 256.0
 MAX_PROFILES = 1_024
 MAX_TIMES = 4_096
 
@@ -78,6 +84,9 @@
         self.output_tokens: dict[str, float] = {}
         self.sends: dict[str, collections.deque[float]] = {}
         self.finishes: dict[str, collections.deque[float]] = {}
+        self.estimate_ratio = 1.0
+        self.grant_interval_s = 0.0
+        self.granted_at = -1.0
         self.arrivals = 0
         self.refused = 0
 
@@ -101,13 +110,13 @@
 
     async def wait(self, item: structures.WorkItem) -> structures.Placement:
         """Admit a call and wait until it is granted."""
-        learned = self.output_tokens.get(item.profile, item.max_tokens)
+        learned = self.output_tokens.get(item.profile, DEFAULT_OUTPUT_TOKENS)
         item.expected_output_tokens = max(1, min(int(learned), item.max_tokens))
         self.index.refresh(self.runners())
         choice = self.placement.choose(item, self.index)
-        self.admit(item, choice)
         self.arrivals += 1
         waiting = Waiting(self.ordering.key(item), self.arrivals, item)
+        self.admit(waiting, choice)
         if choice is not None and not self.queue and self.may_send(choice):
             self.grant(waiting, choice)
             return waiting.granted
@@ -121,10 +130,18 @@
         """Return whether a call may leave the node's queue for a runner."""
         return not self.placement.holds or has_room(choice.runner)
 
-    def admit(self, item: structures.WorkItem, choice: placement.Choice | None) -> None:
-        """Refuse a call that would miss its deadline."""
-        finish_s = 0.0 if choice is None else choice.finish_s + self.queue_wait_s()
-        retry_after_s = self.admission.refuse_after_s(item, finish_s, len(self.queue))
+    def admit(self, waiting: Waiting, choice: placement.Choice | None) -> None:
+        """Refuse a call that would miss its deadline.
+
+        A call that finds a free slot is always admitted: refusing it would save nothing, and
+        estimates could never be corrected by its outcome.
+        """
+        if choice is not None and not self.queue and choice.runner.load() < choice.runner.slots:
+            return
+        finish_s = self.queue_wait_s(waiting)
+        if choice is not None:
+            finish_s += choice.finish_s * self.estimate_ratio
+        retry_after_s = self.admission.refuse_after_s(waiting.item, finish_s, len(self.queue))
         if retry_after_s is None:
             return
         raise exceptions.OverloadedError(
@@ -134,13 +151,20 @@
             retry_after_s=retry_after_s,
         )
 
-    def queue_wait_s(self) -> float:
-        """Return the wait behind the calls that are already in this node's queue."""
-        slots = sum(view.slots for view in self.index.views[: placement.SAMPLED_RUNNERS])
-        sampled = min(self.index.size, placement.SAMPLED_RUNNERS)
-        fleet_slots = slots * self.index.size / max(sampled, 1)
-        service_s = getattr(self.placement, "service_s", 0.0)
-        return len(self.queue) * service_s / max(fleet_slots, 1.0)
+    def queue_wait_s(self, waiting: Waiting) -> float:
+        """Return the wait behind the better calls of this node's queue.
+
+        It follows from the observed time between grants, which includes the competition of peers.
+        """
+        return self.queue.bisect_left(waiting) * self.grant_interval_s
+
+    def note_grant(self) -> None:
+        """Learn the time between grants while calls wait."""
+        now = clock.now()
+        if self.granted_at >= 0.0:
+            interval_s = now - self.granted_at
+            self.grant_interval_s += GRANT_LEARNING_RATE * (interval_s - self.grant_interval_s)
+        self.granted_at = now if self.queue else -1.0
 
     async def wait_for_grant(self, waiting: Waiting) -> None:
         """Wait in the node's queue until a runner is granted or the deadline passes."""
@@ -182,6 +206,7 @@
                 position += 1
                 continue
             del self.queue[position]
+            self.note_grant()
             self.grant(waiting, choice)
 
     def grant(self, waiting: Waiting, choice: placement.Choice) -> None:
@@ -231,6 +256,9 @@
         learned += OUTPUT_LEARNING_RATE * (output_tokens - learned)
         self.output_tokens[item.profile] = learned
         self.placement.observe(duration_s)
+        if placement.estimated_finish_s > 0.0:
+            ratio = min(duration_s / placement.estimated_finish_s, MAX_ESTIMATE_RATIO)
+            self.estimate_ratio += ESTIMATE_LEARNING_RATE * (ratio - self.estimate_ratio)
         self.ordering.served(item, max(0, item.prompt_tokens - item.prefix_tokens) + output_tokens)
         orders = self.sessions.moved(item, placement.runner.id)
         tokens = item.prompt_tokens + output_tokens
--- a/src/dogwoodgap_lab/experiment.py
+++ b/src/dogwoodgap_lab/experiment.py
@@ -23,6 +23,7 @@
     COMPARISON = "comparison"
     ABLATION = "ablation"
     TRADE = "trade"
+    OVERLOAD = "overload"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,7 +53,7 @@
 ) -> list[Job]:
     """Return the runs of one deployment.
 
-    Ablation and trade are measured at 1.0 only.
+    Ablation and trade are measured at 1.0 and tight deadlines at 1.2 only.
     """
     horizon_s = QUICK_HORIZON_S if quick else HORIZON_S
     warmup_s = QUICK_WARMUP_S if quick else WARMUP_S
@@ -66,12 +67,13 @@
         for load in loads
         for name, strategy in compared.items()
     ]
-    if 1.0 not in loads:
-        return found
-    found += [
-        job(Part.ABLATION, 1.0, name, strategy) for name, strategy in strategies.ABLATIONS.items()
-    ]
-    found += [job(Part.TRADE, 1.0, name, strategy) for name, strategy in strategies.TRADE.items()]
+    for part, load, table in (
+        (Part.ABLATION, 1.0, strategies.ABLATIONS),
+        (Part.TRADE, 1.0, strategies.TRADE),
+        (Part.OVERLOAD, 1.2, strategies.OVERLOAD),
+    ):
+        if load in loads:
+            found += [job(part, load, name, strategy) for name, strategy in table.items()]
     return found
 
 
--- a/src/dogwoodgap_lab/experiment_report.py
+++ b/src/dogwoodgap_lab/experiment_report.py
@@ -4,7 +4,7 @@
 import dataclasses
 import pathlib
 
-from dogwoodgap_lab import decision_cost, experiment, fleet, workload
+from dogwoodgap_lab import decision_cost, experiment, fleet, strategies, workload
 
 BASELINE_NAMES = ("round-robin", "least-loaded", "prefix-affinity", "call-priority")
 COLUMNS = (
@@ -101,6 +101,24 @@
     return lines
 
 
+def late_table(runs: list[experiment.Run]) -> list[str]:
+    """Show how many calls ended after their deadline, which is work for nobody."""
+    lines = [
+        f"Each call has a deadline of {strategies.TIGHT_DEADLINE_S:.0f} s.",
+        "",
+        "| strategy | calls | late calls | late share | refused calls | mean s | p95 s |",
+        "|" + " --- |" * 7,
+    ]
+    for run in runs:
+        result = run.result
+        lines.append(
+            f"| {run.job.name} | {result.calls} | {result.late} "
+            f"| {result.late / max(result.calls, 1):.3f} | {result.refused} "
+            f"| {result.mean_s:.1f} | {result.p95_s:.1f} |"
+        )
+    return lines
+
+
 def render(deployment: workload.Deployment, runs: list[experiment.Run]) -> str:
     """Return the report of one deployment."""
     first = runs[0].job
@@ -134,6 +152,9 @@
     trade = select(runs, experiment.Part.TRADE)
     if trade:
         lines += ["## Profile weights, at 1.0", "", *table(trade), ""]
+    overload = select(runs, experiment.Part.OVERLOAD, 1.2)
+    if overload:
+        lines += ["## Tight deadlines, at 1.2", "", *late_table(overload), ""]
     lines += [f"![Latency and wasted cache]({deployment.name}.png)", ""]
     return "\n".join(lines)
 
--- a/src/dogwoodgap_lab/figures.py
+++ b/src/dogwoodgap_lab/figures.py
@@ -30,6 +30,7 @@
     fairness: float
     calls: int
     refused: int
+    late: int
     failed: int
     cached_share: float
     computed_share: float
--- a/src/dogwoodgap_lab/simulation.py
+++ b/src/dogwoodgap_lab/simulation.py
@@ -13,7 +13,6 @@
 from dogwoodgap_lab import direct_adapter, engine_model, figures, fleet, strategies, workload
 
 IDLE_LIMIT_S = 300.0
-CALL_DEADLINE_S = 600.0
 MAX_REPEATS = 8
 MAX_REFUSALS = 40
 WALL_START_S = 1_800_000_000.0
@@ -63,6 +62,7 @@
         self.outcomes: list[figures.Outcome] = []
         self.calls = 0
         self.refused = 0
+        self.late = 0
         self.completed_in_window = 0
         self.busy_s = 0.0
 
@@ -203,7 +203,7 @@
             max_tokens=1_500,
             attained_tokens=tree.attained_tokens,
             enqueued_at=clock.now(),
-            deadline_at=clock.now() + CALL_DEADLINE_S,
+            deadline_at=clock.now() + self.strategy.call_deadline_s,
             urgency=program.urgency,
             latency_weight=weights[0],
             cache_weight=weights[1],
@@ -227,7 +227,7 @@
             except exceptions.OverloadedError as error:
                 self.refused += 1
                 await anyio.sleep(max(1.0, error.retry_after_s))
-                item.deadline_at = clock.now() + CALL_DEADLINE_S
+                item.deadline_at = clock.now() + self.strategy.call_deadline_s
         else:
             raise exceptions.OverloadedError("the caller gave up after many refusals")
         await self.generate(node, program, item, turn, placement)
@@ -266,6 +266,7 @@
         sent_at = clock.now()
         async for _ in self.fleet.adapter.generate(placement.runner, request):
             pass
+        self.late += clock.now() > item.deadline_at
         duration_s = clock.now() - sent_at
         self.fleet.execute(node.dispatcher.finished(placement, turn.output_tokens, duration_s))
         node.dispatcher.release(placement)
@@ -289,6 +290,7 @@
             fairness=figures.jain(counted),
             calls=self.calls,
             refused=self.refused,
+            late=self.late,
             failed=sum(outcome.failed for outcome in counted),
             cached_share=cached / max(prompt, 1),
             computed_share=computed / max(prompt, 1),
--- a/src/dogwoodgap_lab/strategies.py
+++ b/src/dogwoodgap_lab/strategies.py
@@ -16,6 +16,10 @@
         Whether nodes learn of their peers' sends.
     reconciles : bool
         Whether engines' reports are compared with live programs.
+    profile_weights : tuple of float, optional
+        Latency and cache weight instead of those of the deployment.
+    call_deadline_s : float
+        Deadline of each call.
     """
 
     ordering: str = "program"
@@ -29,6 +33,7 @@
     shares_load: bool = True
     reconciles: bool = True
     profile_weights: tuple[float, float] | None = None
+    call_deadline_s: float = 600.0
 
 
 def baseline(ordering: str, placement: str) -> Strategy:
@@ -54,12 +59,8 @@
         FULL, ordering_options={"attained_gain": 0.0}
     ),
     "order: no fair share": dataclasses.replace(FULL, ordering_options={"fair_s": 0.0}),
-    "order: no deadline slack": dataclasses.replace(FULL, ordering_options={"slack": False}),
     "placement: prefix affinity": dataclasses.replace(FULL, placement="prefix-affinity"),
     "placement: least loaded": dataclasses.replace(FULL, placement="least-loaded"),
-    "placement: no cost to others": dataclasses.replace(
-        FULL, placement_options={"shared_cost": 0.0}
-    ),
     "placement: no transfer of prefixes": dataclasses.replace(
         FULL, placement_options={"transfer": False}
     ),
@@ -69,7 +70,6 @@
     "retention: no export": dataclasses.replace(FULL, retention_options={"export": False}),
     "memory: no comparison with reports": dataclasses.replace(FULL, reconciles=False),
     "loops: no limit": dataclasses.replace(FULL, limits=False),
-    "admission: none": dataclasses.replace(FULL, admission="none"),
 }
 
 TRADE = {
@@ -77,3 +77,17 @@
     "latency_weight 1, cache_weight 1": dataclasses.replace(FULL, profile_weights=(1.0, 1.0)),
     "latency_weight 1, cache_weight 4": dataclasses.replace(FULL, profile_weights=(1.0, 4.0)),
 }
+
+TIGHT_DEADLINE_S = 30.0
+OVERLOAD = {
+    "refuse early": dataclasses.replace(FULL, call_deadline_s=TIGHT_DEADLINE_S),
+    "admit everything": dataclasses.replace(
+        FULL, admission="none", call_deadline_s=TIGHT_DEADLINE_S
+    ),
+    "no deadline slack": dataclasses.replace(
+        FULL, ordering_options={"slack": False}, call_deadline_s=TIGHT_DEADLINE_S
+    ),
+    "call-priority": dataclasses.replace(
+        BASELINES["call-priority"], call_deadline_s=TIGHT_DEADLINE_S
+    ),
+}
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -116,6 +116,49 @@
     run(main)
 
 
+def test_a_free_runner_admits_calls_whose_estimate_misses_the_deadline():
+    """Guards against estimates that refuse every call and so are never corrected."""
+
+    async def main():
+        runners = [view()]
+        dispatcher = scheduler.Dispatcher("m", lambda: runners)
+        placed = await dispatcher.acquire(item(max_tokens=100_000, deadline_at=clock.now() + 1.0))
+        assert placed.estimated_finish_s > 1.0
+
+    run(main)
+
+
+def test_the_estimated_wait_includes_the_competition_of_peers():
+    """Guards against admission by the fleet's speed when peers take most of it."""
+
+    async def main():
+        runners = [view(queued=1, running=2)]
+        dispatcher = scheduler.Dispatcher("m", lambda: runners)
+
+        async def call(program):
+            await dispatcher.acquire(item(program, deadline_at=clock.now() + 5_000.0))
+
+        async with anyio.create_task_group() as tasks:
+            for number in range(100):
+                tasks.start_soon(call, f"p{number}")
+            await anyio.sleep(0.1)
+            for _ in range(50):
+                await anyio.sleep(20.0)
+                # One slot becomes free; peers take all others before this node hears of them.
+                runners[0].in_flight, runners[0].sent_since_report = 2, 0
+                runners[0].queued = runners[0].running = 1
+                dispatcher.notify()
+            began = clock.now()
+            late = item("late", attained_tokens=10**6, deadline_at=began + 120.0)
+            with pytest.raises(exceptions.OverloadedError) as refused:
+                await dispatcher.acquire(late)
+            assert clock.now() == began
+            assert refused.value.not_run == "true"
+            tasks.cancel_scope.cancel()
+
+    run(main)
+
+
 def test_the_queue_is_bounded_but_open_to_urgent_calls():
     """Guards against a queue without bound, and against a refused belt stop."""
 
