--- a/src/dogwoodgap/scheduler.py
+++ b/src/dogwoodgap/scheduler.py
@@ -342,21 +342,29 @@
     *,
     data_centre: str = "",
     seed: int = 0,
+    kv_transfer: bool = True,
 ) -> Dispatcher:
     """Return a dispatcher with the plug-ins that the service's configuration names.
 
+    Parameters
+    ----------
+    kv_transfer : bool, optional
+        Whether the service's engines export and import KV cache.
+
     Raises
     ------
     SettingsInvalidError
         When no such plug-in is registered.
     """
     registry.load()
+    moves = {"transfer": kv_transfer} if service.placement == "estimated-finish" else {}
+    exports = {"export": kv_transfer} if service.retention == "cost" else {}
     return Dispatcher(
         name,
         runners,
         ordering=registry.create("ordering", service.ordering),
-        placement=registry.create("placement", service.placement),
-        retention=registry.create("retention", service.retention),
+        placement=registry.create("placement", service.placement, **moves),
+        retention=registry.create("retention", service.retention, **exports),
         admission=registry.create("admission", service.admission),
         data_centre=data_centre,
         seed=seed,
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -7,7 +7,7 @@
 import pytest
 import trio.testing
 
-from dogwoodgap import clock, exceptions, ordering, placement, scheduler, structures
+from dogwoodgap import clock, exceptions, models, ordering, placement, scheduler, structures
 
 
 def run(main):
@@ -282,3 +282,28 @@
         assert math.isclose(runners[0].load(), 0)
 
     run(main)
+
+
+def test_engines_without_transfer_are_never_asked_to_export():
+    """Guards against imports that no engine can serve."""
+
+    async def main():
+        settings = models.Service(kind="model")
+        runners = [view("r0", running=1), view("r1")]
+        work = item(prefix_runner="r0", prefix_tokens=900)
+        for moves, expected in ((False, ("", 0)), (True, ("r0", 900))):
+            runners[0].queued = 0 if moves else 1
+            runners[0].in_flight, runners[1].in_flight = 2, 0
+            dispatcher = scheduler.from_service("m", settings, lambda: runners, kv_transfer=moves)
+            placed = await dispatcher.acquire(work)
+            assert (placed.export_from, placed.import_tokens) == expected
+            assert dispatcher.retention.export is moves
+
+    run(main)
+
+
+def test_an_unknown_plug_in_is_refused_with_its_name():
+    """Guards against a service that silently runs with another policy."""
+    settings = models.Service(kind="model", ordering="longest-first")
+    with pytest.raises(exceptions.SettingsInvalidError, match="longest-first"):
+        scheduler.from_service("m", settings, list)
