--- a/src/dogwoodgap/scheduler.py
+++ b/src/dogwoodgap/scheduler.py
@@ -8,7 +8,7 @@
 import sortedcontainers
 
 from dogwoodgap import admission as admission_module
-from dogwoodgap import clock, exceptions, models, placement, registry, sessions, structures
+from dogwoodgap import clock, exceptions, models, placement, prefixes, registry, structures
 from dogwoodgap import ordering as ordering_module
 from dogwoodgap import retention as retention_module
 
@@ -80,7 +80,7 @@
         self.admission = admission or registry.create("admission", "deadline")
         self.index = new_index(data_centre, seed)
         self.queue: sortedcontainers.SortedList = sortedcontainers.SortedList()
-        self.sessions = sessions.SessionTable(self.retention, self.view)
+        self.sessions = prefixes.SessionTable(self.retention, self.view)
         self.output_tokens: dict[str, float] = {}
         self.sends: dict[str, collections.deque[float]] = {}
         self.finishes: dict[str, collections.deque[float]] = {}
