--- /dev/null
+++ b/src/dogwoodgap/placement.py
@@ -0,0 +1,274 @@
+"""Plug-ins that choose the runner of a call.
+
+:class:`RunnerIndex` finds a bounded set of candidates, so that the cost of a decision does not
+depend on the number of runners.
+"""
+
+import collections
+import collections.abc
+import dataclasses
+import random
+import typing
+
+from dogwoodgap import registry, structures
+
+SAMPLED_RUNNERS = 6
+MAX_SHARED_HOLDERS = 4
+MAX_SHARED_PREFIXES = 1_024
+FAR_PENALTY_S = 0.05
+IMPORT_TOKENS_PER_S = 60_000.0
+TRANSFER_OVERHEAD_S = 0.1
+# Share by which each request of a batch slows the others, fitted to the lab's engine model.
+BATCH_SLOWDOWN = 0.1
+
+
+NO_HOLDERS: dict[str, int] = {}
+# Estimated finish in seconds, and whether the prefix moves.
+Estimate = tuple[float, bool]
+
+
+class RunnerIndex:
+    """The runners of a service by id, by distance and by the shared prefixes that they hold.
+
+    Parameters
+    ----------
+    data_centre : str
+        The node's own data centre.
+    seed : int
+        Of the sampling; nodes use different seeds so that they sample different runners.
+    """
+
+    def __init__(self, data_centre: str = "", seed: int = 0):
+        self.data_centre = data_centre
+        self.random = random.Random(seed)
+        self.views: list[structures.RunnerView] = []
+        self.size = -1
+        self.by_id: dict[str, structures.RunnerView] = {}
+        self.near: list[structures.RunnerView] = []
+        self.shared: collections.OrderedDict[str, collections.OrderedDict[str, int]] = (
+            collections.OrderedDict()
+        )
+        self.evaluated = 0
+
+    def refresh(self, views: list[structures.RunnerView], *, force: bool = False) -> None:
+        """Rebuild the index when the list of runners is another one."""
+        if views is self.views and len(views) == self.size and not force:
+            return
+        self.views = views
+        self.size = len(views)
+        self.by_id = {view.id: view for view in views}
+        self.near = [view for view in views if view.data_centre == self.data_centre]
+
+    def candidates(self, item: structures.WorkItem) -> list[structures.RunnerView]:
+        """Return the prefix holder, shared-prefix holders and a few sampled runners."""
+        by_id = self.by_id
+        found: dict[str, structures.RunnerView] = {view.id: view for view in self.sample()}
+        holder = by_id.get(item.prefix_runner)
+        if holder is not None:
+            found[holder.id] = holder
+        for runner in self.shared.get(item.shared_prefix, ()):
+            if runner in by_id:
+                found[runner] = by_id[runner]
+        exclude = item.exclude
+        usable = [
+            view for view in found.values() if not (view.down or view.leaving or view.id in exclude)
+        ]
+        if usable:
+            return usable
+        # Rare: all candidates are unusable, so one scan replaces a needless refusal.
+        return [view for view in self.views if is_usable(view, item)][:SAMPLED_RUNNERS]
+
+    def sample(self) -> collections.abc.Iterable[structures.RunnerView]:
+        """Return a few runners, half of them from the near data centre."""
+        if self.size <= SAMPLED_RUNNERS:
+            return self.views
+        near = self.near or self.views
+        half = SAMPLED_RUNNERS // 2
+        chosen = [near[int(self.random.random() * len(near))] for _ in range(half)]
+        chosen += [self.views[int(self.random.random() * self.size)] for _ in range(half)]
+        return chosen
+
+    def note_shared(self, prefix: str, runner: str, tokens: int) -> None:
+        """Learn that a runner holds, or with 0 tokens no longer holds, a shared prefix."""
+        holders = self.shared.get(prefix)
+        if tokens <= 0:
+            if holders is not None:
+                holders.pop(runner, None)
+            return
+        if holders is None:
+            if len(self.shared) >= MAX_SHARED_PREFIXES:
+                self.shared.popitem(last=False)
+            holders = self.shared[prefix] = collections.OrderedDict()
+        holders[runner] = tokens
+        holders.move_to_end(runner)
+        if len(holders) > MAX_SHARED_HOLDERS:
+            holders.popitem(last=False)
+
+
+def is_usable(view: structures.RunnerView, item: structures.WorkItem) -> bool:
+    """Return whether a runner may get a call."""
+    return not view.down and not view.leaving and view.id not in item.exclude
+
+
+@dataclasses.dataclass(slots=True)
+class Choice:
+    """The runner that a plug-in prefers.
+
+    Attributes
+    ----------
+    finish_s : float
+        Estimated seconds until the call would finish there.
+    transfers : bool
+        Whether the prefix moves there from its holder, which costs an export and an import.
+    """
+
+    runner: structures.RunnerView
+    finish_s: float = 0.0
+    transfers: bool = False
+
+
+class Placement(typing.Protocol):
+    """What the dispatcher needs of a placement plug-in.
+
+    Attributes
+    ----------
+    holds : bool
+        Whether calls wait in the node while the engine's queue is long.
+    """
+
+    holds: bool
+
+    def choose(self, item: structures.WorkItem, index: RunnerIndex) -> Choice | None:
+        """Return the best runner, or None when none is usable."""
+
+    def observe(self, duration_s: float) -> None:
+        """Learn how long a call took at a runner, without its wait in the node."""
+
+
+class Baseline:
+    """Base of the simple plug-ins: calls go to the engine's queue at once."""
+
+    holds = False
+
+    def observe(self, duration_s: float) -> None:
+        """Ignore durations."""
+
+
+@registry.register("placement", "round-robin")
+class RoundRobinPlacement(Baseline):
+    """Each runner in turn."""
+
+    def __init__(self):
+        self.turn = 0
+
+    def choose(self, item: structures.WorkItem, index: RunnerIndex) -> Choice | None:
+        """Return the next usable runner."""
+        usable = [view for view in index.views if is_usable(view, item)]
+        if not usable:
+            return None
+        self.turn += 1
+        return Choice(usable[self.turn % len(usable)])
+
+
+@registry.register("placement", "least-loaded")
+class LeastLoadedPlacement(Baseline):
+    """The runner with the fewest requests, among all runners."""
+
+    def choose(self, item: structures.WorkItem, index: RunnerIndex) -> Choice | None:
+        """Return the least loaded usable runner."""
+        usable = [view for view in index.views if is_usable(view, item)]
+        if not usable:
+            return None
+        return Choice(min(usable, key=lambda view: (view.load() / view.slots, view.id)))
+
+
+@registry.register("placement", "prefix-affinity")
+class PrefixAffinityPlacement(LeastLoadedPlacement):
+    """The runner that holds the prefix unless it is overloaded, else the least loaded.
+
+    Parameters
+    ----------
+    imbalance : float
+        Requests per slot by which the holder may exceed the least loaded runner.
+    """
+
+    def __init__(self, imbalance: float = 1.0):
+        self.imbalance = imbalance
+
+    def choose(self, item: structures.WorkItem, index: RunnerIndex) -> Choice | None:
+        """Return the holder or the least loaded runner."""
+        least = super().choose(item, index)
+        holder = index.by_id.get(item.prefix_runner)
+        if least is None or holder is None or not is_usable(holder, item):
+            return least
+        excess = holder.load() / holder.slots - least.runner.load() / least.runner.slots
+        return Choice(holder) if excess <= self.imbalance else least
+
+
+@registry.register("placement", "estimated-finish")
+class EstimatedFinishPlacement:
+    """The candidate with the earliest estimated finish.
+
+    Parameters
+    ----------
+    transfer : bool
+        Whether a prefix may move from its holder to a less loaded runner.
+    """
+
+    holds = True
+
+    def __init__(self, service_s: float = 8.0, transfer: bool = True):
+        self.transfer = transfer
+        self.service_s = service_s
+
+    def choose(self, item: structures.WorkItem, index: RunnerIndex) -> Choice | None:
+        """Return the best candidate."""
+        source = index.by_id.get(item.prefix_runner)
+        movable = item.prefix_tokens if self.can_move(source) else 0
+        holders = index.shared.get(item.shared_prefix, NO_HOLDERS)
+        best: structures.RunnerView | None = None
+        lowest: Estimate = (0.0, False)
+        candidates = index.candidates(item)
+        index.evaluated += len(candidates)
+        for view in candidates:
+            if view is source:
+                estimate = self.estimate(item, view, item.prefix_tokens, 0)
+            else:
+                estimate = self.estimate(item, view, holders.get(view.id, 0), movable)
+            if view.data_centre != index.data_centre:
+                estimate = (estimate[0] + FAR_PENALTY_S, estimate[1])
+            if best is None or estimate < lowest:
+                best = view
+                lowest = estimate
+        return None if best is None else Choice(best, *lowest)
+
+    def can_move(self, source: structures.RunnerView | None) -> bool:
+        """Return whether the holder of a prefix can export it."""
+        return self.transfer and source is not None and not source.down
+
+    def estimate(
+        self, item: structures.WorkItem, view: structures.RunnerView, cached: int, movable: int
+    ) -> Estimate:
+        """Return the estimate for a runner that holds ``cached`` tokens; made per candidate."""
+        exported = item.exported_tokens
+        moves = movable > cached and movable > exported
+        gained = (movable if moves else exported) - cached
+        import_s = 0.0
+        if gained > 0:
+            import_s = gained / IMPORT_TOKENS_PER_S
+            cached += gained
+            if moves:
+                import_s += import_s + TRANSFER_OVERHEAD_S
+        uncached = item.prompt_tokens - cached
+        prefill_s = uncached / view.prefill_tokens_per_s if uncached > 0 else 0.0
+        output = item.expected_output_tokens or item.max_tokens
+        work_s = prefill_s + output / view.decode_tokens_per_s
+        batch = view.load()
+        if batch >= view.slots:
+            import_s += (batch - view.slots + 1) * self.service_s / view.slots
+            batch = view.slots
+        return import_s + work_s * (1.0 + BATCH_SLOWDOWN * batch), moves
+
+    def observe(self, duration_s: float) -> None:
+        """Learn the mean duration of a call at a runner."""
+        self.service_s += 0.02 * (duration_s - self.service_s)
