Use the scheduling decisions in the node

The dispatcher's plug-ins come from each service's configuration and are replaced without losing waiting calls. A finished turn starts the tool pause; released prefixes, inherited placements and the profile of the hour are wired. Loads are corrected by the runner directory; the dispatcher adds only the calls that it saw finish. The test of a refusal after a failed attempt replaces acquire instead of choose, which the dispatcher no longer has; it asserts the same.

--- a/src/dogwoodgap/backends.py
+++ b/src/dogwoodgap/backends.py
@@ -60,6 +60,7 @@
         self.store = store
         self.tasks = tasks
         self.dispatchers: dict[str, scheduler.Dispatcher] = {}
+        self.plugins: dict[str, tuple[str, ...]] = {}
         self.connections = connections.Connections(client_tls)
         self.engine = adapters.HttpEngineAdapter(self.connections.client)
         self.service = adapters.HttpServiceAdapter(self.connections.client, fresh)
@@ -109,13 +110,24 @@
         """Take over a new configuration."""
         self.directory.apply(configuration)
         for name, service in configuration.services.items():
-            if service.kind == "model" and name not in self.dispatchers:
-                usable = functools.partial(self.usable_views, name)
-                self.dispatchers[name] = scheduler.Dispatcher(name, usable)
+            if service.kind == "model":
+                self.apply_plugins(name, service)
         for gone in set(self.dispatchers) - set(configuration.services):
             del self.dispatchers[gone]
         self.orders.apply(configuration)
 
+    def apply_plugins(self, name: str, service: models.Service) -> None:
+        """Make the dispatcher of a service, or replace its plug-ins by the configured ones."""
+        usable = functools.partial(self.usable_views, name)
+        fresh = scheduler.from_service(
+            name, service, usable, data_centre=self.data_centre, kv_transfer=False
+        )
+        known = self.dispatchers.setdefault(name, fresh)
+        chosen = (service.ordering, service.placement, service.retention, service.admission)
+        if known is not fresh and chosen != self.plugins.get(name):
+            known.replace_plugins(fresh)
+        self.plugins[name] = chosen
+
     def views(self, service: str) -> list[structures.RunnerView]:
         """Return the views of a service's runners."""
         return self.directory.views(service)
@@ -132,6 +144,8 @@
         """Wake the calls that wait for a runner of a service."""
         dispatcher = self.dispatchers.get(service)
         if dispatcher is not None:
+            for view in self.directory.views(service):
+                dispatcher.count_finished(view)
             dispatcher.notify()
 
     def is_live(self, session: str) -> bool | None:
--- a/src/dogwoodgap/calls.py
+++ b/src/dogwoodgap/calls.py
@@ -19,6 +19,7 @@
     prompts,
     protection,
     records,
+    releases,
     scheduler,
     sessions,
     structures,
@@ -27,9 +28,6 @@
 MAX_ATTEMPTS = 3
 
 
-Holds = collections.abc.Callable[[programs.Program, structures.RunnerView], None]
-
-
 class Calls:
     """Runs model calls of the programs that the node owns.
 
@@ -45,8 +43,8 @@
         Returns the fleet configuration in force.
     guard : protection.Protection, optional
         Surrounds each request to a runner.
-    holds : callable, optional
-        Told ``(program, runner)`` before a call is sent, so that the memory can be released.
+    memory : releases.Releases, optional
+        Told before a call is sent, so that the memory can be released.
     """
 
     def __init__(
@@ -56,7 +54,7 @@
         dispatchers: collections.abc.Mapping[str, scheduler.Dispatcher],
         tasks: anyio.abc.TaskGroup,
         configuration: collections.abc.Callable[[], models.FleetConfiguration],
-        holds: Holds | None = None,
+        memory: releases.Releases | None = None,
         guard: protection.Protection | None = None,
     ):
         self.session = session
@@ -65,7 +63,7 @@
         self.dispatchers = dispatchers
         self.tasks = tasks
         self.configuration = configuration
-        self.holds = holds
+        self.memory = memory
         self.guard = guard or protection.Unprotected()
         self.running: dict[programs.ProgramKey, answers.RunningCall] = {}
 
@@ -268,7 +266,9 @@
             failed = True
             try:
                 await work.started.wait()
+                sent_at = clock.now()
                 turn = await self.stream(work, placement)
+                self.settle_prefix(work, dispatcher, placement, turn, clock.now() - sent_at)
                 failed = False
                 return turn
             except exceptions.RunnerFailedError:
@@ -279,6 +279,22 @@
                 dispatcher.release(placement, failed=failed)
         raise exceptions.RunnerFailedError("no attempt was left; repeat the call")
 
+    def settle_prefix(
+        self,
+        work: prompts.Work,
+        dispatcher: scheduler.Dispatcher,
+        placement: structures.Placement,
+        turn: structures.Turn,
+        duration_s: float,
+    ) -> None:
+        """Tell the scheduler of a whole answer and of the tool pause that follows it."""
+        orders = dispatcher.finished(placement, turn.output_tokens, duration_s)
+        profile = self.configuration().profiles.get(work.program.profile, models.Profile())
+        tool = work.request.next_tool or ""
+        orders += dispatcher.paused(placement.item, tool, profile.idle_seconds)
+        if self.memory is not None:
+            self.memory.carry_out(work.program.service, orders)
+
     def work_item(self, work: prompts.Work) -> structures.WorkItem:
         """Describe a call to the scheduler, with the weights of its profile and customer."""
         item = prompts.work_item(work.program, work.request, work.deadline_at)
@@ -303,8 +319,8 @@
                 protection.digest_of(generation),
                 expected_s=placement.estimated_finish_s,
             ):
-                if self.holds is not None:
-                    self.holds(work.program, placement.runner)
+                if self.memory is not None:
+                    self.memory.note(work.program, placement.runner)
                 work.call.ran = True
                 last = await self.receive(work.call, placement.runner, generation)
         except exceptions.RunnerFailedError as error:
--- a/src/dogwoodgap/metrics.py
+++ b/src/dogwoodgap/metrics.py
@@ -47,6 +47,7 @@
     Metric("actions.unknown", Kind.COUNTER, "actions", "Actions whose outcome was not learned."),
     Metric("actions.unknown_in_program", Kind.COUNTER, "actions", "The same, seen by programs."),
     Metric("releases.confirmed", Kind.COUNTER, "orders", "Engine memory releases confirmed."),
+    Metric("releases.paused", Kind.COUNTER, "orders", "Prefixes released in a tool pause."),
     Metric("requests.failed", Kind.COUNTER, "requests", "Requests that failed unexpectedly."),
     Metric("vms.unavailable", Kind.COUNTER, "reads", "Failed reads of the platform's VM list."),
     Metric("checkpoint.write", Kind.TIMING, "s", "Time to store one checkpoint."),
--- a/src/dogwoodgap/node.py
+++ b/src/dogwoodgap/node.py
@@ -13,6 +13,7 @@
     admin_fleet,
     app,
     backends,
+    clock,
     dump,
     entries,
     events,
@@ -24,11 +25,14 @@
     objectstore,
     operators,
     outbound,
+    profiles,
     programs,
+    prompts,
     recovery,
     releases,
     serving,
     settings,
+    shards,
     structures,
     tls,
     views,
@@ -36,6 +40,7 @@
 )
 
 REPORT_INTERVAL_S = 5.0
+ACTIVE = structures.ProgramStatus.ACTIVE
 
 
 class Node:
@@ -114,7 +119,9 @@
         self.forwarder = forwarding.Forwarder(
             self.fleet.ownership, self.fleet.address_of, self.peers
         )
-        self.memory = releases.Releases(self.backends.engine, self.backends.views, self.tasks)
+        self.memory = releases.Releases(
+            self.backends.engine, self.backends.views, self.tasks, self.backends.dispatchers
+        )
         self.workers = self.new_workers()
         self.services = self.new_services()
         self.app = app.build(self.services, extra=[self.administration()])
@@ -131,8 +138,13 @@
             self.in_force,
             self.key_owner,
             self.tasks,
+            self.active_profile,
         )
 
+    def active_profile(self, service: str) -> str:
+        """Return the profile that a service uses at this hour."""
+        return profiles.active_profile(self.in_force().services[service], clock.wall())
+
     def new_services(self) -> app.Services:
         """Return what the callers' interface uses."""
         return app.Services(
@@ -181,6 +193,7 @@
         await self.fleet.start()
         self.backends.start()
         self.tasks.start_soon(self.sweep_always)
+        self.tasks.start_soon(self.memory.sweep)
         await self.fleet.configuration.ready.wait()
         self.ready = True
         events.emit(events.Event.NODE_STARTED, "node started", node=self.settings.node.name)
@@ -214,10 +227,22 @@
     def on_acquired(self, acquired: set[int]) -> None:
         """Take over what came with acquired shards."""
         self.fleet.note_acquired(acquired)
+        self.inherit_prefixes(acquired)
         for suspect in self.workers.session.table.suspects.values():
             self.backends.quarantine.replay(suspect)
         self.backends.orders.notify()
 
+    def inherit_prefixes(self, acquired: set[int]) -> None:
+        """Tell the dispatchers where the prefixes of acquired programs are."""
+        for program in self.workers.session.table.programs.values():
+            dispatcher = self.backends.dispatchers.get(program.service)
+            turn = program.last_turn()
+            if dispatcher is None or turn is None or program.status != ACTIVE:
+                continue
+            if shards.program_shard(program.customer, program.id) in acquired:
+                item = prompts.inherited_item(program)
+                dispatcher.adopt(item, turn.runner, program.context_tokens())
+
     def on_renewed(self) -> None:
         """Go on under a new boot: everything that runs belongs to the sealed one."""
         self.workers.abandon()
--- a/src/dogwoodgap/prompts.py
+++ b/src/dogwoodgap/prompts.py
@@ -6,6 +6,7 @@
 from dogwoodgap import adapters, answers, clock, journal, models, programs, structures
 
 MESSAGE_OVERHEAD_TOKENS = 8
+BYTES_PER_TOKEN = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,18 +75,39 @@
     program: programs.Program, request: models.CallRequest, deadline_at: float
 ) -> structures.WorkItem:
     """Describe a call to the scheduler."""
-    turns = program.turns()
     return structures.WorkItem(
         program=program.id,
         customer=program.customer,
         service=program.service,
         profile=program.profile,
-        prompt_tokens=program.context_tokens() + reservation(request.messages, 0),
+        prompt_tokens=program.context_tokens() + estimate(request.messages),
         max_tokens=request.max_tokens,
         attained_tokens=program.spent_tokens,
         enqueued_at=clock.now(),
         deadline_at=deadline_at,
-        prefix_runner=turns[-1].runner if turns else "",
-        prefix_tokens=program.context_tokens(),
-        turns=len(turns),
+        started_at=program.created_at,
+        turns=program.turn_count,
+    )
+
+
+def estimate(messages: list[models.Message]) -> int:
+    """Return about how many tokens messages have; for placement, not for budgets."""
+    text_bytes = sum(len(message.content.encode()) for message in messages)
+    return text_bytes // BYTES_PER_TOKEN + 1
+
+
+def inherited_item(program: programs.Program) -> structures.WorkItem:
+    """Describe a live program that was taken over to the scheduler."""
+    return structures.WorkItem(
+        program=program.id,
+        customer=program.customer,
+        service=program.service,
+        profile=program.profile,
+        prompt_tokens=program.context_tokens(),
+        max_tokens=0,
+        attained_tokens=program.spent_tokens,
+        enqueued_at=clock.now(),
+        deadline_at=clock.now(),
+        started_at=program.created_at,
+        turns=program.turn_count,
     )
--- a/src/dogwoodgap/releases.py
+++ b/src/dogwoodgap/releases.py
@@ -1,4 +1,4 @@
-"""Release of engine memory that ended programs held."""
+"""Orders about the engine memory of programs: during tool pauses, and after their end."""
 
 import collections.abc
 import dataclasses
@@ -7,10 +7,11 @@
 import anyio
 import anyio.abc
 
-from dogwoodgap import adapters, events, exceptions, metrics, programs, structures
+from dogwoodgap import adapters, events, exceptions, metrics, programs, scheduler, structures
 
 RETRY_DELAY_S = 0.2
 MAX_RETRY_DELAY_S = 10.0
+SWEEP_INTERVAL_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -31,6 +32,8 @@
         Returns the current views of a service's runners.
     tasks : anyio.abc.TaskGroup
         Runs one task for each unconfirmed order.
+    dispatchers : mapping, optional
+        Know where prefixes are and decide about them during tool pauses.
     """
 
     def __init__(
@@ -38,10 +41,12 @@
         engine: adapters.EngineAdapter,
         runners: collections.abc.Callable[[str], list[structures.RunnerView]],
         tasks: anyio.abc.TaskGroup,
+        dispatchers: collections.abc.Mapping[str, scheduler.Dispatcher] | None = None,
     ):
         self.engine = engine
         self.runners = runners
         self.tasks = tasks
+        self.dispatchers = dispatchers or {}
         self.pending: set[Held] = set()
         self.holders: dict[programs.ProgramKey, set[str]] = {}
 
@@ -72,6 +77,7 @@
         """Repeat one order until it is confirmed or the runner is gone."""
         if after is not None:
             await after.wait()
+        self.forget(held)
         delay = RETRY_DELAY_S
         while (runner := self.find(held)) is not None:
             try:
@@ -90,6 +96,40 @@
             delay = min(delay * 2, MAX_RETRY_DELAY_S)
         self.pending.discard(held)
 
+    def forget(self, held: Held) -> None:
+        """Let the dispatcher forget an ended program."""
+        dispatcher = self.dispatchers.get(held.service)
+        if dispatcher is not None:
+            customer, _, program = held.session.partition("/")
+            dispatcher.program_ended(customer, program)
+
+    def carry_out(
+        self, service: str, orders: collections.abc.Iterable[structures.CacheOrder]
+    ) -> None:
+        """Carry out what the dispatcher decided about paused programs, in the background."""
+        for order in orders:
+            if order.action == structures.CacheAction.RELEASE:
+                self.tasks.start_soon(self.release_once, service, order)
+
+    async def release_once(self, service: str, order: structures.CacheOrder) -> None:
+        """Release a prefix once; a program that goes on may need it, so this is not repeated."""
+        runner = self.find(Held(service, order.runner, order.session))
+        if runner is None:
+            return
+        try:
+            await self.engine.release(runner, order.session)
+            metrics.count("releases.paused")
+        except exceptions.RunnerFailedError:
+            if service in self.dispatchers:
+                self.dispatchers[service].order_failed(order)
+
+    async def sweep(self) -> None:
+        """Decide again about paused programs, every second."""
+        while True:
+            await anyio.sleep(SWEEP_INTERVAL_S)
+            for service, dispatcher in list(self.dispatchers.items()):
+                self.carry_out(service, dispatcher.sweep())
+
     def find(self, held: Held) -> structures.RunnerView | None:
         """Return the runner of an order, or None when it left and its memory with it."""
         views = self.runners(held.service)
--- a/src/dogwoodgap/scheduler.py
+++ b/src/dogwoodgap/scheduler.py
@@ -308,6 +308,22 @@
         view.sent_since_report = count_after(self.sends.get(runner), made_at)
         view.finished_since_report = count_after(self.finishes.get(runner), made_at)
 
+    def count_finished(self, view: structures.RunnerView) -> None:
+        """Count the calls of this node that finished after the runner's last report.
+
+        The directory corrects the sends; a report does not tell which of them have finished.
+        """
+        finished = count_after(self.finishes.get(view.id), view.reported_at)
+        view.finished_since_report = min(finished, view.sent_since_report)
+
+    def replace_plugins(self, other: "Dispatcher") -> None:
+        """Take over the plug-ins of another dispatcher; waiting calls keep their place."""
+        self.ordering = other.ordering
+        self.placement = other.placement
+        self.retention = other.retention
+        self.admission = other.admission
+        self.sessions.retention = other.retention
+
     def peers_sent(self, runner: str, sent_at: float, count: int = 1) -> None:
         """Learn from gossip that peers sent calls to a runner."""
         view = self.view(runner)
--- a/src/dogwoodgap/workers.py
+++ b/src/dogwoodgap/workers.py
@@ -49,7 +49,7 @@
             reach.dispatchers,
             tasks,
             configuration,
-            memory.note,
+            memory,
             reach.protection,
         )
         self.lifecycle = lifecycle.Lifecycle(
--- a/tests/callers.py
+++ b/tests/callers.py
@@ -179,7 +179,7 @@
             dispatchers,
             tasks,
             lambda: self.config,
-            self.memory.note,
+            self.memory,
         )
         self.lifecycle = lifecycle.Lifecycle(
             self.session,
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -115,14 +115,14 @@
             program = await node.program()
             node.engine.script = [callers.Attempt(break_after=1)]
             dispatcher = node.calls.dispatchers["llm"]
-            choose = dispatcher.choose
+            acquire = dispatcher.acquire
 
-            def refuse_second(item):
+            async def refuse_second(item):
                 if item.exclude:
                     raise exceptions.OverloadedError("full")
-                return choose(item)
+                return await acquire(item)
 
-            dispatcher.choose = refuse_second
+            dispatcher.acquire = refuse_second
             running = node.calls.submit(program, callers.request(), 1.0)
             with pytest.raises(exceptions.OverloadedError) as caught:
                 await running.result()
