Show operators the peak of a service learned from past weeks

Each node adds its calls per hour to one platform object for each service about every 10 minutes; dogwoodgap-ctl peak shows the learned window and applies nothing.

--- a/src/dogwoodgap/admin.py
+++ b/src/dogwoodgap/admin.py
@@ -14,10 +14,12 @@
 from dogwoodgap import (
     admin_changes,
     admin_configuration,
+    admin_demand,
     admin_fleet,
     admin_http,
     admin_parts,
     admin_resources,
+    clock,
     exceptions,
     views,
 )
@@ -41,6 +43,7 @@
     configuration: admin_parts.Configuration
     programs: admin_parts.Programs
     nodes: admin_parts.Nodes
+    peaks: admin_demand.Peaks
     bootstrap_digest: str = ""
     is_configured: collections.abc.Callable[[], bool] = lambda: True
 
@@ -51,10 +54,12 @@
         """Return the ASGI application; mount it at ``PREFIX``."""
         changes = admin_changes.Changes(self.configuration, self.bootstrap_digest)
         fleet = admin_fleet.FleetRoutes(self.configuration, self.programs, self.nodes)
+        demand = admin_demand.DemandRoutes(self.configuration, self.peaks, clock.wall)
         routes = [
             *admin_configuration.ConfigurationRoutes(changes).routes(self.guard),
             *admin_resources.ResourceRoutes(changes).routes(self.guard),
             *fleet.routes(self.guard),
+            *demand.routes(self.guard),
         ]
         return applications.Starlette(
             routes=routes, exception_handlers={starlette_exceptions.HTTPException: on_unknown}
--- a/src/dogwoodgap/ctl.py
+++ b/src/dogwoodgap/ctl.py
@@ -9,6 +9,7 @@
 from dogwoodgap import (
     admin_parts,
     ctl_client,
+    ctl_demand,
     ctl_files,
     ctl_fleet,
     ctl_output,
@@ -33,6 +34,7 @@
 cli = typer.Typer(no_args_is_help=True, help=HELP, epilog=EPILOG, rich_markup_mode=None)
 ctl_resources.add_commands(cli)
 ctl_fleet.add_commands(cli)
+ctl_demand.add_commands(cli)
 
 Note = typing.Annotated[str, typer.Option(help="Reason, kept in the history.")]
 DryRun = typing.Annotated[bool, typer.Option("--dry-run", help="Show the difference only.")]
--- a/src/dogwoodgap/documents.py
+++ b/src/dogwoodgap/documents.py
@@ -76,7 +76,7 @@
 def admin_page() -> str:
     """Return the routes of the administration API."""
     missing: typing.Any = None
-    administration = admin.Administration(missing, missing, missing)
+    administration = admin.Administration(missing, missing, missing, missing)
     administration.build()
     guard = administration.guard
     introduction = [
--- a/src/dogwoodgap/metrics.py
+++ b/src/dogwoodgap/metrics.py
@@ -50,6 +50,7 @@
     Metric("releases.paused", Kind.COUNTER, "orders", "Prefixes released in a tool pause."),
     Metric("requests.failed", Kind.COUNTER, "requests", "Requests that failed unexpectedly."),
     Metric("vms.unavailable", Kind.COUNTER, "reads", "Failed reads of the platform's VM list."),
+    Metric("demand.delayed", Kind.COUNTER, "writes", "Demand counts that could not be stored."),
     Metric("checkpoint.write", Kind.TIMING, "s", "Time to store one checkpoint."),
     Metric("admin.requests", Kind.COUNTER, "requests", "Requests to the administration API."),
     Metric("admin.refused", Kind.COUNTER, "requests", "Administration requests that were refused."),
--- a/src/dogwoodgap/node.py
+++ b/src/dogwoodgap/node.py
@@ -14,6 +14,7 @@
     app,
     backends,
     clock,
+    demand,
     dump,
     entries,
     events,
@@ -172,6 +173,7 @@
                 lambda: self.workers.session.table, self.end_program
             ),
             nodes=operators.NodesPart(self.fleet, self.stop),
+            peaks=demand.DemandReader(self.store),
             bootstrap_digest=self.settings.admin.bootstrap_key_digest,
             is_configured=self.fleet.configuration.ready.is_set,
         )
@@ -194,10 +196,16 @@
         self.backends.start()
         self.tasks.start_soon(self.sweep_always)
         self.tasks.start_soon(self.memory.sweep)
+        recorder = demand.DemandRecorder(self.store, self.arrivals, self.fleet.bucket)
+        self.tasks.start_soon(recorder.run)
         await self.fleet.configuration.ready.wait()
         self.ready = True
         events.emit(events.Event.NODE_STARTED, "node started", node=self.settings.node.name)
 
+    def arrivals(self) -> dict[str, int]:
+        """Return the calls of each service since the start."""
+        return {name: item.arrivals for name, item in self.backends.dispatchers.items()}
+
     async def drain(self, closing: anyio.Event) -> None:
         """Close the listener when the planned stop has drained."""
         await self.stop.drained()
--- a/tests/fake_admin.py
+++ b/tests/fake_admin.py
@@ -6,6 +6,7 @@
     admin,
     admin_fleet,
     admin_parts,
+    demand,
     exceptions,
     keys,
     models,
@@ -13,6 +14,7 @@
     records,
     structures,
 )
+from dogwoodgap_lab import objects
 
 TOKENS = {
     "root": "administrator",
@@ -127,6 +129,7 @@
             self.configuration,
             admin_fleet.TablePrograms(lambda: self.table, self.end),
             self.nodes,
+            demand.DemandReader(objects.ObjectTable()),
             digest,
         )
         self.app = self.administration.build()
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -228,3 +228,10 @@
     output = shell.run("programs", "follow", "p1", "--customer", "perch")
     assert "p1 finished" in output
     assert answers == ["ended"]
+
+
+def test_peak_is_shown_and_not_applied(shell):
+    """Guards against a proposal that changes the configuration or fails without demand."""
+    before = shell.run("get")
+    assert "no peak is known" in shell.run("peak", "agent-llm")
+    assert shell.run("get") == before
