--- a/src/dogwoodgap_lab/agents.py
+++ b/src/dogwoodgap_lab/agents.py
@@ -18,11 +18,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ask:
-    """A model call of ``words`` new prompt words."""
+    """A model call of ``words`` new prompt words; ``marker`` is one more word."""
 
     words: int
     max_tokens: int
     stream: bool
+    marker: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -63,12 +64,14 @@
 
 @dataclasses.dataclass(slots=True)
 class Exchange:
-    """One acknowledged model call."""
+    """One acknowledged model call; times are wall time in seconds."""
 
     seq: int
     prompt: str
     text: str
     expected: str
+    started_at: float = 0.0
+    finished_at: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -81,11 +84,19 @@
     idempotent: bool
     verdict: str
     detail: str = ""
+    started_at: float = 0.0
+    finished_at: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
 class Trace:
-    """What a caller saw of one program."""
+    """What a caller saw of one program; times are wall time in seconds.
+
+    Attributes
+    ----------
+    waiting_since : float
+        Start of the request that is open at present; 0 between requests.
+    """
 
     name: str
     customer: str
@@ -96,6 +107,7 @@
     attempts: list[Attempt] = dataclasses.field(default_factory=list)
     refusals: list[str] = dataclasses.field(default_factory=list)
     error: str = ""
+    waiting_since: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -133,26 +145,33 @@
     words = [
         f"{session.trace.name}{session.random.randrange(1_000_000)}" for _ in range(step.words)
     ]
-    prompt = " ".join(words)
+    prompt = " ".join([*words, step.marker]).strip()
+    started_at = session.trace.waiting_since = clock.wall()
     seq = session.program.seq
     session.conversation.append(prompt)
     expected = expected_text(session.conversation, step.max_tokens)
     text = await patiently(session, ask_once, step, prompt)
     session.conversation.append(text)
-    session.trace.exchanges.append(Exchange(seq, prompt, text, expected))
+    session.trace.waiting_since = 0.0
+    exchange = Exchange(seq, prompt, text, expected, started_at, clock.wall())
+    session.trace.exchanges.append(exchange)
 
 
 @run_step.register
 async def _(step: Act, session: Session) -> None:
     key = "" if step.idempotent else f"{session.program.id}:{session.program.seq}"
     attempt = Attempt(step.service, step.path, key, step.idempotent, "unknown")
+    attempt.started_at = session.trace.waiting_since = clock.wall()
     session.trace.attempts.append(attempt)
     try:
         result = await patiently(session, act_once, step, key)
     except exceptions.DogwoodgapError as error:
+        attempt.finished_at = clock.wall()
         attempt.verdict = "not-run" if error.not_run == "true" else "unknown"
         attempt.detail = f"{error.code}: {error.detail}"
         return
+    session.trace.waiting_since = 0.0
+    attempt.finished_at = clock.wall()
     attempt.verdict = verdict_of(result)
     attempt.detail = result.detail
 
@@ -160,7 +179,7 @@
 @run_step.register
 async def _(step: Delegate, session: Session) -> None:
     child = await patiently(session, child_once)
-    trace = Trace(f"{session.trace.name}c", session.trace.customer, child.id, clock.now())
+    trace = Trace(f"{session.trace.name}c", session.trace.customer, child.id, clock.wall())
     session.traces.append(trace)
     session.tasks.start_soon(run_steps, child, trace, step.steps, session)
 
@@ -223,12 +242,13 @@
             await run_step(step, session)
     except exceptions.DogwoodgapError as error:
         session.trace.error = f"{error.code}: {error.detail}"
-    session.trace.finished_at = clock.now()
+    session.trace.waiting_since = 0.0
+    session.trace.finished_at = clock.wall()
 
 
 async def run_script(caller: client.Client, script: Script, seed: int, traces: list[Trace]) -> None:
     """Run one program with its sub-agents to its end."""
-    trace = Trace(script.name, script.customer, "", clock.now())
+    trace = Trace(script.name, script.customer, "", clock.wall())
     traces.append(trace)
     try:
         program = await caller.program(
--- a/src/dogwoodgap_lab/cli.py
+++ b/src/dogwoodgap_lab/cli.py
@@ -1,10 +1,16 @@
 """Command line of ``dogwoodgap-lab``."""
 
+import os
+import pathlib
+import tempfile
 import typing
 
+import anyio
 import typer
 
+from dogwoodgap_lab import demo as demo_module
 from dogwoodgap_lab import (
+    deployments,
     engine,
     engine_server,
     faults,
@@ -95,6 +101,33 @@
     serving.run(stand_ins, crash_exits=crash_exits)
 
 
+FLEET_SCRIPT = pathlib.Path(__file__).parent / "scripts" / "fleet.sh"
+Nodes = typing.Annotated[int, typer.Option(help="Number of nodes.", min=3, max=16)]
+BasePort = typing.Annotated[int, typer.Option(help="First of 500 ports on 127.0.0.1.")]
+
+
+def replace_by_fleet(nodes: int, base_port: int, seed: int, command: list[str]) -> None:
+    """Replace this process by the script that starts a fleet and runs a command against it."""
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="dogwoodgap-"))
+    both = list(deployments.DEPLOYMENTS.values())
+    deployments.write(deployments.Layout(folder, both, nodes, base_port), seed=seed)
+    typer.echo(f"logs are in {folder}")
+    script = ["bash", str(FLEET_SCRIPT), str(folder), "dogwoodgap-lab", *command]
+    os.execvp("bash", [*script, str(folder)])
+
+
+@cli.command()
+def demo(nodes: Nodes = 7, base_port: BasePort = 24500, seed: Seed = 1) -> None:
+    """Show a fleet that loses a node, the platform and, as planned, another node."""
+    replace_by_fleet(nodes, base_port, seed, ["run-demo", "--seed", str(seed)])
+
+
+@cli.command(hidden=True)
+def run_demo(folder: pathlib.Path, seed: Seed = 1) -> None:
+    """Run the demonstration against a fleet that runs."""
+    raise typer.Exit(anyio.run(demo_module.run, folder, seed))
+
+
 def main() -> None:
     """Run the command line."""
     cli()
--- a/src/dogwoodgap_lab/engine.py
+++ b/src/dogwoodgap_lab/engine.py
@@ -13,6 +13,7 @@
 from dogwoodgap_lab import prefix_cache
 
 LOAD_HISTORY = 256
+REQUEST_LOG_LIMIT = 20_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -47,6 +48,17 @@
     output_tokens: int = 0
 
 
+@dataclasses.dataclass(slots=True)
+class RequestEntry:
+    """One accepted request, for the checks; ``at`` is wall time in seconds."""
+
+    request_id: str
+    session: str
+    prompt_tokens: int
+    at: float
+    generated_tokens: int = 0
+
+
 @dataclasses.dataclass(slots=True)
 class Sequence:
     """A request inside the engine; the step loop fills ``ready``."""
@@ -59,6 +71,7 @@
     ready: list[EngineToken] = dataclasses.field(default_factory=list)
     changed: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     stopped: str = ""
+    entry: RequestEntry | None = None
 
     def reserved_tokens(self) -> int:
         """Return the cache space that the request may come to need."""
@@ -110,6 +123,7 @@
         self.work = anyio.Event()
         self.crashed_until = -1.0
         self.samples: collections.deque[LoadSample] = collections.deque(maxlen=LOAD_HISTORY)
+        self.log: collections.deque[RequestEntry] = collections.deque(maxlen=REQUEST_LOG_LIMIT)
 
     async def run(self) -> None:
         """Generate tokens for all running requests, one step after the other."""
@@ -133,6 +147,8 @@
             for index in range(sequence.next_index, end):
                 sequence.ready.append(EngineToken(index, word(sequence.seed, index)))
             self.generated_tokens += end - sequence.next_index
+            if sequence.entry is not None:
+                sequence.entry.generated_tokens += end - sequence.next_index
             sequence.next_index = end
             if end == request.max_tokens:
                 self.finish(number, sequence)
@@ -185,6 +201,10 @@
         number = self.arrivals
         seed = xxhash.xxh3_64_intdigest("\0".join(request.prompt).encode())
         sequence = Sequence(request, seed, request.resume_from)
+        sequence.entry = RequestEntry(
+            request.request_id, request.session, len(request.prompt), clock.wall()
+        )
+        self.log.append(sequence.entry)
         heapq.heappush(self.waiting, (request.priority, number, sequence))
         self.note_load()
         self.work.set()
--- a/src/dogwoodgap_lab/engine_server.py
+++ b/src/dogwoodgap_lab/engine_server.py
@@ -197,6 +197,10 @@
         """Handle ``GET /orders``: what the engine has loaded."""
         return encoded(self.state)
 
+    async def request_log(self, request: requests.Request) -> responses.Response:
+        """Handle ``GET /requests``: the latest accepted requests, oldest first."""
+        return encoded(list(self.engine.log))
+
     async def stats(self, request: requests.Request) -> responses.Response:
         """Handle ``GET /stats``."""
         cache = self.engine.cache
@@ -239,6 +243,7 @@
             routing.Route("/orders", server.order, methods=["POST"]),
             routing.Route("/orders", server.get_state, methods=["GET"]),
             routing.Route("/faults", engine.switch.set_faults, methods=["PUT"]),
+            routing.Route("/requests", server.request_log),
             routing.Route("/stats", server.stats),
         ],
         lifespan=lifespan,
--- a/src/dogwoodgap_lab/faults.py
+++ b/src/dogwoodgap_lab/faults.py
@@ -13,7 +13,7 @@
 Send = collections.abc.Callable[[typing.Any], collections.abc.Awaitable[None]]
 Application = collections.abc.Callable[[Scope, Receive, Send], collections.abc.Awaitable[None]]
 
-CONTROL_PATHS = frozenset({"/faults", "/stats", "/ledger"})
+CONTROL_PATHS = frozenset({"/faults", "/stats", "/ledger", "/requests"})
 REPORT_PATHS = frozenset({"/load", "/cache", "/cache/events", "/cache/release", "/cancel"})
 
 
--- /dev/null
+++ b/src/dogwoodgap_lab/probes.py
@@ -0,0 +1,109 @@
+"""Requests that go straight to one entry while it stops as planned; none may be cut."""
+
+import contextlib
+import dataclasses
+
+import anyio
+import httpx
+
+from dogwoodgap import clock
+from dogwoodgap_lab import deployments, stage
+
+PROBE_TIMEOUT_S = 60.0
+END_EVENTS = ("event: done", "event: error")
+
+
+@dataclasses.dataclass(slots=True)
+class Probes:
+    """Calls sent to one entry, never repeated.
+
+    Attributes
+    ----------
+    cut : list of str
+        Probes whose connection broke or whose stream ended without its last event.
+    refused : list of str
+        Probes that got a problem document.
+    """
+
+    field: stage.Stage
+    entry: str
+    sent: int = 0
+    cut: list[str] = dataclasses.field(default_factory=list)
+    refused: list[str] = dataclasses.field(default_factory=list)
+
+    async def run(self, duration_s: float, interval_s: float, max_tokens: int) -> None:
+        """Send probes at an interval and wait for all of them."""
+        stop_at = clock.now() + duration_s
+        limits = httpx.Limits(max_connections=None)
+        async with (
+            httpx.AsyncClient(base_url=self.entry, limits=limits, timeout=PROBE_TIMEOUT_S) as http,
+            anyio.create_task_group() as tasks,
+        ):
+            while clock.now() < stop_at:
+                self.sent += 1
+                name = f"probe{self.sent}-{int(clock.wall() * 1000)}"
+                tasks.start_soon(self.probe, http, name, max_tokens)
+                await anyio.sleep(interval_s)
+
+    async def probe(self, http: httpx.AsyncClient, program: str, max_tokens: int) -> None:
+        """Create a program, run one streamed call and note how it ended."""
+        items = self.field.layout.deployments
+        item = items[self.sent % len(items)]
+        started_at = clock.wall()
+        try:
+            problem = await converse(http, item, program, max_tokens)
+        except httpx.HTTPError as error:
+            lasted_s = clock.wall() - started_at
+            self.cut.append(
+                f"{self.entry} cut {program}, sent at {started_at - self.field.started_at:.2f} s, "
+                f"after {lasted_s:.2f} s: {type(error).__name__} {error}"
+            )
+            return
+        if problem:
+            self.refused.append(f"{program}: {problem}")
+
+
+async def converse(
+    http: httpx.AsyncClient, item: deployments.Deployment, program: str, max_tokens: int
+) -> str:
+    """Send the requests of one probe; return the problem document that ended it, if any.
+
+    Raises
+    ------
+    httpx.HTTPError
+        When an answer did not arrive whole.
+    """
+    headers = {"Authorization": f"Bearer {item.token}"}
+    document = {"id": program, "service": item.model_service}
+    reply = await http.post("/v1/programs", json=document, headers=headers)
+    if not reply.is_success:
+        return reply.text
+    body = {
+        "seq": 1,
+        "messages": [{"role": "user", "content": f"{program} asks"}],
+        "max_tokens": max_tokens,
+        "stream": True,
+    }
+    problem = await stream(http, f"/v1/programs/{program}/calls", body, headers)
+    # The probe's program has to end, or its memory would count as held for a live program.
+    with contextlib.suppress(httpx.ConnectError):
+        await http.delete(f"/v1/programs/{program}", headers=headers)
+    return problem
+
+
+async def stream(
+    http: httpx.AsyncClient, path: str, body: dict[str, object], headers: dict[str, str]
+) -> str:
+    """Read one streamed call to its last event; return its problem document, if any."""
+    last = ""
+    async with http.stream("POST", path, json=body, headers=headers) as reply:
+        if not reply.is_success:
+            return (await reply.aread()).decode()
+        async for line in reply.aiter_lines():
+            if line.startswith("event: "):
+                last = line
+            elif last == "event: error" and line.startswith("data: "):
+                return line
+    if last not in END_EVENTS:
+        raise httpx.RemoteProtocolError(f"the stream ended after {last or 'no event'!r}")
+    return ""
--- a/src/dogwoodgap_lab/scripts/fleet.sh
+++ b/src/dogwoodgap_lab/scripts/fleet.sh
@@ -15,7 +15,8 @@
     shift
     "$@" >>"$folder/$name.log" 2>&1 &
     echo $! >"$folder/$name.pid"
-    wait $!
+    # Without the shell's message about a killed process.
+    wait $! 2>/dev/null
     echo "$?" >>"$folder/$name.exit"
     rm -f "$folder/$name.pid"
 }
--- /dev/null
+++ b/src/dogwoodgap_lab/stage.py
@@ -0,0 +1,209 @@
+"""A running test fleet: its processes, stand-ins and administration API."""
+
+import contextlib
+import dataclasses
+import json
+import os
+import pathlib
+import signal
+import typing
+
+import anyio
+import httpx
+import msgspec
+
+from dogwoodgap import clock, exceptions
+from dogwoodgap_lab import deployments, faults, objects
+
+READY_LIMIT_S = 30.0
+POLL_S = 0.1
+CONTROL_LIMIT_S = 10.0
+ADMINISTRATOR = {"Authorization": f"Bearer {deployments.ADMIN_TOKEN}"}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Runner:
+    """A backend server of the stage."""
+
+    id: str
+    service: str
+    port: int
+    plain: bool
+
+    @property
+    def url(self) -> str:
+        """Return the runner's base URL."""
+        return f"http://127.0.0.1:{self.port}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Note:
+    """Something that was done to the fleet; ``at`` is wall time in seconds."""
+
+    at: float
+    text: str
+
+
+class Stage:
+    """Control over the processes that ``fleet.sh`` started.
+
+    Attributes
+    ----------
+    notes : list of Note
+        The faults so far, in order of time.
+    """
+
+    def __init__(self, layout: deployments.Layout, http: httpx.AsyncClient):
+        self.layout = layout
+        self.http = http
+        self.started_at = clock.wall()
+        self.notes: list[Note] = []
+        self.silences = 0
+
+    def note(self, text: str) -> None:
+        """Record and print what happens."""
+        note = Note(clock.wall(), text)
+        self.notes.append(note)
+        print(f"[{note.at - self.started_at:5.1f} s] {text}", flush=True)
+
+    def runners(self) -> list[Runner]:
+        """Return all backend servers."""
+        found = []
+        for index, item in enumerate(self.layout.deployments):
+            for number, port in enumerate(self.layout.model_ports(index)):
+                name = f"{item.model_service}-{number + 1}"
+                found.append(Runner(name, item.model_service, port, plain=False))
+            for number, port in enumerate(self.layout.plain_ports(index)):
+                name = f"{item.plain_service}-{number + 1}"
+                found.append(Runner(name, item.plain_service, port, plain=True))
+        return found
+
+    def path(self, index: int, suffix: str) -> pathlib.Path:
+        """Return a file about a node."""
+        return self.layout.folder / f"{self.layout.node_name(index)}.{suffix}"
+
+    def pid(self, index: int) -> int:
+        """Return the process id of a node, or 0 while it does not run."""
+        try:
+            return int(self.path(index, "pid").read_text(encoding="utf-8"))
+        except (OSError, ValueError):
+            return 0
+
+    def exits(self, index: int) -> list[int]:
+        """Return the exit statuses of a node so far."""
+        try:
+            return [int(line) for line in self.path(index, "exit").read_text().split()]
+        except OSError:
+            return []
+
+    def send_signal(self, index: int, number: signal.Signals) -> bool:
+        """Send a signal to a node; return whether it runs."""
+        pid = self.pid(index)
+        if not pid:
+            return False
+        with contextlib.suppress(ProcessLookupError):
+            os.kill(pid, number)
+            return True
+        return False
+
+    async def wait_exit(self, index: int, known: int) -> None:
+        """Wait until a node has ended more than ``known`` times."""
+        while True:
+            if len(self.exits(index)) > known:
+                return
+            await anyio.sleep(POLL_S)
+
+    async def is_ready(self, index: int) -> bool:
+        """Return whether a node serves callers."""
+        with contextlib.suppress(httpx.HTTPError):
+            reply = await self.http.get(f"{self.layout.entries()[index]}/health", timeout=1.0)
+            document = reply.json()
+            return bool(document["ready"] and not document["stopping"])
+        return False
+
+    async def wait_ready(self, indexes: typing.Iterable[int]) -> None:
+        """Wait until nodes serve callers."""
+        for index in indexes:
+            with anyio.fail_after(READY_LIMIT_S):
+                while True:
+                    if await self.is_ready(index):
+                        break
+                    await anyio.sleep(POLL_S)
+
+    async def configure(self) -> None:
+        """Put the layout's configuration in force on all nodes."""
+        document = json.loads((self.layout.folder / "configuration.json").read_text())
+        entry = self.layout.entries()[0]
+        with anyio.fail_after(READY_LIMIT_S):
+            while True:
+                with contextlib.suppress(httpx.HTTPError):
+                    reply = await self.put_configuration(entry, document, 0)
+                    if reply.is_success:
+                        break
+                    if reply.status_code == httpx.codes.UNPROCESSABLE_ENTITY:
+                        raise exceptions.SettingsInvalidError(
+                            f"the layout's configuration was refused: {reply.text}; correct it"
+                        )
+                await anyio.sleep(POLL_S)
+        await self.wait_ready(range(self.layout.node_count))
+
+    async def put_configuration(
+        self, entry: str, document: dict[str, typing.Any], generation: int
+    ) -> httpx.Response:
+        """Replace the configuration if ``generation`` is in force."""
+        headers = {**ADMINISTRATOR, "If-Match": f'"{generation}"'}
+        url = f"{entry}/admin/v1/configuration"
+        return await self.http.put(url, json=document, headers=headers, timeout=10.0)
+
+    async def generation(self, index: int) -> int | None:
+        """Return the generation in force on a node, or None when it does not answer."""
+        url = f"{self.layout.entries()[index]}/admin/v1/configuration"
+        with contextlib.suppress(httpx.HTTPError):
+            reply = await self.http.get(url, headers=ADMINISTRATOR, timeout=1.0)
+            if reply.is_success:
+                return int(reply.headers["etag"].strip('"'))
+        return None
+
+    async def set_platform(self, **values: typing.Any) -> None:
+        """Switch faults of the platform; those not named are off."""
+        await self.control(
+            self.layout.platform_url, dataclasses.asdict(objects.StoreFaults(**values))
+        )
+
+    async def set_runner(self, runner: Runner, **values: typing.Any) -> None:
+        """Switch faults of a runner; those not named are off."""
+        wanted = faults.RunnerFaults(**{"silence": self.silences, **values})
+        await self.control(runner.url, msgspec.to_builtins(wanted))
+
+    async def silence(self, runner: Runner) -> None:
+        """Make all open connections to a runner silent for good."""
+        self.silences += 1
+        await self.set_runner(runner)
+
+    async def control(self, url: str, document: dict[str, typing.Any]) -> None:
+        """Send faults to a stand-in, again while it restarts after a crash."""
+        with anyio.fail_after(CONTROL_LIMIT_S):
+            while True:
+                with contextlib.suppress(httpx.HTTPError):
+                    (await self.http.put(f"{url}/faults", json=document)).raise_for_status()
+                    return
+                await anyio.sleep(POLL_S)
+
+    async def read(self, url: str) -> typing.Any:
+        """Return a JSON document of a stand-in, again while it restarts after a crash."""
+        with anyio.fail_after(CONTROL_LIMIT_S):
+            while True:
+                with contextlib.suppress(httpx.HTTPError):
+                    return (await self.http.get(url)).raise_for_status().json()
+                await anyio.sleep(POLL_S)
+
+
+@contextlib.asynccontextmanager
+async def open_stage(folder: pathlib.Path) -> typing.AsyncIterator[Stage]:
+    """Yield the stage of a fleet that is ready and configured."""
+    # Without keep-alive, since connections to a runner may be made silent.
+    limits = httpx.Limits(max_keepalive_connections=0)
+    async with httpx.AsyncClient(limits=limits) as http:
+        stage = Stage(deployments.read(folder), http)
+        await stage.configure()
+        yield stage
