Add dogwoodgap-lab check: random faults under load, then every rule by name

A seeded schedule kills, pauses and stops nodes, takes the platform away, slows it and loses its replies, hangs, silences and crashes runners, lets runners leave and operators race. Then each rule is checked against what callers, services and engines recorded. Runners record work that reaches them while they leave: the engine log alone could not show it, since a leaving runner refuses. Two operators whose changes were accepted as the same generation break the configuration rule. Agents no longer repeat a refusal whose Retry-After exceeds their patience.

--- a/src/dogwoodgap_lab/agents.py
+++ b/src/dogwoodgap_lab/agents.py
@@ -216,7 +216,8 @@
             return await attempt(session, *args)
         except exceptions.DogwoodgapError as error:
             session.trace.refusals.append(error.code)
-            passing = error.retry_after_s > 0 or isinstance(error, exceptions.RunnerFailedError)
+            waits = 0 < error.retry_after_s <= PATIENCE_S
+            passing = waits or isinstance(error, exceptions.RunnerFailedError)
             if not passing or clock.now() > give_up_at:
                 raise
         await anyio.sleep(RETRY_DELAY_S)
--- a/src/dogwoodgap_lab/cli.py
+++ b/src/dogwoodgap_lab/cli.py
@@ -8,8 +8,8 @@
 import anyio
 import typer
 
-from dogwoodgap_lab import demo as demo_module
 from dogwoodgap_lab import (
+    checking,
     deployments,
     engine,
     engine_server,
@@ -19,6 +19,7 @@
     platform_server,
     serving,
 )
+from dogwoodgap_lab import demo as demo_module
 
 cli = typer.Typer(no_args_is_help=True, help="Stand-ins, load and checks for dogwoodgap.")
 
@@ -103,6 +104,7 @@
 
 FLEET_SCRIPT = pathlib.Path(__file__).parent / "scripts" / "fleet.sh"
 Nodes = typing.Annotated[int, typer.Option(help="Number of nodes.", min=3, max=16)]
+Seconds = typing.Annotated[float, typer.Option(help="Time during which faults happen.", min=1)]
 BasePort = typing.Annotated[int, typer.Option(help="First of 500 ports on 127.0.0.1.")]
 
 
@@ -128,6 +130,21 @@
     raise typer.Exit(anyio.run(demo_module.run, folder, seed))
 
 
+@cli.command()
+def check(
+    seed: Seed = 1, seconds: Seconds = 40.0, nodes: Nodes = 7, base_port: BasePort = 24500
+) -> None:
+    """Run programs under random faults and check every rule that always holds."""
+    command = ["run-check", "--seed", str(seed), "--seconds", str(seconds)]
+    replace_by_fleet(nodes, base_port, seed, command)
+
+
+@cli.command(hidden=True)
+def run_check(folder: pathlib.Path, seed: Seed = 1, seconds: Seconds = 40.0) -> None:
+    """Run the check against a fleet that runs."""
+    raise typer.Exit(anyio.run(checking.run, folder, seed, seconds))
+
+
 def main() -> None:
     """Run the command line."""
     cli()
--- a/src/dogwoodgap_lab/demo.py
+++ b/src/dogwoodgap_lab/demo.py
@@ -10,12 +10,12 @@
 from dogwoodgap_lab import agents, evidence, load, oracle, probes, report, stage
 
 PROGRAMS = 56
-SPREAD_S = 14.0
+SPREAD_S = 16.0
 PAUSE_S = 1.5
-KILL_AT_S = 4.0
-OUTAGE_AT_S = 8.0
+KILL_AT_S = 5.0
+OUTAGE_AT_S = 11.0
 OUTAGE_S = 3.0
-STOP_AT_S = 13.0
+STOP_AT_S = 16.0
 LOAD_LIMIT_S = 45.0
 STOP_LIMIT_S = 25.0
 TAKEOVER_AIM_S = 5.0
@@ -81,6 +81,8 @@
         victim = counts.index(max(counts))
         self.killed_programs = owned[victim]
         self.killed_at = clock.wall()
+        # The node stays away, so that its programs go on only if others take them over.
+        self.field.path(victim, "gone").touch()
         self.field.send_signal(victim, signal.SIGKILL)
         self.field.note(
             f"{self.field.layout.node_name(victim)} killed with SIGKILL; it served "
@@ -169,7 +171,7 @@
     """Run the demonstration against a fleet; return the exit status."""
     begin = clock.now()
     async with stage.open_stage(folder) as field:
-        field.note(f"{field.layout.node_count} nodes are ready and configured")
+        field.note(f"{field.layout.node_count} nodes are ready, configured and share the shards")
         demo = Demo(field, seed, load.Load(field, seed, PAUSE_S))
         await demo.run()
         broken = oracle.verify(demo.found)
--- a/src/dogwoodgap_lab/evidence.py
+++ b/src/dogwoodgap_lab/evidence.py
@@ -20,9 +20,15 @@
             await read_program(field, by_customer[trace.customer], trace, evidence)
     evidence.executions = await read_ledgers(field)
     evidence.engine_log = await read_engine_logs(field)
+    evidence.refused_work = await read_refused(field)
     await wait_released(field, evidence)
 
 
+async def read_refused(field: stage.Stage) -> dict[str, list[float]]:
+    """Return when work arrived at runners that were leaving."""
+    return {item.id: await field.read(f"{item.url}/refused") for item in field.runners()}
+
+
 async def read_program(
     field: stage.Stage,
     deployment: deployments.Deployment,
--- a/src/dogwoodgap_lab/faults.py
+++ b/src/dogwoodgap_lab/faults.py
@@ -8,12 +8,16 @@
 import msgspec
 from starlette import requests, responses
 
+from dogwoodgap import clock
+
 Scope = collections.abc.MutableMapping[str, typing.Any]
 Receive = collections.abc.Callable[[], collections.abc.Awaitable[typing.Any]]
 Send = collections.abc.Callable[[typing.Any], collections.abc.Awaitable[None]]
 Application = collections.abc.Callable[[Scope, Receive, Send], collections.abc.Awaitable[None]]
 
 CONTROL_PATHS = frozenset({"/faults", "/stats", "/ledger", "/requests"})
+REFUSED_PATH = "/refused"
+REFUSED_LIMIT = 10_000
 REPORT_PATHS = frozenset({"/load", "/cache", "/cache/events", "/cache/release", "/cancel"})
 
 
@@ -64,6 +68,8 @@
     ----------
     crash : callable
         Stops the runner at once; set by whoever runs it.
+    refused : deque of float
+        Wall times at which work arrived while the runner was leaving.
     """
 
     def __init__(self, seed: int = 0, faults: RunnerFaults | None = None):
@@ -71,6 +77,7 @@
         self.random = random.Random(seed)
         self.clients: set[tuple[str, int]] = set()
         self.silent: set[tuple[str, int]] = set()
+        self.refused: collections.deque[float] = collections.deque(maxlen=REFUSED_LIMIT)
         self.crash: collections.abc.Callable[[], None] = lambda: None
 
     def change(self, faults: RunnerFaults) -> None:
@@ -108,6 +115,10 @@
         if scope["type"] != "http" or scope["path"] in CONTROL_PATHS:
             await self.application(scope, receive, send)
             return
+        if scope["path"] == REFUSED_PATH:
+            body = msgspec.json.encode(list(self.switch.refused))
+            await responses.Response(body, media_type="application/json")(scope, receive, send)
+            return
         client = tuple(scope["client"] or ("", 0))
         self.switch.clients.add(client)
         faults = self.switch.faults
@@ -116,6 +127,7 @@
         if faults.delay_s:
             await anyio.sleep(faults.delay_s)
         if faults.leaving and scope["method"] == "POST" and scope["path"] not in REPORT_PATHS:
+            self.switch.refused.append(clock.wall())
             await responses.Response("leaving; use another runner", 503)(scope, receive, send)
             return
         await self.application(scope, receive, self.audible(client, send))
--- a/src/dogwoodgap_lab/load.py
+++ b/src/dogwoodgap_lab/load.py
@@ -57,6 +57,18 @@
         await agents.run_script(own, script, self.seed * 1000 + number, self.traces)
         self.ended += 1
 
+    async def run_poison(self, item: deployments.Deployment, number: int, marker: str) -> None:
+        """Run a program whose second call carries a marker word."""
+        steps = (
+            agents.Ask(10, 8, stream=True),
+            agents.Ask(10, 8, stream=True, marker=marker),
+            agents.Ask(10, 8, stream=False),
+        )
+        script = agents.Script(f"poison{number}", item.name, item.model_service, steps)
+        async with httpx.AsyncClient() as http:
+            own = caller(self.field, item, http)
+            await agents.run_script(own, script, self.seed * 1000 + number, self.traces)
+
     def open_traces(self) -> list[agents.Trace]:
         """Return the programs that run at present."""
         return [trace for trace in self.traces if trace.program and not trace.finished_at]
--- a/src/dogwoodgap_lab/oracle.py
+++ b/src/dogwoodgap_lab/oracle.py
@@ -56,6 +56,7 @@
     remaining_tokens: dict[str, int] = dataclasses.field(default_factory=dict)
     executions: list[plain_service.Execution] = dataclasses.field(default_factory=list)
     engine_log: list[EngineEntry] = dataclasses.field(default_factory=list)
+    refused_work: dict[str, list[float]] = dataclasses.field(default_factory=dict)
     held_sessions: dict[str, list[str]] = dataclasses.field(default_factory=dict)
     leaving: list[LeavingWindow] = dataclasses.field(default_factory=list)
     sightings: list[ConfigurationSighting] = dataclasses.field(default_factory=list)
@@ -192,12 +193,13 @@
 @check("leaving-runner")
 def leaving_runner(evidence: Evidence) -> list[str]:
     """Find work that a leaving runner got after the limit."""
+    accepted = [(entry.runner, entry.at) for entry in evidence.engine_log]
+    refused = [(name, at) for name, times in evidence.refused_work.items() for at in times]
     return [
-        f"{entry.runner} got work {entry.at - window.since:.1f} s after it began to leave"
+        f"{window.runner} got work {at - window.since:.1f} s after it began to leave"
         for window in evidence.leaving
-        for entry in evidence.engine_log
-        if entry.runner == window.runner
-        and window.since + LEAVING_LIMIT_S < entry.at < window.until
+        for runner, at in [*accepted, *refused]
+        if runner == window.runner and window.since + LEAVING_LIMIT_S < at < window.until
     ]
 
 
@@ -217,6 +219,12 @@
         if sighting.generation < known:
             faults.append(f"{sighting.node}: generation {sighting.generation} after {known}")
         highest[sighting.node] = max(known, sighting.generation)
+    counts = collections.Counter(item.generation for item in evidence.accepted)
+    faults.extend(
+        f"generation {generation} was accepted from {count} racing operators"
+        for generation, count in counts.items()
+        if count > 1
+    )
     faults.extend(
         f"generation {item.generation} was in force after {item.in_force_after_s:.1f} s"
         for item in evidence.accepted
--- a/src/dogwoodgap_lab/report.py
+++ b/src/dogwoodgap_lab/report.py
@@ -78,3 +78,56 @@
         for text in faults[:MAX_SHOWN]:
             print(f"      {text}")
     print(flush=True)
+
+
+def show_errors(done: load.Load) -> None:
+    """Print the programs that ended with an error, most of which faults explain."""
+    failed = [trace for trace in done.traces if trace.error]
+    print(f"  {len(failed)} of {len(done.traces)} programs ended with an error")
+    for trace in failed[: 2 * MAX_SHOWN]:
+        print(f"      {trace.program or trace.name}: {trace.error}")
+
+
+def explain(field: stage.Stage, found: oracle.Evidence, text: str) -> None:
+    """Print what happened to the programs that a broken rule names, with the faults."""
+    concerned = [trace for trace in found.traces if concerns(trace, text)]
+    lines = [
+        (note.at, f"FAULT {note.text}") for note in field.notes if "programs:" not in note.text
+    ]
+    for trace in concerned:
+        lines += happenings(found, trace)
+    print(f"\n  trace of: {text}")
+    for at, line in sorted(lines):
+        print(f"    {at - field.started_at:7.2f} s  {line}")
+
+
+def concerns(trace: agents.Trace, text: str) -> bool:
+    """Return whether a text names a program or one of its keys."""
+    return bool(trace.program) and any(
+        word.strip(":,") == trace.program or word.startswith(f"{trace.program}:")
+        for word in text.replace("/", " ").split()
+    )
+
+
+def happenings(found: oracle.Evidence, trace: agents.Trace) -> list[tuple[float, str]]:
+    """Return what callers, engines and services recorded of a program, with wall times."""
+    name = trace.program
+    lines = [(trace.started_at, f"{name} starts")]
+    if trace.finished_at:
+        lines.append((trace.finished_at, f"{name} ends {trace.error} {trace.refusals}"))
+    for item in trace.exchanges:
+        lines.append((item.started_at, f"{name} call {item.seq} sent"))
+        lines.append((item.finished_at, f"{name} call {item.seq} answered: {item.text[:40]!r}"))
+    for attempt in trace.attempts:
+        lines.append((attempt.started_at, f"{name} action {attempt.key} sent"))
+        verdict = f"{attempt.verdict} {attempt.detail}"
+        lines.append((attempt.finished_at, f"{name} action {attempt.key} answered: {verdict}"))
+    keys = {attempt.key for attempt in trace.attempts if attempt.key}
+    for execution in found.executions:
+        if execution.key in keys:
+            lines.append((execution.at, f"service executed {execution.key}"))
+    for entry in found.engine_log:
+        if entry.session == f"{trace.customer}/{name}":
+            counts = f"{entry.prompt_tokens} + {entry.generated_tokens} tokens"
+            lines.append((entry.at, f"{entry.runner} accepted a call of {name}: {counts}"))
+    return lines
--- a/src/dogwoodgap_lab/stage.py
+++ b/src/dogwoodgap_lab/stage.py
@@ -12,7 +12,7 @@
 import httpx
 import msgspec
 
-from dogwoodgap import clock, exceptions
+from dogwoodgap import clock, exceptions, shards
 from dogwoodgap_lab import deployments, faults, objects
 
 READY_LIMIT_S = 30.0
@@ -51,6 +51,8 @@
     ----------
     notes : list of Note
         The faults so far, in order of time.
+    silences : int
+        How often connections were made silent; see ``faults.RunnerFaults.silence``.
     """
 
     def __init__(self, layout: deployments.Layout, http: httpx.AsyncClient):
@@ -147,6 +149,23 @@
                 await anyio.sleep(POLL_S)
         await self.wait_ready(range(self.layout.node_count))
 
+    async def assignment(self) -> shards.Assignment:
+        """Return the assignment of shards as the platform has it."""
+        reply = await self.http.get(f"{self.layout.platform_url}/objects/{shards.ASSIGNMENT_KEY}")
+        return shards.decode(reply.raise_for_status().content)
+
+    async def wait_balanced(self) -> None:
+        """Wait until every node serves its part of the shards, up to a limit."""
+        share = shards.SHARD_COUNT // self.layout.node_count
+        with anyio.move_on_after(READY_LIMIT_S):
+            while True:
+                current = await self.assignment()
+                held = [len(current.owned_by(owner)) for owner in current.owners()]
+                spread = len(held) == self.layout.node_count and min(held) * 2 > share
+                if spread and not current.sources():
+                    return
+                await anyio.sleep(POLL_S)
+
     async def put_configuration(
         self, entry: str, document: dict[str, typing.Any], generation: int
     ) -> httpx.Response:
@@ -155,6 +174,13 @@
         url = f"{entry}/admin/v1/configuration"
         return await self.http.put(url, json=document, headers=headers, timeout=10.0)
 
+    async def configuration(self, index: int) -> tuple[dict[str, typing.Any], int]:
+        """Return the configuration in force on a node and its generation."""
+        url = f"{self.layout.entries()[index]}/admin/v1/configuration"
+        reply = await self.http.get(url, headers=ADMINISTRATOR, timeout=2.0)
+        reply.raise_for_status()
+        return reply.json(), int(reply.headers["etag"].strip('"'))
+
     async def generation(self, index: int) -> int | None:
         """Return the generation in force on a node, or None when it does not answer."""
         url = f"{self.layout.entries()[index]}/admin/v1/configuration"
@@ -175,11 +201,6 @@
         wanted = faults.RunnerFaults(**{"silence": self.silences, **values})
         await self.control(runner.url, msgspec.to_builtins(wanted))
 
-    async def silence(self, runner: Runner) -> None:
-        """Make all open connections to a runner silent for good."""
-        self.silences += 1
-        await self.set_runner(runner)
-
     async def control(self, url: str, document: dict[str, typing.Any]) -> None:
         """Send faults to a stand-in, again while it restarts after a crash."""
         with anyio.fail_after(CONTROL_LIMIT_S):
@@ -206,4 +227,5 @@
     async with httpx.AsyncClient(limits=limits) as http:
         stage = Stage(deployments.read(folder), http)
         await stage.configure()
+        await stage.wait_balanced()
         yield stage
