--- a/src/dogwoodgap_lab/cli.py
+++ b/src/dogwoodgap_lab/cli.py
@@ -1,11 +1,16 @@
 """Command line of ``dogwoodgap-lab``."""
 
+import os
 import pathlib
+import tempfile
 import typing
 
+import anyio
 import typer
 
 from dogwoodgap_lab import (
+    checking,
+    deployments,
     engine,
     engine_server,
     faults,
@@ -14,6 +19,7 @@
     platform_server,
     serving,
 )
+from dogwoodgap_lab import demo as demo_module
 
 cli = typer.Typer(no_args_is_help=True, help="Stand-ins, load and checks for dogwoodgap.")
 
@@ -152,6 +158,49 @@
     typer.echo("\n".join(decision_cost_module.lines(costs)))
 
 
+FLEET_SCRIPT = pathlib.Path(__file__).parent / "scripts" / "fleet.sh"
+Nodes = typing.Annotated[int, typer.Option(help="Number of nodes.", min=3, max=16)]
+Seconds = typing.Annotated[float, typer.Option(help="Time during which faults happen.", min=1)]
+BasePort = typing.Annotated[int, typer.Option(help="First of 500 ports on 127.0.0.1.")]
+
+
+def replace_by_fleet(nodes: int, base_port: int, seed: int, command: list[str]) -> None:
+    """Replace this process by the script that starts a fleet and runs a command against it."""
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="dogwoodgap-"))
+    both = list(deployments.DEPLOYMENTS.values())
+    deployments.write(deployments.Layout(folder, both, nodes, base_port), seed=seed)
+    typer.echo(f"logs are in {folder}")
+    script = ["bash", str(FLEET_SCRIPT), str(folder), "dogwoodgap-lab", *command]
+    os.execvp("bash", [*script, str(folder)])
+
+
+@cli.command()
+def demo(nodes: Nodes = 7, base_port: BasePort = 24500, seed: Seed = 1) -> None:
+    """Show a fleet that loses a node, the platform and, as planned, another node."""
+    replace_by_fleet(nodes, base_port, seed, ["run-demo", "--seed", str(seed)])
+
+
+@cli.command(hidden=True)
+def run_demo(folder: pathlib.Path, seed: Seed = 1) -> None:
+    """Run the demonstration against a fleet that runs."""
+    raise typer.Exit(anyio.run(demo_module.run, folder, seed))
+
+
+@cli.command()
+def check(
+    seed: Seed = 1, seconds: Seconds = 40.0, nodes: Nodes = 7, base_port: BasePort = 24500
+) -> None:
+    """Run programs under random faults and check every rule that always holds."""
+    command = ["run-check", "--seed", str(seed), "--seconds", str(seconds)]
+    replace_by_fleet(nodes, base_port, seed, command)
+
+
+@cli.command(hidden=True)
+def run_check(folder: pathlib.Path, seed: Seed = 1, seconds: Seconds = 40.0) -> None:
+    """Run the check against a fleet that runs."""
+    raise typer.Exit(anyio.run(checking.run, folder, seed, seconds))
+
+
 def main() -> None:
     """Run the command line."""
     cli()
