Add dogwoodgap-lab bench

The aims of the call path had no command that measures them. One run sends the same calls to an engine stand-in and through one node, with the platform at 2 ms.

--- /dev/null
+++ b/src/dogwoodgap_lab/bench.py
@@ -0,0 +1,312 @@
+"""Benchmark of the call path: the same calls sent to an engine and through one node."""
+
+import collections.abc
+import dataclasses
+import os
+import pathlib
+import statistics
+
+import anyio
+import httpx
+
+from dogwoodgap import clock
+from dogwoodgap_lab import bench_fleet, bench_load, deployments
+
+PLATFORM_DELAY_S = 0.002
+START_TIMEOUT_S = 60.0
+WARM_UP_S = 2.0
+SHORT_TOKENS = 4
+STREAM_TOKENS = 600
+STREAMS_PER_RUNNER = 50
+CALLERS = 48
+LIGHT_STREAMS = 8
+SAMPLES = 300
+PROGRAMS = 1_000
+PROGRAM_TURNS = 5
+CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Aim:
+    """One line of the result: what was measured against what was aimed at.
+
+    Attributes
+    ----------
+    aim : float or None
+        None for figures without an aim.
+    at_most : bool
+        Whether lower is better.
+    """
+
+    name: str
+    unit: str
+    measured: float
+    aim: float | None = None
+    at_most: bool = True
+
+    @property
+    def verdict(self) -> str:
+        """Return whether the aim was met."""
+        if self.aim is None:
+            return "-"
+        met = self.measured <= self.aim if self.at_most else self.measured >= self.aim
+        return "met" if met else "missed"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rate:
+    """What a node did in a window: events a second, and processor seconds a second."""
+
+    per_s: float
+    cores: float
+
+    @property
+    def cpu_us(self) -> float:
+        """Return the processor time of one event in microseconds."""
+        return 1e6 * self.cores / self.per_s if self.per_s else 0.0
+
+
+class Process:
+    """What the kernel tells about the node."""
+
+    def __init__(self, pid: int):
+        self.folder = pathlib.Path(f"/proc/{pid}")
+
+    def cpu_s(self) -> float:
+        """Return the processor time used so far."""
+        fields = (self.folder / "stat").read_text().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_PER_S
+
+    def rss_mb(self) -> float:
+        """Return the resident memory in units of 1,000,000 bytes."""
+        pages = int((self.folder / "statm").read_text().split()[1])
+        return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+
+class Counter:
+    """Counts events as they arrive."""
+
+    def __init__(self) -> None:
+        self.total = 0
+
+    def add(self, number: int) -> None:
+        """Count events."""
+        self.total += number
+
+
+Worker = collections.abc.Callable[[int, Counter], collections.abc.Awaitable[None]]
+
+
+class Bench:
+    """Runs all measurements against the processes of a layout."""
+
+    def __init__(self, layout: bench_fleet.Layout, seconds: float):
+        self.layout = layout
+        self.seconds = seconds
+
+    async def run(self) -> list[Aim]:
+        """Return all results."""
+        await self.prepare()
+        pid = int((self.layout.folder / f"{bench_fleet.NODE}.pid").read_text())
+        self.process = Process(pid)
+        idle = self.process.rss_mb()
+        programs = await self.memory_of_programs()
+        return [
+            *await self.latencies(),
+            *await self.call_rate(),
+            *await self.token_rates(),
+            Aim("RSS of the idle node", "MB", idle, 64.0),
+            programs,
+            Aim("RSS after the load", "MB", self.process.rss_mb()),
+        ]
+
+    async def prepare(self) -> None:
+        """Delay the platform, configure the fleet, and wait until the node serves."""
+        async with httpx.AsyncClient(trust_env=False) as client:
+            with anyio.fail_after(START_TIMEOUT_S):
+                await until(lambda: client.get(f"{self.layout.platform}/stats"))
+                await until(lambda: client.get(f"{self.layout.node}/health"), b'"ready":true')
+                await until(lambda: self.configure(client))
+                for speed in bench_fleet.SPEEDS:
+                    for engine in self.layout.engines(speed):
+                        await until(lambda engine=engine: client.get(f"{engine}/stats"))
+            faults = {"delay_s": PLATFORM_DELAY_S}
+            reply = await client.put(f"{self.layout.platform}/faults", json=faults)
+            reply.raise_for_status()
+        await anyio.sleep(WARM_UP_S)
+
+    async def configure(self, client: httpx.AsyncClient) -> httpx.Response:
+        """Write the fleet configuration."""
+        return await client.put(
+            f"{self.layout.node}/admin/v1/configuration",
+            json=self.layout.configuration().model_dump(mode="json"),
+            headers={
+                "Authorization": f"Bearer {deployments.ADMIN_TOKEN}",
+                "If-Match": '"0"',
+            },
+        )
+
+    def caller(self, speed: bench_fleet.Speed, max_tokens: int, direct: int = -1):
+        """Return a caller of the node, or of the engine with a number."""
+        if direct < 0:
+            return bench_load.Caller(self.layout.node, speed.service, False, max_tokens)
+        engines = self.layout.engines(speed)
+        base = engines[direct % len(engines)]
+        return bench_load.Caller(base, speed.service, True, max_tokens)
+
+    async def latencies(self) -> list[Aim]:
+        """Alternate single calls to an engine and to the node, so that both see the same load."""
+        direct = self.caller(bench_fleet.SHORT, SHORT_TOKENS, 0)
+        through = self.caller(bench_fleet.SHORT, SHORT_TOKENS)
+        engine, node = bench_load.Connection(direct.base), bench_load.Connection(through.base)
+        whole: list[list[float]] = [[], []]
+        first: list[list[float]] = [[], []]
+        for _ in range(SAMPLES):
+            whole[0].append(await direct.call(engine))
+            whole[1].append(await through.call(node))
+        for _ in range(SAMPLES):
+            first[0].append(await direct.stream(lambda _: None))
+            first[1].append(await through.stream(lambda _: None))
+        await engine.close()
+        await node.close()
+        return [
+            Aim("added to a short call, p50", "ms", added(whole, 50), 3.0),
+            Aim("added to a short call, p95", "ms", added(whole, 95)),
+            Aim("added to the first token, p50", "ms", added(first, 50), 3.0),
+            Aim("added to the first token, p95", "ms", added(first, 95)),
+            Aim("short call directly, p50", "ms", 1e3 * statistics.median(whole[0])),
+        ]
+
+    async def memory_of_programs(self) -> Aim:
+        """Have active programs with some turns and read the node's memory."""
+        async with anyio.create_task_group() as tasks:
+            for _ in range(CALLERS):
+                tasks.start_soon(self.keep_programs, PROGRAMS // CALLERS + 1)
+        rss_mb = self.process.rss_mb()
+        count = CALLERS * (PROGRAMS // CALLERS + 1)
+        return Aim(f"RSS with {count:,} programs of {PROGRAM_TURNS} turns", "MB", rss_mb)
+
+    async def keep_programs(self, number: int) -> None:
+        """Make programs that stay active."""
+        for _ in range(number):
+            caller = self.caller(bench_fleet.SHORT, SHORT_TOKENS)
+            connection = bench_load.Connection(caller.base)
+            for _ in range(PROGRAM_TURNS):
+                await caller.call(connection)
+            await connection.close()
+
+    async def call_rate(self) -> list[Aim]:
+        """Measure short calls that are not streamed."""
+        direct = await self.rate(CALLERS, self.calls_to(bench_fleet.SHORT, direct=True))
+        node = await self.rate(CALLERS, self.calls_to(bench_fleet.SHORT, direct=False))
+        return [
+            Aim(f"calls with {CALLERS} callers", "1/s", node.per_s, 300.0, at_most=False),
+            Aim("node CPU per call", "µs", node.cpu_us),
+            Aim("node cores during calls", "cores", node.cores),
+            Aim(f"calls directly with {CALLERS} callers", "1/s", direct.per_s),
+        ]
+
+    async def token_rates(self) -> list[Aim]:
+        """Measure streamed tokens, one and several per network write of the engine."""
+        found: list[Aim] = []
+        for speed in (bench_fleet.SINGLE, bench_fleet.BATCHED):
+            streams = STREAMS_PER_RUNNER * speed.runners
+            light = await self.rate(LIGHT_STREAMS, self.streams_to(speed, direct=False))
+            full = await self.rate(streams, self.streams_to(speed, direct=False))
+            direct = await self.rate(streams, self.streams_to(speed, direct=True))
+            name = f"{speed.tokens_per_step} per write, {streams} streams"
+            few = f"{speed.tokens_per_step} per write, {LIGHT_STREAMS} streams"
+            found += [
+                Aim(f"tokens, {name}", "1/s", full.per_s, 20_000.0, at_most=False),
+                Aim(f"node CPU per token, {name}", "µs", full.cpu_us),
+                Aim(f"node cores, {name}", "cores", full.cores),
+                Aim(f"tokens directly, {name}", "1/s", direct.per_s),
+                Aim(f"node CPU per token, {few}", "µs", light.cpu_us),
+            ]
+        return found
+
+    def calls_to(self, speed: bench_fleet.Speed, *, direct: bool) -> Worker:
+        """Return a worker that makes short calls without end."""
+
+        async def work(number: int, counter: Counter) -> None:
+            caller = self.caller(speed, SHORT_TOKENS, number if direct else -1)
+            connection = bench_load.Connection(caller.base)
+            while True:
+                await caller.call(connection)
+                counter.add(1)
+
+        return work
+
+    def streams_to(self, speed: bench_fleet.Speed, *, direct: bool) -> Worker:
+        """Return a worker that streams answers without end."""
+
+        async def work(number: int, counter: Counter) -> None:
+            caller = self.caller(speed, STREAM_TOKENS, number if direct else -1)
+            # Streams that start at different times do not end at the same time.
+            await anyio.sleep(WARM_UP_S / 2 * (number % 10) / 10)
+            while True:
+                await caller.stream(counter.add)
+
+        return work
+
+    async def rate(self, workers: int, work: Worker) -> Rate:
+        """Run workers and measure after a time of warming up."""
+        counter = Counter()
+        async with anyio.create_task_group() as tasks:
+            for number in range(workers):
+                tasks.start_soon(work, number, counter)
+            await anyio.sleep(WARM_UP_S)
+            before, cpu_s, started = counter.total, self.process.cpu_s(), clock.now()
+            await anyio.sleep(self.seconds)
+            taken = clock.now() - started
+            rate = Rate((counter.total - before) / taken, (self.process.cpu_s() - cpu_s) / taken)
+            tasks.cancel_scope.cancel()
+        # Calls that were cut are stopped before the next measurement.
+        await anyio.sleep(1.0)
+        return rate
+
+
+def added(samples: list[list[float]], percentile: int) -> float:
+    """Return the difference of a percentile in milliseconds, through the node less directly."""
+    direct, through = (
+        statistics.quantiles(part, n=100, method="inclusive")[percentile - 1] for part in samples
+    )
+    return 1e3 * (through - direct)
+
+
+async def until(
+    ask: collections.abc.Callable[[], collections.abc.Awaitable[httpx.Response]],
+    content: bytes = b"",
+) -> None:
+    """Repeat a request until it succeeds and its answer contains something."""
+    while True:
+        try:
+            reply = await ask()
+            if reply.is_success and content in reply.content:
+                return
+        except httpx.HTTPError:
+            pass
+        await anyio.sleep(0.1)
+
+
+def table(aims: list[Aim]) -> str:
+    """Return the results as a Markdown table."""
+    lines = ["| figure | unit | aim | measured | result |", "| --- | --- | --- | --- | --- |"]
+    for item in aims:
+        sign = "≤" if item.at_most else "≥"
+        aim = "-" if item.aim is None else f"{sign} {item.aim:,g}"
+        measured = f"{item.measured:,.0f}" if item.measured >= 100 else f"{item.measured:.2f}"
+        lines.append(f"| {item.name} | {item.unit} | {aim} | {measured} | {item.verdict} |")
+    return "\n".join(lines) + "\n"
+
+
+def page(aims: list[Aim], command: str, loads: list[tuple[float, float, float]]) -> str:
+    """Return the page with the results, the command and the machine's load."""
+    before, after = (", ".join(f"{value:.1f}" for value in load) for load in loads)
+    return (
+        "# Benchmark of the call path\n\n"
+        f"Command: `{command}`\n\n"
+        f"Platform delay: {1e3 * PLATFORM_DELAY_S:g} ms a call. One node, nothing pinned; "
+        f"{os.cpu_count()} processors. Load average (1, 5, 15 minutes) before: {before}; "
+        f"after: {after}.\n\n{table(aims)}"
+    )
--- /dev/null
+++ b/src/dogwoodgap_lab/bench_load.py
@@ -0,0 +1,189 @@
+"""Calls of a benchmark, made so that the load takes little of the machine's processor time.
+
+Times come from ``time.perf_counter``: the runtime's clock under uvloop has a resolution of 1 ms.
+"""
+
+import collections.abc
+import dataclasses
+import time
+import typing
+import urllib.parse
+import uuid
+
+import anyio
+import anyio.abc
+import h11
+import msgspec
+
+from dogwoodgap_lab import bench_fleet
+
+READ_BYTES = 262_144
+NODE_MARK = b"event: token"
+ENGINE_MARK = b'"delta":{"content":"w'
+PROMPT = "which crew is free on friday"
+TURNS = 10
+"""Calls of one program; its history grows with each."""
+
+
+class LoadError(Exception):
+    """A call of the benchmark was refused or its answer was not whole."""
+
+
+class Connection:
+    """One HTTP/1.1 connection to a node or an engine."""
+
+    def __init__(self, base: str):
+        self.base = base
+        url = urllib.parse.urlsplit(base)
+        self.host = typing.cast(str, url.hostname)
+        self.port = typing.cast(int, url.port)
+        self.stream: anyio.abc.SocketStream | None = None
+        self.state = h11.Connection(h11.CLIENT)
+
+    async def send(
+        self, method: str, path: str, body: typing.Any = None, *, close: bool = False
+    ) -> None:
+        """Send one request; connects first where needed."""
+        if self.stream is None:
+            self.stream = await anyio.connect_tcp(self.host, self.port)
+            self.state = h11.Connection(h11.CLIENT)
+        data = b"" if body is None else msgspec.json.encode(body)
+        headers = [
+            ("Host", f"{self.host}:{self.port}"),
+            ("Authorization", f"Bearer {bench_fleet.CALLER_TOKEN}"),
+            ("Content-Length", str(len(data))),
+        ]
+        if close:
+            headers.append(("Connection", "close"))
+        head = self.state.send(h11.Request(method=method, target=path, headers=headers))
+        await self.stream.send(head + self.state.send(h11.Data(data)))
+        self.state.send(h11.EndOfMessage())
+
+    async def answer(self) -> bytes:
+        """Return the body of the answer.
+
+        Raises
+        ------
+        LoadError
+            For any other status than success.
+        """
+        body = b""
+        status = 0
+        while True:
+            event = self.state.next_event()
+            if event is h11.NEED_DATA:
+                self.state.receive_data(await self.stream.receive(READ_BYTES))
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                body += event.data
+            elif isinstance(event, h11.EndOfMessage):
+                break
+        self.state.start_next_cycle()
+        if status not in (200, 201):
+            raise LoadError(f"{self.base} answered {status}: {body[:200]!r}")
+        return body
+
+    async def pieces(self) -> collections.abc.AsyncIterator[bytes]:
+        """Yield what arrives until the other side closes; the framing is left in."""
+        try:
+            while True:
+                yield await self.stream.receive(READ_BYTES)
+        except anyio.EndOfStream:
+            return
+
+    async def close(self) -> None:
+        """Close the connection."""
+        if self.stream is not None:
+            await self.stream.aclose()
+            self.stream = None
+
+
+@dataclasses.dataclass(slots=True)
+class Caller:
+    """Makes calls one after another, directly to an engine or as a program at a node.
+
+    Attributes
+    ----------
+    seq : int
+        Number of the next call of the program; 0 when there is no program.
+    """
+
+    base: str
+    service: str
+    direct: bool
+    max_tokens: int
+    program: str = ""
+    seq: int = 0
+
+    async def prepare(self, connection: Connection) -> None:
+        """Have a program with calls left."""
+        if self.direct or 0 < self.seq <= TURNS:
+            return
+        self.program = uuid.uuid4().hex
+        body = {"id": self.program, "service": self.service}
+        await connection.send("POST", "/v1/programs", body)
+        await connection.answer()
+        self.seq = 1
+
+    async def finish(self, connection: Connection) -> None:
+        """End a program that has made its calls."""
+        if not self.direct and self.seq > TURNS:
+            await connection.send("DELETE", f"/v1/programs/{self.program}")
+            await connection.answer()
+
+    def request(self, *, stream: bool) -> tuple[str, dict[str, typing.Any]]:
+        """Return path and body of the next call."""
+        message = {"role": "user", "content": f"{PROMPT} {uuid.uuid4().hex[:8]}"}
+        body: dict[str, typing.Any] = {"messages": [message], "max_tokens": self.max_tokens}
+        if self.direct:
+            request_id = uuid.uuid4().hex
+            body |= {"model": self.service, "request_id": request_id, "session": request_id}
+            return "/v1/chat/completions", body
+        body |= {"seq": self.seq, "stream": stream}
+        self.seq += 1
+        return f"/v1/programs/{self.program}/calls", body
+
+    async def call(self, connection: Connection) -> float:
+        """Make a call that is not streamed and return its time in seconds."""
+        await self.prepare(connection)
+        path, body = self.request(stream=False)
+        started = time.perf_counter()
+        await connection.send("POST", path, body)
+        await connection.answer()
+        taken = time.perf_counter() - started
+        await self.finish(connection)
+        return taken
+
+    async def stream(self, count: collections.abc.Callable[[int], None]) -> float:
+        """Make a streamed call, count its tokens, and return the time to the first one."""
+        connection = Connection(self.base)
+        await self.prepare(connection)
+        path, body = self.request(stream=True)
+        mark = ENGINE_MARK if self.direct else NODE_MARK
+        end = b"[DONE]" if self.direct else b"event: done"
+        started = time.perf_counter()
+        await connection.send("POST", path, body, close=True)
+        first = 0.0
+        tokens = 0
+        tail = b""
+        ended = False
+        async for piece in connection.pieces():
+            # A mark may be split over two reads.
+            data = tail + piece
+            found = data.count(mark)
+            if found and not first:
+                first = time.perf_counter() - started
+            tokens += found
+            count(found)
+            tail = data[max(len(data) - len(mark) + 1, data.rfind(mark) + 1) :]
+            ended = ended or end in data
+        await connection.close()
+        if tokens != self.max_tokens or not ended:
+            raise LoadError(
+                f"{self.base} sent {tokens} of {self.max_tokens} tokens: {data[-300:]!r}"
+            )
+        finisher = Connection(self.base)
+        await self.finish(finisher)
+        await finisher.close()
+        return first
--- a/src/dogwoodgap_lab/cli.py
+++ b/src/dogwoodgap_lab/cli.py
@@ -1,10 +1,16 @@
 """Command line of ``dogwoodgap-lab``."""
 
+import os
+import pathlib
+import sys
+import tempfile
 import typing
 
+import anyio
 import typer
 
 from dogwoodgap_lab import (
+    bench_fleet,
     engine,
     engine_server,
     faults,
@@ -25,6 +31,13 @@
 Restart = typing.Annotated[float, typer.Option(help="Seconds until a crashed runner is back.")]
 CrashExits = typing.Annotated[bool, typer.Option(help="A crash ends the whole process.")]
 
+Folder = typing.Annotated[
+    pathlib.Path | None, typer.Option(help="Folder for settings and logs; new by default.")
+]
+BasePort = typing.Annotated[int, typer.Option(help="First port on 127.0.0.1.")]
+Window = typing.Annotated[float, typer.Option(help="Seconds of each measurement of a rate.")]
+Report = typing.Annotated[pathlib.Path | None, typer.Option(help="Page to write the result to.")]
+
 
 def switch(seed: int, number: int, marker: str, restart_s: float) -> faults.FaultSwitch:
     """Return the faults of one runner."""
@@ -95,6 +108,46 @@
     serving.run(stand_ins, crash_exits=crash_exits)
 
 
+@cli.command()
+def bench(
+    folder: Folder = None, base_port: BasePort = 27000, seconds: Window = 6.0, report: Report = None
+) -> None:
+    """Measure what one node adds to calls, and how many calls and tokens it carries."""
+    place = folder or pathlib.Path(tempfile.mkdtemp(prefix="dogwoodgap-bench-"))
+    bench_fleet.Layout(place, base_port).write()
+    script = pathlib.Path(__file__).parent / "scripts" / "fleet.sh"
+    arguments = ["--base-port", str(base_port), "--seconds", str(seconds)]
+    if report is not None:
+        arguments += ["--report", str(report)]
+    os.environ["PATH"] = f"{pathlib.Path(sys.executable).parent}{os.pathsep}{os.environ['PATH']}"
+    # This process becomes the script, which starts and stops the processes of the benchmark.
+    command = ["bash", str(script), str(place), "dogwoodgap-lab", "run-bench", str(place)]
+    os.execvp("bash", [*command, *arguments])
+
+
+@cli.command(hidden=True)
+def run_bench(
+    folder: pathlib.Path,
+    base_port: BasePort = 27000,
+    seconds: Window = 6.0,
+    report: Report = None,
+) -> None:
+    """Measure against processes that run already."""
+    from dogwoodgap_lab import bench as bench_module
+
+    layout = bench_fleet.Layout(folder, base_port)
+    loads = [os.getloadavg()]
+    measure = bench_module.Bench(layout, seconds).run
+    aims = anyio.run(measure, backend_options={"use_uvloop": True})
+    loads.append(os.getloadavg())
+    command = f"dogwoodgap-lab bench --seconds {seconds:g}"
+    text = bench_module.page(aims, command, loads)
+    typer.echo(text)
+    if report is not None:
+        report.parent.mkdir(parents=True, exist_ok=True)
+        report.write_text(text, encoding="utf-8")
+
+
 def main() -> None:
     """Run the command line."""
     cli()
