Read runners' answers with h11 on anyio sockets instead of httpcore

Cause: httpcore asks the kernel about every idle connection at the start and end of each request, and passes each chunk through five layers; a sampling profile of short calls showed is_socket_readable as the largest leaf. Now a request looks at one connection, and one network read makes one batch, one wake-up and one write.

--- a/src/dogwoodgap/connections.py
+++ b/src/dogwoodgap/connections.py
@@ -8,7 +8,7 @@
 import anyio
 import httpx
 
-from dogwoodgap import clock, exceptions, structures
+from dogwoodgap import clock, exceptions, http_pool, structures
 
 RETIRED_LIFETIME_S = 900.0
 """Streams on replaced connections may still be healthy, so they are closed only after this."""
@@ -33,7 +33,7 @@
 class RetiredPool:
     """A replaced connection pool."""
 
-    pool: httpx.AsyncHTTPTransport
+    pool: http_pool.Pool
     close_at: float
 
 
@@ -51,11 +51,8 @@
 
     def __init__(self, tls: ssl.SSLContext | None = None):
         self.tls = tls
-        self.pools: dict[str, httpx.AsyncHTTPTransport] = {}
+        self.pools: dict[str, http_pool.Pool] = {}
         self.retired: list[RetiredPool] = []
-        self.limits = httpx.Limits(
-            max_connections=None, max_keepalive_connections=KEEPALIVE_CONNECTIONS
-        )
 
     async def handle_async_request(self, request: httpx.Request) -> httpx.Response:
         """Send a request over the server's pool."""
@@ -64,17 +61,17 @@
             request
         )
 
-    def pool(self, address: str) -> httpx.AsyncHTTPTransport:
+    def pool(self, address: str) -> http_pool.Pool:
         """Return the pool of a server's address."""
         if address not in self.pools:
             self.pools[address] = self.new_pool(address)
         return self.pools[address]
 
-    def new_pool(self, address: str) -> httpx.AsyncHTTPTransport:
+    def new_pool(self, address: str) -> http_pool.Pool:
         """Return a pool without connections; plain addresses need no TLS context (18 ms)."""
         if address.startswith("https:") and self.tls is None:
             self.tls = ssl.create_default_context()
-        return httpx.AsyncHTTPTransport(verify=self.tls or False, limits=self.limits)
+        return http_pool.Pool(self.tls, KEEPALIVE_CONNECTIONS)
 
     async def replace(self, address: str) -> None:
         """Use fresh connections from now on; streams on old ones go on."""
--- /dev/null
+++ b/tests/test_http_pool.py
@@ -0,0 +1,84 @@
+"""Failures of the connections to one server."""
+
+import anyio
+import httpx
+import pytest
+
+from dogwoodgap import http_pool
+
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+PART = b"2\r\nab\r\n"
+END = b"0\r\n\r\n"
+
+
+def answers_of(*replies: list[bytes], reads: int = 0) -> tuple[list[bytes], int]:
+    """Send one request per reply; returns the bodies and the number of connections.
+
+    The server closes a connection after a reply that ends with an empty piece. With ``reads``,
+    each answer is given up after so many pieces.
+    """
+    opened = 0
+    waiting = [list(reply) for reply in replies]
+
+    async def serve(stream: anyio.abc.SocketStream) -> None:
+        nonlocal opened
+        opened += 1
+        async with stream:
+            while waiting:
+                try:
+                    await stream.receive()
+                except anyio.EndOfStream:
+                    return
+                for piece in waiting.pop(0):
+                    if not piece:
+                        return
+                    await stream.send(piece)
+
+    async def main() -> list[bytes]:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=0)
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        bodies = []
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, serve)
+            async with httpx.AsyncClient(transport=http_pool.Pool(), trust_env=False) as client:
+                for _ in replies:
+                    async with client.stream("POST", f"http://127.0.0.1:{port}/", json=1) as reply:
+                        body = b""
+                        async for piece in reply.stream:
+                            body += piece
+                            if reads:
+                                break
+                        bodies.append(body)
+                    # The server's close of an idle connection arrives.
+                    await anyio.wait_all_tasks_blocked()
+            tasks.cancel_scope.cancel()
+        return bodies
+
+    return anyio.run(main), opened
+
+
+def test_a_finished_answer_gives_its_connection_to_the_next_request():
+    """Guards against a new connection for every call."""
+    assert answers_of([HEAD + PART + PART + END], [HEAD + PART + END]) == ([b"abab", b"ab"], 1)
+
+
+def test_a_connection_that_the_server_closed_is_not_used_again():
+    """Guards against calls that fail since the server closed an idle connection."""
+    replies = [HEAD + PART + END, b""], [HEAD + PART + END]
+    assert answers_of(*replies) == ([b"ab", b"ab"], 2)
+
+
+def test_an_answer_that_was_given_up_does_not_mix_with_the_next_one():
+    """Guards against the rest of one answer being read as the next one."""
+    replies = [HEAD + PART], [HEAD + b"2\r\ncd\r\n" + END]
+    assert answers_of(*replies, reads=1) == ([b"ab", b"cd"], 2)
+
+
+@pytest.mark.parametrize("pieces", [[HEAD + PART, b""], [HEAD + PART + b"zz\r\n"], [b""]])
+def test_a_broken_answer_is_an_error(pieces):
+    """Guards against a cut answer that passes for a whole one."""
+    with pytest.raises(ExceptionGroup) as caught:
+        answers_of(pieces)
+    assert caught.group_contains(httpx.RemoteProtocolError) or caught.group_contains(
+        httpx.ReadError
+    )
