Measure how costs grow with nodes, runners and programs

Adds dogwoodgap-lab capacity: nodes in one process over TCP, whole processes started by fleet.sh, tables of programs, configurations, decisions and the group commit, with least-squares fits.

--- /dev/null
+++ b/src/dogwoodgap_lab/capacity_fit.py
@@ -0,0 +1,156 @@
+"""Straight-line fits of measured figures, and the tables of the capacity page."""
+
+import collections.abc
+import pathlib
+
+import msgspec
+import numpy
+
+MIN_FIT_SIZES = 3
+"""Two sizes always lie on a line, so a fit through them has no residual to report."""
+
+
+class Measure(msgspec.Struct, frozen=True):
+    """Figures of one run.
+
+    Attributes
+    ----------
+    part : str
+        What was measured.
+    size : float
+        The variable that the part changes, for example the number of nodes.
+    values : dict of str to float
+        Figures by name; a name ends with its unit.
+    """
+
+    part: str
+    size: float
+    values: dict[str, float]
+
+
+class Fit(msgspec.Struct, frozen=True):
+    """A line through measured figures.
+
+    Attributes
+    ----------
+    residual : float
+        Largest distance of a measured figure from the line, in the unit of the figure.
+    """
+
+    slope: float
+    intercept: float
+    residual: float
+    sizes: list[float]
+
+    def at(self, size: float) -> float:
+        """Return the value of the line at a size."""
+        return self.intercept + self.slope * size
+
+
+class Document(msgspec.Struct):
+    """All measures and their fits by part and name of the figure."""
+
+    measures: list[Measure]
+    fits: dict[str, dict[str, Fit]]
+
+
+def fit(sizes: collections.abc.Sequence[float], figures: collections.abc.Sequence[float]) -> Fit:
+    """Return the least-squares line through figures at at least three different sizes.
+
+    Raises
+    ------
+    ValueError
+        When there are fewer sizes.
+    """
+    if len(set(sizes)) < MIN_FIT_SIZES:
+        raise ValueError(f"a fit needs {MIN_FIT_SIZES} sizes and got {sorted(set(sizes))}")
+    columns = numpy.column_stack([numpy.asarray(sizes, float), numpy.ones(len(sizes))])
+    values = numpy.asarray(figures, float)
+    (slope, intercept), *_ = numpy.linalg.lstsq(columns, values, rcond=None)
+    residual = numpy.abs(columns @ [slope, intercept] - values).max()
+    return Fit(float(slope), float(intercept), float(residual), list(sizes))
+
+
+def document(measures: list[Measure]) -> Document:
+    """Return the measures with a fit for each figure that was measured at enough sizes."""
+    fits: dict[str, dict[str, Fit]] = {}
+    for part in dict.fromkeys(item.part for item in measures):
+        chosen = of_part(measures, part)
+        fits[part] = {}
+        for name in names_of(chosen):
+            points = [(item.size, item.values[name]) for item in chosen if name in item.values]
+            sizes = [size for size, _ in points]
+            if len(set(sizes)) >= MIN_FIT_SIZES:
+                fits[part][name] = fit(sizes, [value for _, value in points])
+    return Document(measures, fits)
+
+
+def of_part(measures: list[Measure], part: str) -> list[Measure]:
+    """Return the measures of a part by size."""
+    return sorted((item for item in measures if item.part == part), key=lambda item: item.size)
+
+
+def names_of(measures: list[Measure]) -> list[str]:
+    """Return the names of all figures in their order of appearance."""
+    return list(dict.fromkeys(name for item in measures for name in item.values))
+
+
+def number(value: float) -> str:
+    """Return a figure with three significant digits."""
+    return f"{value:.3g}" if abs(value) < 1000 else f"{value:,.0f}"
+
+
+def table_of(found: Document, part: str) -> list[str]:
+    """Return the table of one part: a row per figure, a column per run, then the fit."""
+    chosen = of_part(found.measures, part)
+    heads = [number(item.size) for item in chosen]
+    lines = [
+        f"## {part}",
+        "",
+        f"| figure | {' | '.join(heads)} | slope | intercept | largest residual |",
+        f"| --- |{' ---: |' * (len(heads) + 3)}",
+    ]
+    for name in names_of(chosen):
+        cells = [number(item.values[name]) if name in item.values else "-" for item in chosen]
+        line = found.fits[part].get(name)
+        fitted = [line.slope, line.intercept, line.residual] if line else []
+        cells += [number(value) for value in fitted] or ["-"] * 3
+        lines.append(f"| {name} | {' | '.join(cells)} |")
+    return [*lines, ""]
+
+
+def page(found: Document) -> str:
+    """Return the tables of all parts as Markdown."""
+    lines = [
+        "# Measured figures of the capacity page",
+        "",
+        "Written by `dogwoodgap-lab capacity report`; do not edit. Columns are sizes.",
+        "",
+    ]
+    for part in dict.fromkeys(item.part for item in found.measures):
+        lines += table_of(found, part)
+    return "\n".join(lines)
+
+
+def append(path: pathlib.Path, measure: Measure) -> None:
+    """Add a measure to a file with one measure per line."""
+    path.parent.mkdir(parents=True, exist_ok=True)
+    with path.open("ab") as target:
+        target.write(msgspec.json.encode(measure) + b"\n")
+
+
+def read(path: pathlib.Path) -> list[Measure]:
+    """Return the measures of a file; of the same part and size, the last one counts."""
+    found: dict[tuple[str, float], Measure] = {}
+    for line in path.read_bytes().splitlines():
+        measure = msgspec.json.decode(line, type=Measure)
+        found[measure.part, measure.size] = measure
+    return sorted(found.values(), key=lambda item: (item.part, item.size))
+
+
+def write(found: Document, folder: pathlib.Path) -> None:
+    """Write ``capacity.json`` and ``capacity.md``."""
+    folder.mkdir(parents=True, exist_ok=True)
+    data = msgspec.json.format(msgspec.json.encode(found), indent=1)
+    (folder / "capacity.json").write_bytes(data + b"\n")
+    (folder / "capacity.md").write_text(page(found), encoding="utf-8")
--- /dev/null
+++ b/src/dogwoodgap_lab/capacity_processes.py
@@ -0,0 +1,149 @@
+"""Whole processes: processor time, memory and platform calls against nodes and runners.
+
+``scripts/fleet.sh`` starts the processes; this module writes their settings and reads ``/proc``.
+"""
+
+import os
+import pathlib
+import shlex
+
+import anyio
+import httpx
+import msgspec
+import tomli_w
+
+from dogwoodgap import clock, models
+from dogwoodgap_lab import capacity_fit, capacity_state
+
+HTTP_OFFSET = 10
+PEER_OFFSET = 50
+RUNNER_OFFSET = 100
+DATA_CENTRES = 7
+ENGINE_PROCESSES = 4
+START_LIMIT_S = 60.0
+SETTLE_S = 15.0
+MEASURE_S = 15.0
+
+
+class Shape(msgspec.Struct, frozen=True):
+    """Numbers of one trial; ``spread`` puts the nodes into all data centres instead of one."""
+
+    part: str
+    nodes: int
+    runners: int
+    base_port: int
+    spread: bool = True
+
+    @property
+    def platform(self) -> str:
+        """Return the base URL of the platform stand-in."""
+        return f"http://127.0.0.1:{self.base_port}"
+
+    def data_centre(self, number: int) -> str:
+        """Return the data centre of a node or runner."""
+        return f"dc{number % DATA_CENTRES if self.spread else 0}"
+
+
+def write(shape: Shape, folder: pathlib.Path) -> None:
+    """Write the settings and the list of processes for ``fleet.sh``."""
+    folder.mkdir(parents=True, exist_ok=True)
+    lines = [f"platform lab dogwoodgap-lab platform --bind 127.0.0.1:{shape.base_port}"]
+    ports = [shape.base_port + RUNNER_OFFSET + number for number in range(shape.runners)]
+    for number in range(min(ENGINE_PROCESSES, shape.runners)):
+        binds = " ".join(f"--bind 127.0.0.1:{port}" for port in ports[number::ENGINE_PROCESSES])
+        lines.append(f"engines{number} lab dogwoodgap-lab engine-runner {binds}")
+    for number in range(shape.nodes):
+        path = folder / f"node{number}.toml"
+        path.write_text(tomli_w.dumps(node_settings(shape, number)), encoding="utf-8")
+        lines.append(f"node{number} node dogwoodgap-node run {shlex.quote(str(path))}")
+    (folder / "processes").write_text("\n".join(lines) + "\n", encoding="utf-8")
+    (folder / "shape.json").write_bytes(msgspec.json.encode(shape))
+
+
+def node_settings(shape: Shape, number: int) -> dict[str, dict[str, object]]:
+    """Return the settings document of a node."""
+    peers = [f"127.0.0.1:{shape.base_port + PEER_OFFSET + n}" for n in range(shape.nodes)]
+    return {
+        "node": {
+            "name": f"node{number}",
+            "data_centre": shape.data_centre(number),
+            "http_bind": f"127.0.0.1:{shape.base_port + HTTP_OFFSET + number}",
+            "peer_bind": peers[number],
+            "seeds": peers[:3],
+        },
+        "platform": {"url": shape.platform},
+        "log": {"level": "warning"},
+    }
+
+
+def configuration(shape: Shape) -> models.FleetConfiguration:
+    """Return a configuration with one model service."""
+    found = [
+        models.Runner(
+            id=f"r{number}",
+            address=f"http://127.0.0.1:{shape.base_port + RUNNER_OFFSET + number}",
+            data_centre=shape.data_centre(number),
+        )
+        for number in range(shape.runners)
+    ]
+    service = models.Service(kind="model", runners=found)
+    return models.FleetConfiguration(generation=1, services={"llm": service})
+
+
+def cpu_seconds(pid: int) -> float:
+    """Return the processor time that a process has used."""
+    text = pathlib.Path(f"/proc/{pid}/stat").read_text(encoding="utf-8")
+    fields = text.rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+async def until_answers(client: httpx.AsyncClient, url: str, status: int = 200) -> None:
+    """Wait until a URL answers with a status."""
+    with anyio.fail_after(START_LIMIT_S):
+        while True:
+            try:
+                if (await client.get(url)).status_code == status:
+                    return
+            except httpx.TransportError:
+                pass
+            await anyio.sleep(0.1)
+
+
+async def watch(folder: pathlib.Path) -> capacity_fit.Measure:
+    """Put the configuration in force, wait, and measure the running processes."""
+    shape = msgspec.json.decode((folder / "shape.json").read_bytes(), type=Shape)
+    async with httpx.AsyncClient(trust_env=False, timeout=10.0) as client:
+        await until_answers(client, f"{shape.platform}/stats")
+        data = configuration(shape).model_dump_json().encode()
+        reply = await client.put(f"{shape.platform}/objects/config/current", content=data)
+        reply.raise_for_status()
+        for number in range(shape.nodes):
+            await until_answers(
+                client, f"http://127.0.0.1:{shape.base_port + HTTP_OFFSET + number}/health"
+            )
+        await anyio.sleep(SETTLE_S)
+        return await observe(client, shape, folder)
+
+
+async def observe(
+    client: httpx.AsyncClient, shape: Shape, folder: pathlib.Path
+) -> capacity_fit.Measure:
+    """Return the figures of an idle interval."""
+    pids = [int((folder / f"node{n}.pid").read_text()) for n in range(shape.nodes)]
+    calls = (await client.get(f"{shape.platform}/stats")).json()
+    started = clock.now()
+    used = [cpu_seconds(pid) for pid in pids]
+    await anyio.sleep(MEASURE_S)
+    elapsed = clock.now() - started
+    shares = [100 * (cpu_seconds(p) - u) / elapsed for p, u in zip(pids, used, strict=True)]
+    memory = [capacity_state.resident_bytes(pid) / 1e6 for pid in pids]
+    after = (await client.get(f"{shape.platform}/stats")).json()
+    values = {
+        "cpu_percent_mean": sum(shares) / len(shares),
+        "cpu_percent_max": max(shares),
+        "rss_mb_mean": sum(memory) / len(memory),
+        "rss_mb_max": max(memory),
+        **{f"platform_{kind}_per_s": (after[kind] - calls[kind]) / elapsed for kind in calls},
+    }
+    size = shape.runners if "(runners)" in shape.part else shape.nodes
+    return capacity_fit.Measure(shape.part, size, values)
--- a/src/dogwoodgap_lab/cli.py
+++ b/src/dogwoodgap_lab/cli.py
@@ -5,6 +5,7 @@
 import typer
 
 from dogwoodgap_lab import (
+    capacity_cli,
     engine,
     engine_server,
     faults,
@@ -15,6 +16,7 @@
 )
 
 cli = typer.Typer(no_args_is_help=True, help="Stand-ins, load and checks for dogwoodgap.")
+cli.add_typer(capacity_cli.cli, name="capacity")
 
 Bind = typing.Annotated[str, typer.Option(help="Address to listen on, host:port.")]
 Binds = typing.Annotated[
--- /dev/null
+++ b/src/dogwoodgap_lab/scripts/capacity.sh
@@ -0,0 +1,52 @@
+#!/usr/bin/env bash
+# Runs all measurements of docs/CAPACITY.md and writes the tables into docs/results.
+#
+# usage: capacity.sh FOLDER [BASE_PORT]
+#
+# Needs about seven minutes. Tables of programs run in processes of their own, since memory that an
+# earlier table freed would be used again. At most two measurements run at once.
+set -euo pipefail
+folder=$1
+port=${2:-27500}
+here=$(dirname "$0")
+measures=$folder/measures.jsonl
+mkdir -p "$folder"
+rm -f "$measures"
+
+lab() { dogwoodgap-lab capacity "$@"; }
+
+table() { lab programs "$@" --output "$measures"; }
+
+processes() {
+    local name=$1 nodes=$2 runners=$3 part=$4
+    shift 4
+    lab layout "$folder/$name" "$nodes" "$runners" --part "$part" --base-port "$port" "$@"
+    bash "$here/fleet.sh" "$folder/$name" dogwoodgap-lab capacity watch "$folder/$name" \
+        --output "$measures"
+}
+
+tables() {
+    lab decisions --output "$measures"
+    for count in 100 1000 5000 28000; do table "$count"; done
+    for turns in 1 10 51; do table 1000 --turns "$turns" --size turns; done
+    for characters in 500 2000 8000 40000; do
+        table 200 --characters "$characters" --size characters
+    done
+}
+
+in_process() {
+    for count in 5 10 20 40 80; do
+        lab nodes "$count" --base-port $((port + 1500)) --output "$measures"
+    done
+}
+
+in_process &
+background=$!
+for count in 10 40 160 620; do
+    processes "runners$count" 1 "$count" "processes, 1 node (runners)" --no-spread
+done
+processes seven 7 620 "processes, 7 nodes in 1 data centre (runners)" --no-spread
+for count in 5 10 20; do processes "nodes$count" "$count" 10 "processes, 10 runners (nodes)"; done
+wait "$background"
+tables
+dogwoodgap-lab capacity report --output "$measures"
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,60 @@
+"""Fits and tables of the capacity page."""
+
+import anyio
+import pytest
+
+from dogwoodgap_lab import capacity_fit, capacity_nodes, capacity_state
+
+MEASURES = [
+    capacity_fit.Measure("nodes", size, {"cpu_ms": 2.0 * size + 1.0, "served": 1024.0})
+    for size in (40, 5, 20)
+]
+
+
+def test_fit_finds_line_and_residual():
+    """Swapped slope and intercept, or a residual that hides an outlier, would go unnoticed."""
+    line = capacity_fit.fit([1, 2, 3, 4], [5.0, 7.0, 9.0, 11.0])
+    assert (line.slope, line.intercept) == (pytest.approx(2.0), pytest.approx(3.0))
+    assert line.residual == pytest.approx(0.0, abs=1e-9)
+    assert line.at(380) == pytest.approx(763.0)
+    assert capacity_fit.fit([0, 1, 2], [0.0, 3.0, 0.0]).residual == pytest.approx(2.0)
+
+
+def test_fit_refuses_two_sizes():
+    """Two sizes give a perfect line whatever was measured."""
+    with pytest.raises(ValueError, match="needs 3 sizes"):
+        capacity_fit.fit([5, 5, 20], [1.0, 1.1, 2.0])
+
+
+def test_results_are_regenerated_from_measures(tmp_path):
+    """A repeated run must replace the old figures, and columns must be in order of size."""
+    path = tmp_path / "measures.jsonl"
+    for measure in [capacity_fit.Measure("nodes", 20, {"cpu_ms": 31337.0}), *MEASURES]:
+        capacity_fit.append(path, measure)
+    capacity_fit.write(capacity_fit.document(capacity_fit.read(path)), tmp_path)
+    text = (tmp_path / "capacity.md").read_text(encoding="utf-8")
+    assert "| figure | 5 | 20 | 40 | slope |" in text
+    assert "| cpu_ms | 11 | 41 | 81 | 2 | 1 |" in text
+    assert "31,337" not in text
+    assert "31337" not in (tmp_path / "capacity.json").read_text(encoding="utf-8")
+
+
+def test_filled_table_equals_its_replay():
+    """The journal size and the replay time must belong to the table that was measured."""
+    table, segments = capacity_state.fill(3, 4, 200)
+    replayed = anyio.run(capacity_state.replay, segments, capacity_state.Timing())
+    assert replayed.programs == table.programs
+    assert sum(program.turn_count for program in replayed.programs.values()) == 12
+
+
+def test_even_assignment_serves_every_shard():
+    """A trial that starts with ownerless shards would measure rebalancing as idle traffic."""
+
+    class Owned:
+        def __init__(self, name):
+            self.fleet = self.ownership = self
+            self.me = capacity_state.shards.Owner(name, "b")
+
+    assignment = capacity_nodes.even_assignment([Owned("a"), Owned("b"), Owned("c")])
+    counts = [len(assignment.owned_by(owner)) for owner in sorted(assignment.owners())]
+    assert counts == [342, 341, 341]
