--- a/src/dogwoodgap_lab/cli.py
+++ b/src/dogwoodgap_lab/cli.py
@@ -11,6 +11,7 @@
 
 from dogwoodgap_lab import (
     bench_fleet,
+    capacity_cli,
     checking,
     deployments,
     engine,
@@ -24,6 +25,7 @@
 from dogwoodgap_lab import demo as demo_module
 
 cli = typer.Typer(no_args_is_help=True, help="Stand-ins, load and checks for dogwoodgap.")
+cli.add_typer(capacity_cli.cli, name="capacity")
 
 Bind = typing.Annotated[str, typer.Option(help="Address to listen on, host:port.")]
 Binds = typing.Annotated[
