Report the figures of top and describe every part in the dump

top showed 0 finished programs, refusals and wasted cache on a running fleet of 3 nodes, and dump had no section of a part: only 7 of 19 metrics were reported by the product. Programs, refusals and queued calls are now counted where they happen. Engines report token-seconds held and wasted in their load report (0 where they do not); the node that polls an engine from its data centre counts them, so that the sum over all nodes counts each engine once. Counting in every poller was ruled out, since nodes of several data centres poll the same engine.

--- a/src/dogwoodgap/app.py
+++ b/src/dogwoodgap/app.py
@@ -317,6 +317,7 @@
         turn = typing.cast(structures.Turn, running.turn)
         yield views.server_sent("done", views.CallView(program, turn))
     except exceptions.DogwoodgapError as error:
+        views.count_refusal(error)
         yield views.server_sent("error", exceptions.problem(error))
 
 
--- a/src/dogwoodgap/backend_messages.py
+++ b/src/dogwoodgap/backend_messages.py
@@ -40,13 +40,22 @@
 
 
 class LoadReport(msgspec.Struct):
-    """Load that a runner reports; it lags by ``age_s``."""
+    """Load that a runner reports; it lags by ``age_s``.
+
+    Attributes
+    ----------
+    held_token_s, wasted_token_s : float
+        Token-seconds of cache held since the engine's start, and the part that was held for ended
+        programs or never reused; 0 from engines that do not report them.
+    """
 
     queued: int = 0
     running: int = 0
     cached_tokens: int = 0
     age_s: float = 0.0
     leaving: bool = False
+    held_token_s: float = 0.0
+    wasted_token_s: float = 0.0
 
 
 class CacheEvent(msgspec.Struct, frozen=True):
--- a/src/dogwoodgap/backends.py
+++ b/src/dogwoodgap/backends.py
@@ -9,7 +9,9 @@
 
 from dogwoodgap import (
     adapters,
+    backend_messages,
     breakers,
+    cache_usage,
     cache_view,
     connections,
     exceptions,
@@ -63,10 +65,11 @@
         self.connections = connections.Connections(client_tls)
         self.engine = adapters.HttpEngineAdapter(self.connections.client)
         self.service = adapters.HttpServiceAdapter(self.connections.client, fresh)
+        self.usage = cache_usage.CacheUsage(self.counts_usage)
         self.directory = runners.Directory(
             name,
             self.connections,
-            engine_load=self.engine.load,
+            engine_load=self.engine_load,
             service_load=self.service.load,
             send=fleet.broadcast,
             changed=self.notify,
@@ -116,6 +119,20 @@
             del self.dispatchers[gone]
         self.orders.apply(configuration)
 
+    async def engine_load(self, view: structures.RunnerView) -> backend_messages.LoadReport:
+        """Fetch an engine's load report and count the cache that it tells of."""
+        report = await self.engine.load(view)
+        self.usage.note(view, report)
+        return report
+
+    def counts_usage(self, view: structures.RunnerView) -> bool:
+        """Return whether this node counts an engine's cache: the one that polls it from nearby."""
+        centres = {item.data_centre for item in self.fleet.membership.alive()}
+        centres.add(self.data_centre)
+        home = view.data_centre if view.data_centre in centres else min(centres)
+        key = structures.runner_key(view)
+        return home == self.data_centre and self.directory.poller(key) == self.name
+
     def views(self, service: str) -> list[structures.RunnerView]:
         """Return the views of a service's runners."""
         return self.directory.views(service)
--- /dev/null
+++ b/src/dogwoodgap/cache_usage.py
@@ -0,0 +1,39 @@
+"""How much engine cache was held and wasted, from the engines' load reports."""
+
+import collections.abc
+
+from dogwoodgap import backend_messages, metrics, structures
+
+
+class CacheUsage:
+    """Turns the engines' totals into counters.
+
+    Parameters
+    ----------
+    counts : callable
+        Whether this node counts a runner, so that the sum over all nodes counts each one once.
+    """
+
+    def __init__(self, counts: collections.abc.Callable[[structures.RunnerView], bool]):
+        self.counts = counts
+        self.known: dict[str, backend_messages.LoadReport] = {}
+
+    def note(self, view: structures.RunnerView, report: backend_messages.LoadReport) -> None:
+        """Count what was added since the last report; the first one is only a base.
+
+        A node that begins to count a runner does not know what another one counted before.
+        """
+        key = structures.runner_key(view)
+        if not self.counts(view):
+            self.known.pop(key, None)
+            return
+        before = self.known.get(key)
+        self.known[key] = report
+        if before is None:
+            return
+        if report.held_token_s < before.held_token_s:
+            # The engine has restarted and counts from zero.
+            before = backend_messages.LoadReport()
+        metrics.count("cache.held", int(report.held_token_s) - int(before.held_token_s))
+        wasted = int(report.wasted_token_s) - int(before.wasted_token_s)
+        metrics.count("cache.wasted", max(0, wasted))
--- a/src/dogwoodgap/calls.py
+++ b/src/dogwoodgap/calls.py
@@ -1,5 +1,6 @@
 """Model calls of programs: order, budget, dispatch and streaming."""
 
+import collections
 import collections.abc
 import contextlib
 import logging
@@ -68,6 +69,7 @@
         self.holds = holds
         self.guard = guard or protection.Unprotected()
         self.running: dict[programs.ProgramKey, answers.RunningCall] = {}
+        self.queued: collections.Counter[str] = collections.Counter()
 
     def record(self, *batch: records.Record) -> journal.Commit:
         """Apply records and queue them for the journal."""
@@ -264,7 +266,7 @@
         item = self.work_item(work)
         self.guard.first_attempt(work.program.service)
         for attempt in range(MAX_ATTEMPTS):
-            placement = await dispatcher.acquire(item)
+            placement = await self.place(work.program.service, dispatcher, item)
             failed = True
             try:
                 await work.started.wait()
@@ -279,6 +281,16 @@
                 dispatcher.release(placement, failed=failed)
         raise exceptions.RunnerFailedError("no attempt was left; repeat the call")
 
+    async def place(
+        self, service: str, dispatcher: scheduler.Dispatcher, item: structures.WorkItem
+    ) -> structures.Placement:
+        """Wait for a runner; the call counts as queued meanwhile."""
+        self.queued[service] += 1
+        try:
+            return await dispatcher.acquire(item)
+        finally:
+            self.queued[service] -= 1
+
     def work_item(self, work: prompts.Work) -> structures.WorkItem:
         """Describe a call to the scheduler, with the weights of its profile and customer."""
         item = prompts.work_item(work.program, work.request, work.deadline_at)
--- a/src/dogwoodgap/completions.py
+++ b/src/dogwoodgap/completions.py
@@ -261,4 +261,5 @@
         turn = typing.cast(structures.Turn, running.turn)
         yield event(Delta(), turn.finish_reason) + b"data: [DONE]\n\n"
     except exceptions.DogwoodgapError as error:
+        views.count_refusal(error)
         yield b"data: " + msgspec.json.encode(ErrorEvent(exceptions.problem(error))) + b"\n\n"
--- a/src/dogwoodgap/dump.py
+++ b/src/dogwoodgap/dump.py
@@ -8,7 +8,10 @@
 section, so that the dump stays usable while a part is broken.
 """
 
+import asyncio
+import collections
 import collections.abc
+import contextlib
 import dataclasses
 import gc
 import importlib.metadata
@@ -105,19 +108,41 @@
 
 
 def memory() -> Memory:
-    """Return the memory of the process from the kernel's status file."""
+    """Return the memory of the process."""
+    sizes = memory_kb()
+    return Memory(sizes["VmRSS"], sizes["VmHWM"], len(gc.get_objects()))
+
+
+def memory_kb() -> dict[str, int]:
+    """Return resident and peak size from the kernel's status file, in kilobytes."""
     sizes = {"VmRSS": 0, "VmHWM": 0}
     with open("/proc/self/status", encoding="ascii") as status:
         for line in status:
             name, _, rest = line.partition(":")
             if name in sizes:
                 sizes[name] = int(rest.split()[0])
-    return Memory(sizes["VmRSS"], sizes["VmHWM"], len(gc.get_objects()))
+    return sizes
+
+
+def tasks() -> dict[str, int]:
+    """Return how many tasks of each name are running.
+
+    The name is that of the coroutine where the runtime only numbers its tasks.
+    """
+    coroutines: dict[int, str] = {}
+    with contextlib.suppress(RuntimeError):
+        # Without an event loop of asyncio, as in tests on trio, all tasks have names.
+        coroutines = {id(task): coroutine_name(task) for task in asyncio.all_tasks()}
+    names = []
+    for task in anyio.get_running_tasks():
+        name = str(task.name)
+        names.append(coroutines.get(task.id, name) if name.startswith("Task-") else name)
+    return dict(sorted(collections.Counter(names).items()))
 
 
-def tasks() -> list[str]:
-    """Return the names of all running tasks, sorted."""
-    return sorted(str(task.name) for task in anyio.get_running_tasks())
+def coroutine_name(task: "asyncio.Task[typing.Any]") -> str:
+    """Return the qualified name of a task's coroutine."""
+    return getattr(task.get_coro(), "__qualname__", task.get_name())
 
 
 def versions() -> dict[str, str]:
--- a/src/dogwoodgap/lifecycle.py
+++ b/src/dogwoodgap/lifecycle.py
@@ -231,6 +231,7 @@
                 at=clock.wall(),
             )
             self.commits[programs.key_of(item)] = self.session.record(record)
+            report_end(item, record.at)
             self.memory.release(item, self.calls.cancel(item, end_error(item)))
 
     def touch(self, program: programs.Program) -> None:
@@ -263,6 +264,16 @@
             self.limit(program, reason)
 
 
+def report_end(program: programs.Program, at: float) -> None:
+    """Count an ended program; only whole programs that finished have a latency.
+
+    The time of a program that a limit or its caller stopped would tell of the limit instead.
+    """
+    metrics.count("programs.finished")
+    if program.status == structures.ProgramStatus.FINISHED and not program.parent:
+        metrics.timing("program.latency", at - program.created_at)
+
+
 def end_error(program: programs.Program) -> exceptions.DogwoodgapError:
     """Return the error for the call that an ended program leaves behind."""
     try:
--- a/src/dogwoodgap/metrics.py
+++ b/src/dogwoodgap/metrics.py
@@ -37,7 +37,7 @@
 METRICS = (
     Metric("programs.active", Kind.GAUGE, "programs", "Active programs that this node owns."),
     Metric("programs.finished", Kind.COUNTER, "programs", "Programs that ended, for any reason."),
-    Metric("program.latency", Kind.TIMING, "s", "Time from creation to end of a whole program."),
+    Metric("program.latency", Kind.TIMING, "s", "Time from creation to end of a finished program."),
     Metric("calls.queued", Kind.GAUGE, "calls", "Model calls that wait for a runner."),
     Metric("requests.refused", Kind.COUNTER, "requests", "Requests refused as not run."),
     Metric("cache.held", Kind.COUNTER, "token-seconds", "Engine cache held, reported by runners."),
@@ -50,6 +50,8 @@
     Metric("requests.failed", Kind.COUNTER, "requests", "Requests that failed unexpectedly."),
     Metric("vms.unavailable", Kind.COUNTER, "reads", "Failed reads of the platform's VM list."),
     Metric("checkpoint.write", Kind.TIMING, "s", "Time to store one checkpoint."),
+    Metric("peers.traffic", Kind.GAUGE, "bytes/s", "Sent to and received from other nodes."),
+    Metric("memory.resident", Kind.GAUGE, "kB", "Resident memory of the process."),
     Metric("admin.requests", Kind.COUNTER, "requests", "Requests to the administration API."),
     Metric("admin.refused", Kind.COUNTER, "requests", "Administration requests that were refused."),
     Metric("admin.changes", Kind.COUNTER, "changes", "Configuration changes made by operators."),
--- a/src/dogwoodgap/middleware.py
+++ b/src/dogwoodgap/middleware.py
@@ -65,6 +65,7 @@
 def answer_error(scope: types.Scope, error: Exception) -> responses.Response:
     """Return the problem document of an error of a handler or of the router."""
     if isinstance(error, exceptions.DogwoodgapError):
+        views.count_refusal(error)
         return views.refuse(error)
     if isinstance(error, http_exceptions.HTTPException):
         return views.refuse(router_error(scope, error.status_code))
--- a/src/dogwoodgap/node.py
+++ b/src/dogwoodgap/node.py
@@ -13,6 +13,7 @@
     admin_fleet,
     app,
     backends,
+    collectors,
     dump,
     entries,
     events,
@@ -111,6 +112,7 @@
         self.backends = backends.Backends(
             section.name, section.data_centre, self.fleet, self.store, fresh, self.tasks, client_tls
         )
+        self.traffic = collectors.TrafficMeter(self.fleet.network.traffic)
         self.forwarder = forwarding.Forwarder(
             self.fleet.ownership, self.fleet.address_of, self.peers
         )
@@ -154,6 +156,7 @@
     def administration(self) -> routing.Mount:
         """Return the routes of the administration API and register the collectors of the dump."""
         dump.register_process(self.settings)
+        collectors.register(self)
         parts = admin.Administration(
             configuration=operators.ConfigurationPart(self.fleet.configuration),
             programs=admin_fleet.TablePrograms(
@@ -209,6 +212,9 @@
                 for program in self.workers.session.table.programs.values()
             )
             metrics.gauge("programs.active", active)
+            metrics.gauge("calls.queued", self.workers.calls.queued.total())
+            metrics.gauge("memory.resident", dump.memory_kb()["VmRSS"])
+            self.traffic.sample()
             await anyio.sleep(REPORT_INTERVAL_S)
 
     def on_acquired(self, acquired: set[int]) -> None:
--- a/src/dogwoodgap/views.py
+++ b/src/dogwoodgap/views.py
@@ -6,7 +6,7 @@
 import msgspec
 from starlette import responses
 
-from dogwoodgap import answers, exceptions, programs, structures
+from dogwoodgap import answers, exceptions, metrics, programs, structures
 
 PROBLEM_TYPE = "application/problem+json"
 
@@ -92,6 +92,12 @@
     return responses.Response(body, error.status, headers, media_type=PROBLEM_TYPE)
 
 
+def count_refusal(error: exceptions.DogwoodgapError) -> None:
+    """Count a caller's request that was refused before anything ran."""
+    if error.not_run == "true":
+        metrics.count("requests.refused")
+
+
 def error_of(result: structures.ActionResult) -> exceptions.DogwoodgapError:
     """Return the error that a recorded result without an answer stands for."""
     kind = exceptions.by_code(result.code)
@@ -101,7 +107,9 @@
 def answer_action(result: structures.ActionResult) -> responses.Response:
     """Return the response for the result of an action."""
     if result.code:
-        return refuse(error_of(result))
+        error = error_of(result)
+        count_refusal(error)
+        return refuse(error)
     return answer(result)
 
 
--- a/src/dogwoodgap_lab/engine.py
+++ b/src/dogwoodgap_lab/engine.py
@@ -267,6 +267,8 @@
             cached_tokens=report.cached_tokens,
             age_s=faults.load_lag_s,
             leaving=faults.leaving,
+            held_token_s=self.cache.held_token_s,
+            wasted_token_s=self.cache.wasted_token_s,
         )
 
     def release(self, session: str) -> None:
--- a/tests/test_cache_view.py
+++ b/tests/test_cache_view.py
@@ -1,9 +1,11 @@
 """Release of cache memory against an engine stand-in with late and lost events."""
 
+import collections
+
 import anyio
 import trio.testing
 
-from dogwoodgap import adapters, cache_view, exceptions, structures
+from dogwoodgap import adapters, cache_usage, cache_view, exceptions, metrics, structures
 from dogwoodgap_lab import engine, faults
 
 
@@ -135,3 +137,16 @@
             tasks.cancel_scope.cancel()
 
     run(main)
+
+
+def test_cache_totals_become_counters_once(monkeypatch):
+    """Guards against a restarted engine that counts down, and a total counted by two nodes."""
+    monkeypatch.setattr(metrics, "totals", collections.Counter())
+    view = structures.RunnerView("s", "r1", "http://r1", "a", 0, 0)
+    counting = [True]
+    usage = cache_usage.CacheUsage(lambda view: counting[0])
+    for held, counts in ((500.0, True), (600.0, True), (90.0, True), (400.0, False), (700.0, True)):
+        counting[0] = counts
+        usage.note(view, adapters.LoadReport(held_token_s=held, wasted_token_s=held / 2))
+    assert metrics.totals["cache.held"] == 100 + 90
+    assert metrics.totals["cache.wasted"] == 50 + 45
