--- a/src/dogwoodgap/calls.py
+++ b/src/dogwoodgap/calls.py
@@ -1,5 +1,6 @@
 """Model calls of programs: order, budget, dispatch and streaming."""
 
+import collections
 import collections.abc
 import contextlib
 import logging
@@ -66,6 +67,7 @@
         self.memory = memory
         self.guard = guard or protection.Unprotected()
         self.running: dict[programs.ProgramKey, answers.RunningCall] = {}
+        self.queued: collections.Counter[str] = collections.Counter()
 
     def record(self, *batch: records.Record) -> journal.Commit:
         """Apply records and queue them for the journal."""
@@ -262,7 +264,7 @@
         item = self.work_item(work)
         self.guard.first_attempt(work.program.service)
         for attempt in range(MAX_ATTEMPTS):
-            placement = await dispatcher.acquire(item)
+            placement = await self.place(work.program.service, dispatcher, item)
             failed = True
             try:
                 await work.started.wait()
@@ -295,6 +297,16 @@
         if self.memory is not None:
             self.memory.carry_out(work.program.service, orders)
 
+    async def place(
+        self, service: str, dispatcher: scheduler.Dispatcher, item: structures.WorkItem
+    ) -> structures.Placement:
+        """Wait for a runner; the call counts as queued meanwhile."""
+        self.queued[service] += 1
+        try:
+            return await dispatcher.acquire(item)
+        finally:
+            self.queued[service] -= 1
+
     def work_item(self, work: prompts.Work) -> structures.WorkItem:
         """Describe a call to the scheduler, with the weights of its profile and customer."""
         item = prompts.work_item(work.program, work.request, work.deadline_at)
