--- a/src/dogwoodgap_lab/cli.py
+++ b/src/dogwoodgap_lab/cli.py
@@ -1,5 +1,6 @@
 """Command line of ``dogwoodgap-lab``."""
 
+import os
 import pathlib
 import typing
 
@@ -42,6 +43,7 @@
     serve(plain_service.build(plain_service.PlainService()), bind)
 
 
+DEFAULT_WORKERS = min(4, os.cpu_count() or 1)
 Out = typing.Annotated[pathlib.Path, typer.Option(help="Folder of the reports.")]
 
 
@@ -53,7 +55,7 @@
     ] = None,
     quick: typing.Annotated[bool, typer.Option(help="Ten minutes of arrivals at 1.0.")] = False,
     out: Out = pathlib.Path("docs/results"),
-    workers: typing.Annotated[int, typer.Option(min=1, help="Processes.")] = 1,
+    workers: typing.Annotated[int, typer.Option(min=1, help="Processes.")] = DEFAULT_WORKERS,
     seed: int = 1,
 ) -> None:
     """Compare scheduling strategies on virtual time and write a report."""
