--- a/src/dogwoodgap/sessions.py
+++ b/src/dogwoodgap/sessions.py
@@ -92,9 +92,13 @@
         fill_in(session)
 
     def granted(self, item: structures.WorkItem) -> None:
-        """Learn that a call leaves the node's queue for a runner."""
-        session = self.sessions.get(session_of(item))
-        if session is None or not session.queued:
+        """Learn that a call leaves the node's queue for a runner.
+
+        The program is live from here on, so that a comparison with an engine's report does not
+        release the prefix of a first call whose end has not reached the node.
+        """
+        session = self.sessions.setdefault(session_of(item), Session(item))
+        if not session.queued:
             return
         self.retention.observe(item.profile, QUEUE_TOOL, clock.now() - session.paused_at)
         session.queued = False
--- a/src/dogwoodgap_lab/experiment.py
+++ b/src/dogwoodgap_lab/experiment.py
@@ -15,6 +15,7 @@
 WARMUP_S = 300.0
 QUICK_WARMUP_S = 100.0
 FULL_NAME = "dogwoodgap"
+OTHER_SEEDS = 3
 
 
 class Part(enum.StrEnum):
@@ -24,6 +25,7 @@
     ABLATION = "ablation"
     TRADE = "trade"
     OVERLOAD = "overload"
+    SEEDS = "seeds"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,6 +76,12 @@
     ):
         if load in loads:
             found += [job(part, load, name, strategy) for name, strategy in table.items()]
+    if 1.0 in loads:
+        found += [
+            dataclasses.replace(job(Part.SEEDS, 1.0, name, compared[name]), seed=other)
+            for other in range(seed + 1, seed + 1 + OTHER_SEEDS)
+            for name in ("prefix-affinity", "call-priority", FULL_NAME)
+        ]
     return found
 
 
--- a/src/dogwoodgap_lab/experiment_report.py
+++ b/src/dogwoodgap_lab/experiment_report.py
@@ -101,6 +101,21 @@
     return lines
 
 
+def seed_table(runs: list[experiment.Run]) -> list[str]:
+    """Compare the full strategy with the best baseline for each figure and seed."""
+    lines = ["| seed | figure | best baseline | dogwoodgap | factor |", "|" + " --- |" * 5]
+    for seed in sorted({run.job.seed for run in runs}):
+        same = [run for run in runs if run.job.seed == seed]
+        baselines = [run for run in same if run.job.name in BASELINE_NAMES]
+        full = next(run for run in same if run.job.name == experiment.FULL_NAME)
+        for aim in AIMS:
+            theirs = best(baselines, aim.field)
+            ours = getattr(full.result, aim.field)
+            factor = theirs / max(ours, 1e-9)
+            lines.append(f"| {seed} | {aim.name} | {theirs:.3f} | {ours:.3f} | {factor:.2f} |")
+    return lines
+
+
 def late_table(runs: list[experiment.Run]) -> list[str]:
     """Show how many calls ended after their deadline, which is work for nobody."""
     lines = [
@@ -149,6 +164,9 @@
     if ablation:
         lines += ["## Each decision replaced or left out, at 1.0", ""]
         lines += [*table([split(runs, 1.0)[1], *ablation]), ""]
+    seeds = select(runs, experiment.Part.SEEDS)
+    if seeds:
+        lines += ["## Other seeds, at 1.0", "", *seed_table(seeds), ""]
     trade = select(runs, experiment.Part.TRADE)
     if trade:
         lines += ["## Profile weights, at 1.0", "", *table(trade), ""]
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -151,6 +151,22 @@
     run(main)
 
 
+def test_reports_during_a_first_call_release_nothing():
+    """Guards against a lost prefix when the engine ends a call before the node hears of it."""
+
+    async def main():
+        runners = [view()]
+        dispatcher = scheduler.Dispatcher("m", lambda: runners)
+        placed = await dispatcher.acquire(item())
+        assert dispatcher.reconcile("r0", ["c/p"]) == []
+        dispatcher.release(placed, failed=True)
+        await anyio.sleep(1_000.0)
+        dispatcher.sweep()
+        assert [order.session for order in dispatcher.reconcile("r0", ["c/p"])] == ["c/p"]
+
+    run(main)
+
+
 def test_an_exported_prefix_is_imported_by_the_next_call_and_a_failed_export_is_not():
     """Guards against an import of tokens that no export delivered."""
 
