--- a/src/dogwoodgap_lab/cli.py
+++ b/src/dogwoodgap_lab/cli.py
@@ -113,6 +113,7 @@
     serving.run(stand_ins, crash_exits=crash_exits)
 
 
+DEFAULT_WORKERS = min(4, os.cpu_count() or 1)
 Out = typing.Annotated[pathlib.Path, typer.Option(help="Folder of the reports.")]
 
 
@@ -124,7 +125,7 @@
     ] = None,
     quick: typing.Annotated[bool, typer.Option(help="Ten minutes of arrivals at 1.0.")] = False,
     out: Out = pathlib.Path("docs/results"),
-    workers: typing.Annotated[int, typer.Option(min=1, help="Processes.")] = 1,
+    workers: typing.Annotated[int, typer.Option(min=1, help="Processes.")] = DEFAULT_WORKERS,
     seed: int = 1,
 ) -> None:
     """Compare scheduling strategies on virtual time and write a report."""
