--- a/src/dogwoodgap_lab/experiment_report.py
+++ b/src/dogwoodgap_lab/experiment_report.py
@@ -4,7 +4,7 @@
 import dataclasses
 import pathlib
 
-from dogwoodgap_lab import decision_cost, experiment, fleet, strategies, workload
+from dogwoodgap_lab import decision_cost, experiment, fleet, simulation, strategies, workload
 
 BASELINE_NAMES = ("round-robin", "least-loaded", "prefix-affinity", "call-priority")
 COLUMNS = (
@@ -119,17 +119,19 @@
 def late_table(runs: list[experiment.Run]) -> list[str]:
     """Show how many calls ended after their deadline, which is work for nobody."""
     lines = [
-        f"Each call has a deadline of {strategies.TIGHT_DEADLINE_S:.0f} s.",
+        f"Each call has a deadline of {strategies.TIGHT_DEADLINE_S:.0f} s. A program fails when "
+        f"its caller gives up after {simulation.MAX_REFUSALS} refusals of one call.",
         "",
-        "| strategy | calls | late calls | late share | refused calls | mean s | p95 s |",
-        "|" + " --- |" * 7,
+        "| strategy | calls | late calls | late share | refused calls | failed programs "
+        "| mean s | p95 s |",
+        "|" + " --- |" * 8,
     ]
     for run in runs:
         result = run.result
         lines.append(
             f"| {run.job.name} | {result.calls} | {result.late} "
             f"| {result.late / max(result.calls, 1):.3f} | {result.refused} "
-            f"| {result.mean_s:.1f} | {result.p95_s:.1f} |"
+            f"| {result.failed} | {result.mean_s:.1f} | {result.p95_s:.1f} |"
         )
     return lines
 
