Export and import KV cache through the data folder

A node with a data folder keeps exported prefixes there, bounded in bytes, and gives them to the runner of the next call. A lost or damaged export costs computing the prefix again.

--- a/src/dogwoodgap/backends.py
+++ b/src/dogwoodgap/backends.py
@@ -44,6 +44,8 @@
     ----------
     fresh : httpx.AsyncClient
         Keeps no connections open; for non-idempotent actions.
+    kv_transfer : bool
+        Whether this node can export and import KV cache; it needs a data folder for that.
     """
 
     def __init__(
@@ -55,12 +57,15 @@
         fresh: httpx.AsyncClient,
         tasks: anyio.abc.TaskGroup,
         client_tls: ssl.SSLContext | None = None,
+        *,
+        kv_transfer: bool = False,
     ):
         self.name = name
         self.data_centre = data_centre
         self.fleet = fleet
         self.store = store
         self.tasks = tasks
+        self.kv_transfer = kv_transfer
         self.dispatchers: dict[str, scheduler.Dispatcher] = {}
         self.plugins: dict[str, tuple[str, ...]] = {}
         self.connections = connections.Connections(client_tls)
@@ -123,7 +128,7 @@
         """Make the dispatcher of a service, or replace its plug-ins by the configured ones."""
         usable = functools.partial(self.usable_views, name)
         fresh = scheduler.from_service(
-            name, service, usable, data_centre=self.data_centre, kv_transfer=False
+            name, service, usable, data_centre=self.data_centre, kv_transfer=self.kv_transfer
         )
         known = self.dispatchers.setdefault(name, fresh)
         chosen = (service.ordering, service.placement, service.retention, service.admission)
--- a/src/dogwoodgap/calls.py
+++ b/src/dogwoodgap/calls.py
@@ -268,6 +268,8 @@
             failed = True
             try:
                 await work.started.wait()
+                if self.memory is not None:
+                    await self.memory.bring_prefix(placement)
                 sent_at = clock.now()
                 turn = await self.stream(work, placement)
                 self.settle_prefix(work, dispatcher, placement, turn, clock.now() - sent_at)
--- a/src/dogwoodgap/node.py
+++ b/src/dogwoodgap/node.py
@@ -19,6 +19,7 @@
     dump,
     entries,
     events,
+    exports,
     fleet,
     forwarding,
     intents,
@@ -116,14 +117,28 @@
             client_tls,
         )
         self.backends = backends.Backends(
-            section.name, section.data_centre, self.fleet, self.store, fresh, self.tasks, client_tls
+            section.name,
+            section.data_centre,
+            self.fleet,
+            self.store,
+            fresh,
+            self.tasks,
+            client_tls,
+            kv_transfer=bool(section.data_folder),
         )
         self.traffic = collectors.TrafficMeter(self.fleet.network.traffic)
         self.forwarder = forwarding.Forwarder(
             self.fleet.ownership, self.fleet.address_of, self.peers
         )
+        self.exported = None
+        if section.data_folder:
+            self.exported = exports.ExportStore(section.data_folder, section.export_bytes)
         self.memory = releases.Releases(
-            self.backends.engine, self.backends.views, self.tasks, self.backends.dispatchers
+            self.backends.engine,
+            self.backends.views,
+            self.tasks,
+            self.backends.dispatchers,
+            self.exported,
         )
         self.workers = self.new_workers()
         self.services = self.new_services()
@@ -195,6 +210,8 @@
 
     async def start(self) -> None:
         """Join the fleet; callers are served when the configuration is known."""
+        if self.exported is not None:
+            await self.exported.open()
         await self.fleet.start()
         self.backends.start()
         self.tasks.start_soon(self.sweep_always)
--- a/src/dogwoodgap/releases.py
+++ b/src/dogwoodgap/releases.py
@@ -7,7 +7,16 @@
 import anyio
 import anyio.abc
 
-from dogwoodgap import adapters, events, exceptions, metrics, programs, scheduler, structures
+from dogwoodgap import (
+    adapters,
+    events,
+    exceptions,
+    exports,
+    metrics,
+    programs,
+    scheduler,
+    structures,
+)
 
 RETRY_DELAY_S = 0.2
 MAX_RETRY_DELAY_S = 10.0
@@ -34,6 +43,8 @@
         Runs one task for each unconfirmed order.
     dispatchers : mapping, optional
         Know where prefixes are and decide about them during tool pauses.
+    exported : exports.ExportStore, optional
+        Keeps exported prefixes; without it nothing is exported.
     """
 
     def __init__(
@@ -42,11 +53,13 @@
         runners: collections.abc.Callable[[str], list[structures.RunnerView]],
         tasks: anyio.abc.TaskGroup,
         dispatchers: collections.abc.Mapping[str, scheduler.Dispatcher] | None = None,
+        exported: exports.ExportStore | None = None,
     ):
         self.engine = engine
         self.runners = runners
         self.tasks = tasks
-        self.dispatchers = dispatchers or {}
+        self.dispatchers = dispatchers if dispatchers is not None else {}
+        self.exported = exported
         self.pending: set[Held] = set()
         self.holders: dict[programs.ProgramKey, set[str]] = {}
 
@@ -78,6 +91,8 @@
         if after is not None:
             await after.wait()
         self.forget(held)
+        if self.exported is not None:
+            await self.exported.delete(held.session)
         delay = RETRY_DELAY_S
         while (runner := self.find(held)) is not None:
             try:
@@ -110,6 +125,8 @@
         for order in orders:
             if order.action == structures.CacheAction.RELEASE:
                 self.tasks.start_soon(self.release_once, service, order)
+            elif order.action == structures.CacheAction.EXPORT and self.exported is not None:
+                self.tasks.start_soon(self.export_once, service, order)
 
     async def release_once(self, service: str, order: structures.CacheOrder) -> None:
         """Release a prefix once; a program that goes on may need it, so this is not repeated."""
@@ -123,6 +140,43 @@
             if service in self.dispatchers:
                 self.dispatchers[service].order_failed(order)
 
+    async def export_once(self, service: str, order: structures.CacheOrder) -> None:
+        """Move a prefix from an engine to the data folder."""
+        runner = self.find(Held(service, order.runner, order.session))
+        if runner is None:
+            return
+        try:
+            stored = await self.exported.save(await self.engine.export(runner, order.session))
+            if stored:
+                await self.engine.release(runner, order.session)
+                metrics.count("prefixes.exported")
+                return
+        except (exceptions.RunnerFailedError, OSError):
+            metrics.count("prefixes.export_failed")
+        if service in self.dispatchers:
+            self.dispatchers[service].order_failed(order)
+
+    async def bring_prefix(self, placement: structures.Placement) -> None:
+        """Give the chosen runner the prefix from the data folder or from another runner.
+
+        A failure only costs computing the prefix again.
+        """
+        item = placement.item
+        if item is None or self.exported is None or not placement.import_tokens:
+            return
+        session = f"{item.customer}/{item.program}"
+        try:
+            source = self.find(Held(item.service, placement.export_from, session))
+            if placement.export_from and source is not None:
+                found = await self.engine.export(source, session)
+            else:
+                found = await self.exported.load(session)
+            if found is not None:
+                await self.engine.import_block(placement.runner, found)
+                metrics.count("prefixes.imported")
+        except exceptions.RunnerFailedError:
+            metrics.count("prefixes.import_failed")
+
     async def sweep(self) -> None:
         """Decide again about paused programs, every second."""
         while True:
--- a/src/dogwoodgap/settings.py
+++ b/src/dogwoodgap/settings.py
@@ -25,6 +25,7 @@
     peer_address: str = ""
     seeds: list[str] = pydantic.Field(default_factory=list)
     data_folder: str = ""
+    export_bytes: int = pydantic.Field(default=8 * 1024**3, ge=0)
     max_body_bytes: int = pydantic.Field(default=8 * 1024 * 1024, ge=1024)
 
 
--- a/src/dogwoodgap/settings_reference.py
+++ b/src/dogwoodgap/settings_reference.py
@@ -13,6 +13,7 @@
     "NodeSection.peer_address": "Address that other nodes use; empty: the same as `peer_bind`.",
     "NodeSection.seeds": "Peer addresses of some other nodes, for the first contact.",
     "NodeSection.data_folder": "Folder on a small disk for caches; empty: none.",
+    "NodeSection.export_bytes": "Space in the data folder for exported KV cache.",
     "NodeSection.max_body_bytes": "Largest accepted body of a caller's request, in bytes.",
     "PlatformSection.url": "URL of the platform's object API.",
     "PlatformSection.writes_per_s": "Write rate of the platform, shared by all nodes.",
--- a/src/dogwoodgap_lab/deployments.py
+++ b/src/dogwoodgap_lab/deployments.py
@@ -16,6 +16,8 @@
 MODEL_OFFSET = 300
 PLAIN_OFFSET = 400
 PLAIN_STRIDE = 20
+DATA_FOLDERS = 3
+"""As in the deployments, only a few VMs have a disk."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -161,13 +163,15 @@
 
 def node_settings(layout: Layout, index: int) -> dict[str, dict[str, object]]:
     """Return the settings document of a node."""
+    name = layout.node_name(index)
     return {
         "node": {
-            "name": layout.node_name(index),
+            "name": name,
             "data_centre": layout.data_centre(index),
             "http_bind": layout.http_address(index),
             "peer_bind": layout.peer_address(index),
             "seeds": [layout.peer_address(other) for other in range(min(3, layout.node_count))],
+            "data_folder": str(layout.folder / "data" / name) if index < DATA_FOLDERS else "",
         },
         "platform": {"url": layout.platform_url},
         "admin": {"bootstrap_key_digest": digest(ADMIN_TOKEN)},
--- /dev/null
+++ b/tests/test_exports.py
@@ -0,0 +1,78 @@
+"""Exported prefixes on disk: bound, damage, and use for the next call."""
+
+import anyio
+import callers
+import pytest
+
+from dogwoodgap import backend_messages, exports, releases, structures
+
+BLOCK_BYTES = 1_000
+
+
+def block(session: str) -> backend_messages.KvBlock:
+    return backend_messages.KvBlock(session, 10, b"x" * BLOCK_BYTES)
+
+
+@pytest.fixture
+def store(tmp_path):
+    return exports.ExportStore(str(tmp_path), 3 * BLOCK_BYTES + 200)
+
+
+def test_oldest_exports_make_room_and_damage_is_a_miss(store):
+    """Guards against a full data folder and against a damaged prefix given to an engine."""
+
+    async def main():
+        await store.open()
+        for number in range(5):
+            assert await store.save(block(f"c/p{number}"))
+        assert [await store.load(f"c/p{number}") for number in range(2)] == [None, None]
+        assert await store.load("c/p4") == block("c/p4")
+        await store.path("c/p3").write_bytes(b"\xc1")
+        assert await store.load("c/p3") is None
+        assert not await store.save(backend_messages.KvBlock("c/big", 10, b"x" * 10_000))
+        await store.open()
+        assert [path async for path in store.folder.iterdir()] == []
+
+    anyio.run(main)
+
+
+class Engine:
+    """Holds sessions per runner; imports and exports blocks."""
+
+    def __init__(self):
+        self.held = {("r1", "c/p")}
+
+    async def export(self, runner, session):
+        await anyio.lowlevel.checkpoint()
+        return block(session)
+
+    async def import_block(self, runner, found):
+        await anyio.lowlevel.checkpoint()
+        self.held.add((runner.id, found.session))
+
+    async def release(self, runner, session):
+        await anyio.lowlevel.checkpoint()
+        self.held.discard((runner.id, session))
+
+
+def test_export_frees_the_engine_and_the_next_runner_imports(store):
+    """Guards against memory held in a pause although it was exported, and a lost export."""
+
+    async def main():
+        await store.open()
+        engine = Engine()
+        views = [
+            structures.RunnerView("llm", name, "http://x", "a", 4, 100) for name in ["r1", "r2"]
+        ]
+        async with anyio.create_task_group() as tasks:
+            memory = releases.Releases(engine, lambda service: views, tasks, exported=store)
+            order = structures.CacheOrder(structures.CacheAction.EXPORT, "r1", "c/p", 10)
+            memory.carry_out("llm", [order])
+            await anyio.sleep(0.1)
+            assert engine.held == set()
+            item = structures.WorkItem("p", "c", "llm", "x", 12, 1, 0, 0.0, 1.0)
+            placement = structures.Placement(views[1], 0, import_tokens=10, item=item)
+            await memory.bring_prefix(placement)
+            assert engine.held == {("r2", "c/p")}
+
+    callers.run(main)
