Close the backends' clients after the tasks that use them

A planned stop closed the clients while the polls of the runners still ran. A poll that was due in between failed with 'the client has been closed', and the node ended with status 1. Ruled out: a cut request (13 probes, 0 cut). The clients now close when the task group has ended.

--- a/src/dogwoodgap/node.py
+++ b/src/dogwoodgap/node.py
@@ -70,15 +70,20 @@
             )
             self.peers = await stack.enter_async_context(self.client())
             fresh = await stack.enter_async_context(self.client(keep_alive=0))
+            # After the tasks, which would fail on a closed client.
+            stack.push_async_callback(self.close_backends)
             tasks = await stack.enter_async_context(anyio.create_task_group())
             self.tasks = tasks
             self.build(platform, fresh)
             await self.serve()
             await self.fleet.membership.depart()
-            await self.backends.aclose()
             tasks.cancel_scope.cancel()
         events.emit(events.Event.NODE_STOPPED, "node stopped", node=self.settings.node.name)
 
+    async def close_backends(self) -> None:
+        """Close the connections to backend servers."""
+        await self.backends.aclose()
+
     def client(self, base_url: str = "", keep_alive: int = 100) -> httpx.AsyncClient:
         """Return an HTTP client; ``keep_alive`` bounds the idle connections that it keeps."""
         limits = httpx.Limits(max_connections=None, max_keepalive_connections=keep_alive)
