Follow an action that outlasts its deadline instead of reusing its number

The trace shows one action that was executed at 38.6 s, lost its reply, and was 'still in progress' when its caller's deadline passed at 66.5 s. The client then offered the program's next step under the same number, and with it the same key. The node's answer was true for that second step; the client must not make it. Program.act now repeats the request, which attaches to the running action, until the action is settled.

The action stayed open for 28 s because the plain service stand-in answered outcomes in another form than the adapter reads, so that no lost reply could ever be settled.

--- a/src/dogwoodgap/client.py
+++ b/src/dogwoodgap/client.py
@@ -305,14 +305,27 @@
         request = self.request("POST", f"/actions/{service}/{path}", body)
         if not idempotent:
             request.headers["Idempotency-Key"] = key or f"{self.id}:{self.seq}"
-        try:
-            data = await self.client.send(request, deadline_s)
-        except (exceptions.OutcomeUnknownError, exceptions.DeadlinePassedError):
-            await self.refresh()
-            raise
+        data = await self.follow(request, deadline_s)
         self.seq += 1
         return msgspec.json.decode(data, type=structures.ActionResult)
 
+    async def follow(self, request: transport.Request, deadline_s: float) -> bytes:
+        """Return the reply to the next action, repeating it while it is still in progress.
+
+        Until the action is settled its number belongs to it, and no other step can be made.
+        """
+        seq = self.seq
+        give_up_at = clock.now() + self.client.timeout_s + deadline_s
+        while True:
+            try:
+                return await self.client.send(request, deadline_s)
+            except (exceptions.OutcomeUnknownError, exceptions.DeadlinePassedError) as error:
+                await self.refresh()
+                in_progress = self.seq == seq and error.not_run != "true"
+                if not in_progress or clock.now() >= give_up_at:
+                    raise
+            await anyio.sleep(RETRY_DELAY_S)
+
     async def child(self, *, service: str | None = None, profile: str | None = None) -> "Program":
         """Create a child program, which runs at the same time and shares the budget."""
         self.children += 1
--- a/src/dogwoodgap_lab/plain_service.py
+++ b/src/dogwoodgap_lab/plain_service.py
@@ -22,7 +22,7 @@
 
 
 class Outcome(msgspec.Struct):
-    """Answer to an action and to ``GET /outcomes/{key}``."""
+    """Answer to an action, and body in the answer to ``GET /outcomes/{key}``."""
 
     executed: str
     number: int
@@ -113,7 +113,9 @@
         if not self.answers_outcomes:
             return encoded("this service keeps no outcomes", 501)
         found = self.ledger.outcomes.get(request.path_params["key"])
-        return encoded(found, 404 if found is None else 200)
+        if found is None:
+            return encoded("this key was not executed", 404)
+        return encoded(adapters.OutcomeReport(200, msgspec.to_builtins(found)))
 
     async def get_ledger(self, request: requests.Request) -> responses.Response:
         """Handle ``GET /ledger``."""
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -65,6 +65,24 @@
     callers.run(main)
 
 
+def test_action_that_outlasts_its_deadline_is_followed_to_its_end():
+    """Guards against another step that takes the number and the key of one still in progress."""
+
+    async def main():
+        network = Network()
+        async with callers.harness() as node, connect(node, network) as dogwoodgap:
+            program = await dogwoodgap.program("llm")
+            node.service.delay_s = 3.0
+            assert (await program.act("plain", "book", deadline_s=1.0)).status == 200
+            assert program.seq == 2
+            node.service.delay_s = 300.0
+            with pytest.raises(exceptions.OutcomeUnknownError):
+                await program.act("plain", "charge", deadline_s=1.0)
+            assert len(node.service.ledger) == 2
+
+    callers.run(main)
+
+
 def test_stream_goes_on_after_a_cut():
     """Guards against repeated or missing text after a stream broke."""
 
