--- a/src/dogwoodgap/objectstore.py
+++ b/src/dogwoodgap/objectstore.py
@@ -156,7 +156,8 @@
         """Send one request and map failures to typed errors."""
         try:
             with anyio.fail_after(self.timeout_s + extra_s):
-                reply = await self.client.request(method, path, **options)
+                # The limit above counts alone: the client's own 5 s would end longer watches.
+                reply = await self.client.request(method, path, timeout=None, **options)
         except (httpx.HTTPError, TimeoutError) as error:
             raise exceptions.StoreUnavailableError(
                 f"platform did not answer {method} {path} ({type(error).__name__}); "
--- a/tests/test_objects.py
+++ b/tests/test_objects.py
@@ -1,6 +1,7 @@
 """Limits of the platform stand-in."""
 
 import anyio
+import httpx
 import pytest
 import trio.testing
 
@@ -64,3 +65,21 @@
         assert (await table.vms())[0].leaving
 
     run(main)
+
+
+def test_a_watch_may_be_silent_for_as_long_as_it_waits():
+    """Guards against the HTTP client's own timeout of 5 s, which broke every idle watch."""
+    limits = []
+
+    def answer(request):
+        limits.append(request.extensions["timeout"]["read"])
+        return httpx.Response(200, json={"changes": [], "cursor": 7})
+
+    async def main():
+        transport = httpx.MockTransport(answer)
+        async with httpx.AsyncClient(transport=transport, base_url="http://platform") as client:
+            store = objectstore.HttpObjectStore(client)
+            assert (await store.watch("k", since=0, timeout_s=20.0)).cursor == 7
+
+    anyio.run(main)
+    assert all(limit is None or limit > 20.0 for limit in limits)
