--- a/src/dogwoodgap_lab/bench_load.py
+++ b/src/dogwoodgap_lab/bench_load.py
@@ -18,6 +18,7 @@
 from dogwoodgap_lab import bench_fleet
 
 READ_BYTES = 262_144
+SHOWN_BYTES = 600
 NODE_MARK = b"event: token"
 ENGINE_MARK = b'"delta":{"content":"w'
 PROMPT = "which crew is free on friday"
@@ -167,10 +168,12 @@
         first = 0.0
         tokens = 0
         tail = b""
+        recent = b""
         ended = False
         async for piece in connection.pieces():
             # A mark may be split over two reads.
             data = tail + piece
+            recent = (recent + piece)[-SHOWN_BYTES:]
             found = data.count(mark)
             if found and not first:
                 first = time.perf_counter() - started
@@ -180,9 +183,7 @@
             ended = ended or end in data
         await connection.close()
         if tokens != self.max_tokens or not ended:
-            raise LoadError(
-                f"{self.base} sent {tokens} of {self.max_tokens} tokens: {data[-300:]!r}"
-            )
+            raise LoadError(f"{self.base} sent {tokens} of {self.max_tokens} tokens: {recent!r}")
         finisher = Connection(self.base)
         await self.finish(finisher)
         await finisher.close()
