--- a/src/dogwoodgap/adapters.py
+++ b/src/dogwoodgap/adapters.py
@@ -56,8 +56,7 @@
     trace: str = ""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Chunk:
+class Chunk(msgspec.Struct, frozen=True, gc=False):
     """A piece of generated text; the last one carries the usage."""
 
     index: int
@@ -451,7 +450,9 @@
             f"runner {runner.id} answered request {event.id} instead of {request.request_id}"
         )
     choice = event.choices[0] if event.choices else Choice(Delta())
-    usage = event.usage or Usage()
+    usage = event.usage
+    if usage is None:
+        return Chunk(event.index, choice.delta.content, choice.finish_reason or "")
     return Chunk(
         index=event.index,
         text=choice.delta.content,
--- a/src/dogwoodgap/answers.py
+++ b/src/dogwoodgap/answers.py
@@ -10,7 +10,7 @@
 from dogwoodgap import adapters, exceptions, programs, structures
 
 
-class Token(msgspec.Struct):
+class Token(msgspec.Struct, gc=False):
     """A piece of streamed text."""
 
     index: int
