Compress the stored form of the fleet configuration

Each change carries the whole document to each node. With 640 customers, 1,280 keys, 7 models and 620 runners it has 361,773 bytes; compressed at level 1 it has 72,468 (3.1 ms to compress, 1.3 ms to expand). Level 6 gives 67,428 bytes in 6.5 ms. Bare and uncompressed documents are still read. Documents above 16 MB are refused when they are written and when they are read.

--- a/src/dogwoodgap/revisions.py
+++ b/src/dogwoodgap/revisions.py
@@ -1,6 +1,7 @@
 """Stored form of the fleet configuration: a revision with its audit fields, and differences."""
 
 import typing
+import zlib
 
 import msgspec
 import pydantic
@@ -9,6 +10,14 @@
 
 CURRENT_KEY = "config/current"
 HISTORY_PREFIX = "config/history/"
+COMPRESSION_LEVEL = 1
+"""Level 6 saves 7% more at twice the processor time."""
+
+COMPRESSED_START = b"x"
+"""First byte of zlib's format; JSON never starts with it."""
+
+MAX_DOCUMENT_BYTES = 16_000_000
+"""Limit of the expanded form, so that a damaged object cannot fill a node's memory."""
 
 
 class Revision(msgspec.Struct, frozen=True):
@@ -50,6 +59,7 @@
 
     A bare ``FleetConfiguration``, as an operator may upload before the first start, is read as
     a revision without author. It is at least generation 1, since 0 means that there is none.
+    Uncompressed bytes are accepted, for such an upload and for objects of earlier versions.
 
     Raises
     ------
@@ -57,11 +67,12 @@
         When the bytes are neither.
     """
     try:
+        data = expand(data)
         fields = msgspec.json.decode(data, type=dict[str, msgspec.Raw])
         if "document" in fields:
             return msgspec.json.decode(data, type=Revision)
         generation = msgspec.json.decode(fields.get("generation", b"0"), type=int)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, zlib.error) as error:
         raise exceptions.SettingsInvalidError(
             f"{CURRENT_KEY} is no configuration ({error}); write a valid one"
         ) from error
@@ -91,8 +102,34 @@
 
 
 def encode(revision: Revision) -> bytes:
-    """Return the bytes of a revision."""
-    return msgspec.json.encode(revision)
+    """Return the stored form of a revision: JSON, compressed.
+
+    It travels to each node for each change. A document of 640 customers, 1,280 keys and 620
+    runners has 362 KB, and 72 KB compressed.
+
+    Raises
+    ------
+    SettingsInvalidError
+        When the document is too long to be read back.
+    """
+    data = msgspec.json.encode(revision)
+    if len(data) > MAX_DOCUMENT_BYTES:
+        raise exceptions.SettingsInvalidError(
+            f"the configuration has {len(data)} bytes and the limit is {MAX_DOCUMENT_BYTES}; "
+            "remove entries"
+        )
+    return zlib.compress(data, COMPRESSION_LEVEL)
+
+
+def expand(data: bytes) -> bytes:
+    """Return the JSON of a stored revision."""
+    if not data.startswith(COMPRESSED_START):
+        return data
+    reader = zlib.decompressobj()
+    found = reader.decompress(data, MAX_DOCUMENT_BYTES)
+    if not reader.eof:
+        raise zlib.error(f"truncated, or longer than {MAX_DOCUMENT_BYTES} bytes")
+    return found
 
 
 def raw(configuration: models.FleetConfiguration, generation: int) -> msgspec.Raw:
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -1,5 +1,7 @@
 """Fleet configuration under racing operators, lost replies, outages and restarts."""
 
+import zlib
+
 import anyio
 import fake_network
 import hypothesis
@@ -368,3 +370,20 @@
         await editor_.update(with_profile("evening"), generation, "anna")
     keys = [key for key in fleet.store.objects if key.startswith(revisions.HISTORY_PREFIX)]
     assert len(keys) <= editor.HISTORY_LIMIT
+
+
+def test_stored_form_is_small_bounded_and_reads_earlier_ones():
+    """Guards against a fleet that cannot read its configuration after an upgrade or damage."""
+    document = revisions.raw(with_profile("x"), 3)
+    revision = revisions.Revision(3, "n", "a", 1.0, "", document)
+    data = revisions.encode(revision)
+    assert len(data) < len(bytes(document))
+    assert revisions.decode(data) == revision
+    assert revisions.decode(msgspec.json.encode(revision)) == revision
+    oversized = zlib.compress(b" " * (revisions.MAX_DOCUMENT_BYTES + 1))
+    for damaged in (data[:-4], data[:20], oversized):
+        with pytest.raises(exceptions.SettingsInvalidError):
+            revisions.decode(damaged)
+    long_note = "x" * revisions.MAX_DOCUMENT_BYTES
+    with pytest.raises(exceptions.SettingsInvalidError, match="remove entries"):
+        revisions.encode(revisions.Revision(3, "n", "a", 1.0, long_note, document))
