Require nodes' certificates on peer connections and ignore proxies with TLS

A fleet with certificates on real sockets showed two faults. With TLS, the node's HTTP clients obeyed ALL_PROXY of the environment and could not reach the platform; without TLS they ignored it. With tls.client_authority, a stranger without any certificate could say Hello on the peer port and was answered. Callers over HTTP/1.1 and HTTP/2, ctl, peers and the reload of changed files worked as they were.

--- a/src/dogwoodgap/node.py
+++ b/src/dogwoodgap/node.py
@@ -80,12 +80,19 @@
             tasks.cancel_scope.cancel()
         events.emit(events.Event.NODE_STOPPED, "node stopped", node=self.settings.node.name)
 
+    @property
+    def checks_peers(self) -> bool:
+        """Whether connections of other nodes need a certificate of the configured authority."""
+        return bool(self.settings.tls.client_authority)
+
     def client(self, base_url: str = "", keep_alive: int = 100) -> httpx.AsyncClient:
         """Return an HTTP client; ``keep_alive`` bounds the idle connections that it keeps."""
         limits = httpx.Limits(max_connections=None, max_keepalive_connections=keep_alive)
         context = self.certificates.client_context()
         if context is not None:
-            return httpx.AsyncClient(base_url=base_url, limits=limits, verify=context)
+            return httpx.AsyncClient(
+                base_url=base_url, limits=limits, verify=context, trust_env=False
+            )
         return outbound.client(base_url=base_url, limits=limits)
 
     def build(self, platform: httpx.AsyncClient, fresh: httpx.AsyncClient) -> None:
@@ -106,7 +113,7 @@
             self.tasks,
             hooks,
             scheme,
-            self.certificates.server_context(),
+            self.certificates.server_context(require_client=self.checks_peers),
             client_tls,
         )
         self.backends = backends.Backends(
--- /dev/null
+++ b/tests/test_live_tls.py
@@ -0,0 +1,129 @@
+"""A fleet with certificates: callers, operators and peers over TLS, and a reload."""
+
+import asyncio
+import json
+import ssl
+
+import anyio
+import h2.config
+import h2.connection
+import h2.events
+import httpx
+import live
+import test_live
+import trustme
+import typer.testing
+
+from dogwoodgap import client, ctl, frames, tls
+from dogwoodgap_wire import ttypes
+
+
+def issue(authority: trustme.CA, folder) -> None:
+    """Write a new certificate for the nodes of a fleet."""
+    issued = authority.issue_cert("127.0.0.1")
+    issued.private_key_pem.write_to_path(folder / "key.pem")
+    (folder / "cert.pem").write_bytes(b"".join(part.bytes() for part in issued.cert_chain_pems))
+
+
+def section(folder) -> dict:
+    """Return the section ``tls`` of the settings."""
+    return {
+        "certificate": str(folder / "cert.pem"),
+        "key": str(folder / "key.pem"),
+        "client_authority": str(folder / "authority.pem"),
+    }
+
+
+async def serial_of(fleet: live.Live, trust: ssl.SSLContext) -> int:
+    """Return the serial number of the certificate that a node shows."""
+    host, port = fleet.http[0].split(":")
+    reader, writer = await asyncio.open_connection(host, int(port), ssl=trust)
+    found = writer.get_extra_info("peercert")["serialNumber"]
+    writer.close()
+    return int(found, 16)
+
+
+async def ask_http2(fleet: live.Live, trust: ssl.SSLContext) -> tuple[str | None, bytes]:
+    """Return the protocol and the body of ``GET /health`` over HTTP/2."""
+    host, port = fleet.http[0].split(":")
+    reader, writer = await asyncio.open_connection(host, int(port), ssl=trust)
+    protocol = writer.get_extra_info("ssl_object").selected_alpn_protocol()
+    connection = h2.connection.H2Connection(h2.config.H2Configuration(client_side=True))
+    connection.initiate_connection()
+    pseudo = [(":method", "GET"), (":path", "/health"), (":scheme", "https")]
+    connection.send_headers(1, [*pseudo, (":authority", fleet.http[0])], end_stream=True)
+    writer.write(connection.data_to_send())
+    body = b""
+    while True:
+        for event in connection.receive_data(await reader.read(65536)):
+            if isinstance(event, h2.events.DataReceived):
+                body += event.data
+            if isinstance(event, h2.events.StreamEnded):
+                writer.close()
+                return protocol, body
+
+
+def operate(fleet: live.Live, folder, *words: str) -> typer.testing.Result:
+    """Run ``dogwoodgap-ctl`` with the authority and the administrator's key."""
+    (folder / "key").write_text(live.ADMIN_KEY)
+    options = ["--node", fleet.url(), "--authority", str(folder / "authority.pem")]
+    options += ["--key-file", str(folder / "key")]
+    return typer.testing.CliRunner().invoke(ctl.cli, [*options, *words])
+
+
+def test_fleet_over_tls(tmp_path, monkeypatch):
+    """Guards against a part in the clear, a proxy of the environment, and a reload that restarts.
+
+    Peers without a certificate of the authority must be refused.
+    """
+    authority = trustme.CA()
+    authority.cert_pem.write_to_path(tmp_path / "authority.pem")
+    issue(authority, tmp_path)
+    monkeypatch.setenv("ALL_PROXY", f"http://{live.free_address()}")
+    monkeypatch.setattr(tls, "RELOAD_INTERVAL_S", 0.05)
+    trust = ssl.create_default_context(cafile=str(tmp_path / "authority.pem"))
+    h2_trust = ssl.create_default_context(cafile=str(tmp_path / "authority.pem"))
+    h2_trust.set_alpn_protocols(["h2"])
+
+    async def main():
+        async with live.running(2, verify=trust, tls=section(tmp_path)) as fleet:
+            protocol, body = await ask_http2(fleet, h2_trust)
+            assert protocol == "h2"
+            assert json.loads(body)["node"] == "n1"
+            http = httpx.AsyncClient(verify=trust, trust_env=False)
+            async with client.Client([fleet.url()], live.CALLER_KEY, http=http) as caller:
+                for number in range(4):
+                    program = await caller.program("agent-llm", id=f"p{number}")
+                    turn = await program.call([{"role": "user", "content": "photo"}], max_tokens=2)
+                    assert turn.text
+            result = await anyio.to_thread.run_sync(operate, fleet, tmp_path, "nodes", "list")
+            assert result.exit_code == 0, result.output
+            assert result.output.count("alive") == 2
+            await check_stranger(fleet, trust)
+            before = await serial_of(fleet, trust)
+            issue(authority, tmp_path)
+            while await serial_of(fleet, trust) == before:  # noqa: ASYNC110
+                await anyio.sleep(0.05)
+            await check_peers(fleet)
+
+    async def check_stranger(fleet, context):
+        """Say hello as a node without a certificate; nothing must be answered."""
+        host, port = fleet.peer[0].split(":")
+        reader, writer = await asyncio.open_connection(host, int(port), ssl=context)
+        member = ttypes.Member(node="n3", boot="b1")
+        hello = ttypes.Hello(member=member, protocol_version=frames.PROTOCOL_VERSION)
+        try:
+            writer.write(frames.encode(0, hello))
+            assert await reader.read(1) == b""
+        except (ssl.SSLError, ConnectionError):
+            pass
+        writer.close()
+
+    async def check_peers(fleet):
+        """Open a new connection between nodes with the new certificate."""
+        reply = await fleet.nodes[0].fleet.network.request(
+            fleet.peer[1], ttypes.Heartbeat(), ttypes.Ack, timeout_s=5, fresh=True
+        )
+        assert reply.sender.node == "n2"
+
+    test_live.run(main)
