Add lab commands for configuration checks and footprints of a real fleet

configuration-check measures how long a change takes until all nodes have it: calm, with restarts and lost replies, and after an outage; it also races two operators. footprint reads resident memory and peer traffic from the state dumps. Both run under scripts/fleet.sh on files written by the new command layout.

--- a/src/dogwoodgap_lab/cli.py
+++ b/src/dogwoodgap_lab/cli.py
@@ -1,13 +1,19 @@
 """Command line of ``dogwoodgap-lab``."""
 
+import pathlib
 import typing
 
+import anyio
 import typer
 
 from dogwoodgap_lab import (
+    configuration_check,
+    deployments,
     engine,
     engine_server,
     faults,
+    fleet_client,
+    footprint,
     objects,
     plain_service,
     platform_server,
@@ -95,6 +101,33 @@
     serving.run(stand_ins, crash_exits=crash_exits)
 
 
+@cli.command()
+def layout(
+    folder: pathlib.Path, nodes: int = 9, base_port: int = 30000, engine_options: str = ""
+) -> None:
+    """Write the files of a test fleet with both deployments, for scripts/fleet.sh."""
+    chosen = [deployments.ORECHOV, deployments.LAKESHORE]
+    deployments.write(deployments.Layout(folder, chosen, nodes, base_port), engine_options)
+
+
+@cli.command("configuration-check")
+def check_configuration(folder: pathlib.Path) -> None:
+    """Check that configuration comes into force and never reverts.
+
+    Run by scripts/fleet.sh FOLDER. Prints aims and measured figures; status 1 if one is missed.
+    """
+    fleet_client.report(anyio.run(configuration_check.check, deployments.read(folder)))
+
+
+@cli.command("footprint")
+def check_footprint(folder: pathlib.Path) -> None:
+    """Measure memory and control traffic of the nodes, idle and with programs.
+
+    Run by scripts/fleet.sh FOLDER. Prints aims and measured figures; status 1 if one is missed.
+    """
+    fleet_client.report(anyio.run(footprint.check, deployments.read(folder)))
+
+
 def main() -> None:
     """Run the command line."""
     cli()
