--- a/src/dogwoodgap/client.py
+++ b/src/dogwoodgap/client.py
@@ -305,8 +305,9 @@
         request = self.request("POST", f"/actions/{service}/{path}", body)
         if not idempotent:
             request.headers["Idempotency-Key"] = key or f"{self.id}:{self.seq}"
+        seq = self.seq
         data = await self.follow(request, deadline_s)
-        self.seq += 1
+        self.seq = seq + 1
         return msgspec.json.decode(data, type=structures.ActionResult)
 
     async def follow(self, request: transport.Request, deadline_s: float) -> bytes:
@@ -315,15 +316,17 @@
         Until the action is settled its number belongs to it, and no other step can be made.
         """
         seq = self.seq
+        settled = False
         give_up_at = clock.now() + self.client.timeout_s + deadline_s
         while True:
             try:
                 return await self.client.send(request, deadline_s)
             except (exceptions.OutcomeUnknownError, exceptions.DeadlinePassedError) as error:
                 await self.refresh()
-                in_progress = self.seq == seq and error.not_run != "true"
-                if not in_progress or clock.now() >= give_up_at:
+                if error.not_run == "true" or settled or clock.now() >= give_up_at:
                     raise
+                # It may have been settled just now; asking once more tells how.
+                settled = self.seq != seq
             await anyio.sleep(RETRY_DELAY_S)
 
     async def child(self, *, service: str | None = None, profile: str | None = None) -> "Program":
