--- a/src/dogwoodgap/loading.py
+++ b/src/dogwoodgap/loading.py
@@ -61,12 +61,16 @@
     for name, found in journals.items():
         exported[name] = transfer.export_shards(found.table, found.wanted)
     loaded = LoadedShards()
+    failures: dict[str, exceptions.StoreError] = {}
     for shard, entry in pending.items():
         try:
             parts = await state_of(store, shard, entry, journals, exported)
             loaded.parts[shard] = settled(shard, parts, now)
         except exceptions.StoreError as error:
-            skipped(f"shard {shard}", error)
+            failures.setdefault(error.detail, error)
+    # One event for each cause: in an outage, hundreds of shards wait for the same journal.
+    for error in failures.values():
+        skipped(f"state of {len(pending) - len(loaded.parts)} shards", error)
     for found in journals.values():
         loaded.suspects.extend(found.table.suspects.values())
     return loaded
