--- a/src/dogwoodgap_lab/chaos.py
+++ b/src/dogwoodgap_lab/chaos.py
@@ -13,8 +13,8 @@
 from dogwoodgap import clock
 from dogwoodgap_lab import load, oracle, probes, stage
 
-MIN_GAP_S = 0.5
-MAX_GAP_S = 2.5
+MIN_GAP_S = 0.2
+MAX_GAP_S = 1.4
 MAX_ABSENT_NODES = 2
 """Nodes that are down, paused or stopping at once."""
 
--- a/src/dogwoodgap_lab/load.py
+++ b/src/dogwoodgap_lab/load.py
@@ -10,9 +10,10 @@
 from dogwoodgap import client, exceptions
 from dogwoodgap_lab import agents, deployments, stage
 
-MIN_BUDGET_TOKENS = 60
-MAX_BUDGET_TOKENS = 600
-"""Scripts use from about 20 to 700 tokens, so a tight budget ends some of them early."""
+MIN_BUDGET_TOKENS = 200
+MAX_BUDGET_TOKENS = 2_500
+"""One call reserves up to about 1,000 tokens (987 and 1,026 were seen), so a tight budget covers
+some calls of a program and refuses later ones."""
 
 
 @dataclasses.dataclass(slots=True)
