--- a/src/dogwoodgap_lab/load.py
+++ b/src/dogwoodgap_lab/load.py
@@ -10,6 +10,11 @@
 from dogwoodgap import client, exceptions
 from dogwoodgap_lab import agents, deployments, stage
 
+MIN_BUDGET_TOKENS = 200
+MAX_BUDGET_TOKENS = 2_500
+"""One call reserves up to about 1,000 tokens (987 and 1,026 were seen), so a tight budget covers
+some calls of a program and refuses later ones."""
+
 
 @dataclasses.dataclass(slots=True)
 class Load:
@@ -17,6 +22,8 @@
 
     Attributes
     ----------
+    tight_budgets : float
+        Share of the programs whose budget may not cover all of their calls.
     ended : int
         Programs whose script has ended, with or without an error.
     """
@@ -24,6 +31,7 @@
     field: stage.Stage
     seed: int
     pause_s: float
+    tight_budgets: float = 0.0
     traces: list[agents.Trace] = dataclasses.field(default_factory=list)
     started: int = 0
     ended: int = 0
@@ -39,6 +47,9 @@
                 items = self.field.layout.deployments
                 item = items[number % len(items)]
                 script = agents.script_of(item, number, chance, self.pause_s)
+                if chance.random() < self.tight_budgets:
+                    budget_tokens = chance.randint(MIN_BUDGET_TOKENS, MAX_BUDGET_TOKENS)
+                    script = dataclasses.replace(script, budget_tokens=budget_tokens)
                 delay_s = chance.random() * spread_s
                 tasks.start_soon(self.run_one, http, item, script, number, delay_s)
 
