Describe a call to the scheduler from its program's last turn only

work_item unpacked the whole history to learn the last runner and the number of turns. CPU per call in one process (20 x 20 runs, median): 5 turns of 20 words 57 -> 16 us; 50 turns of 2,000 words 5,942 -> 92 us.

--- a/src/dogwoodgap/prompts.py
+++ b/src/dogwoodgap/prompts.py
@@ -74,7 +74,7 @@
     program: programs.Program, request: models.CallRequest, deadline_at: float
 ) -> structures.WorkItem:
     """Describe a call to the scheduler."""
-    turns = program.turns()
+    last = program.last_turn()
     return structures.WorkItem(
         program=program.id,
         customer=program.customer,
@@ -85,7 +85,7 @@
         attained_tokens=program.spent_tokens,
         enqueued_at=clock.now(),
         deadline_at=deadline_at,
-        prefix_runner=turns[-1].runner if turns else "",
+        prefix_runner=last.runner if last is not None else "",
         prefix_tokens=program.context_tokens(),
-        turns=len(turns),
+        turns=program.turn_count,
     )
