--- a/src/dogwoodgap/http_pool.py
+++ b/src/dogwoodgap/http_pool.py
@@ -221,7 +221,8 @@
         link.state.start_next_cycle()
         link.idle_until = now + KEEP_ALIVE_S
         self.idle.append(link)
-        while len(self.idle) > self.keep or self.idle[0].idle_until < now:
+        # Other tasks may take connections while this one closes some.
+        while self.idle and (len(self.idle) > self.keep or self.idle[0].idle_until < now):
             await self.idle.popleft().close()
 
     async def aclose(self) -> None:
--- a/tests/test_http_pool.py
+++ b/tests/test_http_pool.py
@@ -1,6 +1,7 @@
 """Failures of the connections to one server."""
 
 import anyio
+import h11
 import httpx
 import pytest
 
@@ -82,3 +83,30 @@
     assert caught.group_contains(httpx.RemoteProtocolError) or caught.group_contains(
         httpx.ReadError
     )
+
+
+def test_connections_taken_while_old_ones_close_do_not_break_the_pool():
+    """Guards against the IndexError that ended a node when calls shared idle connections."""
+
+    class Stream:
+        """Closes slowly enough for another task to take the remaining connections."""
+
+        async def aclose(self):
+            pool.idle.clear()
+
+    pool = http_pool.Pool()
+
+    async def main():
+        pool.idle.append(http_pool.Link(Stream(), idle_until=-1.0))
+        link = http_pool.Link(Stream())
+        done = h11.Connection(h11.CLIENT)
+        done.send(h11.Request(method="GET", target="/", headers=[("Host", "a")]))
+        done.send(h11.EndOfMessage())
+        done.receive_data(b"HTTP/1.1 204 No Content\r\n\r\n")
+        assert isinstance(done.next_event(), h11.Response)
+        assert isinstance(done.next_event(), h11.EndOfMessage)
+        link.state = done
+        await pool.give_back(link)
+
+    anyio.run(main)
+    assert not pool.idle
