Confirm the assignment by its version instead of reading it

While customers have limits, each node read the whole assignment once a second. Encoded for 1,024 shards of random owners it has 7,185 bytes with 9 nodes and 14,603 with 380, against 4 KB/s for all control. The confirmation now lists the key (66 bytes) and reads the document only when the version is new. It stays one call of the platform a second; a listing is taken to be as current as a read, as in the interface.

--- a/src/dogwoodgap/fleet.py
+++ b/src/dogwoodgap/fleet.py
@@ -187,7 +187,7 @@
             if any(limited(item) for item in self.configuration.current.customers.values()):
                 started = clock.now()
                 with contextlib.suppress(exceptions.StoreError):
-                    await self.ownership.assignment.load()
+                    await self.ownership.assignment.confirm()
                     self.confirmed_at = started
             await anyio.sleep(CONFIRM_INTERVAL_S)
 
--- a/src/dogwoodgap/shards.py
+++ b/src/dogwoodgap/shards.py
@@ -238,6 +238,16 @@
         self.loaded = True
         return self.current
 
+    async def confirm(self) -> None:
+        """Make sure that the cached copy is the newest, and read it only when it is not.
+
+        With 380 owners the document has 15 KB, three times what a node may spend on control in
+        the second between two confirmations; the listing has 70 bytes.
+        """
+        page = await self.store.list_page(ASSIGNMENT_KEY, limit=1)
+        if any(item.version > self.object_version for item in page.objects):
+            await self.load()
+
     def accept(self, assignment: Assignment, object_version: int) -> None:
         """Replace the cached copy, unless a newer one arrived meanwhile."""
         if object_version <= self.object_version:
