Let a watch of the platform wait as long as it asks

httpx ends a read after 5 s by default, so each watch failed after 5 s, was logged as an outage, and left half a second unwatched.

--- a/tests/test_objects.py
+++ b/tests/test_objects.py
@@ -1,6 +1,7 @@
 """Limits of the platform stand-in."""
 
 import anyio
+import httpx
 import pytest
 import trio.testing
 
@@ -64,3 +65,21 @@
         assert (await table.vms())[0].leaving
 
     run(main)
+
+
+def test_watch_may_wait_as_long_as_it_asks():
+    """Guards against a client's read timeout that ends each watch early and makes it a poll."""
+    seen = []
+
+    async def answer(request):
+        seen.append(request.extensions["timeout"]["read"])
+        return httpx.Response(200, content=b'{"changes": [], "cursor": 1}')
+
+    async def main():
+        transport = httpx.MockTransport(answer)
+        async with httpx.AsyncClient(transport=transport, base_url="http://platform") as client:
+            store = objectstore.HttpObjectStore(client, timeout_s=1.0)
+            await store.watch("shards/assignment", since=0, timeout_s=20.0)
+
+    anyio.run(main)
+    assert seen == [21.0]
