--- a/src/dogwoodgap/admin_http.py
+++ b/src/dogwoodgap/admin_http.py
@@ -12,6 +12,7 @@
 from dogwoodgap import (
     admin_changes,
     admin_parts,
+    bodies,
     events,
     exceptions,
     keys,
@@ -183,15 +184,8 @@
 
 
 async def read(request: requests.Request) -> bytes:
-    """Read a body of limited size."""
-    data = bytearray()
-    async for part in request.stream():
-        data += part
-        if len(data) > MAX_BODY_BYTES:
-            raise exceptions.BodyTooLargeError(
-                f"the body exceeds {MAX_BODY_BYTES} bytes, the platform's limit; send less"
-            )
-    return bytes(data)
+    """Read a body of limited size; objects of the platform hold no more."""
+    return await bodies.read(request, MAX_BODY_BYTES)
 
 
 async def read_json(request: requests.Request) -> typing.Any:
