--- a/tests/test_live_tls.py
+++ b/tests/test_live_tls.py
@@ -1,6 +1,7 @@
 """A fleet with certificates: callers, operators and peers over TLS, and a reload."""
 
 import asyncio
+import datetime
 import json
 import ssl
 
@@ -14,13 +15,15 @@
 import trustme
 import typer.testing
 
-from dogwoodgap import client, ctl, frames, tls
+from dogwoodgap import client, ctl, ctl_session, frames, tls
 from dogwoodgap_wire import ttypes
 
+EXPIRED = datetime.datetime(2020, 1, 1, tzinfo=datetime.UTC)
 
-def issue(authority: trustme.CA, folder) -> None:
+
+def issue(authority: trustme.CA, folder, **options) -> None:
     """Write a new certificate for the nodes of a fleet."""
-    issued = authority.issue_cert("127.0.0.1")
+    issued = authority.issue_cert("127.0.0.1", **options)
     issued.private_key_pem.write_to_path(folder / "key.pem")
     (folder / "cert.pem").write_bytes(b"".join(part.bytes() for part in issued.cert_chain_pems))
 
@@ -71,6 +74,38 @@
     return typer.testing.CliRunner().invoke(ctl.cli, [*options, *words])
 
 
+async def check_expired(fleet, authority, folder):
+    """Show an expired certificate; the command line must name the cause."""
+    issue(authority, folder, not_before=EXPIRED, not_after=EXPIRED)
+    state = fleet.nodes[0].certificates
+    await live.until(lambda: state.loaded == state.state())
+    result = await anyio.to_thread.run_sync(operate, fleet, folder, "nodes", "list")
+    assert result.exit_code == ctl_session.EXIT_NO_NODE
+    assert "certificate has expired" in result.output
+
+
+async def check_stranger(fleet, context):
+    """Say hello as a node without a certificate; nothing must be answered."""
+    host, port = fleet.peer[0].split(":")
+    reader, writer = await asyncio.open_connection(host, int(port), ssl=context)
+    member = ttypes.Member(node="n3", boot="b1")
+    hello = ttypes.Hello(member=member, protocol_version=frames.PROTOCOL_VERSION)
+    try:
+        writer.write(frames.encode(0, hello))
+        assert await reader.read(1) == b""
+    except (ssl.SSLError, ConnectionError):
+        pass
+    writer.close()
+
+
+async def check_peers(fleet):
+    """Open a new connection between nodes with the new certificate."""
+    reply = await fleet.nodes[0].fleet.network.request(
+        fleet.peer[1], ttypes.Heartbeat(), ttypes.Ack, timeout_s=5, fresh=True
+    )
+    assert reply.sender.node == "n2"
+
+
 def test_fleet_over_tls(tmp_path, monkeypatch):
     """Guards against a part in the clear, a proxy of the environment, and a reload that restarts.
 
@@ -105,25 +140,6 @@
             while await serial_of(fleet, trust) == before:  # noqa: ASYNC110
                 await anyio.sleep(0.05)
             await check_peers(fleet)
-
-    async def check_stranger(fleet, context):
-        """Say hello as a node without a certificate; nothing must be answered."""
-        host, port = fleet.peer[0].split(":")
-        reader, writer = await asyncio.open_connection(host, int(port), ssl=context)
-        member = ttypes.Member(node="n3", boot="b1")
-        hello = ttypes.Hello(member=member, protocol_version=frames.PROTOCOL_VERSION)
-        try:
-            writer.write(frames.encode(0, hello))
-            assert await reader.read(1) == b""
-        except (ssl.SSLError, ConnectionError):
-            pass
-        writer.close()
-
-    async def check_peers(fleet):
-        """Open a new connection between nodes with the new certificate."""
-        reply = await fleet.nodes[0].fleet.network.request(
-            fleet.peer[1], ttypes.Heartbeat(), ttypes.Ack, timeout_s=5, fresh=True
-        )
-        assert reply.sender.node == "n2"
+            await check_expired(fleet, authority, tmp_path)
 
     test_live.run(main)
