--- a/src/dogwoodgap/completions.py
+++ b/src/dogwoodgap/completions.py
@@ -25,6 +25,7 @@
 
 PROGRAM_HEADER = "Dogwoodgap-Program"
 DEFAULT_MAX_TOKENS = 256
+CHUNK_OBJECT = "chat.completion.chunk"
 FOLLOW_GRACE_S = 0.2
 
 
@@ -77,14 +78,15 @@
     index: int = 0
 
 
-class CompletionChunk(msgspec.Struct):
-    """One event of a streamed completion."""
+class CompletionChunk(msgspec.Struct, omit_defaults=True):
+    """One event of a streamed completion; only the last one may have the usage."""
 
     id: str
     model: str
     created: int
+    object: str
     choices: list[DeltaChoice]
-    object: str = "chat.completion.chunk"
+    usage: Usage | None = None
 
 
 class ErrorEvent(msgspec.Struct):
@@ -190,8 +192,11 @@
         headers = {PROGRAM_HEADER: program.id}
         until = deadline_at + FOLLOW_GRACE_S
         if body.stream:
+            with_usage = body.stream_options is not None and body.stream_options.include_usage
             return responses.StreamingResponse(
-                chunks(program, running, until), headers=headers, media_type="text/event-stream"
+                chunks(program, running, until, with_usage),
+                headers=headers,
+                media_type="text/event-stream",
             )
         turn = await running.result(until)
         return views.answer(completion(program, turn), headers=headers)
@@ -236,30 +241,41 @@
 
 def completion(program: programs.Program, turn: structures.Turn) -> Completion:
     """Return the whole completion of a turn."""
-    usage = Usage(turn.prompt_tokens, turn.output_tokens, turn.prompt_tokens + turn.output_tokens)
     choice = Choice(Reply(turn.text), turn.finish_reason)
     name = f"{program.id}-{turn.seq}"
-    return Completion(name, program.service, int(turn.finished_at), [choice], usage)
+    return Completion(name, program.service, int(turn.finished_at), [choice], usage_of(turn))
+
+
+def usage_of(turn: structures.Turn) -> Usage:
+    """Return the token counts of a turn."""
+    total = turn.prompt_tokens + turn.output_tokens
+    return Usage(turn.prompt_tokens, turn.output_tokens, total)
 
 
 async def chunks(
-    program: programs.Program, running: answers.RunningCall, deadline_at: float
+    program: programs.Program,
+    running: answers.RunningCall,
+    deadline_at: float,
+    with_usage: bool = False,
 ) -> collections.abc.AsyncIterator[bytes]:
     """Yield the events of a streamed completion."""
     created = int(clock.wall())
     name = f"{program.id}-{running.seq}"
 
-    def event(delta: Delta, finish_reason: str | None = None) -> bytes:
-        choice = DeltaChoice(delta, finish_reason)
-        chunk = CompletionChunk(name, program.service, created, [choice])
+    def encoded(choices: list[DeltaChoice], usage: Usage | None = None) -> bytes:
+        chunk = CompletionChunk(name, program.service, created, CHUNK_OBJECT, choices, usage)
         return b"data: " + msgspec.json.encode(chunk) + b"\n\n"
 
+    def event(delta: Delta, finish_reason: str | None = None) -> bytes:
+        return encoded([DeltaChoice(delta, finish_reason)])
+
     try:
         yield event(Delta(role="assistant"))
         async for batch in running.follow(deadline_at):
             yield b"".join(event(Delta(token.text)) for token in batch)
         turn = typing.cast(structures.Turn, running.turn)
-        yield event(Delta(), turn.finish_reason) + b"data: [DONE]\n\n"
+        usage = encoded([], usage_of(turn)) if with_usage else b""
+        yield event(Delta(), turn.finish_reason) + usage + b"data: [DONE]\n\n"
     except exceptions.DogwoodgapError as error:
         views.count_refusal(error)
         yield b"data: " + msgspec.json.encode(ErrorEvent(exceptions.problem(error))) + b"\n\n"
--- a/src/dogwoodgap/models.py
+++ b/src/dogwoodgap/models.py
@@ -56,6 +56,12 @@
     deadline_seconds: Seconds = 30.0
 
 
+class StreamOptions(pydantic.BaseModel):
+    """What a stream of the common chat form holds besides the text."""
+
+    include_usage: bool = False
+
+
 class ChatRequest(pydantic.BaseModel):
     """Body of ``POST /v1/chat/completions``; fields that are not used here are accepted."""
 
@@ -64,6 +70,7 @@
     max_tokens: int | None = pydantic.Field(default=None, ge=1, le=131_072)
     max_completion_tokens: int | None = pydantic.Field(default=None, ge=1, le=131_072)
     stream: bool = False
+    stream_options: StreamOptions | None = None
 
 
 class Profile(Model):
