--- a/src/dogwoodgap_lab/footprint.py
+++ b/src/dogwoodgap_lab/footprint.py
@@ -4,13 +4,14 @@
 import uuid
 
 import anyio
+import typer
 
 from dogwoodgap import client as callers_client
 from dogwoodgap import clock, exceptions
 from dogwoodgap_lab import deployments, fleet_client
 
 PROGRAMS_PER_NODE = 1_000
-PARALLEL_CALLERS = 32
+PARALLEL_CALLERS = 256
 SETTLE_S = 10.0
 PROMPT = "note " * 200
 OUTPUT_TOKENS = 20
@@ -74,6 +75,7 @@
         await fleet.configure()
         await anyio.sleep(SETTLE_S)
         idle = await measure(fleet)
+        typer.echo(f"idle: {idle}")
         await create_programs(layout, round(1.2 * PROGRAMS_PER_NODE * layout.node_count))
         await anyio.sleep(SETTLE_S)
         loaded = await measure(fleet)
