Send load reports only to peers of the own data centre

An idle node of 7 nodes in 6 data centres exchanged 14,202 B/s with its peers (aim 4,096): each ping carried the digests of all 19 runners to nodes that poll these runners themselves. Counts of sent requests still go to all peers, since they correct everybody's reports. Rarer pings were ruled out, since they carry the configuration's generation and the failure detection.

--- a/tests/test_runners.py
+++ b/tests/test_runners.py
@@ -250,3 +250,24 @@
             tasks.cancel_scope.cancel()
 
     run(main)
+
+
+def test_reports_go_to_peers_of_the_data_centre_only():
+    """Guards against control traffic for reports that far peers poll themselves."""
+
+    async def main():
+        found = directory(Backends(), "n1")
+        found.set_nodes(["n1", "near"])
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(found.run)
+            await anyio.sleep(5.0)
+            assert any(load.age_ms is not None for load in found.digests("near"))
+            assert found.digests("far") == []
+            found.view("llm/r1").sent_since_report += 3
+            await anyio.sleep(1.0)
+            told = found.digests("far")
+            assert [(load.runner, load.sent_requests) for load in told] == [("llm/r1", 3)]
+            assert found.digests("far") == []
+            tasks.cancel_scope.cancel()
+
+    run(main)
