--- a/tests/test_http_pool.py
+++ b/tests/test_http_pool.py
@@ -1,9 +1,13 @@
 """Failures of the connections to one server."""
 
+import ssl
+
 import anyio
+import anyio.streams.tls
 import h11
 import httpx
 import pytest
+import trustme
 
 from dogwoodgap import http_pool
 
@@ -110,3 +114,41 @@
 
     anyio.run(main)
     assert not pool.idle
+
+
+@pytest.mark.parametrize("trusted", [True, False])
+def test_encrypted_connections_are_checked_and_kept(trusted):
+    """Guards against unchecked servers, and against TLS connections that are never reused."""
+    authority = trustme.CA()
+    server_tls = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    authority.issue_cert("127.0.0.1").configure_cert(server_tls)
+    client_tls = ssl.create_default_context()
+    if trusted:
+        authority.configure_trust(client_tls)
+    opened = []
+
+    async def serve(stream):
+        opened.append(stream)
+        async with stream:
+            for _ in range(2):
+                await stream.receive()
+                await stream.send(HEAD + PART + END)
+
+    async def main():
+        plain = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=0)
+        port = plain.extra(anyio.abc.SocketAttribute.local_port)
+        listener = anyio.streams.tls.TLSListener(plain, server_tls, standard_compatible=False)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, serve)
+            async with httpx.AsyncClient(transport=http_pool.Pool(client_tls)) as client:
+                for _ in range(2):
+                    assert (await client.get(f"https://127.0.0.1:{port}/")).content == b"ab"
+            tasks.cancel_scope.cancel()
+
+    if trusted:
+        anyio.run(main)
+        assert len(opened) == 1
+        return
+    with pytest.raises(ExceptionGroup) as caught:
+        anyio.run(main)
+    assert caught.group_contains(httpx.ConnectError)
