End each connection after its answer while a node stops as planned

Cause as far as the trace shows: the probe's next request went out on a kept connection when the drained server closed its idle connections; its caller cannot tell whether it ran. From the request to stop on, HTTP/1.1 answers carry 'Connection: close', so that later requests open a connection of their own, which either is served or is refused before a byte is sent. Ruled out: a cut answer, since the stop waits until no request is running.

Broken connections and streams without an end stay cuts at any time.

--- a/src/dogwoodgap/middleware.py
+++ b/src/dogwoodgap/middleware.py
@@ -17,11 +17,14 @@
     ----------
     running : int
         Requests that have not been answered completely.
+    stopping : bool
+        Whether each HTTP/1.1 answer asks its caller to close the connection.
     """
 
     def __init__(self, application: types.ASGIApp):
         self.application = application
         self.running = 0
+        self.stopping = False
         self.changed = anyio.Event()
 
     async def __call__(self, scope: types.Scope, receive: types.Receive, send: types.Send) -> None:
@@ -46,6 +49,8 @@
         async def note_start(message: types.Message) -> None:
             nonlocal started
             started = True
+            if self.stopping and message["type"] == "http.response.start":
+                close_connection(scope, message)
             await send(message)
 
         try:
@@ -56,12 +61,26 @@
                 raise
             await answer_error(scope, error)(scope, receive, send)
 
+    async def close_connections(self) -> None:
+        """Close each connection after its next answer.
+
+        The server closes idle connections when it has drained. A request that is sent on one of
+        them at that moment gets no answer, and its caller cannot tell whether it ran.
+        """
+        self.stopping = True
+
     async def wait_idle(self) -> None:
         """Return when no request is running."""
         while self.running:
             await self.changed.wait()
 
 
+def close_connection(scope: types.Scope, message: types.Message) -> None:
+    """Add the header that ends an HTTP/1.1 connection; HTTP/2 has a frame for this."""
+    if scope.get("http_version", "1.1").startswith("1"):
+        message["headers"] = [*message.get("headers", []), (b"connection", b"close")]
+
+
 def answer_error(scope: types.Scope, error: Exception) -> responses.Response:
     """Return the problem document of an error of a handler or of the router."""
     if isinstance(error, exceptions.DogwoodgapError):
--- a/src/dogwoodgap_lab/chaos.py
+++ b/src/dogwoodgap_lab/chaos.py
@@ -195,6 +195,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(watched.run, PROBE_S, PROBE_INTERVAL_S, PROBE_TOKENS)
             await anyio.sleep(PROBE_LEAD_S)
+            watched.signalled_at = clock.now()
             chaos.field.send_signal(index, signal.SIGTERM)
             chaos.field.note(f"{name} stops as planned")
         with anyio.move_on_after(STOP_LIMIT_S):
--- a/src/dogwoodgap_lab/demo.py
+++ b/src/dogwoodgap_lab/demo.py
@@ -138,6 +138,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(watched.run, PROBE_S, PROBE_INTERVAL_S, PROBE_TOKENS)
             await anyio.sleep(PROBE_LEAD_S)
+            watched.signalled_at = clock.now()
             self.field.send_signal(index, signal.SIGTERM)
             self.field.note(f"{name} stops as planned (SIGTERM), with requests through it")
         with anyio.move_on_after(STOP_LIMIT_S):
--- a/src/dogwoodgap_lab/probes.py
+++ b/src/dogwoodgap_lab/probes.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import math
 
 import anyio
 import httpx
@@ -10,6 +11,7 @@
 from dogwoodgap_lab import deployments, stage
 
 PROBE_TIMEOUT_S = 60.0
+DISCOVERY_TTL_S = 5.0
 END_EVENTS = ("event: done", "event: error")
 
 
@@ -22,12 +24,16 @@
     cut : list of str
         Probes whose connection broke or whose stream ended without its last event.
     refused : list of str
-        Probes that got a problem document.
+        Probes that got a problem document, or that opened a connection when the node had
+        listened for its discovery TTL after the signal.
+    signalled_at : float
+        Monotonic time of the signal to stop.
     """
 
     field: stage.Stage
     entry: str
     sent: int = 0
+    signalled_at: float = math.inf
     cut: list[str] = dataclasses.field(default_factory=list)
     refused: list[str] = dataclasses.field(default_factory=list)
 
@@ -53,6 +59,10 @@
         try:
             problem = await converse(http, item, program, max_tokens)
         except httpx.HTTPError as error:
+            refused = isinstance(error, httpx.ConnectError)
+            if refused and clock.now() > self.signalled_at + DISCOVERY_TTL_S:
+                self.refused.append(f"{program}: connected after the discovery TTL")
+                return
             lasted_s = clock.wall() - started_at
             self.cut.append(
                 f"{self.entry} cut {program}, sent at {started_at - self.field.started_at:.2f} s, "
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -188,3 +188,25 @@
     """Guards against error codes that the documentation does not know."""
     path = pathlib.Path(__file__).parent.parent / "docs" / "errors.md"
     assert path.read_text() == errorpages.page()
+
+
+def test_stopping_node_ends_each_connection_after_its_answer():
+    """Guards against a request on an idle connection that the end of the stop cuts."""
+
+    async def main():
+        slow = SlowAnswer()
+        slow.proceed.set()
+        application = middleware.Problems(slow)
+        address = free_address()
+        closing = anyio.Event()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(serving.serve, application, address, None, closing)
+            await ask(address)
+            async with httpx.AsyncClient(base_url=f"http://{address}") as http:
+                assert "connection" not in (await http.get("/")).headers
+                await application.close_connections()
+                reply = await http.get("/")
+                assert (reply.text, reply.headers["connection"]) == ("first second", "close")
+                closing.set()
+
+    anyio.run(main)
