--- a/src/dogwoodgap/journal.py
+++ b/src/dogwoodgap/journal.py
@@ -1,6 +1,7 @@
 """Group commit of records into segments that only their writer or its successor can extend."""
 
 import collections
+import collections.abc
 import logging
 import uuid
 
@@ -20,6 +21,7 @@
 RETRY_DELAY_S = 0.05
 MAX_RETRY_DELAY_S = 1.0
 SEQUENCE_DIGITS = 10
+PARALLEL_READS = 16
 
 
 def segment_key(node: str, boot: str, seq: int) -> str:
@@ -319,7 +321,34 @@
             f"journal of {node}/{boot} has gaps after segment {first_seq}; "
             "read the checkpoint head again, and restore the missing objects if gaps remain"
         )
-    return [await read_segment(store, node, boot, seq) for seq in found]
+    segments: dict[int, records.Segment] = {}
+    limiter = anyio.CapacityLimiter(PARALLEL_READS)
+
+    async def read(seq: int) -> None:
+        async with limiter:
+            segments[seq] = await read_segment(store, node, boot, seq)
+
+    await read_all(read, found)
+    return [segments[seq] for seq in found]
+
+
+async def read_all(
+    read: collections.abc.Callable[[int], collections.abc.Awaitable[None]], found: list[int]
+) -> None:
+    """Read segments in parallel; the first failure is raised as it is, not in a group."""
+    failures: list[exceptions.StoreError] = []
+
+    async def guarded(seq: int) -> None:
+        try:
+            await read(seq)
+        except exceptions.StoreError as error:
+            failures.append(error)
+
+    async with anyio.create_task_group() as tasks:
+        for seq in found:
+            tasks.start_soon(guarded, seq)
+    if failures:
+        raise failures[0]
 
 
 async def seal(
--- a/src/dogwoodgap/snapshots.py
+++ b/src/dogwoodgap/snapshots.py
@@ -20,9 +20,12 @@
     transfer,
 )
 
-CHECKPOINT_SEGMENTS = 128
-"""Segments between two checkpoints. Half of the replay limit of 256 segments: the other half
-covers the segments that are written while a checkpoint is made or repeated."""
+MIN_CHECKPOINT_SEGMENTS = 128
+MAX_CHECKPOINT_SEGMENTS = 1_024
+"""Half of the replay limit of 2,048 segments: the other half covers the segments that are written
+while a checkpoint is made or repeated. Between the two numbers a checkpoint is due when the
+journal has grown by as much as the last checkpoint wrote; with a fixed number of 128 segments a
+busy node with 1,000 programs encoded its whole table about every second."""
 
 CHECK_INTERVAL_S = 0.5
 RETENTION_S = 3_600.0
@@ -169,11 +172,16 @@
         self.number = 0
         self.requested = False
         self.head_version = objectstore.ABSENT
+        self.stored_bytes = 0
+        self.written_bytes = 0
 
     def due(self) -> bool:
         """Return whether enough segments were written since the last checkpoint."""
         written = self.log.next_seq - self.head.first_seq
-        return self.requested or written >= CHECKPOINT_SEGMENTS
+        grown = self.log.stored_bytes - self.stored_bytes
+        if written >= MIN_CHECKPOINT_SEGMENTS and grown >= self.written_bytes:
+            return True
+        return self.requested or written >= MAX_CHECKPOINT_SEGMENTS
 
     def request(self) -> None:
         """Make the next checkpoint due at once."""
@@ -205,6 +213,7 @@
         expire(self.table, clock.wall(), self.retention_s)
         items = checkpoint_items(self.table)
         barrier = self.log.barrier()
+        stored_bytes = self.log.stored_bytes
         parts = transfer.pack(items)
         await barrier.wait()
         # Each attempt has its own number: a write of an earlier attempt may still arrive.
@@ -215,6 +224,8 @@
             key = part_key(self.owner, head.number, number)
             await objectstore.put_until_stored(self.log.store, key, part)
         await self.write_head(head)
+        self.stored_bytes = stored_bytes
+        self.written_bytes = sum(map(len, parts))
         metrics.timing("checkpoint.write", clock.now() - started)
         events.emit(events.Event.CHECKPOINT_WRITTEN, "checkpoint written", parts=len(parts))
         await delete_below(self.log.store, self.owner, head)
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -170,6 +170,28 @@
     with_session(body, rate=100.0)
 
 
+def test_large_table_is_not_written_again_for_a_small_journal():
+    """Guards against a node that encodes its whole table for every 128 small records."""
+
+    async def body(table, session, tasks):
+        tasks.start_soon(session.checkpointer.run)
+        await session.record(created()).wait()
+        for seq in range(1, 6):
+            await session.record(started(seq)).wait()
+            await session.record(finished(seq, os.urandom(100_000).hex())).wait()
+        await session.checkpointer.checkpoint()
+        numbers = []
+        for number in range(1_100):
+            await session.record(records.ProgramTouched("c", "p", float(number))).wait()
+            numbers.append(session.checkpointer.head.number)
+        assert numbers[900] == 1
+        await anyio.sleep(2.0)
+        assert session.checkpointer.head.number == 2
+        assert (await reload(table)).get("c", "p").touched_at == 1_099.0
+
+    with_session(body, rate=1_000.0)
+
+
 def test_seal_is_set_again_when_the_writer_has_passed_it():
     """Guards against a seal in a gap that a checkpoint left, which stops nobody."""
 
