Let a call that the quarantine holds back wait for its turn

Found by the check and by three equal calls at once: a third program with the same text got 'overloaded' although runners were free, and so did a suspect that had to run alone. The call now tries another runner, then waits, up to its deadline. The new test failed before.

--- a/src/dogwoodgap/calls.py
+++ b/src/dogwoodgap/calls.py
@@ -27,6 +27,7 @@
 )
 
 MAX_ATTEMPTS = 3
+HELD_BACK_S = 0.1
 
 
 class Calls:
@@ -263,25 +264,44 @@
             )
         item = self.work_item(work)
         self.guard.first_attempt(work.program.service)
-        for attempt in range(MAX_ATTEMPTS):
+        failures = 0
+        held_back: set[str] = set()
+        while True:
             placement = await self.place(work.program.service, dispatcher, item)
             failed = True
             try:
-                await work.started.wait()
-                if self.memory is not None:
-                    await self.memory.bring_prefix(placement)
-                sent_at = clock.now()
-                turn = await self.stream(work, placement)
-                self.settle_prefix(work, dispatcher, placement, turn, clock.now() - sent_at)
+                turn = await self.send(work, dispatcher, placement)
                 failed = False
                 return turn
             except exceptions.RunnerFailedError:
-                if attempt == MAX_ATTEMPTS - 1 or not self.guard.may_retry(work.program.service):
+                failures += 1
+                retried = self.guard.may_retry(work.program.service)
+                if failures == MAX_ATTEMPTS or not retried:
                     raise
                 item.exclude.add(placement.runner.id)
+            except exceptions.OverloadedError:
+                # The quarantine holds the request back: it runs on two runners already, or is a
+                # suspect that must run alone. Another runner, or a later time, may do.
+                held_back.add(placement.runner.id)
+                item.exclude.add(placement.runner.id)
             finally:
                 dispatcher.release(placement, failed=failed)
-        raise exceptions.RunnerFailedError("no attempt was left; repeat the call")
+            if held_back and item.exclude >= {view.id for view in dispatcher.runners()}:
+                item.exclude -= held_back
+                held_back.clear()
+                await anyio.sleep(HELD_BACK_S)
+
+    async def send(
+        self, work: prompts.Work, dispatcher: scheduler.Dispatcher, placement: structures.Placement
+    ) -> structures.Turn:
+        """Send a call to its runner when its start is stored, and settle its prefix."""
+        await work.started.wait()
+        if self.memory is not None:
+            await self.memory.bring_prefix(placement)
+        sent_at = clock.now()
+        turn = await self.stream(work, placement)
+        self.settle_prefix(work, dispatcher, placement, turn, clock.now() - sent_at)
+        return turn
 
     def settle_prefix(
         self,
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -1,12 +1,14 @@
 """Order, budget, retries, storage and limits of model calls."""
 
+import contextlib
+
 import anyio
 import callers
 import hypothesis
 import pytest
 from hypothesis import strategies
 
-from dogwoodgap import adapters, clock, exceptions, models, programs, structures
+from dogwoodgap import adapters, clock, exceptions, models, programs, protection, structures
 
 
 def test_repeat_attaches_and_order_is_kept():
@@ -301,3 +303,38 @@
             assert root.spent_tokens <= budget
 
     callers.run(main)
+
+
+class HoldBack(protection.Unprotected):
+    """Lets one request run at a time on the runner ``r1``, and none elsewhere."""
+
+    def __init__(self):
+        self.running = 0
+
+    @contextlib.asynccontextmanager
+    async def around(self, runner, digest, *, urgent=False, expected_s=0.0):
+        if runner.id != "r1" or self.running:
+            raise exceptions.OverloadedError("held back", not_run="true")
+        self.running += 1
+        try:
+            yield
+        finally:
+            self.running -= 1
+
+
+def test_request_that_the_quarantine_holds_back_waits_for_its_turn():
+    """Guards against equal requests of several programs that fail because others run."""
+
+    async def main():
+        async with callers.harness() as node:
+            node.calls.guard = HoldBack()
+            names = [f"p{number}" for number in range(4)]
+            running = [
+                node.calls.submit(await node.program(name), callers.request(), 20.0)
+                for name in names
+            ]
+            turns = [await call.result() for call in running]
+            assert {turn.runner for turn in turns} == {"r1"}
+            assert len(node.engine.requests) == 4
+
+    callers.run(main)
