Wait for a shard that is being loaded instead of forwarding to itself

Cause of the hop-limit refusals during a planned stop: the new owner of a shard is named in the assignment before it has loaded the shard, and forwarded requests to its own address until the limit. It now waits up to 3 s, and a second hop waits 0.2 s for the newest assignment.

--- a/src/dogwoodgap/app.py
+++ b/src/dogwoodgap/app.py
@@ -93,7 +93,7 @@
         deadline_s: float = 0.0,
     ) -> responses.Response | None:
         """Return the owner's reply when another node owns the shard."""
-        if self.services.forwarder.ownership.owns(shard):
+        if await self.services.forwarder.serves(shard):
             return None
         content = bodies.parts(request, self.limit) if body is None else body
         return await self.services.forwarder.forward(request, shard, content, deadline_s)
--- a/src/dogwoodgap/forwarding.py
+++ b/src/dogwoodgap/forwarding.py
@@ -17,6 +17,13 @@
 """Silence of an owner after which its connection is given up, beyond the request's deadline."""
 
 RETRY_DELAY_S = 0.1
+SETTLE_S = 3.0
+"""Time for which a request waits while the shard that this node has won is being loaded."""
+
+SETTLE_POLL_S = 0.02
+HOP_DELAY_S = 0.2
+"""Pause before a second hop: two nodes disagree until the newest assignment has reached both."""
+
 PROBLEM_TYPE = "application/problem+json"
 
 REQUEST_HEADERS = (
@@ -72,6 +79,8 @@
         Returns the base URL of a node's callers' interface, or an empty text.
     client : httpx.AsyncClient
         For connections between nodes.
+    name : str
+        Name of this node.
     """
 
     def __init__(
@@ -79,7 +88,9 @@
         ownership: Ownership,
         address: collections.abc.Callable[[str], str],
         client: httpx.AsyncClient,
+        name: str = "",
     ):
+        self.name = name
         self.ownership = ownership
         self.address = address
         self.client = client
@@ -100,6 +111,26 @@
             )
         return address
 
+    async def serves(self, shard: int) -> bool:
+        """Return whether this node serves a shard; waits while it loads one that it has won.
+
+        Raises
+        ------
+        NotOwnerError
+            When the load takes too long; nothing was run.
+        """
+        give_up_at = clock.now() + SETTLE_S
+        while not self.ownership.owns(shard):
+            owner = self.ownership.owner(shard)
+            if owner is None or owner.node != self.name:
+                return False
+            if clock.now() >= give_up_at:
+                raise exceptions.NotOwnerError(
+                    "this node is still loading the shard; repeat the request"
+                )
+            await anyio.sleep(SETTLE_POLL_S)
+        return True
+
     async def forward(
         self,
         request: requests.Request,
@@ -119,6 +150,8 @@
             raise exceptions.HopLimitError(
                 "nodes disagree on the owner of the shard; repeat the request"
             )
+        if hops > 1:
+            await anyio.sleep(HOP_DELAY_S)
         headers = {
             name: request.headers[name] for name in REQUEST_HEADERS if name in request.headers
         }
@@ -167,9 +200,9 @@
         shard = shards.key_shard(order.customer, order.key)
         unsure = False
         while True:
-            if self.ownership.owns(shard):
-                return await local(order)
             try:
+                if await self.serves(shard):
+                    return await local(order)
                 return await self.remote_action(shard, order, authorization)
             except (exceptions.NotOwnerError, exceptions.NotReadyError) as error:
                 unsure = unsure or error.not_run != "true"
--- a/src/dogwoodgap/node.py
+++ b/src/dogwoodgap/node.py
@@ -140,7 +140,7 @@
         )
         self.traffic = collectors.TrafficMeter(self.fleet.network.traffic)
         self.forwarder = forwarding.Forwarder(
-            self.fleet.ownership, self.fleet.address_of, self.peers
+            self.fleet.ownership, self.fleet.address_of, self.peers, section.name
         )
         self.exported = None
         if section.data_folder:
--- a/tests/test_app.py
+++ b/tests/test_app.py
@@ -259,6 +259,28 @@
     callers.run(main)
 
 
+def test_request_waits_while_its_shard_is_loaded():
+    """Guards against a node that forwards to itself until the hop limit, after it won a shard."""
+
+    async def main():
+        async with callers.harness() as node, connect(node.app()) as http:
+            await http.post("/v1/programs", json={"id": "p", "service": "llm"})
+            node.forwarder.ownership = Elsewhere("n1")
+            node.forwarder.name = "n1"
+            reply = await http.get(PROGRAM)
+            assert reply.json()["code"] == "not-owner"
+            node.tasks.start_soon(finish_loading, node)
+            assert (await http.get(PROGRAM)).status_code == 200
+
+    callers.run(main)
+
+
+async def finish_loading(node):
+    """Let the node serve its shards a second from now."""
+    await anyio.sleep(1.0)
+    node.forwarder.ownership = node.ownership
+
+
 def test_key_owner_is_asked_again_with_the_same_key():
     """Guards against a second execution, or "not run", after contact with the key owner broke."""
 
