--- a/src/dogwoodgap/actions.py
+++ b/src/dogwoodgap/actions.py
@@ -9,7 +9,6 @@
 import anyio.abc
 
 from dogwoodgap import (
-    adapters,
     calls,
     clock,
     events,
@@ -21,6 +20,7 @@
     programs,
     protection,
     records,
+    service_adapter,
     sessions,
     structures,
 )
@@ -46,7 +46,7 @@
 
     def __init__(
         self,
-        service: adapters.HttpServiceAdapter,
+        service: service_adapter.HttpServiceAdapter,
         runners: intents.Runners,
         guard: protection.Protection | None = None,
     ):
--- a/src/dogwoodgap/backends.py
+++ b/src/dogwoodgap/backends.py
@@ -25,6 +25,7 @@
     quarantine,
     runners,
     scheduler,
+    service_adapter,
     shards,
     structures,
     suspects,
@@ -70,7 +71,7 @@
         self.plugins: dict[str, tuple[str, ...]] = {}
         self.connections = connections.Connections(client_tls)
         self.engine = adapters.HttpEngineAdapter(self.connections.client)
-        self.service = adapters.HttpServiceAdapter(self.connections.client, fresh)
+        self.service = service_adapter.HttpServiceAdapter(self.connections.client, fresh)
         self.usage = cache_usage.CacheUsage(self.counts_usage)
         self.directory = runners.Directory(
             name,
--- a/src/dogwoodgap/intents.py
+++ b/src/dogwoodgap/intents.py
@@ -10,7 +10,6 @@
 import anyio.abc
 
 from dogwoodgap import (
-    adapters,
     clock,
     events,
     exceptions,
@@ -20,6 +19,7 @@
     programs,
     protection,
     records,
+    service_adapter,
     sessions,
     structures,
 )
@@ -112,7 +112,7 @@
     def __init__(
         self,
         session: sessions.Session,
-        service: adapters.HttpServiceAdapter,
+        service: service_adapter.HttpServiceAdapter,
         runners: Runners,
         configuration: collections.abc.Callable[[], models.FleetConfiguration],
         tasks: anyio.abc.TaskGroup,
--- /dev/null
+++ b/src/dogwoodgap/service_adapter.py
@@ -0,0 +1,143 @@
+"""Adapter to plain services: one action, one answer, and never a guess about what ran."""
+
+import collections.abc
+import typing
+import urllib.parse
+
+import anyio
+import httpx
+import msgspec
+
+from dogwoodgap import adapters, exceptions, structures
+
+
+class HttpServiceAdapter:
+    """Talk to plain services over HTTP.
+
+    Parameters
+    ----------
+    client : httpx.AsyncClient
+        Keeps connections open; for requests that may be repeated.
+    fresh : httpx.AsyncClient
+        Keeps no connection, so that a stale one cannot make an outcome unknown.
+    """
+
+    def __init__(self, client: httpx.AsyncClient, fresh: httpx.AsyncClient):
+        self.client = client
+        self.fresh = fresh
+
+    async def act(
+        self,
+        runner: structures.RunnerView,
+        path: str,
+        payload: typing.Any,
+        *,
+        key: str,
+        timeout_s: float,
+        trace: str = "",
+    ) -> structures.ActionResult:
+        """Send one action and return the service's answer.
+
+        A key marks the action as non-idempotent; it then uses a connection of its own.
+
+        Raises
+        ------
+        RunnerUnreachableError
+            When not one byte was sent.
+        OutcomeUnknownError
+            When the request was sent and no answer came.
+        """
+        headers = {"Content-Type": "application/json"}
+        if key:
+            headers["Idempotency-Key"] = key
+        if trace:
+            headers["traceparent"] = trace
+        client = self.fresh if key else self.client
+        connected = anyio.Event()
+        connect_s = min(timeout_s, adapters.CONNECT_TIMEOUT_S)
+        try:
+            with anyio.fail_after(timeout_s):
+                reply = await client.post(
+                    f"{runner.address}/{path}",
+                    content=msgspec.json.encode(payload),
+                    headers=headers,
+                    timeout=httpx.Timeout(timeout_s, connect=connect_s),
+                    extensions={"trace": note_connection(connected)},
+                )
+        except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
+            raise unreachable(runner) from error
+        except (httpx.HTTPError, TimeoutError) as error:
+            if not connected.is_set():
+                raise unreachable(runner) from error
+            raise exceptions.OutcomeUnknownError(
+                f"runner {runner.id} did not answer ({type(error).__name__}); "
+                "ask the service what became of the idempotency key"
+            ) from error
+        return structures.ActionResult(
+            status=reply.status_code,
+            body=body_of(reply),
+            not_run="unknown" if unsettled(reply.status_code) else "false",
+        )
+
+    async def outcome(
+        self, runner: structures.RunnerView, key: str
+    ) -> structures.ActionResult | None:
+        """Return what a service recorded for a key, or None when it does not know it."""
+        try:
+            with anyio.fail_after(adapters.CONNECT_TIMEOUT_S):
+                reply = await self.client.get(
+                    f"{runner.address}/outcomes/{urllib.parse.quote(key, safe='')}"
+                )
+            if reply.status_code != httpx.codes.OK:
+                return None
+            found = msgspec.json.decode(reply.content, type=OutcomeReport)
+        except (httpx.HTTPError, TimeoutError, msgspec.DecodeError) as error:
+            raise exceptions.RunnerFailedError(
+                f"runner {runner.id} did not report the outcome of the key; it is asked again"
+            ) from error
+        return structures.ActionResult(status=found.status, body=found.body, not_run="false")
+
+    async def load(self, runner: structures.RunnerView) -> adapters.LoadReport:
+        """Return the runner's load."""
+        return await adapters.load_of(self.client, runner)
+
+
+class OutcomeReport(msgspec.Struct):
+    """Answer of a service to ``GET /outcomes/{key}``."""
+
+    status: int
+    body: typing.Any = None
+
+
+def unsettled(status: int) -> bool:
+    """Return whether a status leaves open if the action was executed."""
+    return status == httpx.codes.TOO_MANY_REQUESTS or status >= httpx.codes.INTERNAL_SERVER_ERROR
+
+
+def body_of(reply: httpx.Response) -> typing.Any:
+    """Return the decoded body, or its text when it is not JSON."""
+    if not reply.content:
+        return None
+    try:
+        return msgspec.json.decode(reply.content)
+    except msgspec.DecodeError:
+        return reply.text
+
+
+def unreachable(runner: structures.RunnerView) -> exceptions.RunnerUnreachableError:
+    """Return the error for a connection that failed before one byte was sent."""
+    return exceptions.RunnerUnreachableError(
+        f"runner {runner.id} refused the connection; another runner may answer"
+    )
+
+
+def note_connection(
+    connected: anyio.Event,
+) -> collections.abc.Callable[[str, typing.Any], collections.abc.Awaitable[None]]:
+    """Return a trace callback that sets ``connected`` before the first byte is written."""
+
+    async def trace(name: str, info: typing.Any) -> None:
+        if "send_request_headers.started" in name:
+            connected.set()
+
+    return trace
--- a/src/dogwoodgap_lab/plain_service.py
+++ b/src/dogwoodgap_lab/plain_service.py
@@ -8,7 +8,7 @@
 import msgspec
 from starlette import applications, requests, responses, routing
 
-from dogwoodgap import adapters, clock
+from dogwoodgap import adapters, clock, service_adapter
 from dogwoodgap_lab import faults
 
 
@@ -115,7 +115,7 @@
         found = self.ledger.outcomes.get(request.path_params["key"])
         if found is None:
             return encoded("this key was not executed", 404)
-        return encoded(adapters.OutcomeReport(200, msgspec.to_builtins(found)))
+        return encoded(service_adapter.OutcomeReport(200, msgspec.to_builtins(found)))
 
     async def get_ledger(self, request: requests.Request) -> responses.Response:
         """Handle ``GET /ledger``."""
--- a/tests/test_plain_service.py
+++ b/tests/test_plain_service.py
@@ -3,7 +3,7 @@
 import anyio
 import httpx
 
-from dogwoodgap import adapters, structures
+from dogwoodgap import service_adapter, structures
 from dogwoodgap_lab import plain_service
 
 VIEW = structures.RunnerView("crew-app", "r1", "http://r1", "dc", 4, 1000)
@@ -16,7 +16,7 @@
         service = plain_service.PlainService(answers_outcomes=True)
         transport = httpx.ASGITransport(plain_service.build(service))
         async with httpx.AsyncClient(transport=transport) as http:
-            adapter = adapters.HttpServiceAdapter(http, http)
+            adapter = service_adapter.HttpServiceAdapter(http, http)
             assert await adapter.outcome(VIEW, "p:1") is None
             await http.post("http://r1/invoices", headers={"Idempotency-Key": "p:1"})
             found = await adapter.outcome(VIEW, "p:1")
