--- a/src/dogwoodgap/node.py
+++ b/src/dogwoodgap/node.py
@@ -219,7 +219,8 @@
         self.tasks.start_soon(self.start)
         self.tasks.start_soon(self.report_always)
         context = self.certificates.server_context()
-        await serving.serve(self.app, self.settings.node.http_bind, context, closing)
+        bind = self.settings.node.http_bind
+        await serving.serve(self.app, bind, context, closing, self.stop.forced)
 
     async def start(self) -> None:
         """Join the fleet; callers are served when the configuration is known."""
--- a/src/dogwoodgap/serving.py
+++ b/src/dogwoodgap/serving.py
@@ -10,10 +10,15 @@
 import hypercorn.asyncio
 import hypercorn.config
 
-from dogwoodgap import events
+from dogwoodgap import events, middleware
 
 KEEP_ALIVE_S = 30.0
-CLOSE_TIMEOUT_S = 2.0
+CLOSE_GRACE_S = 0.3
+"""A request whose connection was accepted last may need this long to arrive."""
+
+ANSWER_TIMEOUT_S = 300.0
+"""Longest time in which the last requests may end after the listener has closed."""
+
 STEP_TIMEOUT_S = 60.0
 """A callback that never returns must not keep the process from stopping."""
 
@@ -36,20 +41,50 @@
 
 
 async def serve(
-    application: typing.Any, bind: str, context: ssl.SSLContext | None, stop: anyio.Event
+    application: middleware.Problems,
+    bind: str,
+    context: ssl.SSLContext | None,
+    stop: anyio.Event,
+    forced: anyio.Event | None = None,
 ) -> None:
-    """Serve an ASGI application until ``stop`` is set; then close idle connections and return."""
+    """Serve an ASGI application until ``stop`` is set; then finish what runs and return.
+
+    A request that arrived just before the listener closed is still answered. The server library
+    would cut it after its own time limit, and idle connections would hold the process open, so
+    the end is decided by the running requests. ``forced`` ends the wait for them.
+    """
     config = ServerConfig()
     config.bind = [bind]
     config.context = context
     config.accesslog = None
     config.errorlog = None
     config.keep_alive_timeout = KEEP_ALIVE_S
-    config.graceful_timeout = CLOSE_TIMEOUT_S
+    config.graceful_timeout = ANSWER_TIMEOUT_S
     # The task group of Python 3.11 that hypercorn uses cancels its own task when it shuts down
     # and never takes that back. In a task of its own this cannot cancel the node's other scopes.
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(run_hypercorn, application, config, stop)
+        await stop.wait()
+        with anyio.move_on_after(ANSWER_TIMEOUT_S) as waiting:
+            if forced is not None:
+                tasks.start_soon(cancel_on, forced, waiting)
+            await finish_requests(application)
+        tasks.cancel_scope.cancel()
+
+
+async def cancel_on(event: anyio.Event, scope: anyio.CancelScope) -> None:
+    """Cancel a scope when an event is set."""
+    await event.wait()
+    scope.cancel()
+
+
+async def finish_requests(application: middleware.Problems) -> None:
+    """Return when no request has run for a moment."""
+    idle = False
+    while not idle:
+        await application.wait_idle()
+        await anyio.sleep(CLOSE_GRACE_S)
+        idle = not application.running
 
 
 async def run_hypercorn(application: typing.Any, config: ServerConfig, stop: anyio.Event) -> None:
--- a/src/dogwoodgap/transport.py
+++ b/src/dogwoodgap/transport.py
@@ -118,6 +118,13 @@
     """Return the typed exception of a refused request."""
     if reply.headers.get("content-type", "").startswith(PROBLEM_TYPE):
         return exceptions.from_problem(msgspec.json.decode(data, type=exceptions.Problem))
+    if reply.status_code >= httpx.codes.INTERNAL_SERVER_ERROR:
+        # A node that dies while it answers; the request is repeated like one without a reply.
+        return exceptions.NotOwnerError(
+            f"entry {reply.request.url.host} broke off with status {reply.status_code}; "
+            "the request is repeated",
+            not_run="unknown",
+        )
     return exceptions.DogwoodgapError(
         f"{reply.request.url.host} answered {reply.status_code} without a problem document; "
         "check that the address is an entry of dogwoodgap"
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -101,6 +101,35 @@
     anyio.run(main)
 
 
+def test_request_that_came_before_the_listener_closed_is_answered():
+    """Guards against a planned stop that cuts the last request, as it did after 2 s."""
+
+    async def main():
+        slow = SlowAnswer()
+        application = middleware.Problems(slow)
+        address = free_address()
+        closing = anyio.Event()
+        replies = []
+
+        async def store_reply():
+            replies.append(await ask(address))
+
+        async def close_while_running():
+            await slow.entered.wait()
+            closing.set()
+            await anyio.sleep(2.5)
+            slow.proceed.set()
+
+        with anyio.fail_after(60):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(store_reply)
+                tasks.start_soon(close_while_running)
+                await serving.serve(application, address, None, closing)
+        assert replies == ["first second"]
+
+    anyio.run(main)
+
+
 def test_second_request_to_stop_does_not_wait():
     """Guards against a node that cannot be stopped because a request never ends."""
 
