--- a/src/dogwoodgap/middleware.py
+++ b/src/dogwoodgap/middleware.py
@@ -4,7 +4,10 @@
 from starlette import exceptions as http_exceptions
 from starlette import responses, types
 
-from dogwoodgap import events, exceptions, metrics, views
+from dogwoodgap import clock, events, exceptions, metrics, views
+
+QUIET_S = 1.0
+MAX_QUIET_WAIT_S = 20.0
 
 
 class Problems:
@@ -17,6 +20,8 @@
     ----------
     running : int
         Requests that have not been answered completely.
+    begun_at : float
+        Monotonic time at which the last request began.
     stopping : bool
         Whether each HTTP/1.1 answer asks its caller to close the connection.
     """
@@ -25,6 +30,7 @@
         self.application = application
         self.running = 0
         self.stopping = False
+        self.begun_at = -QUIET_S
         self.changed = anyio.Event()
 
     async def __call__(self, scope: types.Scope, receive: types.Receive, send: types.Send) -> None:
@@ -35,6 +41,7 @@
             await self.application(scope, receive, send)
             return
         self.running += 1
+        self.begun_at = clock.now()
         try:
             await self.handle(scope, receive, send)
         finally:
@@ -74,6 +81,20 @@
         while self.running:
             await self.changed.wait()
 
+    async def wait_quiet(self) -> None:
+        """Return when no request has begun for a while, or when that takes too long.
+
+        A caller whose program is here sends the next request on a connection of its own, also
+        when it should have asked for another entry by now.
+        """
+        with anyio.move_on_after(MAX_QUIET_WAIT_S):
+            while True:
+                await self.wait_idle()
+                rest_s = self.begun_at + QUIET_S - clock.now()
+                if rest_s <= 0:
+                    return
+                await anyio.sleep(rest_s)
+
 
 def close_connection(scope: types.Scope, message: types.Message) -> None:
     """Add the header that ends an HTTP/1.1 connection; HTTP/2 has a frame for this."""
--- a/src/dogwoodgap/node.py
+++ b/src/dogwoodgap/node.py
@@ -158,7 +158,7 @@
         self.stop.on_stop(self.app.close_connections)
         self.stop.on_stop(self.fleet.membership.leave)
         self.stop.on_stop(self.fleet.ownership.hand_over_all)
-        self.stop.waits += [self.app.wait_idle, self.wait_workers]
+        self.stop.waits += [self.app.wait_idle, self.wait_workers, self.app.wait_quiet]
 
     def new_workers(self) -> workers.Workers:
         """Return workers for the present boot."""
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -1,5 +1,6 @@
 """Graceful stop, TLS reload, keys, and documents that are generated."""
 
+import functools
 import hashlib
 import pathlib
 import socket
@@ -130,6 +131,31 @@
     anyio.run(main)
 
 
+def test_stop_waits_for_callers_that_follow_up_but_not_for_ever():
+    """Guards against a listener that closes between two requests of one program."""
+
+    async def answer(scope, receive, send):
+        await anyio.sleep(0.1)
+
+    async def main(requests, expected_s):
+        application = middleware.Problems(answer)
+
+        async def follow_up():
+            for _ in range(requests):
+                await application({"type": "http"}, None, None)
+                await anyio.sleep(0.7)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(follow_up)
+            await anyio.sleep(0.01)
+            await application.wait_quiet()
+            assert anyio.current_time() == pytest.approx(expected_s, abs=0.1)
+            tasks.cancel_scope.cancel()
+
+    callers.run(functools.partial(main, 4, 3 * 0.8 + middleware.QUIET_S))
+    callers.run(functools.partial(main, 1_000, middleware.MAX_QUIET_WAIT_S))
+
+
 def test_second_request_to_stop_does_not_wait():
     """Guards against a node that cannot be stopped because a request never ends."""
 
