End the serving of test stand-ins at once

The end of serving waits for running requests now, and the watches of the platform stand-in run for up to 20 s; four live tests failed or took 20 s. hypercorn raises InvalidStateError when it is cancelled while it shuts down, which is handled like its other signs of a cancellation.

--- a/src/dogwoodgap/serving.py
+++ b/src/dogwoodgap/serving.py
@@ -91,7 +91,8 @@
     """Run hypercorn; connections that do not close in time are dropped without an error."""
     try:
         await hypercorn.asyncio.serve(application, config, shutdown_trigger=stop.wait)
-    except (TimeoutError, asyncio.CancelledError):
+    except (TimeoutError, asyncio.CancelledError, asyncio.InvalidStateError):
+        # hypercorn asks a cancelled task for its exception when it is cancelled itself.
         if not stop.is_set():
             raise
 
--- a/tests/live.py
+++ b/tests/live.py
@@ -7,7 +7,7 @@
 import anyio
 import httpx
 
-from dogwoodgap import node, serving, settings
+from dogwoodgap import middleware, node, serving, settings
 from dogwoodgap_lab import engine, engine_server, faults, objects, plain_service, platform_server
 
 ADMIN_KEY = "administrator-token"
@@ -135,7 +135,9 @@
     with anyio.fail_after(LIMIT_S):
         async with anyio.create_task_group() as tasks:
             for address, application in fleet.stand_ins():
-                tasks.start_soon(serving.serve, application, address, None, stopping)
+                served = middleware.Problems(application)
+                # Watches of the platform stand-in would hold the end for as long as they wait.
+                tasks.start_soon(serving.serve, served, address, None, stopping, stopping)
             for number in range(node_count):
                 fleet.nodes.append(node.Node(fleet.node_settings(number)))
                 tasks.start_soon(fleet.nodes[-1].run)
