Remove code that nothing calls and a budget check that stands twice

Calls.start checked the budget with the same text as ProgramTable.check_budget, which Session.record calls for the same record before anything is applied. Unused: Program.check_sequence, forwarding.deadline_of, Backends.used and three constants.

--- a/src/dogwoodgap/backends.py
+++ b/src/dogwoodgap/backends.py
@@ -20,7 +20,6 @@
     models,
     objectstore,
     orders,
-    programs,
     protection,
     quarantine,
     runners,
@@ -180,10 +179,6 @@
         found = ownership.table.find(customer, program)
         return found is not None and found.status == structures.ProgramStatus.ACTIVE
 
-    def used(self, program: programs.Program, runner: structures.RunnerView, tokens: int) -> None:
-        """Note that a call left its prefix on a runner."""
-        self.cache.used(runner, programs.session_of(program), tokens)
-
     def on_member(self, member: members.Member) -> None:
         """Share the polls of runners between the live nodes of the data centre."""
         alive = self.fleet.membership.alive()
--- a/src/dogwoodgap/calls.py
+++ b/src/dogwoodgap/calls.py
@@ -146,12 +146,6 @@
     ) -> answers.RunningCall:
         """Reserve the budget and run the call in a task of its own."""
         reserved = prompts.reservation(request.messages, request.max_tokens)
-        remaining = self.table.remaining_tokens(program)
-        if reserved > remaining:
-            raise exceptions.BudgetExceededError(
-                f"the call may need {reserved} tokens and {remaining} remain; "
-                "shorten it, lower max_tokens or raise the budget of a new program"
-            )
         started = self.record(
             records.CallStarted(
                 customer=program.customer,
--- a/src/dogwoodgap/entries.py
+++ b/src/dogwoodgap/entries.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from dogwoodgap import exceptions, structures
+from dogwoodgap import structures
 
 TEXT_COMPRESSION_LEVEL = 1
 """Level 6 saves a further 5 to 10% of English text at several times the processor time."""
@@ -130,27 +130,6 @@
         entry = self.calls.get(self.last_call)
         return entry.context_tokens if entry is not None else 0
 
-    def check_sequence(self, seq: int, digest: str) -> Entry | None:
-        """Return the entry of a repeated request, or None when ``seq`` is the next one.
-
-        Raises
-        ------
-        SequenceConflictError
-            When the number was used with another body.
-        SequenceGapError
-            When the number is not the next one.
-        """
-        entry = self.entry(seq)
-        if entry is not None and entry.digest != digest:
-            raise exceptions.SequenceConflictError(
-                f"seq {seq} was used with another body; continue with {self.next_seq}"
-            )
-        if entry is None and seq != self.next_seq:
-            raise exceptions.SequenceGapError(
-                f"seq {seq} is not the next one; continue with {self.next_seq}"
-            )
-        return entry
-
 
 class KeyEntry(msgspec.Struct):
     """What is recorded for an idempotency key; ``result`` is None after the intent only."""
--- a/src/dogwoodgap/forwarding.py
+++ b/src/dogwoodgap/forwarding.py
@@ -287,8 +287,3 @@
     finally:
         with anyio.CancelScope(shield=True):
             await reply.aclose()
-
-
-def deadline_of(seconds: float | None, default: float) -> float:
-    """Return the monotonic deadline for a number of seconds from now."""
-    return clock.now() + (default if seconds is None else seconds)
--- a/src/dogwoodgap/roles.py
+++ b/src/dogwoodgap/roles.py
@@ -15,7 +15,6 @@
 RANKS = {"caller": 0, VIEWER: 1, OPERATOR: 2, ADMINISTRATOR: 3}
 BOOTSTRAP_NAME = "bootstrap"
 RESOURCE_DEPTH = 2
-RUNNERS_FIELD = "runners"
 
 
 def identify(
--- a/src/dogwoodgap_lab/chaos.py
+++ b/src/dogwoodgap_lab/chaos.py
@@ -18,7 +18,6 @@
 MAX_ABSENT_NODES = 2
 """Nodes that are down, paused or stopping at once."""
 
-RESTART_LIMIT_S = 30.0
 STOP_LIMIT_S = 75.0
 SIGHTING_INTERVAL_S = 0.5
 IN_FORCE_LIMIT_S = 10.0
--- a/src/dogwoodgap_lab/engine_server.py
+++ b/src/dogwoodgap_lab/engine_server.py
@@ -13,7 +13,6 @@
 from dogwoodgap_lab import engine as engine_module
 from dogwoodgap_lab import faults
 
-STATUS_REFUSED = 503
 STATUS_OLD_FENCING = 412
 
 
