--- a/src/dogwoodgap_lab/chaos.py
+++ b/src/dogwoodgap_lab/chaos.py
@@ -18,15 +18,11 @@
 MAX_ABSENT_NODES = 2
 """Nodes that are down, paused or stopping at once."""
 
-STOP_LIMIT_S = 75.0
 SIGHTING_INTERVAL_S = 0.5
 IN_FORCE_LIMIT_S = 10.0
 LEAVING_S = 8.0
 CRASH_MARKER = "crashword"
-PROBE_INTERVAL_S = 0.4
-PROBE_TOKENS = 40
-PROBE_S = 5.0
-PROBE_LEAD_S = 0.6
+PLANNED_STOP = probes.Plan(duration_s=5.0, interval_s=0.4, tokens=40, lead_s=0.6, limit_s=75.0)
 
 Fault = collections.abc.Callable[["Chaos", random.Random], collections.abc.Awaitable[None]]
 faults: dict[str, Fault] = {}
@@ -187,26 +183,8 @@
     index = chaos.pick_node(chance)
     if index is None:
         return
-    with chaos.away(index) as name:
-        entry = chaos.field.layout.entries()[index]
-        watched = probes.Probes(chaos.field, entry)
-        before = len(chaos.field.exits(index))
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(watched.run, PROBE_S, PROBE_INTERVAL_S, PROBE_TOKENS)
-            await anyio.sleep(PROBE_LEAD_S)
-            watched.signalled_at = clock.now()
-            chaos.field.send_signal(index, signal.SIGTERM)
-            chaos.field.note(f"{name} stops as planned")
-        with anyio.move_on_after(STOP_LIMIT_S):
-            await chaos.field.wait_exit(index, before)
-        statuses = chaos.field.exits(index)[before:]
-        cut = len(watched.cut)
-        chaos.field.note(f"{name} ended with status {statuses}; {watched.sent} probes, {cut} cut")
-        chaos.found.cut_requests += watched.cut
-        chaos.found.probes_in_planned_stops += watched.sent
-        if statuses != [0]:
-            text = f"{name} ended with status {statuses} after SIGTERM"
-            chaos.found.cut_requests.append(text)
+    with chaos.away(index):
+        await probes.planned_stop(chaos.field, index, PLANNED_STOP, chaos.found)
         await chaos.field.wait_ready([index])
 
 
--- a/src/dogwoodgap_lab/demo.py
+++ b/src/dogwoodgap_lab/demo.py
@@ -17,13 +17,9 @@
 OUTAGE_S = 3.0
 STOP_AT_S = 16.0
 LOAD_LIMIT_S = 45.0
-STOP_LIMIT_S = 25.0
 TAKEOVER_AIM_S = 5.0
-PROBE_INTERVAL_S = 0.2
-PROBE_TOKENS = 60
-PROBE_LEAD_S = 1.0
 # A node that stops listens for its discovery TTL of 5 s; probes stay within it.
-PROBE_S = 5.0
+PLANNED_STOP = probes.Plan(duration_s=5.0, interval_s=0.2, tokens=60, lead_s=1.0, limit_s=25.0)
 PROGRESS_INTERVAL_S = 2.0
 
 
@@ -132,28 +128,7 @@
 
     async def planned_stop(self, index: int) -> None:
         """Stop a node with SIGTERM while requests go through it."""
-        name = self.field.layout.node_name(index)
-        watched = probes.Probes(self.field, self.field.layout.entries()[index])
-        before = len(self.field.exits(index))
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(watched.run, PROBE_S, PROBE_INTERVAL_S, PROBE_TOKENS)
-            await anyio.sleep(PROBE_LEAD_S)
-            watched.signalled_at = clock.now()
-            self.field.send_signal(index, signal.SIGTERM)
-            self.field.note(f"{name} stops as planned (SIGTERM), with requests through it")
-        with anyio.move_on_after(STOP_LIMIT_S):
-            await self.field.wait_exit(index, before)
-        statuses = self.field.exits(index)[before:]
-        self.field.note(
-            f"{name} ended with status {statuses}: {watched.sent} probes, "
-            f"{len(watched.cut)} cut, {len(watched.refused)} refused"
-        )
-        for text in watched.refused[:3]:
-            self.field.note(f"refused: {text}")
-        self.found.cut_requests += watched.cut
-        self.found.probes_in_planned_stops += watched.sent
-        if statuses != [0]:
-            self.found.cut_requests.append(f"{name} ended with status {statuses} after SIGTERM")
+        await probes.planned_stop(self.field, index, PLANNED_STOP, self.found)
 
     def takeover_s(self) -> list[float]:
         """Return how long each program of the killed node waited for its next answer."""
--- a/src/dogwoodgap_lab/probes.py
+++ b/src/dogwoodgap_lab/probes.py
@@ -3,18 +3,67 @@
 import contextlib
 import dataclasses
 import math
+import signal
 
 import anyio
 import httpx
 
 from dogwoodgap import clock
-from dogwoodgap_lab import deployments, stage
+from dogwoodgap_lab import deployments, oracle, stage
 
 PROBE_TIMEOUT_S = 60.0
 DISCOVERY_TTL_S = 5.0
+MAX_REFUSALS_NOTED = 3
 END_EVENTS = ("event: done", "event: error")
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """How a planned stop is watched.
+
+    Attributes
+    ----------
+    duration_s, interval_s, tokens : float, float, int
+        How long, how often and with how many output tokens probes are sent.
+    lead_s : float
+        Time between the first probe and the signal.
+    limit_s : float
+        Longest time for which the end of the process is awaited after the probes.
+    """
+
+    duration_s: float
+    interval_s: float
+    tokens: int
+    lead_s: float
+    limit_s: float
+
+
+async def planned_stop(field: stage.Stage, index: int, plan: Plan, found: oracle.Evidence) -> None:
+    """Stop a node with SIGTERM while probes go through it, and add what was cut to the evidence."""
+    name = field.layout.node_name(index)
+    watched = Probes(field, field.layout.entries()[index])
+    before = len(field.exits(index))
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(watched.run, plan.duration_s, plan.interval_s, plan.tokens)
+        await anyio.sleep(plan.lead_s)
+        watched.signalled_at = clock.now()
+        field.send_signal(index, signal.SIGTERM)
+        field.note(f"{name} stops as planned (SIGTERM), with requests through it")
+    with anyio.move_on_after(plan.limit_s):
+        await field.wait_exit(index, before)
+    statuses = field.exits(index)[before:]
+    field.note(
+        f"{name} ended with status {statuses}: {watched.sent} probes, "
+        f"{len(watched.cut)} cut, {len(watched.refused)} refused"
+    )
+    for text in watched.refused[:MAX_REFUSALS_NOTED]:
+        field.note(f"refused: {text}")
+    found.cut_requests += watched.cut
+    found.probes_in_planned_stops += watched.sent
+    if statuses != [0]:
+        found.cut_requests.append(f"{name} ended with status {statuses} after SIGTERM")
+
+
 @dataclasses.dataclass(slots=True)
 class Probes:
     """Calls sent to one entry, never repeated.
