--- a/src/dogwoodgap/events.py
+++ b/src/dogwoodgap/events.py
@@ -84,6 +84,20 @@
         4024,
         "A part of the node failed to take a new configuration over.",
     )
+    ROUTES_INSTALLED = 5001, "A version of the configured routes is in force on this node."
+    ROUTES_INVALID = 5002, "A stored version of the routes is invalid; the old one stays in force."
+    SERVERS_CHANGED = 5003, "The list of backend servers changed."
+    ENTRY_IGNORED = 5004, "An entry of a backend server is malformed and names no server to use."
+    STORE_LOST = 5005, "The platform's store does not answer; what is known stays in use."
+    STORE_REGAINED = 5006, "The platform's store answers again."
+    REQUEST_FORWARDED = 5007, "A forwarded request ended; fields: inputs, tries and outcome."
+    REQUEST_MALFORMED = 5008, "A request could not be read; its connection is closed."
+    CONNECTION_FAILED = 5009, "A caller's connection ended with an unexpected error."
+    BODY_INTERRUPTED = 5010, "A backend server closed a connection while it received a body."
+    GATEWAY_STARTED = 5011, "The gateway listens."
+    GATEWAY_STOPPING = 5012, "A planned stop began; the gateway leaves the callers' addresses."
+    GATEWAY_STOPPED = 5013, "The planned stop is complete; the process ends."
+    GATEWAY_RELOADED = 5014, "The settings file was read again."
     RUNNER_LEAVING = 6001, "A runner is leaving and gets no new work."
     RUNNER_RETURNED = 6002, "A runner takes work again."
     RUNNER_DOWN = 6003, "A fresh connection to a runner failed; it gets no work until it answers."
--- a/src/dogwoodgap/exceptions.py
+++ b/src/dogwoodgap/exceptions.py
@@ -399,6 +399,11 @@
     )
 
 
+def encode_problem(error: DogwoodgapError) -> bytes:
+    """Return an error as a JSON document."""
+    return msgspec.json.encode(problem(error))
+
+
 def kinds(base: type[DogwoodgapError] = DogwoodgapError) -> list[type[DogwoodgapError]]:
     """Return all error kinds below ``base``, sorted by code."""
     found = {base.code: base}
--- /dev/null
+++ b/src/dogwoodgap/forwarder.py
@@ -0,0 +1,567 @@
+"""Forwards one request of a caller to backend servers and its answer back.
+
+An answer reaches the caller only whole, or is visibly cut. A request runs again only where its
+route allows that; a refusal with 503 is given only when no server has run it.
+"""
+
+import collections.abc
+import dataclasses
+import enum
+import logging
+import math
+
+import anyio
+import h11
+
+from dogwoodgap import (
+    budgets,
+    clock,
+    crashes,
+    dialect,
+    event_stream,
+    events,
+    exceptions,
+    http_pool,
+    ingress,
+    routes,
+    selection,
+    servers,
+    upstream,
+)
+
+MAX_REFUSALS = 4
+"""Servers that may refuse a request as not run before the caller is told to come back."""
+
+RETRY_AFTER_S = 0.1
+"""Time after which a refused caller may return when nothing better is known."""
+
+MIN_RUN_S = 0.01
+"""A request is not passed on with less time than this: no server could answer it."""
+
+UNSAFE_FRESH_S = upstream.FRESH_S
+
+
+class Result(enum.Enum):
+    """How the exchange with one server ended."""
+
+    DONE = "done"
+    NOT_RUN = "not_run"
+    UNREACHABLE = "unreachable"
+    UNKNOWN = "unknown"
+    CUT = "cut"
+
+
+@dataclasses.dataclass(slots=True)
+class Progress:
+    """What has happened to one request so far.
+
+    Attributes
+    ----------
+    runs : int
+        Servers that may have run it.
+    events : int
+        Events of its stream that the caller was given.
+    last_event_id : bytes or None
+        Id of the last of them.
+    """
+
+    route: routes.Route
+    service: str
+    limit_at: float
+    urgency: int | None = None
+    runs: int = 0
+    refusals: int = 0
+    events: int = 0
+    last_event_id: bytes | None = None
+    excluded: set[str] = dataclasses.field(default_factory=set)
+    trail: list[str] = dataclasses.field(default_factory=list)
+    offered_at: float | None = None
+    status: int = 0
+
+
+class StreamBrokenError(Exception):
+    """A stream that the caller has begun to receive cannot be finished."""
+
+
+class Forwarder:
+    """The path of requests through one node.
+
+    Parameters
+    ----------
+    book : routes.RouteBook
+        Routes in force.
+    directory : servers.ServerDirectory
+        Backend servers.
+    codec : dialect.Dialect
+        Header names of the deployment.
+    accounts : budgets.Accounts
+        Token budgets of programs.
+    suspects : crashes.CrashLog
+        Requests that have crashed servers.
+    """
+
+    def __init__(
+        self,
+        book: routes.RouteBook,
+        directory: servers.ServerDirectory,
+        codec: dialect.Dialect,
+        accounts: "budgets.Accounts",
+        suspects: "crashes.CrashLog",
+        data_centre: str = "",
+    ):
+        self.book = book
+        self.directory = directory
+        self.codec = codec
+        self.accounts = accounts
+        self.suspects = suspects
+        self.loads = selection.LoadTable(data_centre)
+        self.pools: dict[str, upstream.ServerPool] = {}
+        self.active = 0
+        directory.removal_hooks.append(self.forget)
+
+    def forget(self, server: servers.BackendServer) -> None:
+        """Drop what is known of a server that is gone."""
+        self.pools.pop(server.id, None)
+        self.loads.forget(server)
+
+    def pool(self, server: servers.BackendServer) -> upstream.ServerPool:
+        """Return the connections to a server."""
+        found = self.pools.get(server.id)
+        if found is None or found.server.address != server.address:
+            found = self.pools[server.id] = upstream.ServerPool(server)
+        return found
+
+    async def handle(self, incoming: ingress.Incoming, responder: ingress.Responder) -> None:
+        """Answer one request of a caller."""
+        self.active += 1
+        call: dialect.Call | None = None
+        progress: Progress | None = None
+        outcome = "caller-gone"
+        try:
+            call = self.codec.decode_call(
+                incoming.method, incoming.target, incoming.headers, incoming.arrived_at
+            )
+            call.body = incoming.body
+            progress = self.plan(call)
+            await self.forward(call, progress, responder)
+            outcome = "answered"
+        except exceptions.DogwoodgapError as error:
+            outcome = error.code
+            await refuse(responder, error, call, self.codec)
+        except ingress.CallerGoneError:
+            raise
+        except StreamBrokenError as error:
+            outcome = f"cut: {error}"
+            raise ingress.CallerGoneError from error
+        except Exception as error:  # a fault of one request must not end its connection
+            outcome = f"fault: {error!r}"
+            logging.getLogger("dogwoodgap").exception("a request failed unexpectedly")
+            await refuse(
+                responder,
+                exceptions.OutcomeUnknownError("the gateway failed; see its log"),
+                call,
+                self.codec,
+            )
+        finally:
+            self.active -= 1
+            self.report(call, progress, outcome)
+
+    def plan(self, call: dialect.Call) -> Progress:
+        """Find the route of a request.
+
+        Raises
+        ------
+        NotReadyError
+            When no routes are known yet.
+        NotFoundError
+            When no route matches.
+        """
+        table = self.book.table
+        if table is None:
+            raise exceptions.NotReadyError(
+                "this node has not read the routes yet; use another one",
+                retry_after_s=RETRY_AFTER_S,
+            )
+        route = table.match(call.host, call.path)
+        if route is None:
+            raise exceptions.NotFoundError(
+                f"no route of host {call.host!r} matches {call.path!r}; check the address"
+            )
+        key = call.program_id or call.attempt_id
+        limit_at = call.arrived_at + route.timeout_s
+        if call.deadline_at is not None:
+            limit_at = min(limit_at, call.deadline_at)
+        return Progress(route, route.choose_service(key), limit_at)
+
+    async def forward(
+        self, call: dialect.Call, progress: Progress, responder: ingress.Responder
+    ) -> None:
+        """Run a request within its time and its program's budget."""
+        route = progress.route
+        digest = self.suspects.digest(call)
+        if self.suspects.is_refused(digest):
+            raise exceptions.OverloadedError(
+                "this request crashed the servers that ran it; do not send it again",
+                retry_after_s=crashes.REFUSED_RETRY_S,
+            )
+        counted = route.kind is routes.RouteKind.STREAMING and call.token_budget is not None
+        try:
+            with anyio.CancelScope(deadline=progress.limit_at) as scope:
+                if counted:
+                    await self.accounts.reserve(call)
+                await self.run(call, progress, responder, digest)
+            if scope.cancelled_caught:
+                await self.time_out(progress, responder)
+        finally:
+            if counted:
+                engine = self.engine(progress.service)
+                per_event = engine.tokens_per_event if engine else 1
+                self.accounts.settle(call, progress.events * per_event)
+
+    def engine(self, service: str) -> routes.Engine | None:
+        """Return the engine of a service, or None for a plain one."""
+        table = self.book.table
+        known = table.services.get(service) if table else None
+        return known.engine if known else None
+
+    async def time_out(self, progress: Progress, responder: ingress.Responder) -> None:
+        """End a request whose time is over."""
+        if responder.started:
+            raise StreamBrokenError("timeout")
+        if progress.runs:
+            raise exceptions.DeadlinePassedError(
+                "the route's timeout passed before the answer came; repeat it only if it may run "
+                "twice",
+                not_run="unknown",
+            )
+        raise exceptions.OverloadedError(
+            "no server took the request in time; come back later", retry_after_s=RETRY_AFTER_S
+        )
+
+    async def run(
+        self,
+        call: dialect.Call,
+        progress: Progress,
+        responder: ingress.Responder,
+        digest: int,
+    ) -> None:
+        """Try servers until one answers or none may be tried."""
+        while True:
+            server = self.choose(call, progress)
+            result = await self.exchange(call, progress, responder, server, digest)
+            progress.trail.append(f"{server.id}:{result.value}")
+            if result is Result.DONE:
+                return
+            progress.excluded.add(server.id)
+            if result in (Result.NOT_RUN, Result.UNREACHABLE):
+                progress.refusals += 1
+                if progress.refusals >= MAX_REFUSALS:
+                    self.give_up(progress, responder, "several servers took no request")
+                continue
+            may_repeat = progress.route.repeatable and progress.runs < self.max_runs(progress)
+            if not may_repeat:
+                self.give_up(progress, responder, "the answer was lost")
+
+    def max_runs(self, progress: Progress) -> int:
+        """Return how many servers may run a request; one that ended does not count."""
+        lost = sum(1 for server_id in progress.excluded if self.has_ended(server_id))
+        return progress.route.max_runs + lost
+
+    def has_ended(self, server_id: str) -> bool:
+        """Return whether a server crashed or left since it was asked."""
+        server = self.directory.servers.get(server_id)
+        return server is None or self.loads.state(server).failures > 0
+
+    def give_up(self, progress: Progress, responder: ingress.Responder, reason: str) -> None:
+        """End a request that no server may be asked to run again."""
+        if responder.started:
+            raise StreamBrokenError(reason)
+        if progress.runs:
+            raise exceptions.OutcomeUnknownError(
+                f"{reason}; the request may have run: repeat it only if it may run twice"
+            )
+        raise exceptions.OverloadedError(f"{reason}; come back later", retry_after_s=RETRY_AFTER_S)
+
+    def choose(self, call: dialect.Call, progress: Progress) -> servers.BackendServer:
+        """Return the server for the next try.
+
+        Raises
+        ------
+        OverloadedError
+            When no server of the service takes work.
+        """
+        ready = self.directory.ready(progress.service)
+        candidates = [server for server in ready if server.id not in progress.excluded]
+        engine = self.engine(progress.service)
+        server = selection.choose(self.loads, candidates, engine, call, clock.now())
+        if server is not None:
+            return server
+        if progress.runs or progress.last_event_id is not None:
+            raise exceptions.OutcomeUnknownError(
+                f"no other server of {progress.service} is left; the request may have run: "
+                "repeat it only if it may run twice"
+            )
+        raise exceptions.OverloadedError(
+            f"no server of {progress.service} takes work; come back later",
+            retry_after_s=RETRY_AFTER_S,
+        )
+
+    async def exchange(
+        self,
+        call: dialect.Call,
+        progress: Progress,
+        responder: ingress.Responder,
+        server: servers.BackendServer,
+        digest: int,
+    ) -> Result:
+        """Send a request to one server and pass its answer on."""
+        remaining_s = progress.limit_at - clock.now()
+        if remaining_s < MIN_RUN_S:
+            await anyio.sleep(max(0.0, remaining_s))
+        longest_idle_s = math.inf if progress.route.repeatable else UNSAFE_FRESH_S
+        state = self.loads.state(server)
+        pool = self.pool(server)
+        state.in_flight += 1
+        started_at = clock.now()
+        connection: upstream.Connection | None = None
+        try:
+            connection = await pool.take(longest_idle_s)
+            if not self.directory.is_usable(server):
+                return Result.NOT_RUN
+            result = await self.converse(call, progress, responder, connection)
+            if result is Result.DONE:
+                state.note_answer(clock.now() - started_at)
+                self.loads.note_line(call.session_id, server)
+                kept, connection = connection, None
+                await pool.give_back(kept)
+            return result
+        except upstream.ServerUnreachableError:
+            state.note_unreachable(clock.now())
+            return Result.UNREACHABLE
+        except upstream.AnswerBrokenError as error:
+            progress.trail.append(error.detail)
+            await self.examine(pool, state, digest)
+            return Result.UNKNOWN
+        finally:
+            state.in_flight -= 1
+            if connection is not None:
+                await connection.close()
+
+    async def examine(
+        self, pool: upstream.ServerPool, state: selection.ServerState, digest: int
+    ) -> None:
+        """Find out by a fresh connection whether a server that broke off has crashed."""
+        try:
+            connection = await pool.open()
+        except upstream.ServerUnreachableError:
+            state.note_unreachable(clock.now())
+            self.suspects.note_crash(digest)
+            return
+        await connection.close()
+
+    async def converse(
+        self,
+        call: dialect.Call,
+        progress: Progress,
+        responder: ingress.Responder,
+        connection: upstream.Connection,
+    ) -> Result:
+        """Send a request on a connection and read the answer."""
+        remaining_s = progress.limit_at - clock.now()
+        last_event_id = progress.last_event_id or call.last_event_id
+        request = h11.Request(
+            method=call.method,
+            target=call.target,
+            headers=self.codec.encode_call(
+                call, connection.server.id, remaining_s, progress.urgency, last_event_id
+            ),
+        )
+        progress.offered_at = progress.offered_at or clock.now()
+        progress.runs += 1
+        if len(call.body) <= upstream.INLINE_BODY_BYTES:
+            await connection.send(request, call.body)
+            return await self.read_answer(call, progress, responder, connection, request)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(send_quietly, connection, request, call.body)
+            await anyio.lowlevel.checkpoint()
+            result = await self.read_answer(call, progress, responder, connection, request)
+            tasks.cancel_scope.cancel()
+        return result
+
+    async def read_answer(
+        self,
+        call: dialect.Call,
+        progress: Progress,
+        responder: ingress.Responder,
+        connection: upstream.Connection,
+        request: h11.Request,
+    ) -> Result:
+        """Read an answer and pass it on."""
+        head = await connection.read_head(request, call, self.codec)
+        connection.note_keep_alive(head.headers)
+        if head.facts.not_run or head.status == MISDIRECTED:
+            progress.runs -= 1
+            await drain(connection)
+            return Result.NOT_RUN
+        if head.status < OK_END and (not head.facts.sealed or head.facts.encoded):
+            raise connection.broken("a success without its signature or with an encoding")
+        is_stream = progress.route.kind is routes.RouteKind.STREAMING and head.status < OK_END
+        if is_stream:
+            await self.pass_events(progress, responder, connection, head)
+        elif responder.started:
+            raise connection.broken(f"status {head.status} in place of the rest of a stream")
+        else:
+            await self.pass_whole(progress, responder, connection, head)
+        return Result.DONE
+
+    async def pass_whole(
+        self,
+        progress: Progress,
+        responder: ingress.Responder,
+        connection: upstream.Connection,
+        head: upstream.Head,
+    ) -> None:
+        """Pass an answer on once all of it is here."""
+        parts: list[bytes] = []
+        while isinstance(event := await connection.next_event(), h11.Data):
+            parts.append(bytes(event.data))
+        if not isinstance(event, h11.EndOfMessage):
+            raise connection.broken("the connection ended within the body")
+        progress.status = head.status
+        await responder.whole(head.status, passed_on(head.headers), b"".join(parts))
+
+    async def pass_events(
+        self,
+        progress: Progress,
+        responder: ingress.Responder,
+        connection: upstream.Connection,
+        head: upstream.Head,
+    ) -> None:
+        """Pass the events of a stream on as they arrive, each of them once and whole."""
+        splitter = event_stream.EventSplitter()
+        while isinstance(event := await connection.next_event(), h11.Data):
+            try:
+                found = splitter.feed(bytes(event.data))
+            except ValueError as error:
+                raise connection.broken(str(error)) from error
+            if fresh := self.select_events(progress, connection, found):
+                if not responder.started:
+                    progress.status = head.status
+                    await responder.start(head.status, stream_headers(head.headers))
+                await responder.data(b"".join(item.data for item in fresh))
+        if not isinstance(event, h11.EndOfMessage) or not splitter.is_clean:
+            raise connection.broken("the stream ended within an event")
+        if not responder.started:
+            progress.status = head.status
+            await responder.start(head.status, stream_headers(head.headers))
+        await responder.finish()
+
+    def select_events(
+        self,
+        progress: Progress,
+        connection: upstream.Connection,
+        found: list[event_stream.StreamEvent],
+    ) -> list[event_stream.StreamEvent]:
+        """Return the events that the caller does not have yet.
+
+        Raises
+        ------
+        AnswerBrokenError
+            When one is missing between the last one passed on and these.
+        """
+        fresh: list[event_stream.StreamEvent] = []
+        for item in found:
+            if item.id is not None and progress.last_event_id is not None:
+                last = int(progress.last_event_id)
+                if item.id <= last:
+                    continue
+                if item.id != last + 1:
+                    raise connection.broken(f"event {item.id} follows event {last}")
+            if item.id is not None:
+                progress.last_event_id = str(item.id).encode()
+            progress.events += 1
+            fresh.append(item)
+        return fresh
+
+    def report(self, call: dialect.Call | None, progress: Progress | None, outcome: str) -> None:
+        """Write the log line of a request."""
+        if call is None:
+            return
+        now = clock.now()
+        events.emit(
+            events.Event.REQUEST_FORWARDED,
+            "request ended",
+            level=logging.INFO,
+            request=call.attempt_id,
+            program=call.program_id,
+            route=progress.route.name if progress else "",
+            service=progress.service if progress else "",
+            outcome=outcome,
+            status=progress.status if progress else 0,
+            took_ms=round((now - call.arrived_at) * 1000, 1),
+            offered_ms=(
+                round((progress.offered_at - call.arrived_at) * 1000, 1)
+                if progress and progress.offered_at
+                else None
+            ),
+            tried=progress.trail if progress else [],
+            events=progress.events if progress else 0,
+            routes_version=self.book.version,
+            servers_revision=self.directory.revision,
+            servers_age_ms=round(self.directory.age_s * 1000),
+        )
+
+
+MISDIRECTED = 421
+OK_END = 300
+
+
+async def send_quietly(connection: upstream.Connection, request: h11.Request, body: bytes) -> None:
+    """Send a long body; a failure shows where the answer is read."""
+    try:
+        await connection.send(request, body)
+    except upstream.AnswerBrokenError as error:
+        events.emit(
+            events.Event.BODY_INTERRUPTED,
+            "a server closed the connection while it received a body",
+            server=connection.server.id,
+            detail=error.detail,
+        )
+
+
+async def drain(connection: upstream.Connection) -> None:
+    """Read the rest of an answer that is not passed on."""
+    while isinstance(await connection.next_event(), h11.Data):
+        pass
+
+
+def passed_on(headers: dialect.Headers) -> dialect.Headers:
+    """Return the headers of an answer without those of its connection."""
+    return [pair for pair in headers if pair[0] not in dialect.CONNECTION_HEADERS]
+
+
+def stream_headers(headers: dialect.Headers) -> dialect.Headers:
+    """Return the headers of a stream, whose length is not known."""
+    return [*passed_on(headers), (b"transfer-encoding", b"chunked")]
+
+
+async def refuse(
+    responder: ingress.Responder,
+    error: exceptions.DogwoodgapError,
+    call: dialect.Call | None,
+    codec: dialect.Dialect,
+) -> None:
+    """Answer with an error of this node."""
+    if responder.started:
+        raise ingress.CallerGoneError from error
+    headers: dialect.Headers = [(b"content-type", b"application/problem+json")]
+    if error.retry_after_s:
+        headers.append((b"retry-after", f"{error.retry_after_s:.3f}".encode()))
+    if call is not None and call.attempt_id:
+        headers.append((codec.names.attempt_id, call.attempt_id.encode("latin-1")))
+    body = exceptions.encode_problem(error)
+    await responder.whole(error.status, headers, body)
+
+
+Sender = collections.abc.Callable[[], collections.abc.Awaitable[None]]
+BROKEN = http_pool.BROKEN
--- /dev/null
+++ b/src/dogwoodgap/gateway.py
@@ -0,0 +1,210 @@
+"""The gateway: forwards callers' requests by configured routes; one on each entry VM."""
+
+import collections.abc
+import dataclasses
+import logging
+import signal
+import uuid
+
+import anyio
+import anyio.abc
+
+from dogwoodgap import (
+    budgets,
+    clock,
+    crashes,
+    dialect,
+    events,
+    followers,
+    forwarder,
+    ingress,
+    members,
+    membership,
+    peers,
+    routes,
+    servers,
+    settings,
+    source,
+)
+from dogwoodgap_wire import ttypes
+
+STOP_MARGIN_S = 0.6
+"""The process ends this long before it would be killed."""
+
+TTL_SPREAD = 3
+"""Some callers keep a directory answer for three times its lifetime."""
+
+POLL_S = 0.05
+"""Interval at which a stop looks whether its last requests have ended."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DirectoryAnswer:
+    """Addresses for callers, and how long they may be kept."""
+
+    addresses: tuple[str, ...]
+    ttl_s: float
+
+
+class Entrance(collections.abc.Hashable):
+    """Answers the readiness check and callers that ask for addresses; met by an adapter."""
+
+    async def ready(self, incoming: ingress.Incoming, responder: ingress.Responder) -> None:
+        """Answer the readiness check."""
+
+    async def directory(self, incoming: ingress.Incoming, responder: ingress.Responder) -> None:
+        """Answer a caller that asks for addresses."""
+
+
+class Gateway:
+    """One gateway process.
+
+    Parameters
+    ----------
+    loaded : settings.GatewaySettings
+        Checked settings.
+    store : source.FleetSource
+        Reads routes and backend servers.
+    codec : dialect.Dialect
+        Header names of the deployment.
+    """
+
+    def __init__(
+        self,
+        loaded: settings.GatewaySettings,
+        store: source.FleetSource,
+        codec: dialect.Dialect,
+    ):
+        self.settings = loaded
+        self.store = store
+        self.boot = uuid.uuid4().hex[:12]
+        self.book = routes.RouteBook()
+        self.directory = servers.ServerDirectory(loaded.gateway.return_grace_s)
+        self.route_follower = followers.RouteFollower(store, self.book)
+        self.server_follower = followers.ServerFollower(store, self.directory)
+        self.suspects = crashes.CrashLog()
+        self.accounts = budgets.Accounts()
+        self.forwarder = forwarder.Forwarder(
+            self.book,
+            self.directory,
+            codec,
+            self.accounts,
+            self.suspects,
+            loaded.node.data_centre,
+        )
+        self.front = ingress.Server(self.forwarder.handle, self.limits)
+        self.stopping = False
+        self.membership: membership.Membership | None = None
+        self.remote_loads: dict[str, dict[str, int]] = {}
+
+    def limits(self) -> routes.Limits:
+        """Return the limits for a new connection."""
+        return self.book.table.limits if self.book.table else routes.Limits()
+
+    @property
+    def ready(self) -> bool:
+        """Return whether callers may be sent here."""
+        return not self.stopping and self.book.table is not None and self.directory.revision >= 0
+
+    def answer_directory(self) -> DirectoryAnswer:
+        """Return the addresses of the gateways that are ready."""
+        found = [
+            member.http_address
+            for member in (self.membership.alive() if self.membership else [])
+            if member.http_address
+        ]
+        return DirectoryAnswer(tuple(found), self.settings.gateway.directory_ttl_s)
+
+    async def run(self, entrance: Entrance) -> None:
+        """Serve until SIGTERM."""
+        section = self.settings.gateway
+        async with anyio.create_task_group() as tasks:
+            network = peers.PeerNetwork(self.settings.node.peer_bind, tasks)
+            await tasks.start(network.serve)
+            tasks.start_soon(self.route_follower.run)
+            tasks.start_soon(self.server_follower.run)
+            ready = ingress.Server(entrance.ready)
+            await tasks.start(ready.serve, section.ready_bind)
+            directory = ingress.Server(entrance.directory)
+            await tasks.start(directory.serve, section.directory_bind)
+            await tasks.start(self.front.serve, self.settings.node.http_bind)
+            tasks.start_soon(self.join, network, tasks)
+            events.emit(
+                events.Event.GATEWAY_STARTED,
+                "gateway listens",
+                node=self.settings.node.name,
+                boot=self.boot,
+            )
+            await self.wait_for_stop()
+            await self.stop()
+            tasks.cancel_scope.cancel()
+
+    async def join(self, network: peers.PeerNetwork, tasks: anyio.abc.TaskGroup) -> None:
+        """Become a member once callers can be served."""
+        await self.route_follower.known.wait()
+        await self.server_follower.known.wait()
+        hooks = membership.Hooks(
+            generation=lambda: self.book.version,
+            runners=self.own_loads,
+            on_load=self.note_loads,
+        )
+        self.membership = membership.Membership(self.settings, self.boot, network, None, hooks)
+        tasks.start_soon(self.membership.run)
+
+    def own_loads(self, node: str) -> list[ttypes.RunnerLoad]:
+        """Return this node's requests in flight by backend server."""
+        return [
+            ttypes.RunnerLoad(runner=server_id, in_flight=state.in_flight)
+            for server_id, state in self.forwarder.loads.states.items()
+            if state.in_flight
+        ]
+
+    def note_loads(
+        self,
+        member: members.Member,
+        services: list[ttypes.ServiceLoad],
+        runners: list[ttypes.RunnerLoad],
+    ) -> None:
+        """Take over another node's requests in flight."""
+        self.remote_loads[member.node] = {item.runner: item.in_flight for item in runners}
+        totals: dict[str, int] = {}
+        for loads in self.remote_loads.values():
+            for server_id, number in loads.items():
+                totals[server_id] = totals.get(server_id, 0) + number
+        for server_id, state in self.forwarder.loads.states.items():
+            state.remote = totals.get(server_id, 0)
+
+    async def wait_for_stop(self) -> None:
+        """Wait for SIGTERM; SIGHUP is noted and changes nothing that is in use."""
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as received:
+            async for number in received:
+                if number != signal.SIGHUP:
+                    return
+                events.emit(events.Event.GATEWAY_RELOADED, "SIGHUP received")
+
+    async def stop(self) -> None:
+        """Leave the callers' directory, answer what still comes, then end."""
+        section = self.settings.gateway
+        started_at = clock.now()
+        end_at = started_at + section.stop_grace_s - STOP_MARGIN_S
+        self.stopping = True
+        events.emit(
+            events.Event.GATEWAY_STOPPING, "planned stop began", active=self.forwarder.active
+        )
+        if self.membership is not None:
+            await self.membership.leave()
+        await clock.sleep_until(started_at + section.directory_ttl_s * TTL_SPREAD)
+        self.front.closing = True
+        while clock.now() < end_at and (self.front.connections or self.forwarder.active):
+            self.front.close_idle()
+            await anyio.sleep(POLL_S)
+        if self.membership is not None:
+            with anyio.move_on_after(STOP_MARGIN_S / 2):
+                await self.membership.depart()
+        events.emit(
+            events.Event.GATEWAY_STOPPED,
+            "gateway ends",
+            level=logging.INFO,
+            active=self.forwarder.active,
+            took_s=round(clock.now() - started_at, 3),
+        )
--- a/src/dogwoodgap/http_pool.py
+++ b/src/dogwoodgap/http_pool.py
@@ -27,6 +27,14 @@
 BROKEN = (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
 
 
+def is_readable(stream: anyio.abc.ByteStream) -> bool:
+    """Return whether the kernel holds bytes or an end for a connection that expects neither."""
+    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    poll = select.poll()
+    poll.register(raw, select.POLLIN)
+    return bool(poll.poll(0))
+
+
 @dataclasses.dataclass(slots=True)
 class Link:
     """One connection; ``idle_until`` is set while nobody uses it."""
@@ -93,12 +101,7 @@
 
     def usable(self) -> bool:
         """Return whether an idle connection is still open; a closed one is readable."""
-        if self.idle_until < clock.now():
-            return False
-        raw = self.stream.extra(anyio.abc.SocketAttribute.raw_socket)
-        poll = select.poll()
-        poll.register(raw, select.POLLIN)
-        return not poll.poll(0)
+        return self.idle_until >= clock.now() and not is_readable(self.stream)
 
     def may_be_kept(self) -> bool:
         """Return whether both sides are done and allow another request."""
--- /dev/null
+++ b/src/dogwoodgap/ingress.py
@@ -0,0 +1,295 @@
+"""Accepted HTTP/1.1 connections: one task each, h11 over anyio sockets."""
+
+import collections.abc
+import dataclasses
+import logging
+import typing
+
+import anyio
+import anyio.abc
+import h11
+
+from dogwoodgap import clock, dialect, events, exceptions, http_pool, routes
+
+CLOSE_WAIT_S = 0.5
+"""Time for a caller to read the last answer before the connection is closed."""
+
+BODY_TIMEOUT_S = 10.0
+"""Longest time for the body of a request; bodies are at most a few MB."""
+
+
+@dataclasses.dataclass(slots=True)
+class Incoming:
+    """One whole request; header names are in lower case."""
+
+    method: bytes
+    target: bytes
+    headers: dialect.Headers
+    body: bytes
+    arrived_at: float
+
+
+class CallerGoneError(Exception):
+    """The caller closed its connection or reads no longer."""
+
+
+class Responder:
+    """Writes one answer."""
+
+    def __init__(self, connection: "CallerConnection"):
+        self.connection = connection
+        self.started = False
+        self.finished = False
+
+    async def whole(self, status: int, headers: dialect.Headers, body: bytes = b"") -> None:
+        """Write a whole answer."""
+        fields = [*headers, (b"content-length", str(len(body)).encode())]
+        await self.start(status, fields)
+        if body:
+            await self.data(body)
+        await self.finish()
+
+    async def start(self, status: int, headers: dialect.Headers) -> None:
+        """Prepare status and headers; they are written with the first data or the end."""
+        self.started = True
+        fields = list(headers)
+        if self.connection.server.closing:
+            fields.append((b"connection", b"close"))
+        self.connection.buffer(h11.Response(status_code=status, headers=fields))
+
+    async def data(self, data: bytes) -> None:
+        """Write a part of the body at once."""
+        self.connection.buffer(h11.Data(data))
+        await self.connection.flush()
+
+    async def finish(self) -> None:
+        """Write the end of the answer."""
+        self.connection.buffer(h11.EndOfMessage())
+        await self.connection.flush()
+        self.finished = True
+
+
+Handler = collections.abc.Callable[[Incoming, Responder], collections.abc.Awaitable[None]]
+
+
+class CallerConnection:
+    """One accepted connection."""
+
+    def __init__(self, server: "Server", stream: anyio.abc.SocketStream):
+        self.server = server
+        self.stream = stream
+        self.limits = server.limits()
+        self.state = h11.Connection(h11.SERVER, max_incomplete_event_size=self.limits.header_bytes)
+        self.pending = b""
+        self.ended = False
+        self.idle = True
+        self.scope = anyio.CancelScope()
+
+    async def run(self) -> None:
+        """Answer requests until one side ends the connection."""
+        while True:
+            incoming = await self.read_request()
+            if incoming is None:
+                return
+            self.idle = False
+            whole = await self.answer(incoming)
+            self.idle = True
+            if not whole or self.state.our_state is not h11.DONE:
+                return
+            if self.state.their_state is not h11.DONE:
+                return
+            self.state.start_next_cycle()
+            if self.server.closing and not self.state.trailing_data[0]:
+                return
+
+    async def read_request(self) -> Incoming | None:
+        """Return the next request, or None at the end of the connection."""
+        try:
+            return await self.receive_request()
+        except h11.RemoteProtocolError as error:
+            await self.reject(error.error_status_hint, str(error))
+        except exceptions.DogwoodgapError as error:
+            await self.reject(error.status, error.detail)
+        except TimeoutError:
+            if self.state.their_state is not h11.IDLE or self.state.trailing_data[0]:
+                await self.reject(408, "the request did not arrive in time; send it faster")
+        return None
+
+    async def receive_request(self) -> Incoming | None:
+        """Read one request; raises TimeoutError when it takes too long."""
+        request = await self.receive_head()
+        if request is None:
+            return None
+        arrived_at = clock.now()
+        parts: list[bytes] = []
+        size = 0
+        with anyio.fail_after(BODY_TIMEOUT_S):
+            if self.state.they_are_waiting_for_100_continue:
+                await self.write(
+                    self.state.send(h11.InformationalResponse(status_code=100, headers=[]))
+                )
+            while not isinstance(event := await self.next_event(), h11.EndOfMessage):
+                if not isinstance(event, h11.Data):
+                    return None
+                parts.append(bytes(event.data))
+                size += len(event.data)
+                if size > self.limits.body_bytes:
+                    raise exceptions.BodyTooLargeError(
+                        f"the body exceeds {self.limits.body_bytes} bytes; send less"
+                    )
+        headers = [(name.lower(), value) for name, value in request.headers.raw_items()]
+        return Incoming(request.method, request.target, headers, b"".join(parts), arrived_at)
+
+    async def receive_head(self) -> h11.Request | None:
+        """Wait for the head of a request: idle at first, then within the header timeout."""
+        event = self.state.next_event()
+        if event is h11.NEED_DATA and not self.state.trailing_data[0]:
+            with anyio.fail_after(self.limits.idle_timeout_s):
+                await self.fill()
+            event = self.state.next_event()
+        if event is h11.NEED_DATA:
+            with anyio.fail_after(self.limits.header_timeout_s):
+                event = await self.next_event()
+        return event if isinstance(event, h11.Request) else None
+
+    async def next_event(self) -> typing.Any:
+        """Return the next event of the protocol."""
+        while (event := self.state.next_event()) is h11.NEED_DATA:
+            await self.fill()
+        return event
+
+    async def fill(self) -> None:
+        """Read what has arrived."""
+        try:
+            data = await self.stream.receive()
+        except (anyio.EndOfStream, *http_pool.BROKEN):
+            data = b""
+        self.ended = not data
+        self.state.receive_data(data)
+
+    async def answer(self, incoming: Incoming) -> bool:
+        """Run the handler while the caller stays; return whether a whole answer was written."""
+        responder = Responder(self)
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.watch, tasks.cancel_scope)
+                await self.server.handler(incoming, responder)
+                tasks.cancel_scope.cancel()
+        except* CallerGoneError:
+            responder.finished = False
+        return responder.finished
+
+    async def watch(self, scope: anyio.CancelScope) -> None:
+        """Cancel the handler when the caller leaves; keep bytes of its next request."""
+        while not self.ended and len(self.state.trailing_data[0]) <= self.limits.header_bytes:
+            await self.fill()
+        if self.ended:
+            scope.cancel()
+
+    def buffer(self, event: typing.Any) -> None:
+        """Encode an event and keep its bytes for the next write."""
+        self.pending += self.state.send(event) or b""
+
+    async def flush(self) -> None:
+        """Write what was encoded."""
+        data, self.pending = self.pending, b""
+        await self.write(data)
+
+    async def write(self, data: bytes) -> None:
+        """Write bytes to the caller."""
+        try:
+            await self.stream.send(data)
+        except http_pool.BROKEN as error:
+            raise CallerGoneError from error
+
+    async def reject(self, status: int, detail: str) -> None:
+        """Answer a request that cannot be read, before the connection is closed."""
+        events.emit(
+            events.Event.REQUEST_MALFORMED,
+            "a request could not be read; the connection is closed",
+            level=logging.WARNING,
+            status=status,
+            detail=detail,
+        )
+        if self.state.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        body = detail.encode()
+        headers = [
+            (b"content-type", b"text/plain; charset=utf-8"),
+            (b"content-length", str(len(body)).encode()),
+            (b"connection", b"close"),
+        ]
+        try:
+            data = self.state.send(h11.Response(status_code=status, headers=headers))
+            await self.write((data or b"") + (self.state.send(h11.Data(body)) or b""))
+        except (CallerGoneError, h11.LocalProtocolError):
+            return
+
+
+class Server:
+    """A listener and its connections.
+
+    Parameters
+    ----------
+    handler : callable
+        Answers one request.
+    limits : callable
+        Returns the limits in force for a new connection.
+    """
+
+    def __init__(
+        self,
+        handler: Handler,
+        limits: collections.abc.Callable[[], routes.Limits] = routes.Limits,
+    ):
+        self.handler = handler
+        self.limits = limits
+        self.closing = False
+        self.connections: set[CallerConnection] = set()
+
+    async def serve(
+        self, address: str, *, task_status: anyio.abc.TaskStatus[int] = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Accept connections until cancelled; the start value is the port."""
+        host, _, port = address.rpartition(":")
+        listener = await anyio.create_tcp_listener(local_host=host, local_port=int(port))
+        async with listener:
+            task_status.started(listener.extra(anyio.abc.SocketAttribute.local_port))
+            await listener.serve(self.serve_stream)
+
+    async def serve_stream(self, stream: anyio.abc.SocketStream) -> None:
+        """Serve one connection to its end."""
+        connection = CallerConnection(self, stream)
+        self.connections.add(connection)
+        try:
+            with connection.scope:
+                await connection.run()
+        except Exception as error:  # one faulty connection must not end the listener
+            events.emit(
+                events.Event.CONNECTION_FAILED,
+                "a connection ended with an unexpected error",
+                level=logging.ERROR,
+                detail=repr(error),
+            )
+        finally:
+            self.connections.discard(connection)
+            with anyio.CancelScope(shield=True):
+                await close_politely(stream)
+
+    def close_idle(self) -> None:
+        """End the connections on which no request is being read or answered."""
+        for connection in list(self.connections):
+            if connection.idle and connection.state.their_state is h11.IDLE:
+                connection.scope.cancel()
+
+
+async def close_politely(stream: anyio.abc.SocketStream) -> None:
+    """End writing and read what still comes, so that a reset does not destroy the last answer."""
+    with anyio.move_on_after(CLOSE_WAIT_S):
+        try:
+            await stream.send_eof()
+            while True:
+                await stream.receive()
+        except (anyio.EndOfStream, *http_pool.BROKEN):
+            pass
+    await anyio.aclose_forcefully(stream)
--- /dev/null
+++ b/src/dogwoodgap/routes.py
@@ -0,0 +1,163 @@
+"""Configured routes: which service answers a path, and how its requests may be repeated."""
+
+import bisect
+import collections
+import dataclasses
+import enum
+import logging
+
+import xxhash
+
+from dogwoodgap import events
+
+WEIGHT_SCALE = 1 << 32
+"""Range of the hash that divides requests between the targets of a route."""
+
+
+class RouteKind(enum.Enum):
+    """What may happen to a request of a route more than once."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    STREAMING = "streaming"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """A service and its share of a route's requests, relative to the other targets."""
+
+    service: str
+    weight: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """One route.
+
+    Attributes
+    ----------
+    timeout_s : float
+        Longest time that a caller is kept waiting.
+    objective_s : float
+        Time within which an answer is on time; for streams, its first event.
+    priority : int
+        Rank of the requests; 0 goes first.
+    max_runs : int
+        Backend servers that may run one request.
+    prompts : bool
+        Requests carry prompts whose prefixes backend servers cache.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    targets: tuple[Target, ...]
+    timeout_s: float
+    objective_s: float
+    priority: int = 0
+    max_runs: int = 1
+    prompts: bool = False
+    resumable: bool = False
+
+    @property
+    def repeatable(self) -> bool:
+        """Return whether a request may run again after it may have run."""
+        return self.kind is RouteKind.IDEMPOTENT or self.resumable
+
+    def choose_service(self, key: str) -> str:
+        """Return the service for a key; the same key keeps its service while weights hold."""
+        if len(self.targets) == 1:
+            return self.targets[0].service
+        total = sum(target.weight for target in self.targets)
+        point = xxhash.xxh32_intdigest(key.encode()) / WEIGHT_SCALE * total
+        bounds: list[float] = []
+        for target in self.targets:
+            bounds.append((bounds[-1] if bounds else 0.0) + target.weight)
+        return self.targets[min(bisect.bisect_right(bounds, point), len(bounds) - 1)].service
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Engine:
+    """What the model engines of a service hold and produce."""
+
+    slots: int
+    cache_tokens: int
+    tokens_per_event: int = 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Service:
+    """One service of backend servers; ``engine`` is None for plain services."""
+
+    name: str
+    max_connections: int
+    engine: Engine | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """What callers may send, and how long they may take or stay idle."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4 * 1024 * 1024
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+class RouteTable:
+    """One version of all routes, services and limits."""
+
+    def __init__(
+        self,
+        version: int,
+        routes: list[Route],
+        services: list[Service],
+        limits: Limits | None = None,
+    ):
+        self.version = version
+        self.services = {service.name: service for service in services}
+        self.limits = limits or Limits()
+        self.by_host: dict[str, dict[str, Route]] = collections.defaultdict(dict)
+        for route in routes:
+            self.by_host[route.host.lower()][route.prefix] = route
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route of a host with the longest prefix of a path."""
+        prefixes = self.by_host.get(host.lower())
+        if prefixes is None:
+            return None
+        end = path.rfind("/")
+        while end >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
+
+class RouteBook:
+    """The version in force; it never goes back to an older one."""
+
+    def __init__(self) -> None:
+        self.table: RouteTable | None = None
+
+    @property
+    def version(self) -> int:
+        """Return the version in force, or -1 before the first one."""
+        return -1 if self.table is None else self.table.version
+
+    def install(self, table: RouteTable) -> bool:
+        """Put a newer table in force and return whether that was done."""
+        if table.version <= self.version:
+            return False
+        events.emit(
+            events.Event.ROUTES_INSTALLED,
+            "a version of the routes is in force",
+            level=logging.INFO,
+            version=table.version,
+            previous=self.version,
+            services=len(table.services),
+        )
+        self.table = table
+        return True
--- /dev/null
+++ b/src/dogwoodgap/servers.py
@@ -0,0 +1,112 @@
+"""The directory of backend servers that forwarded requests may go to."""
+
+import collections
+import collections.abc
+import dataclasses
+
+from dogwoodgap import clock, events
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BackendServer:
+    """One backend server as it registered itself.
+
+    Attributes
+    ----------
+    started_ms : int
+        Unix time of its start in milliseconds; another value means another process.
+    slots : int
+        Requests that it runs at once.
+    draining : bool
+        It finishes its work and takes nothing new.
+    """
+
+    id: str
+    service: str
+    address: str
+    data_centre: str
+    slots: int
+    draining: bool = False
+    started_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Listing:
+    """All registered servers at one revision of the store."""
+
+    revision: int
+    servers: tuple[BackendServer, ...]
+
+
+class ServerDirectory:
+    """The servers in use by service.
+
+    Parameters
+    ----------
+    return_grace_s : float
+        After an outage of the store, entries that lapsed meanwhile may be missing this long.
+    """
+
+    def __init__(self, return_grace_s: float):
+        self.return_grace_s = return_grace_s
+        self.revision = -1
+        self.confirmed_at = -1e9
+        self.grace_until = -1e9
+        self.servers: dict[str, BackendServer] = {}
+        self.by_service: dict[str, list[BackendServer]] = {}
+        self.removal_hooks: list[collections.abc.Callable[[BackendServer], None]] = []
+
+    @property
+    def age_s(self) -> float:
+        """Return the time since the listing was last confirmed."""
+        return clock.now() - self.confirmed_at
+
+    def note_outage(self) -> None:
+        """Record that the store does not answer, so that lapsed entries get time to return."""
+        self.grace_until = clock.now() + self.return_grace_s
+
+    def apply(self, listing: Listing) -> bool:
+        """Take a listing over unless an equally new one is known; return whether it changed."""
+        if listing.revision < self.revision:
+            return False
+        self.revision = listing.revision
+        self.confirmed_at = clock.now()
+        found = {server.id: server for server in listing.servers}
+        if clock.now() < self.grace_until:
+            for server in self.servers.values():
+                found.setdefault(server.id, server)
+        if found == self.servers:
+            return False
+        self.replace(found)
+        return True
+
+    def replace(self, found: dict[str, BackendServer]) -> None:
+        """Put a new set of servers in force."""
+        before = self.servers
+        self.servers = found
+        self.by_service = collections.defaultdict(list)
+        for server in sorted(found.values(), key=lambda server: server.id):
+            if not server.draining:
+                self.by_service[server.service].append(server)
+        for server in before.values():
+            now = found.get(server.id)
+            if now is None or now.started_ms != server.started_ms:
+                for hook in self.removal_hooks:
+                    hook(server)
+        events.emit(
+            events.Event.SERVERS_CHANGED,
+            "the list of backend servers changed",
+            revision=self.revision,
+            added=sorted(found.keys() - before.keys()),
+            removed=sorted(before.keys() - found.keys()),
+            draining=sorted(server.id for server in found.values() if server.draining),
+        )
+
+    def ready(self, service: str) -> list[BackendServer]:
+        """Return the servers of a service that take new work."""
+        return self.by_service.get(service, [])
+
+    def is_usable(self, server: BackendServer) -> bool:
+        """Return whether the same process of a server still takes new work."""
+        known = self.servers.get(server.id)
+        return known is not None and not known.draining and known.started_ms == server.started_ms
--- a/src/dogwoodgap/settings.py
+++ b/src/dogwoodgap/settings.py
@@ -76,6 +76,30 @@
     bootstrap_key_digest: str = pydantic.Field(default="", pattern=r"^([0-9a-f]{64})?$")
 
 
+class GatewaySection(models.Model):
+    """Forwarding by configured routes.
+
+    Attributes
+    ----------
+    ready_bind, directory_bind : str
+        ``host:port`` of the readiness check and of the callers' directory.
+    stop_grace_s : float
+        Time between the request to stop and the end of the process.
+    directory_ttl_s : float
+        Callers keep the addresses that they were given for this long, some three times as long.
+    return_grace_s : float
+        Backend servers whose entries lapsed in an outage of the store return within this time.
+    """
+
+    ready_bind: str = "127.0.0.1:8081"
+    directory_bind: str = "127.0.0.1:8082"
+    metrics_bind: str = ""
+    stop_grace_s: float = pydantic.Field(default=8.0, gt=1.0)
+    directory_ttl_s: float = pydantic.Field(default=1.0, gt=0)
+    return_grace_s: float = pydantic.Field(default=2.0, ge=0)
+    settle_s: float = pydantic.Field(default=1.0, ge=0)
+
+
 class NodeSettings(models.Model):
     """All settings of ``dogwoodgap-node``."""
 
@@ -88,11 +112,21 @@
     admin: AdminSection = pydantic.Field(default_factory=AdminSection)
 
 
+class GatewaySettings(NodeSettings):
+    """All settings of ``dogwoodgap-gateway``."""
+
+    gateway: GatewaySection = pydantic.Field(default_factory=GatewaySection)
+
+
+S = typing.TypeVar("S", bound=NodeSettings)
+
+
 def load(
     path: str | os.PathLike[str],
     environment: collections.abc.Mapping[str, str] | None = None,
     overrides: collections.abc.Mapping[str, str] | None = None,
-) -> NodeSettings:
+    kind: type[S] = NodeSettings,
+) -> S:
     """Read and validate a settings file.
 
     Parameters
@@ -103,6 +137,8 @@
         Variables named ``DOGWOODGAP_SECTION__FIELD`` replace values of the file.
     overrides : mapping, optional
         ``section.field`` to value; replaces the environment.
+    kind : type of NodeSettings, optional
+        Settings of the program that reads them.
 
     Raises
     ------
@@ -127,7 +163,7 @@
         section, _, field = dotted.partition(".")
         document.setdefault(section, {})[field] = value
     try:
-        return NodeSettings.model_validate(document)
+        return kind.model_validate(document)
     except pydantic.ValidationError as error:
         raise exceptions.SettingsInvalidError(
             f"{path}: correct {models.describe(error)}"
--- /dev/null
+++ b/src/dogwoodgap/upstream.py
@@ -0,0 +1,234 @@
+"""Connections to backend servers for forwarded requests: h11 over anyio sockets.
+
+Unlike :mod:`dogwoodgap.http_pool`, whose answers go to the node itself, these connections carry
+other parties' answers. A late, foreign or incomplete answer must never look like a whole one.
+"""
+
+import collections
+import dataclasses
+import typing
+
+import anyio
+import anyio.abc
+import h11
+
+from dogwoodgap import clock, dialect, exceptions, http_pool, servers
+
+CONNECT_TIMEOUT_S = 0.4
+"""A server in the same region accepts within a few ms; a lost opening packet costs a second."""
+
+IDLE_S = 8.0
+"""Kept connections are closed after this time without use."""
+
+FRESH_S = 1.5
+"""A request that must not run twice uses only connections that were idle no longer than this:
+a connection that dies under it leaves its outcome unknown."""
+
+KEEP_ALIVE_MARGIN_S = 0.5
+"""Subtracted from the idle time that a server announces, for the way of the next request."""
+
+READ_BYTES = 65_536
+INLINE_BODY_BYTES = 8_192
+"""Longer bodies are sent beside reading the answer, which may come before they are read."""
+
+
+class ServerUnreachableError(exceptions.RunnerUnreachableError):
+    """No connection could be opened, so nothing was sent."""
+
+    code = "server-unreachable"
+
+
+class AnswerBrokenError(exceptions.OutcomeUnknownError):
+    """The answer ended early or is no answer to this request; the request may have run."""
+
+    code = "answer-broken"
+
+
+@dataclasses.dataclass(slots=True)
+class Head:
+    """Status and headers of an answer."""
+
+    status: int
+    headers: dialect.Headers
+    facts: dialect.AnswerFacts
+
+
+class Connection:
+    """One connection to a backend server, used by one request at a time."""
+
+    def __init__(self, server: servers.BackendServer, stream: anyio.abc.SocketStream):
+        self.server = server
+        self.stream = stream
+        self.state = h11.Connection(h11.CLIENT)
+        self.idle_since = 0.0
+        self.idle_until = 0.0
+        self.keep_alive_s = IDLE_S
+        self.is_reused = False
+        self.sent_whole = False
+
+    async def send(self, head: h11.Request, body: bytes) -> None:
+        """Write a request.
+
+        Raises
+        ------
+        AnswerBrokenError
+            When the connection ends; the server may have received the request.
+        """
+        self.sent_whole = False
+        data = self.state.send(head)
+        if body:
+            data += self.state.send(h11.Data(body))
+        data += self.state.send(h11.EndOfMessage())
+        try:
+            await self.stream.send(data)
+        except http_pool.BROKEN as error:
+            raise AnswerBrokenError(
+                f"server {self.server.id} closed the connection while it received a request; "
+                "repeat it only if it may run twice"
+            ) from error
+        self.sent_whole = True
+
+    async def next_event(self) -> typing.Any:
+        """Return the next event of the answer.
+
+        Raises
+        ------
+        AnswerBrokenError
+            When the bytes are no answer or end before its end.
+        """
+        while True:
+            try:
+                event = self.state.next_event()
+            except h11.RemoteProtocolError as error:
+                raise self.broken(str(error)) from error
+            if event is not h11.NEED_DATA:
+                return event
+            try:
+                data = await self.stream.receive(READ_BYTES)
+            except anyio.EndOfStream:
+                data = b""
+            except http_pool.BROKEN as error:
+                raise self.broken("the connection was reset") from error
+            self.state.receive_data(data)
+
+    async def read_head(self, request: h11.Request, call: dialect.Call, codec: dialect.Dialect):
+        """Return the head of the answer to this request; answers to others are skipped."""
+        while True:
+            event = await self.next_event()
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            if not isinstance(event, h11.Response):
+                raise self.broken("the connection was closed without an answer")
+            headers = event.headers.raw_items()
+            lowered = [(name.lower(), value) for name, value in headers]
+            facts = codec.decode_answer(lowered)
+            if facts.attempt_id == call.attempt_id:
+                return Head(event.status_code, lowered, facts)
+            await self.skip_foreign(request)
+
+    async def skip_foreign(self, request: h11.Request) -> None:
+        """Read a late answer to another request to its end and expect the own one after it."""
+        while isinstance(await self.next_event(), h11.Data):
+            pass
+        if self.state.their_state is not h11.DONE:
+            raise self.broken("an answer to another request came and the connection ends with it")
+        rest, _ = self.state.trailing_data
+        self.state = h11.Connection(h11.CLIENT)
+        self.state.send(h11.Request(method="GET", target=request.target, headers=[("host", "-")]))
+        self.state.send(h11.EndOfMessage())
+        if rest:
+            self.state.receive_data(rest)
+
+    def broken(self, reason: str) -> AnswerBrokenError:
+        """Return the error for an answer that is not whole."""
+        return AnswerBrokenError(
+            f"the answer of server {self.server.id} is not usable: {reason}; "
+            "repeat the request only if it may run twice"
+        )
+
+    def note_keep_alive(self, headers: dialect.Headers) -> None:
+        """Remember how long the server keeps an idle connection."""
+        for name, value in headers:
+            if name == b"keep-alive":
+                for item in value.split(b","):
+                    key, _, seconds = item.strip().partition(b"=")
+                    if key.lower() == b"timeout" and seconds.isdigit():
+                        announced = int(seconds) - KEEP_ALIVE_MARGIN_S
+                        self.keep_alive_s = min(IDLE_S, announced)
+
+    def may_be_kept(self) -> bool:
+        """Return whether the exchange is complete on both sides and nothing came after it."""
+        return (
+            self.sent_whole
+            and self.state.our_state is h11.DONE
+            and self.state.their_state is h11.DONE
+            and not self.state.trailing_data[0]
+        )
+
+    def is_usable(self, longest_idle_s: float) -> bool:
+        """Return whether an idle connection is open, silent and not too old."""
+        now = clock.now()
+        if now >= self.idle_until or now - self.idle_since > longest_idle_s:
+            return False
+        return not http_pool.is_readable(self.stream)
+
+    async def close(self) -> None:
+        """Close the connection at once, also while the task is being cancelled."""
+        with anyio.CancelScope(shield=True):
+            await anyio.aclose_forcefully(self.stream)
+
+
+class ServerPool:
+    """The idle connections to one backend server."""
+
+    def __init__(self, server: servers.BackendServer):
+        self.server = server
+        self.idle: collections.deque[Connection] = collections.deque()
+        self.opened = 0
+
+    async def take(self, longest_idle_s: float) -> Connection:
+        """Return an idle connection, or open one.
+
+        Raises
+        ------
+        ServerUnreachableError
+            When the server accepts no connection.
+        """
+        while self.idle:
+            connection = self.idle.pop()
+            if connection.is_usable(longest_idle_s):
+                connection.is_reused = True
+                return connection
+            await connection.close()
+        return await self.open()
+
+    async def open(self) -> Connection:
+        """Open a connection."""
+        host, _, port = self.server.address.rpartition(":")
+        try:
+            with anyio.fail_after(CONNECT_TIMEOUT_S):
+                stream = await anyio.connect_tcp(host, int(port))
+        except (TimeoutError, *http_pool.BROKEN) as error:
+            raise ServerUnreachableError(
+                f"server {self.server.id} accepts no connection "
+                f"({type(error).__name__}); another one is used"
+            ) from error
+        self.opened += 1
+        return Connection(self.server, stream)
+
+    async def give_back(self, connection: Connection) -> None:
+        """Keep a connection for another request, or close it."""
+        if not connection.may_be_kept():
+            await connection.close()
+            return
+        connection.state.start_next_cycle()
+        connection.idle_since = clock.now()
+        connection.idle_until = clock.now() + connection.keep_alive_s
+        self.idle.append(connection)
+        while self.idle and self.idle[0].idle_until <= clock.now():
+            await self.idle.popleft().close()
+
+    async def close(self) -> None:
+        """Close the idle connections."""
+        while self.idle:
+            await self.idle.pop().close()
