--- a/src/dogwoodgap/budget_owners.py
+++ b/src/dogwoodgap/budget_owners.py
@@ -24,13 +24,22 @@
 )
 from dogwoodgap_wire import ttypes
 
-RESERVE_TIMEOUT_S = 0.15
-"""A reply takes one round trip between data centres, 1 to 3 ms."""
+RESERVE_TIMEOUT_S = 0.3
+"""A reply takes one round trip between data centres, 1 to 3 ms, and at most a record's time."""
+
+RECORD_TIMEOUT_S = 0.15
+"""The store answers in 4 ms; turns do not wait for a store that is slow or away."""
+
+STORE_PAUSE_S = 0.5
+"""After a failure the store is not asked for this long."""
 
 RETRY_AFTER_S = 0.2
-TAKEOVER_S = 60.0
-"""Time after the loss of a member during which unknown programs may have had an account there."""
+TAKEOVER_S = 15.0
+"""Time after the loss of a member during which programs go on whose accounts it held: those that
+paused longest for a tool and for the retries of a turn."""
 
+TRANSFER_TIMEOUT_S = 1.0
+FLUSH_S = 1.0
 SWEEP_S = 10.0
 MAX_TRANSFER = 500
 """Accounts of one message; 40 kB."""
@@ -64,6 +73,10 @@
         self.records = records
         self.ledger = budgets.Ledger()
         self.locks: dict[str, anyio.Lock] = {}
+        self.lost: dict[str, float] = {}
+        self.unrecorded: set[str] = set()
+        self.store_failed_at = -STORE_PAUSE_S
+        self.moving = anyio.Lock()
         self.membership: membership.Membership | None = None
         self.network: peers.Network | None = None
         self.tasks: anyio.abc.TaskGroup | None = None
@@ -113,6 +126,7 @@
                     detail=error.detail,
                 )
                 request.last_resort = True
+                self.withdraw(owner, request)
                 continue
             if verdict == ttypes.TokenVerdict.NOT_OWNER:
                 continue
@@ -123,6 +137,11 @@
             retry_after_s=RETRY_AFTER_S,
         )
 
+    def withdraw(self, owner: members.Member, request: ttypes.TokenReserve) -> None:
+        """Take back a reservation that an owner may grant after it was given up."""
+        message = ttypes.TokenSettle(program=request.program, attempt=request.attempt, tokens=0)
+        self.tasks.start_soon(self.send_settlement, message, [owner])
+
     def raise_refusal(self, call: dialect.Call, verdict: int) -> None:
         """Raise the error of a verdict unless it is a grant."""
         if verdict == ttypes.TokenVerdict.REFUSED:
@@ -161,13 +180,17 @@
             program=call.program_id, attempt=call.attempt_id, tokens=tokens
         )
         if self.tasks is not None:
-            self.tasks.start_soon(self.send_settlement, message)
+            owners = self.owners(call.program_id)[:2]
+            self.tasks.start_soon(self.send_settlement, message, owners)
 
-    async def send_settlement(self, message: ttypes.TokenSettle) -> None:
+    async def send_settlement(
+        self, message: ttypes.TokenSettle, owners: list[members.Member]
+    ) -> None:
         """Send a settlement; one that is lost leaves the whole reservation in force."""
-        for owner in self.owners(message.program)[:2]:
+        for owner in owners:
             if owner is self.membership.local:
-                self.ledger.settle(message.program, message.attempt, message.tokens)
+                if self.ledger.settle(message.program, message.attempt, message.tokens):
+                    return
                 continue
             try:
                 reply = await self.network.request(
@@ -204,101 +227,120 @@
 
     async def decide(self, request: ttypes.TokenReserve) -> int:
         """Reserve tokens of an owned program, recording its use first where that is due."""
-        account = self.ledger.open(request.program, request.budget, lost=request.last_resort)
-        verdict = self.ledger.reserve(account, request.attempt, request.tokens)
-        if verdict is budgets.Verdict.RECORD_FIRST:
-            async with self.locks.setdefault(request.program, anyio.Lock()):
+        may_be_lost = request.last_resort or self.was_lost(request.program)
+        account = self.ledger.open(request.program, request.budget, may_be_lost=may_be_lost)
+        async with self.locks.setdefault(request.program, anyio.Lock()):
+            verdict = self.ledger.reserve(account, request.attempt, request.tokens)
+            if verdict is budgets.Verdict.RECORD_FIRST:
+                await self.record(request.program, account, account.committed + request.tokens)
                 verdict = self.ledger.reserve(account, request.attempt, request.tokens)
-                if verdict is budgets.Verdict.RECORD_FIRST:
-                    await self.record(request.program, account, request.tokens)
-                    verdict = self.ledger.reserve(account, request.attempt, request.tokens)
+        if verdict is budgets.Verdict.REFUSED:
+            log_account(events.Event.BUDGET_REFUSED, "budget refused", request, account)
+            self.unrecorded.add(request.program)
         return WIRE_VERDICTS[verdict]
 
-    async def record(self, program: str, account: budgets.Account, tokens: int) -> None:
+    def was_lost(self, program: str) -> bool:
+        """Return whether a member that was lost lately owned a program."""
+        now = clock.now()
+        self.lost = {node: until for node, until in self.lost.items() if until > now}
+        if not self.lost:
+            return False
+        nodes = {member.node for member in self.membership.alive()} | self.lost.keys()
+        return ranked(program, nodes)[0] in self.lost
+
+    def expect_lost(self, node: str) -> None:
+        """Expect programs whose accounts a node held that was lost now."""
+        self.lost[node] = clock.now() + TAKEOVER_S
+
+    async def record(self, program: str, account: budgets.Account, mark: int) -> None:
         """Write a mark to the store; on a conflict take over the stored one."""
-        mark = account.next_mark(tokens)
+        if clock.now() - self.store_failed_at < STORE_PAUSE_S:
+            account.claimed = True
+            return
+        mark = min(account.budget, mark)
+        record = source.BudgetRecord(program, account.budget, mark, account.revision)
         try:
-            account.revision = await self.records.write(
-                source.BudgetRecord(program, account.budget, mark, account.revision)
-            )
-            account.recorded = mark
+            with anyio.fail_after(RECORD_TIMEOUT_S):
+                account.revision = await self.records.write(record)
         except exceptions.VersionConflictError:
             await self.read_record(program)
-        except exceptions.StoreError as error:
+        except (TimeoutError, exceptions.StoreError) as error:
+            self.store_failed_at = clock.now()
+            account.claimed = True
+            self.unrecorded.add(program)
+            log_unrecorded(program, "a program's use could not be recorded", error)
+        else:
+            account.recorded = mark
+            account.claimed = True
             events.emit(
-                events.Event.BUDGET_UNRECORDED,
-                "a program's use could not be recorded; its next turn is refused",
-                level=logging.WARNING,
+                events.Event.BUDGET_RECORDED,
+                "a program's use was recorded",
                 program=program,
-                detail=error.detail,
+                mark=mark,
+                revision=account.revision,
             )
 
     async def read_record(self, program: str) -> None:
         """Take over the record that another node has written."""
         try:
-            found = await self.records.read(program)
-        except exceptions.StoreError as error:
-            events.emit(
-                events.Event.BUDGET_UNRECORDED,
-                "the record of a program could not be read; its next turn is refused",
-                level=logging.WARNING,
-                program=program,
-                detail=error.detail,
-            )
+            with anyio.fail_after(RECORD_TIMEOUT_S):
+                found = await self.records.read(program)
+        except (TimeoutError, exceptions.StoreError) as error:
+            self.store_failed_at = clock.now()
+            log_unrecorded(program, "the record of a program could not be read", error)
             return
         self.ledger.note_record(program, found.budget, found.mark, found.revision)
 
     async def on_settle(self, sender: ttypes.Member, message: ttypes.TokenSettle) -> ttypes.Ack:
         """Settle a reservation of another node."""
-        known = message.program in self.ledger.accounts
-        self.ledger.settle(message.program, message.attempt, message.tokens)
-        return ttypes.Ack(ok=known)
+        return ttypes.Ack(ok=self.ledger.settle(message.program, message.attempt, message.tokens))
 
     # Members come and go
 
     def on_member(self, member: members.Member) -> None:
         """Move accounts whose owner has changed; expect programs of a lost member."""
         if member.status is members.Status.DEAD and not member.departed:
-            self.ledger.unknown_until = clock.now() + TAKEOVER_S
+            self.expect_lost(member.node)
         if self.tasks is not None:
             self.tasks.start_soon(self.move_accounts)
 
     async def move_accounts(self) -> None:
-        """Send accounts to the nodes that own them now."""
-        by_owner: dict[str, list[ttypes.TokenAccount]] = {}
-        addresses: dict[str, str] = {}
-        for program, account in list(self.ledger.accounts.items()):
-            owners = self.owners(program)
-            if not owners or owners[0] is self.membership.local:
-                continue
-            addresses[owners[0].node] = owners[0].peer_address
-            by_owner.setdefault(owners[0].node, []).append(to_wire(program, account))
-        for node, accounts in by_owner.items():
-            for start in range(0, len(accounts), MAX_TRANSFER):
-                part = accounts[start : start + MAX_TRANSFER]
-                await self.send_accounts(addresses[node], part)
-
-    async def send_accounts(self, address: str, accounts: list[ttypes.TokenAccount]) -> None:
-        """Send accounts to their new owner and drop them when it has them."""
+        """Send accounts to the nodes that own them now; one task at a time, each account once."""
+        async with self.moving:
+            by_owner: dict[str, list[str]] = {}
+            found: dict[str, members.Member] = {}
+            for program in self.ledger.accounts:
+                owner = self.owners(program)[0]
+                if owner is not self.membership.local:
+                    found[owner.node] = owner
+                    by_owner.setdefault(owner.node, []).append(program)
+            for node, programs in by_owner.items():
+                for start in range(0, len(programs), MAX_TRANSFER):
+                    await self.send_accounts(found[node], programs[start : start + MAX_TRANSFER])
+
+    async def send_accounts(self, owner: members.Member, programs: list[str]) -> None:
+        """Send accounts to their new owner; they come back when it does not answer."""
+        taken = {
+            program: account
+            for program in programs
+            if (account := self.ledger.accounts.pop(program, None)) is not None
+        }
+        message = ttypes.TokenTransfer(accounts=[to_wire(*item) for item in taken.items()])
         try:
             await self.network.request(
-                address,
-                ttypes.TokenTransfer(accounts=accounts),
-                ttypes.Ack,
-                timeout_s=RESERVE_TIMEOUT_S * 4,
+                owner.peer_address, message, ttypes.Ack, timeout_s=TRANSFER_TIMEOUT_S
             )
         except exceptions.PeerError as error:
+            for program, account in taken.items():
+                self.ledger.adopt(program, account)
             events.emit(
                 events.Event.BUDGET_OWNER_LOST,
                 "accounts could not be moved to their new owner; they stay here",
                 level=logging.WARNING,
-                address=address,
-                accounts=len(accounts),
+                owner=owner.node,
+                accounts=len(taken),
                 detail=error.detail,
             )
-            return
-        for item in accounts:
-            self.ledger.accounts.pop(item.program, None)
 
     async def on_transfer(self, sender: ttypes.Member, message: ttypes.TokenTransfer) -> ttypes.Ack:
         """Take over accounts from another node."""
@@ -313,38 +355,73 @@
         try:
             found = await self.records.list()
         except exceptions.StoreError as error:
-            events.emit(
-                events.Event.BUDGET_UNRECORDED,
-                "the records of budgets could not be read at the start",
-                level=logging.WARNING,
-                detail=error.detail,
-            )
+            log_unrecorded("", "the records of budgets could not be read", error)
             return False
         for record in found:
             self.ledger.note_record(record.program, record.budget, record.mark, record.revision)
         return True
 
     async def run(self) -> None:
-        """Drop old accounts and their records until cancelled."""
+        """Record programs whose budget is used up and drop old accounts until cancelled."""
+        swept_at = clock.now()
         while True:
-            await anyio.sleep(SWEEP_S)
-            for program, account in self.ledger.forget().items():
-                self.locks.pop(program, None)
-                if account.revision:
-                    await self.remove(program)
+            await anyio.sleep(FLUSH_S)
+            await self.flush()
+            if clock.now() - swept_at >= SWEEP_S:
+                swept_at = clock.now()
+                await self.sweep()
+
+    async def flush(self) -> None:
+        """Record the use of stopped programs, so that it outlives this node."""
+        pending, self.unrecorded = self.unrecorded, set()
+        for program in pending:
+            account = self.ledger.accounts.get(program)
+            if account is not None and account.committed > account.recorded:
+                await self.record(program, account, account.committed)
+
+    async def sweep(self) -> None:
+        """Drop old accounts and their records."""
+        for program, account in self.ledger.forget().items():
+            self.locks.pop(program, None)
+            if account.revision:
+                await self.remove(program)
 
     async def remove(self, program: str) -> None:
         """Delete the record of a program that is over."""
         try:
             await self.records.delete(program)
         except exceptions.StoreError as error:
-            events.emit(
-                events.Event.BUDGET_UNRECORDED,
-                "the record of a program that is over could not be deleted",
-                level=logging.WARNING,
-                program=program,
-                detail=error.detail,
-            )
+            log_unrecorded(program, "the record of a program that is over was not deleted", error)
+
+
+def log_unrecorded(program: str, text: str, error: Exception) -> None:
+    """Log that the store did not take or give a record."""
+    events.emit(
+        events.Event.BUDGET_UNRECORDED,
+        text,
+        level=logging.WARNING,
+        program=program,
+        detail=repr(error),
+    )
+
+
+def log_account(
+    event: events.Event, text: str, request: ttypes.TokenReserve, account: budgets.Account
+) -> None:
+    """Log a decision with the account that decided it."""
+    events.emit(
+        event,
+        text,
+        request=request.attempt,
+        program=request.program,
+        tokens=request.tokens,
+        budget=account.budget,
+        spent=account.spent,
+        reserved=account.committed - account.spent,
+        recorded=account.recorded,
+        assumed=account.assumed,
+        last_resort=request.last_resort,
+    )
 
 
 def to_wire(program: str, account: budgets.Account) -> ttypes.TokenAccount:
--- a/src/dogwoodgap/budgets.py
+++ b/src/dogwoodgap/budgets.py
@@ -16,9 +16,6 @@
 themselves 99% use less than 0.46 of their budget and the largest 0.58, so that those which a
 node takes over without their account still end."""
 
-RECORD_STEP = 0.3
-"""Share of the budget that a record reserves ahead, so that a program needs few of them."""
-
 ACCOUNT_KEPT_S = 90.0
 """Time after which an unused account is dropped; a stopped program may return for 60 s."""
 
@@ -56,6 +53,12 @@
         Mark in the store; 0 without a record.
     revision : int
         Revision of that record; 0 without one.
+    assumed : int
+        Part of ``spent`` that is not known but assumed, since another node may have held the
+        account. Several nodes may believe so at once, so that a record is written before the
+        first turn, and the store decides between them.
+    claimed : bool
+        That record was written, or the store is away.
     """
 
     budget: int
@@ -64,6 +67,8 @@
     recorded: int = 0
     revision: int = 0
     used_at: float = 0.0
+    assumed: int = 0
+    claimed: bool = False
 
     @property
     def committed(self) -> int:
@@ -75,10 +80,10 @@
         """Return the use that a node which takes the program over takes for granted."""
         return max(self.recorded, unrecorded(self.budget))
 
-    def next_mark(self, tokens: int) -> int:
-        """Return the mark to record before a turn."""
-        ahead = self.committed + tokens + int(self.budget * RECORD_STEP)
-        return min(self.budget, ahead)
+    @property
+    def needs_record(self) -> bool:
+        """Return whether the use so far has to be recorded before another turn."""
+        return self.committed > self.covered or (self.assumed > 0 and not self.claimed)
 
 
 def unrecorded(budget: int) -> int:
@@ -91,21 +96,20 @@
 
     def __init__(self) -> None:
         self.accounts: dict[str, Account] = {}
-        self.unknown_until = 0.0
 
-    def open(self, program: str, budget: int, *, lost: bool = False) -> Account:
+    def open(self, program: str, budget: int, *, may_be_lost: bool = False) -> Account:
         """Return the account of a program.
 
         Parameters
         ----------
-        lost : bool
+        may_be_lost : bool
             Another node may have held the account, so that a use is assumed.
         """
         account = self.accounts.get(program)
         if account is None:
             account = self.accounts[program] = Account(budget)
-            if lost or clock.now() < self.unknown_until:
-                account.spent = unrecorded(budget)
+            if may_be_lost:
+                account.spent = account.assumed = unrecorded(budget)
         account.used_at = clock.now()
         return account
 
@@ -115,7 +119,7 @@
         account.reservations.pop(attempt, None)
         if account.committed + tokens > account.budget:
             return Verdict.REFUSED
-        if account.committed > account.covered:
+        if account.needs_record:
             return Verdict.RECORD_FIRST
         account.reservations[attempt] = Reservation(tokens, clock.now())
         return Verdict.GRANTED
@@ -128,18 +132,20 @@
                 account.spent += item.tokens
                 del account.reservations[attempt]
 
-    def settle(self, program: str, attempt: str, tokens: int) -> None:
-        """Replace a reservation by what was used."""
+    def settle(self, program: str, attempt: str, tokens: int) -> bool:
+        """Replace a reservation by what was used; return whether it was here."""
         account = self.accounts.get(program)
-        if account is not None and account.reservations.pop(attempt, None) is not None:
-            account.spent += tokens
+        if account is None or account.reservations.pop(attempt, None) is None:
+            return False
+        account.spent += tokens
+        return True
 
     def adopt(self, program: str, given: Account) -> None:
         """Take over an account from another node, on top of what was counted here."""
         known = self.accounts.get(program)
         given.used_at = clock.now()
         if known is not None:
-            given.spent = max(given.spent, known.spent)
+            given.spent += known.spent - known.assumed
             given.reservations = {**given.reservations, **known.reservations}
             if known.revision > given.revision:
                 given.recorded, given.revision = known.recorded, known.revision
@@ -152,6 +158,7 @@
             account = self.accounts[program] = Account(budget, used_at=clock.now())
         if revision > account.revision:
             account.recorded, account.revision = mark, revision
+            account.assumed = max(account.assumed, mark - (account.spent - account.assumed))
             account.spent = max(account.spent, mark)
 
     def forget(self) -> dict[str, Account]:
--- a/src/dogwoodgap/events.py
+++ b/src/dogwoodgap/events.py
@@ -100,6 +100,8 @@
     GATEWAY_RELOADED = 5014, "The settings file was read again."
     BUDGET_OWNER_LOST = 5015, "The owner of a program's budget does not answer."
     BUDGET_UNRECORDED = 5016, "The use of a program's budget could not be recorded or read."
+    BUDGET_REFUSED = 5017, "The budget of a program does not hold another turn."
+    BUDGET_RECORDED = 5018, "The use of a program's budget was recorded in the store."
     RUNNER_LEAVING = 6001, "A runner is leaving and gets no new work."
     RUNNER_RETURNED = 6002, "A runner takes work again."
     RUNNER_DOWN = 6003, "A fresh connection to a runner failed; it gets no work until it answers."
--- a/src/dogwoodgap/forwarder.py
+++ b/src/dogwoodgap/forwarder.py
@@ -38,6 +38,9 @@
 MIN_RUN_S = 0.01
 """A request is not passed on with less time than this: no server could answer it."""
 
+LIMIT_GRACE_S = 0.05
+"""Time beyond the limit for the answer of a server that ends its work at the limit."""
+
 UNSAFE_FRESH_S = upstream.FRESH_S
 
 
@@ -146,7 +149,7 @@
             await self.forward(call, progress, responder)
             outcome = "answered"
         except exceptions.DogwoodgapError as error:
-            outcome = error.code
+            outcome = f"{error.code}: {error.detail}"
             await refuse(responder, error, call, self.codec)
         except ingress.CallerGoneError:
             raise
@@ -207,7 +210,7 @@
         budgeted = route.kind is routes.RouteKind.STREAMING and call.token_budget is not None
         reserved = False
         try:
-            with anyio.CancelScope(deadline=progress.limit_at) as scope:
+            with anyio.CancelScope(deadline=progress.limit_at + LIMIT_GRACE_S) as scope:
                 if budgeted:
                     await self.accounts.reserve(call)
                     reserved = True
--- a/src/dogwoodgap/gateway.py
+++ b/src/dogwoodgap/gateway.py
@@ -168,7 +168,7 @@
         """Read what is recorded of programs that ran before this process started."""
         if self.settings.gateway.first_start:
             return
-        self.accounts.ledger.unknown_until = clock.now() + budget_owners.TAKEOVER_S
+        self.accounts.expect_lost(self.settings.node.name)
         await self.accounts.load()
 
     def own_loads(self, node: str) -> list[ttypes.RunnerLoad]:
--- a/src/dogwoodgap/ingress.py
+++ b/src/dogwoodgap/ingress.py
@@ -14,6 +14,9 @@
 CLOSE_WAIT_S = 0.5
 """Time for a caller to read the last answer before the connection is closed."""
 
+WRITE_TIMEOUT_S = 2.0
+"""Longest time for a caller to take a whole answer."""
+
 BODY_TIMEOUT_S = 10.0
 """Longest time for the body of a request; bodies are at most a few MB."""
 
@@ -44,10 +47,12 @@
     async def whole(self, status: int, headers: dialect.Headers, body: bytes = b"") -> None:
         """Write a whole answer."""
         fields = [*headers, (b"content-length", str(len(body)).encode())]
-        await self.start(status, fields)
-        if body:
-            await self.data(body)
-        await self.finish()
+        # A timeout that strikes now must not cut an answer that is complete.
+        with anyio.move_on_after(WRITE_TIMEOUT_S, shield=True):
+            await self.start(status, fields)
+            if body:
+                self.connection.buffer(h11.Data(body))
+            await self.finish()
 
     async def start(self, status: int, headers: dialect.Headers) -> None:
         """Prepare status and headers; they are written with the first data or the end."""
@@ -290,6 +295,6 @@
             await stream.send_eof()
             while True:
                 await stream.receive()
-        except (anyio.EndOfStream, *http_pool.BROKEN):
-            pass
+        except (anyio.EndOfStream, RuntimeError, *http_pool.BROKEN):
+            pass  # uvloop raises RuntimeError for a transport that the other side has reset
     await anyio.aclose_forcefully(stream)
