Test forwarding, routes, servers, selection and budgets without the bench

Adds scripted backend servers on real sockets and budgets on virtual time with lost owners. Found and mended: a head over the limit that arrives at once was not refused (431 now).

--- a/src/dogwoodgap/exceptions.py
+++ b/src/dogwoodgap/exceptions.py
@@ -76,6 +76,12 @@
     code, status, title = "body-too-large", 413, "Body too large"
 
 
+class HeaderTooLargeError(InvalidRequestError):
+    """The head of the request exceeds the limit of the routes."""
+
+    code, status, title = "header-too-large", 431, "Header too large"
+
+
 class RecordTooLargeError(InvalidRequestError):
     """A journal record would not fit into one object of the platform."""
 
--- a/src/dogwoodgap/ingress.py
+++ b/src/dogwoodgap/ingress.py
@@ -126,6 +126,7 @@
         if request is None:
             return None
         arrived_at = clock.now()
+        self.check_head(request)
         parts: list[bytes] = []
         size = 0
         with anyio.fail_after(BODY_TIMEOUT_S):
@@ -145,6 +146,16 @@
         headers = [(name.lower(), value) for name, value in request.headers.raw_items()]
         return Incoming(request.method, request.target, headers, b"".join(parts), arrived_at)
 
+    def check_head(self, request: h11.Request) -> None:
+        """Refuse a head that exceeds the limit although it arrived at once."""
+        size = len(request.target) + sum(
+            len(name) + len(value) for name, value in request.headers.raw_items()
+        )
+        if size > self.limits.header_bytes:
+            raise exceptions.HeaderTooLargeError(
+                f"the head has {size} bytes, the limit is {self.limits.header_bytes}; send less"
+            )
+
     async def receive_head(self) -> h11.Request | None:
         """Wait for the head of a request: idle at first, then within the header timeout."""
         event = self.state.next_event()
--- /dev/null
+++ b/tests/gateways.py
@@ -0,0 +1,331 @@
+"""A gateway on real sockets with scripted backend servers and a source in memory."""
+
+import collections.abc
+import contextlib
+import dataclasses
+import socket
+
+import anyio
+import anyio.abc
+import h11
+
+from dogwoodgap import (
+    budget_owners,
+    crashes,
+    dialect,
+    exceptions,
+    forwarder,
+    ingress,
+    routes,
+    servers,
+    source,
+)
+
+NAMES = dialect.HeaderNames(reserved=(b"dogwoodgap-hold",))
+SEAL = (b"dogwoodgap-seal", b"s1")
+TIMEOUT_S = 0.6
+
+
+def free_address() -> str:
+    """Return an address that nothing listens on."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+class MemoryRecords:
+    """Budget records in memory; ``down`` makes all calls fail."""
+
+    def __init__(self) -> None:
+        self.items: dict[str, source.BudgetRecord] = {}
+        self.revision = 0
+        self.down = False
+
+    def check(self) -> None:
+        """Fail while the store is down."""
+        if self.down:
+            raise exceptions.StoreUnavailableError("the store is down")
+
+    async def write(self, record: source.BudgetRecord) -> int:
+        """Write a record under its condition."""
+        self.check()
+        known = self.items.get(record.program)
+        if (known.revision if known else 0) != record.revision:
+            raise exceptions.VersionConflictError("another revision")
+        self.revision += 1
+        self.items[record.program] = dataclasses.replace(record, revision=self.revision)
+        return self.revision
+
+    async def read(self, program: str) -> source.BudgetRecord:
+        """Return a record."""
+        self.check()
+        return self.items[program]
+
+    async def list(self) -> list[source.BudgetRecord]:
+        """Return all records."""
+        self.check()
+        return list(self.items.values())
+
+    async def delete(self, program: str) -> None:
+        """Delete a record."""
+        self.check()
+        self.items.pop(program, None)
+
+
+@dataclasses.dataclass(slots=True)
+class Received:
+    """One request as a backend server read it."""
+
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    connection: int
+
+
+Script = collections.abc.Callable[
+    ["Backend", Received, anyio.abc.SocketStream], collections.abc.Awaitable[bool]
+]
+
+
+class Backend:
+    """A backend server whose script answers requests; it returns whether to go on reading."""
+
+    def __init__(self, server_id: str, service: str, script: Script):
+        self.id = server_id
+        self.service = service
+        self.script = script
+        self.address = free_address()
+        self.received: list[Received] = []
+        self.opened = 0
+        self.asked = anyio.Event()
+
+    def entry(self, **changes) -> servers.BackendServer:
+        """Return the server's entry."""
+        entry = servers.BackendServer(self.id, self.service, self.address, "d1", 4)
+        return dataclasses.replace(entry, **changes)
+
+    async def serve(self, *, task_status: anyio.abc.TaskStatus) -> None:
+        """Accept connections until cancelled."""
+        host, _, port = self.address.rpartition(":")
+        async with await anyio.create_tcp_listener(local_host=host, local_port=int(port)) as it:
+            task_status.started()
+            await it.serve(self.serve_stream)
+
+    async def serve_stream(self, stream: anyio.abc.SocketStream) -> None:
+        """Read requests from one connection."""
+        self.opened += 1
+        number = self.opened
+        state = h11.Connection(h11.SERVER)
+        request: h11.Request | None = None
+        body = b""
+        with contextlib.suppress(
+            anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError
+        ):
+            async with stream:
+                while True:
+                    event = state.next_event()
+                    if event is h11.NEED_DATA:
+                        state.receive_data(await stream.receive())
+                    elif isinstance(event, h11.Request):
+                        request, body = event, b""
+                    elif isinstance(event, h11.Data):
+                        body += bytes(event.data)
+                    elif isinstance(event, h11.EndOfMessage):
+                        rest = state.trailing_data[0]
+                        state = h11.Connection(h11.SERVER)
+                        state.receive_data(rest) if rest else None
+                        headers = {k.decode(): v.decode() for k, v in request.headers}
+                        item = Received(request.target.decode(), headers, body, number)
+                        self.received.append(item)
+                        self.asked.set()
+                        if not await self.script(self, item, stream):
+                            return
+                    else:
+                        return
+
+
+def head(received: Received, status: int = 200, *extra: str, seal: bool = True) -> bytes:
+    """Return the head of an answer to a request."""
+    lines = [
+        f"HTTP/1.1 {status} X",
+        f"dogwoodgap-attempt: {received.headers['dogwoodgap-attempt']}",
+    ]
+    if seal:
+        lines.append("dogwoodgap-seal: s1")
+    return ("\r\n".join([*lines, *extra]) + "\r\n\r\n").encode()
+
+
+def whole(body: bytes = b"ok", status: int = 200, *extra: str) -> Script:
+    """Return a script that answers with a whole body."""
+
+    async def script(backend: Backend, received: Received, stream: anyio.abc.SocketStream) -> bool:
+        await stream.send(head(received, status, f"content-length: {len(body)}", *extra) + body)
+        return True
+
+    return script
+
+
+def not_run(status: int = 503) -> Script:
+    """Return a script that refuses all requests as not run."""
+    return whole(b"full", status, "dogwoodgap-not-run: 1")
+
+
+def event(number: int) -> bytes:
+    """Return one event of a stream."""
+    return f"id: {number}\ndata: t{number}\n\n".encode()
+
+
+def chunk(data: bytes) -> bytes:
+    """Return a chunk of a body."""
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
+END = b"0\r\n\r\n"
+
+
+def streaming(first: int = 1, last: int = 3, *, finish: bool = True, gap_s: float = 0.0) -> Script:
+    """Return a script that streams events, or breaks off after the last one."""
+
+    async def script(backend: Backend, received: Received, stream: anyio.abc.SocketStream) -> bool:
+        await stream.send(head(received, 200, "transfer-encoding: chunked"))
+        for number in range(first, last + 1):
+            await stream.send(chunk(event(number)))
+            await anyio.sleep(gap_s)
+        if finish:
+            await stream.send(END)
+        return finish
+
+    return script
+
+
+def route(name: str, kind: routes.RouteKind, service: str, **options) -> routes.Route:
+    """Return a route of the test host whose prefix is its name."""
+    return routes.Route(
+        name,
+        "h.example",
+        f"/{name}/",
+        kind,
+        (routes.Target(service),),
+        **{"timeout_s": TIMEOUT_S, "objective_s": 0.1, **options},
+    )
+
+
+ROUTES = [
+    route("read", routes.RouteKind.IDEMPOTENT, "plain", max_runs=2),
+    route("act", routes.RouteKind.NON_IDEMPOTENT, "plain"),
+    route("turn", routes.RouteKind.STREAMING, "model", resumable=True, prompts=True),
+    route("talk", routes.RouteKind.STREAMING, "model"),
+]
+SERVICES = [
+    routes.Service("plain", 100),
+    routes.Service("model", 100, routes.Engine(16, 100_000, 10)),
+]
+
+
+class Bench:
+    """A forwarder behind a listener."""
+
+    def __init__(self, backends: list[Backend]):
+        self.backends = backends
+        self.book = routes.RouteBook()
+        self.book.install(routes.RouteTable(1, ROUTES, SERVICES))
+        self.directory = servers.ServerDirectory(2.0)
+        self.records = MemoryRecords()
+        self.accounts = budget_owners.BudgetOwners(self.records)
+        self.suspects = crashes.CrashLog()
+        self.forwarder = forwarder.Forwarder(
+            self.book, self.directory, dialect.Dialect(NAMES), self.accounts, self.suspects, "d1"
+        )
+        self.server = ingress.Server(self.forwarder.handle)
+        self.address = free_address()
+
+    def list_servers(self, **changes) -> None:
+        """Register all backend servers."""
+        entries = tuple(backend.entry(**changes) for backend in self.backends)
+        self.directory.apply(servers.Listing(self.directory.revision + 1, entries))
+
+
+@contextlib.asynccontextmanager
+async def running(*backends: Backend) -> collections.abc.AsyncIterator[Bench]:
+    """Run a gateway and its backend servers."""
+    bench = Bench(list(backends))
+    bench.list_servers()
+    async with anyio.create_task_group() as tasks:
+        for backend in backends:
+            await tasks.start(backend.serve)
+        await tasks.start(bench.server.serve, bench.address)
+        yield bench
+        tasks.cancel_scope.cancel()
+
+
+@dataclasses.dataclass(slots=True)
+class Answer:
+    """What a caller read until the connection ended or the answer was complete."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    complete: bool
+
+
+class Caller:
+    """A caller with one connection."""
+
+    def __init__(self, stream: anyio.abc.SocketStream):
+        self.stream = stream
+        self.state = h11.Connection(h11.CLIENT)
+
+    async def send(self, method: str, path: str, body: bytes = b"", **headers: str) -> None:
+        """Send a request; header names have underscores."""
+        fields = {"host": "h.example", "dogwoodgap-attempt": "a1", "content-length": str(len(body))}
+        fields |= {name.replace("_", "-"): value for name, value in headers.items()}
+        data = self.state.send(
+            h11.Request(method=method, target=path, headers=list(fields.items()))
+        )
+        if body:
+            data += self.state.send(h11.Data(body))
+        await self.stream.send(data + self.state.send(h11.EndOfMessage()))
+
+    async def answer(self) -> Answer:
+        """Return what comes back."""
+        found = Answer(0, {}, b"", False)
+        while True:
+            try:
+                event = self.state.next_event()
+            except h11.RemoteProtocolError:
+                return found
+            if event is h11.NEED_DATA:
+                try:
+                    self.state.receive_data(await self.stream.receive())
+                except (anyio.EndOfStream, anyio.BrokenResourceError):
+                    self.state.receive_data(b"")
+            elif isinstance(event, h11.Response):
+                found.status = event.status_code
+                found.headers = {k.decode(): v.decode() for k, v in event.headers}
+            elif isinstance(event, h11.Data):
+                found.body += bytes(event.data)
+            else:
+                found.complete = isinstance(event, h11.EndOfMessage)
+                return found
+
+    async def call(self, method: str, path: str, body: bytes = b"", **headers: str) -> Answer:
+        """Send a request and return the answer."""
+        await self.send(method, path, body, **headers)
+        answer = await self.answer()
+        if answer.complete and self.state.our_state is h11.DONE:
+            self.state.start_next_cycle()
+        return answer
+
+
+@contextlib.asynccontextmanager
+async def caller(bench: Bench) -> collections.abc.AsyncIterator[Caller]:
+    """Connect to a gateway."""
+    host, _, port = bench.address.rpartition(":")
+    async with await anyio.connect_tcp(host, int(port)) as stream:
+        yield Caller(stream)
+
+
+async def once(bench: Bench, method: str, path: str, body: bytes = b"", **headers: str) -> Answer:
+    """Send one request over a connection of its own."""
+    async with caller(bench) as connection:
+        return await connection.call(method, path, body, **headers)
--- /dev/null
+++ b/tests/test_budget_owners.py
@@ -0,0 +1,213 @@
+"""Budgets over several nodes: owners that die, leave or join, and a store that is away."""
+
+import anyio
+import fake_network
+import gateways
+import pytest
+import trio.testing
+
+from dogwoodgap import budget_owners, dialect, exceptions, membership, settings
+
+TURN = 290
+SETTLE_S = 3.0
+"""Time for the nodes to know one another."""
+
+
+def run(main):
+    """Run a coroutine function on virtual time."""
+    anyio.run(
+        main,
+        backend="trio",
+        backend_options={"clock": trio.testing.MockClock(autojump_threshold=0)},
+    )
+
+
+def turn(program, number, budget):
+    return dialect.Call(
+        attempt_id=f"{program}-{number}",
+        method=b"POST",
+        target=b"/",
+        host="h",
+        path="/",
+        headers=[],
+        arrived_at=0.0,
+        program_id=program,
+        token_budget=budget,
+        max_output_tokens=TURN,
+    )
+
+
+class Fleet:
+    """Nodes on one switchboard with one store of records."""
+
+    def __init__(self, tasks):
+        self.tasks = tasks
+        self.board = fake_network.Switchboard()
+        self.records = gateways.MemoryRecords()
+        self.nodes = {}
+        self.memberships = {}
+        self.scopes = {}
+
+    def address(self, name):
+        return f"10.0.0.{name}:7080"
+
+    def start(self, name, boot="b1"):
+        loaded = settings.GatewaySettings.model_validate(
+            {
+                "node": {
+                    "name": f"n{name}",
+                    "data_centre": "d",
+                    "http_address": f"10.0.0.{name}:80",
+                    "peer_address": self.address(name),
+                    "seeds": [self.address(0), self.address(1)],
+                },
+                "platform": {"url": "http://platform"},
+            }
+        )
+        network = fake_network.FakeNetwork(self.board, self.address(name))
+        joined = membership.Membership(loaded, boot, network)
+        accounts = budget_owners.BudgetOwners(self.records)
+        self.nodes[name], self.memberships[name] = accounts, joined
+        self.scopes[name] = anyio.CancelScope()
+        self.tasks.start_soon(self.run, name, joined, accounts, network)
+
+    async def run(self, name, joined, accounts, network):
+        with self.scopes[name]:
+            async with anyio.create_task_group() as tasks:
+                accounts.join(joined, network, tasks)
+                tasks.start_soon(accounts.run)
+                await joined.run()
+
+    def kill(self, name):
+        self.scopes[name].cancel()
+        del self.board.nodes[self.address(name)]
+        del self.nodes[name]
+
+    def owner(self, program):
+        node = self.nodes[0].owners(program)[0].node
+        return int(node[1:])
+
+    async def spend(self, program, budget, limit=60, pause_s=0.01):
+        """Run turns through all nodes in turn until one is refused; return the tokens given."""
+        given = 0
+        for number in range(limit):
+            names = sorted(self.nodes)
+            node = self.nodes[names[number % len(names)]]
+            call = turn(program, f"{anyio.current_time()}-{number}", budget)
+            try:
+                await node.reserve(call)
+            except exceptions.BudgetExceededError:
+                return given
+            given += TURN
+            node.settle(call, TURN)
+            await anyio.sleep(pause_s)
+        return given
+
+
+def with_fleet(count):
+    """Return a decorator that runs a test on a fleet that has settled."""
+
+    def decorate(body):
+        def wrapper():
+            async def main():
+                async with anyio.create_task_group() as tasks:
+                    fleet = Fleet(tasks)
+                    for name in range(count):
+                        fleet.start(name)
+                    await anyio.sleep(SETTLE_S)
+                    await body(fleet)
+                    tasks.cancel_scope.cancel()
+
+            run(main)
+
+        wrapper.__name__ = body.__name__
+        wrapper.__doc__ = body.__doc__
+        return wrapper
+
+    return decorate
+
+
+@with_fleet(5)
+async def test_budget_holds_over_all_nodes(fleet):
+    """Guards against a budget for each node."""
+    assert await fleet.spend("p", 10 * TURN) == 10 * TURN
+
+
+@with_fleet(5)
+async def test_small_use_costs_no_write(fleet):
+    """Guards against a call to the store for each turn."""
+    for number in range(20):
+        await fleet.spend(f"p{number}", 10 * TURN, limit=3)
+    assert fleet.records.revision == 0
+
+
+@pytest.mark.parametrize("down", [False, True])
+def test_budget_holds_when_the_owner_dies(down):
+    """Guards against a fresh budget at the next owner, also while the store is away."""
+
+    @with_fleet(5)
+    async def body(fleet):
+        budget = 10 * TURN
+        given = await fleet.spend("p", budget, limit=4)
+        fleet.records.down = down
+        fleet.kill(fleet.owner("p"))
+        with anyio.move_on_after(20):
+            while True:
+                try:
+                    given += await fleet.spend("p", budget)
+                    break
+                except exceptions.NotOwnerError:
+                    fleet.records.down = False
+                    await anyio.sleep(0.2)
+        assert given <= budget + TURN
+
+    body()
+
+
+@with_fleet(3)
+async def test_budget_holds_when_all_nodes_die(fleet):
+    """Guards against a stopped program that comes back after a power loss."""
+    budget = 3 * TURN
+    given = await fleet.spend("p", budget)
+    await anyio.sleep(2)
+    for name in list(fleet.nodes):
+        fleet.kill(name)
+    for name in range(3):
+        fleet.start(name, boot="b2")
+        await fleet.nodes[name].load()
+    await anyio.sleep(SETTLE_S)
+    given += await fleet.spend("p", budget)
+    assert given <= budget + TURN
+
+
+@with_fleet(4)
+async def test_accounts_follow_a_planned_stop_and_a_join(fleet):
+    """Guards against forgotten or doubled use when members change as planned."""
+    budget = 20 * TURN
+    given = await fleet.spend("p", budget, limit=5)
+    owner = fleet.owner("p")
+    await fleet.memberships[owner].leave()
+    await anyio.sleep(2)
+    survivor = next(name for name in fleet.nodes if name != owner)
+    assert f"n{owner}" not in [item.node for item in fleet.nodes[survivor].owners("p")]
+    leaving = fleet.nodes.pop(owner)
+    given += await fleet.spend("p", budget, limit=5)
+    fleet.nodes[owner] = leaving
+    fleet.start(9)
+    await anyio.sleep(SETTLE_S)
+    del fleet.nodes[owner]
+    given += await fleet.spend("p", budget)
+    assert given == budget
+
+
+@with_fleet(3)
+async def test_reservation_that_was_given_up_is_taken_back(fleet):
+    """Guards against turns that count although nobody runs them."""
+    fleet.records.down = True
+    owner = fleet.nodes[fleet.owner("p")]
+    request = turn("p", "x", 10 * TURN)
+    other = next(node for node in fleet.nodes.values() if node is not owner)
+    await other.reserve(request)
+    other.settle(request, 0)
+    await anyio.sleep(0.5)
+    assert owner.ledger.accounts["p"].committed == 0
--- /dev/null
+++ b/tests/test_budgets.py
@@ -0,0 +1,147 @@
+"""Token accounts: what is handed out never exceeds a budget by more than one turn."""
+
+import anyio
+import hypothesis
+import trio.testing
+from hypothesis import stateful, strategies
+
+from dogwoodgap import budgets
+
+TURN = 290
+
+
+def run(main):
+    """Run a coroutine function on virtual time."""
+    anyio.run(
+        main,
+        backend="trio",
+        backend_options={"clock": trio.testing.MockClock(autojump_threshold=0)},
+    )
+
+
+def test_budget_holds_for_turns_under_way():
+    """Guards against parallel sub-agents that together exceed the budget."""
+
+    async def main():
+        ledger = budgets.Ledger()
+        account = ledger.open("p", 3 * TURN)
+        verdicts = [ledger.reserve(account, f"a{number}", TURN) for number in range(3)]
+        assert verdicts[:2] == [budgets.Verdict.GRANTED] * 2
+        assert verdicts[2] is budgets.Verdict.RECORD_FIRST
+        account.recorded, account.revision = 2 * TURN, 1
+        assert ledger.reserve(account, "a2", TURN) is budgets.Verdict.GRANTED
+        assert ledger.reserve(account, "a3", TURN) is budgets.Verdict.REFUSED
+        ledger.settle("p", "a0", 50)
+        assert account.committed == 2 * TURN + 50
+
+    run(main)
+
+
+def test_abandoned_reservation_counts_as_used():
+    """Guards against tokens of a lost node that are handed out twice."""
+
+    async def main():
+        ledger = budgets.Ledger()
+        account = ledger.open("p", 10 * TURN)
+        ledger.reserve(account, "a0", TURN)
+        await anyio.sleep(budgets.RESERVATION_KEPT_S + 1)
+        ledger.reserve(account, "a1", TURN)
+        assert account.spent == TURN
+
+    run(main)
+
+
+def test_moved_account_replaces_an_assumption():
+    """Guards against an assumed use on top of a known one."""
+
+    async def main():
+        ledger = budgets.Ledger()
+        ledger.open("p", 1_000, may_be_lost=True)
+        ledger.adopt("p", budgets.Account(1_000, spent=100))
+        assert ledger.accounts["p"].spent == 100
+
+    run(main)
+
+
+class LostOwners(stateful.RuleBasedStateMachine):
+    """One program whose owner is lost now and then; the store keeps the records.
+
+    The oracle counts the tokens that callers were given, whoever granted them.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.given = 0
+        self.mark = 0
+        self.revision = 0
+        self.turns = {}
+        self.counter = 0
+        self.losses_since_record = 0
+
+    @stateful.initialize(turns=strategies.integers(2, 12))
+    def start(self, turns):
+        self.budget = turns * TURN
+        self.ledger = budgets.Ledger()
+        self.known = False
+
+    def account(self):
+        account = self.ledger.open("p", self.budget, may_be_lost=self.known)
+        self.known = True
+        return account
+
+    @stateful.rule()
+    def reserve(self):
+        with virtual_clock():
+            account = self.account()
+            self.counter += 1
+            attempt = f"a{self.counter}"
+            verdict = self.ledger.reserve(account, attempt, TURN)
+            if verdict is budgets.Verdict.RECORD_FIRST:
+                if account.revision != self.revision:
+                    self.ledger.note_record("p", self.budget, self.mark, self.revision)
+                else:
+                    self.revision += 1
+                    self.mark = min(self.budget, account.committed + TURN)
+                    account.recorded, account.revision = self.mark, self.revision
+                    account.claimed = True
+                verdict = self.ledger.reserve(account, attempt, TURN)
+            if verdict is budgets.Verdict.GRANTED:
+                self.turns[attempt] = account
+
+    @stateful.rule(share=strategies.floats(0, 1))
+    def finish(self, share):
+        if self.turns:
+            attempt = next(iter(self.turns))
+            del self.turns[attempt]
+            used = int(TURN * share)
+            self.given += used
+            self.ledger.settle("p", attempt, used)
+
+    @stateful.rule()
+    def lose_owner(self):
+        """Lose the owner with its memory; turns under way end at their most."""
+        self.given += TURN * len(self.turns)
+        self.turns.clear()
+        self.ledger = budgets.Ledger()
+
+    @stateful.invariant()
+    def budget_holds(self):
+        if hasattr(self, "budget"):
+            assert self.given <= self.budget + TURN
+
+
+class virtual_clock:  # noqa: N801 - reads as a context
+    """Gives code outside of an event loop a clock that stands still."""
+
+    def __enter__(self):
+        self.original = budgets.clock.now
+        budgets.clock.now = lambda: 0.0
+
+    def __exit__(self, *error):
+        budgets.clock.now = self.original
+
+
+LostOwners.TestCase.settings = hypothesis.settings(
+    derandomize=True, max_examples=300, stateful_step_count=40, deadline=None
+)
+TestLostOwners = LostOwners.TestCase
--- /dev/null
+++ b/tests/test_selection.py
@@ -0,0 +1,85 @@
+"""Choice of backend servers: prefixes kept at home, bursts spread, failed servers avoided."""
+
+import collections
+
+from dogwoodgap import dialect, routes, selection, servers
+
+ENGINE = routes.Engine(16, 100_000, 10)
+ENGINES = [servers.BackendServer(f"e{n}", "m", f"10.0.0.{n}:80", "d", 16) for n in range(5)]
+PLAIN = [servers.BackendServer(f"p{n}", "t", f"10.0.1.{n}:80", "d", 6) for n in range(4)]
+
+
+def call(program, tokens=1_500, attempt="a"):
+    return dialect.Call(
+        attempt_id=attempt,
+        method=b"POST",
+        target=b"/",
+        host="h",
+        path="/",
+        headers=[],
+        arrived_at=0.0,
+        program_id=program,
+        session_id=program,
+        prompt_tokens=tokens,
+        prompt_parts=(dialect.PromptPart("shared", 500), dialect.PromptPart("own", tokens - 500)),
+    )
+
+
+def test_nodes_give_a_program_the_same_engine():
+    """Guards against prompts that are read again because the turns reach other nodes."""
+    tables = [selection.LoadTable("d") for _ in range(7)]
+    homes = collections.Counter()
+    for number in range(500):
+        chosen = {
+            selection.choose(table, ENGINES, ENGINE, call(f"p{number}"), 0.0).id for table in tables
+        }
+        assert len(chosen) == 1
+        homes[chosen.pop()] += 1
+    assert max(homes.values()) < 1.35 * 500 / len(ENGINES)
+
+
+def test_full_home_is_left_for_another_engine():
+    """Guards against a queue at one engine while others are free."""
+    table = selection.LoadTable("d")
+    owner = selection.choose(table, ENGINES, ENGINE, call("p"), 0.0)
+    table.state(owner).in_flight = 16
+    other = selection.choose(table, ENGINES, ENGINE, call("p"), 0.0)
+    assert other is not owner
+
+
+def test_burst_is_spread_over_all_engines():
+    """Plays 80 turns at once on 5 engines of 16 slots; nobody should wait for a slot."""
+    table = selection.LoadTable("d")
+    for number in range(80):
+        server = selection.choose(table, ENGINES, ENGINE, call(f"p{number}"), 0.0)
+        table.state(server).in_flight += 1
+    assert max(table.state(server).in_flight for server in ENGINES) <= 18
+
+
+def test_unreachable_server_is_avoided_for_a_while():
+    """Guards against sending every other request to a server that is down."""
+    table = selection.LoadTable("d")
+    table.state(PLAIN[0]).note_unreachable(10.0)
+    chosen = {
+        selection.choose(table, PLAIN, None, call("p", attempt=f"a{n}"), 10.1).id for n in range(50)
+    }
+    assert PLAIN[0].id not in chosen
+    later = 10.0 + selection.FAILURE_PAUSE_S + 0.1
+    chosen = {
+        selection.choose(table, PLAIN, None, call("p", attempt=f"a{n}"), later).id
+        for n in range(50)
+    }
+    assert PLAIN[0].id in chosen
+
+
+def test_slow_plain_server_gets_less():
+    """Guards against equal shares for servers of unequal speed."""
+    table = selection.LoadTable("d")
+    for server in PLAIN:
+        table.state(server).note_answer(0.4 if server is PLAIN[0] else 0.05)
+    counts = collections.Counter()
+    for number in range(16):
+        server = selection.choose(table, PLAIN, None, call("p", attempt=f"a{number}"), 0.0)
+        table.state(server).in_flight += 1
+        counts[server.id] += 1
+    assert counts[PLAIN[0].id] <= 1
--- /dev/null
+++ b/tests/test_servers.py
@@ -0,0 +1,83 @@
+"""The directory of backend servers under lagging, lapsing and reborn entries."""
+
+import dataclasses
+
+import anyio
+import trio.testing
+
+from dogwoodgap import servers
+
+ONE = servers.BackendServer("a", "s", "10.0.0.1:80", "d", 4, started_ms=1)
+TWO = servers.BackendServer("b", "s", "10.0.0.2:80", "d", 4, started_ms=1)
+GRACE_S = 2.0
+
+
+def run(main):
+    """Run a coroutine function on virtual time."""
+    anyio.run(
+        main,
+        backend="trio",
+        backend_options={"clock": trio.testing.MockClock(autojump_threshold=0)},
+    )
+
+
+def ids(directory):
+    return [server.id for server in directory.ready("s")]
+
+
+def test_draining_and_missing_servers_get_nothing():
+    """Guards against new requests to servers that leave."""
+
+    async def main():
+        directory = servers.ServerDirectory(GRACE_S)
+        directory.apply(servers.Listing(1, (ONE, TWO)))
+        assert ids(directory) == ["a", "b"]
+        directory.apply(servers.Listing(2, (dataclasses.replace(ONE, draining=True), TWO)))
+        assert ids(directory) == ["b"]
+        directory.apply(servers.Listing(3, ()))
+        assert ids(directory) == []
+
+    run(main)
+
+
+def test_older_listing_is_ignored():
+    """Guards against a stale reading that brings a gone server back."""
+
+    async def main():
+        directory = servers.ServerDirectory(GRACE_S)
+        directory.apply(servers.Listing(5, (TWO,)))
+        assert not directory.apply(servers.Listing(4, (ONE, TWO)))
+        assert ids(directory) == ["b"]
+
+    run(main)
+
+
+def test_entries_that_lapsed_in_an_outage_get_time_to_return():
+    """Guards against refusing all work right after an outage of the store."""
+
+    async def main():
+        directory = servers.ServerDirectory(GRACE_S)
+        directory.apply(servers.Listing(1, (ONE, TWO)))
+        directory.note_outage()
+        directory.apply(servers.Listing(2, (TWO,)))
+        assert ids(directory) == ["a", "b"]
+        await anyio.sleep(GRACE_S + 0.1)
+        directory.apply(servers.Listing(3, (TWO,)))
+        assert ids(directory) == ["b"]
+
+    run(main)
+
+
+def test_server_that_started_again_is_another_one():
+    """Guards against connections and loads of a process that is gone."""
+
+    async def main():
+        directory = servers.ServerDirectory(GRACE_S)
+        removed = []
+        directory.removal_hooks.append(removed.append)
+        directory.apply(servers.Listing(1, (ONE,)))
+        directory.apply(servers.Listing(2, (dataclasses.replace(ONE, started_ms=2),)))
+        assert removed == [ONE]
+        assert not directory.is_usable(ONE)
+
+    run(main)
