Share readings of the server list between nodes and read routes only when they change

Ruled out: stale reads (seconds old, against 2 s to obey a draining server) and one elected reader (no reading while it is cut off): nodes read by rank when nothing came. Adds: requests to empty storage VMs are answered (a missed duty before), bounded log lines that never wait, metrics, a gateway for a TOML file of routes.

--- /dev/null
+++ b/src/dogwoodgap/entrance.py
@@ -0,0 +1,24 @@
+"""The readiness check and the callers' directory of a gateway without a platform."""
+
+import msgspec
+
+from dogwoodgap import gateway, ingress
+
+JSON = [(b"content-type", b"application/json")]
+
+
+class Entrance:
+    """Implements :class:`dogwoodgap.gateway.Entrance` with the product's own paths."""
+
+    def __init__(self, served: "gateway.Gateway"):
+        self.gateway = served
+
+    async def ready(self, incoming: ingress.Incoming, responder: ingress.Responder) -> None:
+        """Answer the readiness check."""
+        await responder.whole(200 if self.gateway.ready else 503, [])
+
+    async def directory(self, incoming: ingress.Incoming, responder: ingress.Responder) -> None:
+        """Answer a caller that asks for addresses."""
+        answer = self.gateway.answer_directory()
+        body = msgspec.json.encode({"addresses": answer.addresses, "ttl_seconds": answer.ttl_s})
+        await responder.whole(200 if answer.addresses else 503, JSON, body)
--- a/src/dogwoodgap/events.py
+++ b/src/dogwoodgap/events.py
@@ -5,7 +5,7 @@
 import sys
 import typing
 
-from pythonjsonlogger import json as json_formatter
+from dogwoodgap import logs
 
 logger = logging.getLogger("dogwoodgap")
 
@@ -102,6 +102,7 @@
     BUDGET_UNRECORDED = 5016, "The use of a program's budget could not be recorded or read."
     BUDGET_REFUSED = 5017, "The budget of a program does not hold another turn."
     BUDGET_RECORDED = 5018, "The use of a program's budget was recorded in the store."
+    REMOVAL_COMPLETE = 5019, "A storage VM that is to be removed holds nothing that must last."
     RUNNER_LEAVING = 6001, "A runner is leaving and gets no new work."
     RUNNER_RETURNED = 6002, "A runner takes work again."
     RUNNER_DOWN = 6003, "A fresh connection to a runner failed; it gets no work until it answers."
@@ -134,14 +135,7 @@
 
 
 def configure(level: str = "info") -> None:
-    """Send log lines to standard error as JSON."""
-    handler = logging.StreamHandler(sys.stderr)
-    handler.setFormatter(
-        json_formatter.JsonFormatter(
-            "%(asctime)s %(levelname)s %(message)s",
-            rename_fields={"asctime": "time", "levelname": "level"},
-        )
-    )
-    logger.handlers[:] = [handler]
+    """Send log lines to standard output as JSON; lines that nobody takes are dropped."""
+    logger.handlers[:] = [logs.BoundedHandler(sys.stdout.fileno())]
     logger.setLevel(level.upper())
     logger.propagate = False
--- /dev/null
+++ b/src/dogwoodgap/exposition.py
@@ -0,0 +1,61 @@
+"""Counters and latency histograms of a gateway, served as text on its metrics address."""
+
+import prometheus_client
+
+from dogwoodgap import ingress
+
+LATENCY_BOUNDS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 4.0)
+"""Around the latency objectives of 0.12 to 0.55 s, up to the longest deadline of 4 s."""
+
+registry = prometheus_client.CollectorRegistry()
+
+requests = prometheus_client.Counter(
+    "dogwoodgap_requests",
+    "Forwarded requests by service and by how they ended.",
+    ["service", "outcome"],
+    registry=registry,
+)
+latency = prometheus_client.Histogram(
+    "dogwoodgap_request_seconds",
+    "Time from a request's arrival to the end of its answer.",
+    ["service"],
+    buckets=LATENCY_BOUNDS_S,
+    registry=registry,
+)
+offered = prometheus_client.Histogram(
+    "dogwoodgap_offered_seconds",
+    "Time from a request's arrival until a backend server was sent it.",
+    ["service"],
+    buckets=LATENCY_BOUNDS_S,
+    registry=registry,
+)
+exchanges = prometheus_client.Counter(
+    "dogwoodgap_exchanges",
+    "Requests sent to backend servers by service and result.",
+    ["service", "result"],
+    registry=registry,
+)
+active = prometheus_client.Gauge(
+    "dogwoodgap_active_requests", "Requests that are being answered.", registry=registry
+)
+store_calls = prometheus_client.Counter(
+    "dogwoodgap_store_calls",
+    "Calls to the platform's store by method and outcome.",
+    ["method", "outcome"],
+    registry=registry,
+)
+servers_age = prometheus_client.Gauge(
+    "dogwoodgap_servers_age_seconds",
+    "Age of the list of backend servers.",
+    registry=registry,
+)
+routes_version = prometheus_client.Gauge(
+    "dogwoodgap_routes_version", "Version of the routes in force.", registry=registry
+)
+
+
+async def serve(incoming: ingress.Incoming, responder: ingress.Responder) -> None:
+    """Answer a reader of the metrics."""
+    content_type = prometheus_client.CONTENT_TYPE_LATEST.encode()
+    body = prometheus_client.generate_latest(registry)
+    await responder.whole(200, [(b"content-type", content_type)], body)
--- a/src/dogwoodgap/followers.py
+++ b/src/dogwoodgap/followers.py
@@ -1,18 +1,51 @@
-"""Keeps routes and backend servers up to date from the platform's store."""
+"""Keeps routes and backend servers up to date from the platform's store.
 
+Each call to the store is paid for. The routes are watched, which costs a call only when something
+changes. The list of servers changes several times a second, so that one node reads it at intervals
+and sends it to the others; these read it themselves when nothing came, in the order of their rank.
+"""
+
+import collections.abc
 import logging
 
 import anyio
+import anyio.abc
+import xxhash
 
-from dogwoodgap import clock, events, exceptions, routes, servers, source
+from dogwoodgap import (
+    clock,
+    events,
+    exceptions,
+    members,
+    membership,
+    peers,
+    routes,
+    servers,
+    source,
+)
+from dogwoodgap_wire import ttypes
 
-SERVERS_INTERVAL_S = 0.7
+SERVERS_INTERVAL_S = 0.6
 """A leaving server has to be known within 2 s; a lost reading leaves time for another."""
 
-RETRY_S = 0.3
-ROUTES_CHECK_S = 0.2
+RANK_DELAY_S = 0.25
+"""Time by which each further node waits longer for a listing before it reads one."""
+
+MAX_RANK = 3
+WATCH_S = (1.0, 2.0, 15.0, 15.0)
+"""Longest wait of a watch, by rank. A connection that went silent is noticed only when the wait is
+over, and new routes have to be in force within 2 s; the other nodes hear of them from the first
+two."""
+
+RETRY_S = 0.4
+CHECK_S = 0.1
+ROUTES_PAUSE_S = 0.2
 """Pause between two watches, so that a storm of versions is read a few times a second."""
 
+SEND_TIMEOUT_S = 0.5
+FIRST = source.RoutesWatch(0, changed=True)
+"""Before the first watch, which goes on from the beginning."""
+
 
 class Dependency:
     """Logs when something is lost or regained."""
@@ -46,24 +79,25 @@
 
 
 class RouteFollower:
-    """Follows the routes by a watch, which costs a call only when something changes."""
+    """Follows the routes by a watch."""
 
     def __init__(self, store: source.FleetSource, book: routes.RouteBook):
         self.store = store
         self.book = book
         self.dependency = Dependency("routes")
         self.known = anyio.Event()
+        self.rank: collections.abc.Callable[[], int] = lambda: 0
+        self.watching: anyio.CancelScope | None = None
 
     async def run(self) -> None:
         """Follow until cancelled."""
         revision = -1
         while True:
             try:
-                if revision >= 0:
-                    revision = await self.store.watch_routes(revision)
-                else:
-                    revision = 0
-                await self.read()
+                watched = await self.watch(revision) if revision >= 0 else FIRST
+                revision = watched.revision
+                if watched.changed:
+                    await self.read()
                 self.dependency.note_success()
             except exceptions.WatchExpiredError:
                 revision = -1
@@ -71,7 +105,18 @@
                 self.dependency.note_failure(error)
                 revision = -1
                 await anyio.sleep(RETRY_S)
-            await anyio.sleep(ROUTES_CHECK_S)
+            await anyio.sleep(ROUTES_PAUSE_S)
+
+    async def watch(self, revision: int) -> source.RoutesWatch:
+        """Wait for a change, or for another node to know newer routes."""
+        with anyio.CancelScope() as self.watching:
+            return await self.store.watch_routes(revision, WATCH_S[self.rank()])
+        return source.RoutesWatch(revision, changed=True)
+
+    def note_version(self, version: int) -> None:
+        """Read the routes now if another node has a newer version."""
+        if version > self.book.version and self.watching is not None:
+            self.watching.cancel()
 
     async def read(self) -> None:
         """Read the newest routes."""
@@ -82,23 +127,144 @@
 
 
 class ServerFollower:
-    """Follows the backend servers by reading the list at intervals."""
+    """Follows the backend servers by readings of the list, shared between nodes."""
 
-    def __init__(self, store: source.FleetSource, directory: servers.ServerDirectory):
+    def __init__(
+        self,
+        store: source.FleetSource,
+        directory: servers.ServerDirectory,
+        route_follower: RouteFollower,
+    ):
         self.store = store
         self.directory = directory
+        self.route_follower = route_follower
         self.dependency = Dependency("servers")
         self.known = anyio.Event()
+        self.membership: membership.Membership | None = None
+        self.network: peers.Network | None = None
+        self.sent: dict[str, int] = {}
+        route_follower.rank = lambda: self.rank
+        self.tried_at = -RETRY_S
+
+    def join(self, joined: membership.Membership, network: peers.Network) -> None:
+        """Share readings with the members."""
+        self.membership = joined
+        self.network = network
+        network.handlers.register(ttypes.ServerListing, self.on_listing)
+
+    @property
+    def rank(self) -> int:
+        """Return this node's place among those that read the list, 0 for the first."""
+        if self.membership is None:
+            return 0
+        nodes = [member.node for member in self.membership.alive()]
+        local = self.membership.local.node
+        return min(nodes.index(local), MAX_RANK) if local in nodes else MAX_RANK
 
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
-            try:
-                self.directory.apply(await self.store.read_servers(fresh=True))
-                self.dependency.note_success()
-                self.known.set()
-                await anyio.sleep(SERVERS_INTERVAL_S)
-            except exceptions.StoreError as error:
-                self.dependency.note_failure(error)
-                self.directory.note_outage()
-                await anyio.sleep(RETRY_S)
+            if self.is_due():
+                await self.read()
+            await anyio.sleep(CHECK_S)
+
+    def is_due(self) -> bool:
+        """Return whether this node should read the list now."""
+        delay = self.rank * RANK_DELAY_S
+        old = self.directory.age_s >= SERVERS_INTERVAL_S + delay
+        return old and clock.now() - self.tried_at >= RETRY_S + delay
+
+    async def read(self) -> None:
+        """Read the list and send it to the others."""
+        self.tried_at = clock.now()
+        try:
+            listing = await self.store.read_servers(fresh=True)
+        except exceptions.StoreError as error:
+            self.dependency.note_failure(error)
+            self.directory.note_outage()
+            return
+        self.dependency.note_success()
+        self.directory.apply(listing, read_at=self.tried_at)
+        self.known.set()
+        if self.membership is not None:
+            await self.send(listing)
+
+    async def send(self, listing: servers.Listing) -> None:
+        """Send a reading to all other members."""
+        digest = digest_of(listing)
+        async with anyio.create_task_group() as tasks:
+            for member in self.membership.alive():
+                if member is not self.membership.local:
+                    tasks.start_soon(self.send_to, member, listing, digest)
+
+    async def send_to(self, member: members.Member, listing: servers.Listing, digest: int) -> None:
+        """Send a reading to one member; the entries only when they are new to it."""
+        key = f"{member.node}/{member.boot}"
+        message = ttypes.ServerListing(
+            revision=listing.revision,
+            age_ms=int((clock.now() - self.tried_at) * 1000),
+            digest=digest,
+            routes_version=self.route_follower.book.version,
+        )
+        if self.sent.get(key) != digest:
+            message.servers = [to_wire(server) for server in listing.servers]
+        try:
+            reply = await self.network.request(
+                member.peer_address, message, ttypes.Ack, timeout_s=SEND_TIMEOUT_S
+            )
+        except exceptions.PeerError:
+            # The member reads the list itself when nothing comes; membership logs its loss.
+            self.sent.pop(key, None)
+            return
+        if reply.message.ok:
+            self.sent[key] = digest
+        else:
+            self.sent.pop(key, None)
+
+    async def on_listing(self, sender: ttypes.Member, message: ttypes.ServerListing) -> ttypes.Ack:
+        """Take over a reading of another node."""
+        self.route_follower.note_version(message.routes_version or -1)
+        if message.servers is not None:
+            entries = tuple(from_wire(entry) for entry in message.servers)
+            listing = servers.Listing(message.revision, entries)
+        else:
+            listing = self.directory.listing_at(message.revision)
+            if digest_of(listing) != message.digest:
+                return ttypes.Ack(ok=False)
+        read_at = clock.now() - (message.age_ms or 0) / 1000
+        self.directory.apply(listing, read_at=read_at)
+        self.known.set()
+        return ttypes.Ack(ok=True)
+
+
+def digest_of(listing: servers.Listing) -> int:
+    """Return a signed 64-bit hash of the entries."""
+    parts: collections.abc.Iterable[str] = sorted(repr(server) for server in listing.servers)
+    value = xxhash.xxh64_intdigest("\n".join(parts).encode())
+    return value - (1 << 64) if value >> 63 else value
+
+
+def to_wire(server: servers.BackendServer) -> ttypes.ServerEntry:
+    """Return an entry as a message."""
+    return ttypes.ServerEntry(
+        id=server.id,
+        service_name=server.service,
+        address=server.address,
+        data_centre=server.data_centre,
+        slots=server.slots,
+        draining=server.draining,
+        started_ms=server.started_ms,
+    )
+
+
+def from_wire(entry: ttypes.ServerEntry) -> servers.BackendServer:
+    """Return a received entry."""
+    return servers.BackendServer(
+        id=entry.id or "",
+        service=entry.service_name or "",
+        address=entry.address or "",
+        data_centre=entry.data_centre or "",
+        slots=entry.slots or 1,
+        draining=bool(entry.draining),
+        started_ms=entry.started_ms or 0,
+    )
--- a/src/dogwoodgap/forwarder.py
+++ b/src/dogwoodgap/forwarder.py
@@ -21,6 +21,7 @@
     event_stream,
     events,
     exceptions,
+    exposition,
     http_pool,
     ingress,
     routes,
@@ -137,6 +138,7 @@
     async def handle(self, incoming: ingress.Incoming, responder: ingress.Responder) -> None:
         """Answer one request of a caller."""
         self.active += 1
+        exposition.active.inc()
         call: dialect.Call | None = None
         progress: Progress | None = None
         outcome = "caller-gone"
@@ -167,6 +169,7 @@
             )
         finally:
             self.active -= 1
+            exposition.active.dec()
             self.report(call, progress, outcome)
 
     def plan(self, call: dialect.Call) -> Progress:
@@ -255,6 +258,7 @@
             server = self.choose(call, progress)
             result = await self.exchange(call, progress, responder, server, digest)
             progress.trail.append(f"{server.id}:{result.value}")
+            exposition.exchanges.labels(progress.service, result.value).inc()
             if result is Result.DONE:
                 return
             progress.excluded.add(server.id)
@@ -386,11 +390,18 @@
         if len(call.body) <= upstream.INLINE_BODY_BYTES:
             await connection.send(request, call.body)
             return await self.read_answer(call, progress, responder, connection, request)
+        # The error is raised outside, since a task group would wrap it in an exception group.
+        failure: upstream.AnswerBrokenError | None = None
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(send_quietly, connection, request, call.body)
             await anyio.lowlevel.checkpoint()
-            result = await self.read_answer(call, progress, responder, connection, request)
+            try:
+                result = await self.read_answer(call, progress, responder, connection, request)
+            except upstream.AnswerBrokenError as error:
+                failure = error
             tasks.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
         return result
 
     async def read_answer(
@@ -493,6 +504,11 @@
         if call is None:
             return
         now = clock.now()
+        service = progress.service if progress else ""
+        exposition.requests.labels(service, outcome.partition(":")[0]).inc()
+        exposition.latency.labels(service).observe(now - call.arrived_at)
+        if progress and progress.offered_at:
+            exposition.offered.labels(service).observe(progress.offered_at - call.arrived_at)
         events.emit(
             events.Event.REQUEST_FORWARDED,
             "request ended",
@@ -500,7 +516,7 @@
             request=call.attempt_id,
             program=call.program_id,
             route=progress.route.name if progress else "",
-            service=progress.service if progress else "",
+            service=service,
             outcome=outcome,
             status=progress.status if progress else 0,
             took_ms=round((now - call.arrived_at) * 1000, 1),
--- a/src/dogwoodgap/gateway.py
+++ b/src/dogwoodgap/gateway.py
@@ -15,12 +15,14 @@
     crashes,
     dialect,
     events,
+    exposition,
     followers,
     forwarder,
     ingress,
     members,
     membership,
     peers,
+    removals,
     routes,
     servers,
     settings,
@@ -70,6 +72,8 @@
         Reads routes and backend servers.
     records : source.BudgetRecords
         Budgets in the platform's store.
+    requests : source.Removals
+        Requests to empty storage VMs.
     codec : dialect.Dialect
         Header names of the deployment.
     """
@@ -79,6 +83,7 @@
         loaded: settings.GatewaySettings,
         store: source.FleetSource,
         records: source.BudgetRecords,
+        requests: source.Removals,
         codec: dialect.Dialect,
     ):
         self.settings = loaded
@@ -87,7 +92,10 @@
         self.book = routes.RouteBook()
         self.directory = servers.ServerDirectory(loaded.gateway.return_grace_s)
         self.route_follower = followers.RouteFollower(store, self.book)
-        self.server_follower = followers.ServerFollower(store, self.directory)
+        self.server_follower = followers.ServerFollower(store, self.directory, self.route_follower)
+        self.removal_follower = removals.RemovalFollower(
+            requests, lambda: self.server_follower.rank
+        )
         self.suspects = crashes.CrashLog()
         self.accounts = budget_owners.BudgetOwners(records)
         self.forwarder = forwarder.Forwarder(
@@ -133,6 +141,8 @@
             await tasks.start(ready.serve, section.ready_bind)
             directory = ingress.Server(entrance.directory)
             await tasks.start(directory.serve, section.directory_bind)
+            if section.metrics_bind:
+                await tasks.start(ingress.Server(self.serve_metrics).serve, section.metrics_bind)
             await tasks.start(self.front.serve, self.settings.node.http_bind)
             tasks.start_soon(self.join, network, tasks)
             events.emit(
@@ -145,17 +155,25 @@
             await self.stop()
             tasks.cancel_scope.cancel()
 
+    async def serve_metrics(self, incoming: ingress.Incoming, responder: ingress.Responder) -> None:
+        """Answer a reader of the metrics."""
+        exposition.servers_age.set(self.directory.age_s)
+        exposition.routes_version.set(self.book.version)
+        await exposition.serve(incoming, responder)
+
     async def join(self, network: peers.PeerNetwork, tasks: anyio.abc.TaskGroup) -> None:
         """Become a member once callers can be served."""
         await self.route_follower.known.wait()
         await self.server_follower.known.wait()
         hooks = membership.Hooks(
             generation=lambda: self.book.version,
+            on_generation=lambda member, version: self.route_follower.note_version(version),
             runners=self.own_loads,
             on_load=self.note_loads,
         )
         joined = membership.Membership(self.settings, self.boot, network, None, hooks)
         self.accounts.join(joined, network, tasks)
+        self.server_follower.join(joined, network)
         await self.load_budgets()
         tasks.start_soon(joined.run)
         with anyio.move_on_after(JOIN_S):
@@ -163,6 +181,7 @@
                 await joined.woken.wait()
         self.membership = joined
         tasks.start_soon(self.accounts.run)
+        tasks.start_soon(self.removal_follower.run)
 
     async def load_budgets(self) -> None:
         """Read what is recorded of programs that ran before this process started."""
--- /dev/null
+++ b/src/dogwoodgap/gateway_cli.py
@@ -0,0 +1,65 @@
+"""Command line of ``dogwoodgap-gateway``."""
+
+import os
+import pathlib
+import typing
+
+import anyio
+import typer
+
+from dogwoodgap import events, exceptions, lean, settings
+
+EXIT_INVALID = 2
+
+cli = typer.Typer(
+    no_args_is_help=True,
+    help="Forwards requests by configured routes from a TOML file.",
+    rich_markup_mode=None,
+    pretty_exceptions_enable=False,
+)
+
+SettingsPath = typing.Annotated[pathlib.Path, typer.Argument(help="Settings of the gateway.")]
+FleetPath = typing.Annotated[pathlib.Path, typer.Argument(help="Routes and backend servers.")]
+
+
+@cli.command()
+def check(path: SettingsPath, fleet: FleetPath) -> None:
+    """Check both files and print nothing but 'valid' when they are."""
+    read(path, fleet)
+    typer.echo("valid")
+
+
+@cli.command()
+def run(path: SettingsPath, fleet: FleetPath) -> None:
+    """Run a gateway in the foreground until SIGTERM."""
+    loaded = read(path, fleet)
+    lean.skip_optional_modules()
+    from dogwoodgap import dialect, entrance, file_source, gateway
+
+    events.configure(loaded.log.level)
+    served = gateway.Gateway(
+        loaded,
+        file_source.FileSource(fleet),
+        file_source.FileRecords(),
+        file_source.FileRemovals(),
+        dialect.Dialect(),
+    )
+    anyio.run(served.run, entrance.Entrance(served), backend_options={"use_uvloop": True})
+
+
+def read(path: pathlib.Path, fleet: pathlib.Path) -> settings.GatewaySettings:
+    """Read settings and check the fleet file, or end with a message."""
+    from dogwoodgap import file_source
+
+    try:
+        loaded = settings.load(path, os.environ, kind=settings.GatewaySettings)
+        file_source.FileSource(fleet).load()
+    except exceptions.DogwoodgapError as error:
+        typer.echo(f"error {error.code}: {error.detail}", err=True)
+        raise typer.Exit(EXIT_INVALID) from error
+    return loaded
+
+
+def main() -> None:
+    """Run the command line."""
+    cli()
--- a/src/dogwoodgap/servers.py
+++ b/src/dogwoodgap/servers.py
@@ -3,6 +3,7 @@
 import collections
 import collections.abc
 import dataclasses
+import math
 
 from dogwoodgap import clock, events
 
@@ -50,8 +51,9 @@
     def __init__(self, return_grace_s: float):
         self.return_grace_s = return_grace_s
         self.revision = -1
-        self.confirmed_at = -1e9
-        self.grace_until = -1e9
+        self.confirmed_at = -math.inf
+        self.grace_until = -math.inf
+        self.listed: tuple[BackendServer, ...] = ()
         self.servers: dict[str, BackendServer] = {}
         self.by_service: dict[str, list[BackendServer]] = {}
         self.removal_hooks: list[collections.abc.Callable[[BackendServer], None]] = []
@@ -65,12 +67,23 @@
         """Record that the store does not answer, so that lapsed entries get time to return."""
         self.grace_until = clock.now() + self.return_grace_s
 
-    def apply(self, listing: Listing) -> bool:
-        """Take a listing over unless an equally new one is known; return whether it changed."""
+    def listing_at(self, revision: int) -> Listing:
+        """Return the entries that were listed last, as those of a revision."""
+        return Listing(revision, self.listed)
+
+    def apply(self, listing: Listing, read_at: float | None = None) -> bool:
+        """Take a listing over unless a newer one is known; return whether it changed.
+
+        Parameters
+        ----------
+        read_at : float, optional
+            Monotonic time at which the list was asked for; now when it is left out.
+        """
         if listing.revision < self.revision:
             return False
         self.revision = listing.revision
-        self.confirmed_at = clock.now()
+        self.listed = listing.servers
+        self.confirmed_at = max(self.confirmed_at, clock.now() if read_at is None else read_at)
         found = {server.id: server for server in listing.servers}
         if clock.now() < self.grace_until:
             for server in self.servers.values():
--- a/src/dogwoodgap/source.py
+++ b/src/dogwoodgap/source.py
@@ -6,14 +6,22 @@
 from dogwoodgap import routes, servers
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoutesWatch:
+    """The end of a watch: where the next one goes on, and whether anything changed."""
+
+    revision: int
+    changed: bool
+
+
 class FleetSource(typing.Protocol):
     """Reads routes and backend servers. All calls raise :class:`exceptions.StoreError`."""
 
     async def read_routes(self) -> routes.RouteTable | None:
         """Return the newest routes, or None when there are none yet."""
 
-    async def watch_routes(self, after: int) -> int:
-        """Wait until the routes may have changed after a revision; return the new revision."""
+    async def watch_routes(self, after: int, wait_s: float) -> RoutesWatch:
+        """Wait until the routes may have changed after a revision."""
 
     async def read_servers(self, *, fresh: bool) -> servers.Listing:
         """Return the registered backend servers; without ``fresh`` they may be seconds old."""
@@ -51,3 +59,32 @@
 
     async def delete(self, program: str) -> None:
         """Delete a record; one that is missing is no error."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RemovalRequest:
+    """An operator's request to empty a storage VM before it is removed."""
+
+    vm: str
+    complete: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RemovalList:
+    """All requests at one revision of the store."""
+
+    revision: int
+    requests: tuple[RemovalRequest, ...]
+
+
+class Removals(typing.Protocol):
+    """Requests to empty storage VMs; calls raise ``StoreError``."""
+
+    async def read(self) -> RemovalList:
+        """Return all requests."""
+
+    async def watch(self, after: int) -> None:
+        """Wait until a request may have changed after a revision."""
+
+    async def complete(self, vm: str) -> None:
+        """Tell the operator that a VM may be removed."""
--- a/src/dogwoodgap_wire/ttypes.py
+++ b/src/dogwoodgap_wire/ttypes.py
@@ -2444,6 +2444,271 @@
         return not (self == other)
 
 
+class ServerEntry(object):
+    """
+    Attributes:
+     - id
+     - service_name
+     - address
+     - data_centre
+     - slots
+     - draining
+     - started_ms
+
+    """
+
+    __slots__ = (
+        'id',
+        'service_name',
+        'address',
+        'data_centre',
+        'slots',
+        'draining',
+        'started_ms',
+    )
+
+
+    def __init__(self, id=None, service_name=None, address=None, data_centre=None, slots=None, draining=None, started_ms=None,):
+        self.id = id
+        self.service_name = service_name
+        self.address = address
+        self.data_centre = data_centre
+        self.slots = slots
+        self.draining = draining
+        self.started_ms = started_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.data_centre = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.slots = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.draining = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.started_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServerEntry')
+        if self.id is not None:
+            oprot.writeFieldBegin('id', TType.STRING, 1)
+            oprot.writeString(self.id.encode('utf-8') if sys.version_info[0] == 2 else self.id)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 2)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 3)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        if self.data_centre is not None:
+            oprot.writeFieldBegin('data_centre', TType.STRING, 4)
+            oprot.writeString(self.data_centre.encode('utf-8') if sys.version_info[0] == 2 else self.data_centre)
+            oprot.writeFieldEnd()
+        if self.slots is not None:
+            oprot.writeFieldBegin('slots', TType.I32, 5)
+            oprot.writeI32(self.slots)
+            oprot.writeFieldEnd()
+        if self.draining is not None:
+            oprot.writeFieldBegin('draining', TType.BOOL, 6)
+            oprot.writeBool(self.draining)
+            oprot.writeFieldEnd()
+        if self.started_ms is not None:
+            oprot.writeFieldBegin('started_ms', TType.I64, 7)
+            oprot.writeI64(self.started_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ServerListing(object):
+    """
+    Attributes:
+     - revision
+     - age_ms
+     - servers
+     - digest
+     - routes_version
+
+    """
+
+    __slots__ = (
+        'revision',
+        'age_ms',
+        'servers',
+        'digest',
+        'routes_version',
+    )
+
+
+    def __init__(self, revision=None, age_ms=None, servers=None, digest=None, routes_version=None,):
+        self.revision = revision
+        self.age_ms = age_ms
+        self.servers = servers
+        self.digest = digest
+        self.routes_version = routes_version
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.servers = []
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = ServerEntry()
+                        _elem68.read(iprot)
+                        self.servers.append(_elem68)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.routes_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServerListing')
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 1)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 2)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.servers is not None:
+            oprot.writeFieldBegin('servers', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.servers))
+            for iter69 in self.servers:
+                iter69.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.I64, 4)
+            oprot.writeI64(self.digest)
+            oprot.writeFieldEnd()
+        if self.routes_version is not None:
+            oprot.writeFieldBegin('routes_version', TType.I64, 5)
+            oprot.writeI64(self.routes_version)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Message(object):
     """
     Attributes:
@@ -2466,6 +2731,7 @@
      - token_reserve_reply
      - token_settle
      - token_transfer
+     - server_listing
 
     """
 
@@ -2489,10 +2755,11 @@
         'token_reserve_reply',
         'token_settle',
         'token_transfer',
+        'server_listing',
     )
 
 
-    def __init__(self, hello=None, ping=None, ping_reply=None, probe_request=None, probe_reply=None, configuration_fetch=None, configuration_reply=None, share_request=None, share_reply=None, suspect_notice=None, runner_notice=None, ack=None, member_fetch=None, member_reply=None, heartbeat=None, token_reserve=None, token_reserve_reply=None, token_settle=None, token_transfer=None,):
+    def __init__(self, hello=None, ping=None, ping_reply=None, probe_request=None, probe_reply=None, configuration_fetch=None, configuration_reply=None, share_request=None, share_reply=None, suspect_notice=None, runner_notice=None, ack=None, member_fetch=None, member_reply=None, heartbeat=None, token_reserve=None, token_reserve_reply=None, token_settle=None, token_transfer=None, server_listing=None,):
         self.hello = hello
         self.ping = ping
         self.ping_reply = ping_reply
@@ -2512,6 +2779,7 @@
         self.token_reserve_reply = token_reserve_reply
         self.token_settle = token_settle
         self.token_transfer = token_transfer
+        self.server_listing = server_listing
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2636,6 +2904,12 @@
                     self.token_transfer.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.STRUCT:
+                    self.server_listing = ServerListing()
+                    self.server_listing.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2722,6 +2996,10 @@
             oprot.writeFieldBegin('token_transfer', TType.STRUCT, 19)
             self.token_transfer.write(oprot)
             oprot.writeFieldEnd()
+        if self.server_listing is not None:
+            oprot.writeFieldBegin('server_listing', TType.STRUCT, 20)
+            self.server_listing.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3013,6 +3291,26 @@
     None,  # 0
     (1, TType.LIST, 'accounts', (TType.STRUCT, [TokenAccount, None], False), None, ),  # 1
 )
+all_structs.append(ServerEntry)
+ServerEntry.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'address', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'data_centre', 'UTF8', None, ),  # 4
+    (5, TType.I32, 'slots', None, None, ),  # 5
+    (6, TType.BOOL, 'draining', None, None, ),  # 6
+    (7, TType.I64, 'started_ms', None, None, ),  # 7
+)
+all_structs.append(ServerListing)
+ServerListing.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'revision', None, None, ),  # 1
+    (2, TType.I32, 'age_ms', None, None, ),  # 2
+    (3, TType.LIST, 'servers', (TType.STRUCT, [ServerEntry, None], False), None, ),  # 3
+    (4, TType.I64, 'digest', None, None, ),  # 4
+    (5, TType.I64, 'routes_version', None, None, ),  # 5
+)
 all_structs.append(Message)
 Message.thrift_spec = (
     None,  # 0
@@ -3035,6 +3333,7 @@
     (17, TType.STRUCT, 'token_reserve_reply', [TokenReserveReply, None], None, ),  # 17
     (18, TType.STRUCT, 'token_settle', [TokenSettle, None], None, ),  # 18
     (19, TType.STRUCT, 'token_transfer', [TokenTransfer, None], None, ),  # 19
+    (20, TType.STRUCT, 'server_listing', [ServerListing, None], None, ),  # 20
 )
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -137,6 +137,16 @@
     run(main)
 
 
+def test_broken_answer_to_a_long_body_is_502():
+    """Guards against an error of the sending task that hides what happened."""
+
+    async def main():
+        async with gateways.running(plain("p1", truncated)) as bench:
+            assert (await gateways.once(bench, "POST", "/act/x", b"x" * 100_000)).status == 502
+
+    run(main)
+
+
 def test_refused_request_goes_to_another_server():
     """Guards against a failure although a server that ran nothing said so."""
 
--- a/thrift/dogwoodgap.thrift
+++ b/thrift/dogwoodgap.thrift
@@ -119,6 +119,26 @@
 
 struct TokenTransfer { 1: list<TokenAccount> accounts }
 
+struct ServerEntry {
+  1: string id,
+  2: string service_name,
+  3: string address,
+  4: string data_centre,
+  5: i32 slots,
+  6: bool draining,
+  7: i64 started_ms,
+}
+
+// One reading of the platform's list of backend servers, as old as age_ms; servers is absent when
+// the receiver was sent the same entries before.
+struct ServerListing {
+  1: i64 revision,
+  2: i32 age_ms,
+  3: optional list<ServerEntry> servers,
+  4: i64 digest,
+  5: i64 routes_version,
+}
+
 union Message {
   1: Hello hello,
   2: Ping ping,
@@ -139,6 +159,7 @@
   17: TokenReserveReply token_reserve_reply,
   18: TokenSettle token_settle,
   19: TokenTransfer token_transfer,
+  20: ServerListing server_listing,
 }
 
 struct Envelope {
