Watch routes from the revision of the last reading; pull accounts from their last owner

Cause 2: a node that rejoined assumed a use for programs whose accounts were still at their last owner, and assumed parts were added up as real use when accounts moved. Ruled out: waiting for the transfer (0.5 s of gossip); accounts are fetched, and a node that knows of all losses vouches for them.

--- a/src/dogwoodgap/budget_owners.py
+++ b/src/dogwoodgap/budget_owners.py
@@ -5,7 +5,10 @@
 """
 
 import collections.abc
+import dataclasses
 import logging
+import math
+import typing
 
 import anyio
 import anyio.abc
@@ -38,6 +41,9 @@
 """Time after the loss of a member during which programs go on whose accounts it held: those that
 paused longest for a tool and for the retries of a turn."""
 
+FETCH_S = 3.0
+"""Time after a change of the members during which an account may still be at its last owner."""
+
 TRANSFER_TIMEOUT_S = 1.0
 FLUSH_S = 1.0
 SWEEP_S = 10.0
@@ -74,6 +80,9 @@
         self.ledger = budgets.Ledger()
         self.locks: dict[str, anyio.Lock] = {}
         self.lost: dict[str, float] = {}
+        self.seen: dict[str, members.Member] = {}
+        self.vouched_at = math.inf
+        self.changed_at = -math.inf
         self.unrecorded: set[str] = set()
         self.store_failed_at = -STORE_PAUSE_S
         self.moving = anyio.Lock()
@@ -91,7 +100,9 @@
         network.handlers.register(ttypes.TokenReserve, self.on_reserve)
         network.handlers.register(ttypes.TokenSettle, self.on_settle)
         network.handlers.register(ttypes.TokenTransfer, self.on_transfer)
+        network.handlers.register(ttypes.TokenFetch, self.on_fetch)
         joined.subscribe(self.on_member)
+        self.vouched_at = min(self.vouched_at, clock.now() + TAKEOVER_S)
 
     # The node that forwards
 
@@ -116,14 +127,12 @@
             try:
                 verdict = await self.ask(owner, request)
             except exceptions.PeerError as error:
-                events.emit(
-                    events.Event.BUDGET_OWNER_LOST,
+                log_owner_lost(
                     "the owner of a program's budget does not answer; the next one decides",
-                    level=logging.WARNING,
+                    owner,
+                    error,
                     request=call.attempt_id,
                     program=call.program_id,
-                    owner=owner.node,
-                    detail=error.detail,
                 )
                 request.last_resort = True
                 self.withdraw(owner, request)
@@ -197,14 +206,12 @@
                     owner.peer_address, message, ttypes.Ack, timeout_s=RESERVE_TIMEOUT_S
                 )
             except exceptions.PeerError as error:
-                events.emit(
-                    events.Event.BUDGET_OWNER_LOST,
+                log_owner_lost(
                     "a settlement was not delivered; its reservation stays",
-                    level=logging.WARNING,
+                    owner,
+                    error,
                     request=message.attempt,
                     program=message.program,
-                    owner=owner.node,
-                    detail=error.detail,
                 )
                 continue
             if reply.message.ok:
@@ -228,8 +235,10 @@
     async def decide(self, request: ttypes.TokenReserve) -> int:
         """Reserve tokens of an owned program, recording its use first where that is due."""
         may_be_lost = request.last_resort or self.was_lost(request.program)
-        account = self.ledger.open(request.program, request.budget, may_be_lost=may_be_lost)
         async with self.locks.setdefault(request.program, anyio.Lock()):
+            if request.program not in self.ledger.accounts and not request.last_resort:
+                await self.fetch(request.program)
+            account = self.ledger.open(request.program, request.budget, may_be_lost=may_be_lost)
             verdict = self.ledger.reserve(account, request.attempt, request.tokens)
             if verdict is budgets.Verdict.RECORD_FIRST:
                 await self.record(request.program, account, account.committed + request.tokens)
@@ -239,14 +248,75 @@
             self.unrecorded.add(request.program)
         return WIRE_VERDICTS[verdict]
 
-    def was_lost(self, program: str) -> bool:
-        """Return whether a member that was lost lately owned a program."""
+    async def fetch(self, program: str) -> None:
+        """Ask the node that owned a program before the members changed for its account."""
+        if clock.now() - self.changed_at > FETCH_S:
+            return
+        for owner in self.owners(program)[1:2]:
+            reply = await self.ask_for(owner, program)
+            if reply is not None and reply.account is not None:
+                self.ledger.adopt(program, from_wire(reply.account))
+
+    async def ask_for(self, member: members.Member, program: str) -> ttypes.TokenFetchReply | None:
+        """Return what a member knows of a program and of lost nodes; None without an answer."""
+        try:
+            reply = await self.network.request(
+                member.peer_address,
+                ttypes.TokenFetch(program=program),
+                ttypes.TokenFetchReply,
+                timeout_s=RESERVE_TIMEOUT_S / 2,
+            )
+        except exceptions.PeerError as error:
+            log_owner_lost("an account could not be fetched", member, error, program=program)
+            return None
+        return reply.message
+
+    async def on_fetch(
+        self, sender: ttypes.Member, message: ttypes.TokenFetch
+    ) -> ttypes.TokenFetchReply:
+        """Give an account to its new owner, and say which nodes were lost."""
+        account = self.ledger.accounts.pop(message.program, None)
+        return ttypes.TokenFetchReply(
+            account=None if account is None else to_wire(message.program, account),
+            vouched=self.is_vouched(),
+            lost=list(self.recently_lost()),
+        )
+
+    async def learn_losses(self) -> None:
+        """Ask the members which nodes were lost, since this process may have replaced one."""
+        for member in self.membership.alive():
+            if member is self.membership.local:
+                continue
+            reply = await self.ask_for(member, "")
+            if reply is not None and reply.vouched:
+                for node in reply.lost or []:
+                    self.expect_lost(node)
+                self.vouched_at = clock.now()
+                return
+
+    def vouch(self) -> None:
+        """Declare that no account was lost before this process started."""
+        self.vouched_at = clock.now()
+
+    def is_vouched(self) -> bool:
+        """Return whether this node knows all accounts that were lost lately."""
+        return clock.now() >= self.vouched_at
+
+    def recently_lost(self) -> set[str]:
+        """Return the nodes whose accounts were lost lately."""
         now = clock.now()
         self.lost = {node: until for node, until in self.lost.items() if until > now}
-        if not self.lost:
+        return set(self.lost)
+
+    def was_lost(self, program: str) -> bool:
+        """Return whether a node that was lost lately may have owned a program."""
+        if not self.is_vouched():
+            return True
+        lost = self.recently_lost()
+        if not lost:
             return False
-        nodes = {member.node for member in self.membership.alive()} | self.lost.keys()
-        return ranked(program, nodes)[0] in self.lost
+        nodes = {member.node for member in self.membership.alive()} | lost
+        return ranked(program, nodes)[0] in lost
 
     def expect_lost(self, node: str) -> None:
         """Expect programs whose accounts a node held that was lost now."""
@@ -299,7 +369,15 @@
 
     def on_member(self, member: members.Member) -> None:
         """Move accounts whose owner has changed; expect programs of a lost member."""
-        if member.status is members.Status.DEAD and not member.departed:
+        known = self.seen.get(member.node)
+        self.seen[member.node] = dataclasses.replace(member)
+        self.changed_at = clock.now()
+        replaced = (
+            known is not None
+            and known.boot != member.boot
+            and known.status in (members.Status.ALIVE, members.Status.SUSPECT)
+        )
+        if replaced or (member.status is members.Status.DEAD and not member.departed):
             self.expect_lost(member.node)
         if self.tasks is not None:
             self.tasks.start_soon(self.move_accounts)
@@ -333,13 +411,11 @@
         except exceptions.PeerError as error:
             for program, account in taken.items():
                 self.ledger.adopt(program, account)
-            events.emit(
-                events.Event.BUDGET_OWNER_LOST,
+            log_owner_lost(
                 "accounts could not be moved to their new owner; they stay here",
-                level=logging.WARNING,
-                owner=owner.node,
+                owner,
+                error,
                 accounts=len(taken),
-                detail=error.detail,
             )
 
     async def on_transfer(self, sender: ttypes.Member, message: ttypes.TokenTransfer) -> ttypes.Ack:
@@ -394,6 +470,20 @@
             log_unrecorded(program, "the record of a program that is over was not deleted", error)
 
 
+def log_owner_lost(
+    text: str, owner: members.Member, error: exceptions.PeerError, **fields: typing.Any
+) -> None:
+    """Log that another node did not answer."""
+    events.emit(
+        events.Event.BUDGET_OWNER_LOST,
+        text,
+        level=logging.WARNING,
+        owner=owner.node,
+        detail=error.detail,
+        **fields,
+    )
+
+
 def log_unrecorded(program: str, text: str, error: Exception) -> None:
     """Log that the store did not take or give a record."""
     events.emit(
@@ -436,6 +526,7 @@
         ],
         recorded=account.recorded,
         revision=account.revision,
+        assumed=account.assumed,
     )
 
 
@@ -451,4 +542,5 @@
         },
         recorded=item.recorded or 0,
         revision=item.revision or 0,
+        assumed=item.assumed or 0,
     )
--- a/src/dogwoodgap/budgets.py
+++ b/src/dogwoodgap/budgets.py
@@ -145,7 +145,10 @@
         known = self.accounts.get(program)
         given.used_at = clock.now()
         if known is not None:
-            given.spent += known.spent - known.assumed
+            # Whoever knows the account makes the other's assumption needless.
+            assumed = min(given.assumed, known.assumed)
+            used = given.spent - given.assumed + known.spent - known.assumed
+            given.spent, given.assumed = used + assumed, assumed
             given.reservations = {**given.reservations, **known.reservations}
             if known.revision > given.revision:
                 given.recorded, given.revision = known.recorded, known.revision
--- a/src/dogwoodgap/file_source.py
+++ b/src/dogwoodgap/file_source.py
@@ -105,14 +105,16 @@
         except OSError as error:
             raise exceptions.StoreError(f"{self.path}: {error}; restore the file") from error
 
-    async def read_routes(self) -> routes.RouteTable:
+    async def read_routes(self) -> source.RoutesReading:
         """Return the routes of the file."""
+        revision = self.modified_ns()
         loaded = self.load()
-        return routes.RouteTable(
+        table = routes.RouteTable(
             loaded.version,
             [to_route(item) for item in loaded.routes],
             [to_service(item) for item in loaded.services],
         )
+        return source.RoutesReading(table, revision)
 
     async def watch_routes(self, after: int, wait_s: float) -> source.RoutesWatch:
         """Wait until the file changes."""
--- a/src/dogwoodgap/followers.py
+++ b/src/dogwoodgap/followers.py
@@ -43,8 +43,6 @@
 """Pause between two watches, so that a storm of versions is read a few times a second."""
 
 SEND_TIMEOUT_S = 0.5
-FIRST = source.RoutesWatch(0, changed=True)
-"""Before the first watch, which goes on from the beginning."""
 
 
 class Dependency:
@@ -91,22 +89,28 @@
 
     async def run(self) -> None:
         """Follow until cancelled."""
-        revision = -1
+        revision = await self.read_first()
         while True:
             try:
-                watched = await self.watch(revision) if revision >= 0 else FIRST
-                revision = watched.revision
-                if watched.changed:
-                    await self.read()
+                watched = await self.watch(revision)
+                revision = await self.read() if watched.changed else watched.revision
                 self.dependency.note_success()
             except exceptions.WatchExpiredError:
-                revision = -1
+                revision = await self.read_first()
             except exceptions.StoreError as error:
                 self.dependency.note_failure(error)
-                revision = -1
                 await anyio.sleep(RETRY_S)
             await anyio.sleep(ROUTES_PAUSE_S)
 
+    async def read_first(self) -> int:
+        """Read the routes until the store answers; return where to watch from."""
+        while True:
+            try:
+                return await self.read()
+            except exceptions.StoreError as error:
+                self.dependency.note_failure(error)
+                await anyio.sleep(RETRY_S)
+
     async def watch(self, revision: int) -> source.RoutesWatch:
         """Wait for a change, or for another node to know newer routes."""
         with anyio.CancelScope() as self.watching:
@@ -118,12 +122,14 @@
         if version > self.book.version and self.watching is not None:
             self.watching.cancel()
 
-    async def read(self) -> None:
-        """Read the newest routes."""
-        table = await self.store.read_routes()
-        if table is not None:
-            self.book.install(table)
+    async def read(self) -> int:
+        """Read the newest routes; return where to watch from."""
+        reading = await self.store.read_routes()
+        self.dependency.note_success()
+        if reading.table is not None:
+            self.book.install(reading.table)
             self.known.set()
+        return reading.revision
 
 
 class ServerFollower:
--- a/src/dogwoodgap/gateway.py
+++ b/src/dogwoodgap/gateway.py
@@ -174,22 +174,19 @@
         joined = membership.Membership(self.settings, self.boot, network, None, hooks)
         self.accounts.join(joined, network, tasks)
         self.server_follower.join(joined, network)
-        await self.load_budgets()
+        if self.settings.gateway.first_start:
+            self.accounts.vouch()
+        else:
+            await self.accounts.load()
         tasks.start_soon(joined.run)
         with anyio.move_on_after(JOIN_S):
             while not joined.table.others():
                 await joined.woken.wait()
+        await self.accounts.learn_losses()
         self.membership = joined
         tasks.start_soon(self.accounts.run)
         tasks.start_soon(self.removal_follower.run)
 
-    async def load_budgets(self) -> None:
-        """Read what is recorded of programs that ran before this process started."""
-        if self.settings.gateway.first_start:
-            return
-        self.accounts.expect_lost(self.settings.node.name)
-        await self.accounts.load()
-
     def own_loads(self, node: str) -> list[ttypes.RunnerLoad]:
         """Return this node's requests in flight by backend server."""
         return [
--- a/src/dogwoodgap/source.py
+++ b/src/dogwoodgap/source.py
@@ -14,11 +14,19 @@
     changed: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoutesReading:
+    """The newest routes, or None when there are none, and where a watch goes on."""
+
+    table: routes.RouteTable | None
+    revision: int
+
+
 class FleetSource(typing.Protocol):
     """Reads routes and backend servers. All calls raise :class:`exceptions.StoreError`."""
 
-    async def read_routes(self) -> routes.RouteTable | None:
-        """Return the newest routes, or None when there are none yet."""
+    async def read_routes(self) -> RoutesReading:
+        """Return the newest routes."""
 
     async def watch_routes(self, after: int, wait_s: float) -> RoutesWatch:
         """Wait until the routes may have changed after a revision."""
--- a/src/dogwoodgap_wire/ttypes.py
+++ b/src/dogwoodgap_wire/ttypes.py
@@ -2239,6 +2239,7 @@
      - reservations
      - recorded
      - revision
+     - assumed
 
     """
 
@@ -2249,16 +2250,18 @@
         'reservations',
         'recorded',
         'revision',
+        'assumed',
     )
 
 
-    def __init__(self, program=None, budget=None, spent=None, reservations=None, recorded=None, revision=None,):
+    def __init__(self, program=None, budget=None, spent=None, reservations=None, recorded=None, revision=None, assumed=None,):
         self.program = program
         self.budget = budget
         self.spent = spent
         self.reservations = reservations
         self.recorded = recorded
         self.revision = revision
+        self.assumed = assumed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2305,6 +2308,11 @@
                     self.revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.assumed = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2342,6 +2350,179 @@
             oprot.writeFieldBegin('revision', TType.I64, 6)
             oprot.writeI64(self.revision)
             oprot.writeFieldEnd()
+        if self.assumed is not None:
+            oprot.writeFieldBegin('assumed', TType.I64, 7)
+            oprot.writeI64(self.assumed)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TokenFetch(object):
+    """
+    Attributes:
+     - program
+
+    """
+
+    __slots__ = (
+        'program',
+    )
+
+
+    def __init__(self, program=None,):
+        self.program = program
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.program = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TokenFetch')
+        if self.program is not None:
+            oprot.writeFieldBegin('program', TType.STRING, 1)
+            oprot.writeString(self.program.encode('utf-8') if sys.version_info[0] == 2 else self.program)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TokenFetchReply(object):
+    """
+    Attributes:
+     - account
+     - vouched
+     - lost
+
+    """
+
+    __slots__ = (
+        'account',
+        'vouched',
+        'lost',
+    )
+
+
+    def __init__(self, account=None, vouched=None, lost=None,):
+        self.account = account
+        self.vouched = vouched
+        self.lost = lost
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.account = TokenAccount()
+                    self.account.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.vouched = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.lost = []
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.lost.append(_elem61)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TokenFetchReply')
+        if self.account is not None:
+            oprot.writeFieldBegin('account', TType.STRUCT, 1)
+            self.account.write(oprot)
+            oprot.writeFieldEnd()
+        if self.vouched is not None:
+            oprot.writeFieldBegin('vouched', TType.BOOL, 2)
+            oprot.writeBool(self.vouched)
+            oprot.writeFieldEnd()
+        if self.lost is not None:
+            oprot.writeFieldBegin('lost', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.lost))
+            for iter62 in self.lost:
+                oprot.writeString(iter62.encode('utf-8') if sys.version_info[0] == 2 else iter62)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2394,11 +2575,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.accounts = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = TokenAccount()
-                        _elem61.read(iprot)
-                        self.accounts.append(_elem61)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = TokenAccount()
+                        _elem68.read(iprot)
+                        self.accounts.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2415,8 +2596,8 @@
         if self.accounts is not None:
             oprot.writeFieldBegin('accounts', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.accounts))
-            for iter62 in self.accounts:
-                iter62.write(oprot)
+            for iter69 in self.accounts:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2633,11 +2814,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.servers = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = ServerEntry()
-                        _elem68.read(iprot)
-                        self.servers.append(_elem68)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = ServerEntry()
+                        _elem75.read(iprot)
+                        self.servers.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2672,8 +2853,8 @@
         if self.servers is not None:
             oprot.writeFieldBegin('servers', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.servers))
-            for iter69 in self.servers:
-                iter69.write(oprot)
+            for iter76 in self.servers:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.digest is not None:
@@ -2732,6 +2913,8 @@
      - token_settle
      - token_transfer
      - server_listing
+     - token_fetch
+     - token_fetch_reply
 
     """
 
@@ -2756,10 +2939,12 @@
         'token_settle',
         'token_transfer',
         'server_listing',
+        'token_fetch',
+        'token_fetch_reply',
     )
 
 
-    def __init__(self, hello=None, ping=None, ping_reply=None, probe_request=None, probe_reply=None, configuration_fetch=None, configuration_reply=None, share_request=None, share_reply=None, suspect_notice=None, runner_notice=None, ack=None, member_fetch=None, member_reply=None, heartbeat=None, token_reserve=None, token_reserve_reply=None, token_settle=None, token_transfer=None, server_listing=None,):
+    def __init__(self, hello=None, ping=None, ping_reply=None, probe_request=None, probe_reply=None, configuration_fetch=None, configuration_reply=None, share_request=None, share_reply=None, suspect_notice=None, runner_notice=None, ack=None, member_fetch=None, member_reply=None, heartbeat=None, token_reserve=None, token_reserve_reply=None, token_settle=None, token_transfer=None, server_listing=None, token_fetch=None, token_fetch_reply=None,):
         self.hello = hello
         self.ping = ping
         self.ping_reply = ping_reply
@@ -2780,6 +2965,8 @@
         self.token_settle = token_settle
         self.token_transfer = token_transfer
         self.server_listing = server_listing
+        self.token_fetch = token_fetch
+        self.token_fetch_reply = token_fetch_reply
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2910,6 +3097,18 @@
                     self.server_listing.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.STRUCT:
+                    self.token_fetch = TokenFetch()
+                    self.token_fetch.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 22:
+                if ftype == TType.STRUCT:
+                    self.token_fetch_reply = TokenFetchReply()
+                    self.token_fetch_reply.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3000,6 +3199,14 @@
             oprot.writeFieldBegin('server_listing', TType.STRUCT, 20)
             self.server_listing.write(oprot)
             oprot.writeFieldEnd()
+        if self.token_fetch is not None:
+            oprot.writeFieldBegin('token_fetch', TType.STRUCT, 21)
+            self.token_fetch.write(oprot)
+            oprot.writeFieldEnd()
+        if self.token_fetch_reply is not None:
+            oprot.writeFieldBegin('token_fetch_reply', TType.STRUCT, 22)
+            self.token_fetch_reply.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3285,6 +3492,19 @@
     (4, TType.LIST, 'reservations', (TType.STRUCT, [TokenReservation, None], False), None, ),  # 4
     (5, TType.I64, 'recorded', None, None, ),  # 5
     (6, TType.I64, 'revision', None, None, ),  # 6
+    (7, TType.I64, 'assumed', None, None, ),  # 7
+)
+all_structs.append(TokenFetch)
+TokenFetch.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'program', 'UTF8', None, ),  # 1
+)
+all_structs.append(TokenFetchReply)
+TokenFetchReply.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'account', [TokenAccount, None], None, ),  # 1
+    (2, TType.BOOL, 'vouched', None, None, ),  # 2
+    (3, TType.LIST, 'lost', (TType.STRING, 'UTF8', False), None, ),  # 3
 )
 all_structs.append(TokenTransfer)
 TokenTransfer.thrift_spec = (
@@ -3334,6 +3554,8 @@
     (18, TType.STRUCT, 'token_settle', [TokenSettle, None], None, ),  # 18
     (19, TType.STRUCT, 'token_transfer', [TokenTransfer, None], None, ),  # 19
     (20, TType.STRUCT, 'server_listing', [ServerListing, None], None, ),  # 20
+    (21, TType.STRUCT, 'token_fetch', [TokenFetch, None], None, ),  # 21
+    (22, TType.STRUCT, 'token_fetch_reply', [TokenFetchReply, None], None, ),  # 22
 )
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
--- a/tests/test_budget_owners.py
+++ b/tests/test_budget_owners.py
@@ -69,12 +69,14 @@
         accounts = budget_owners.BudgetOwners(self.records)
         self.nodes[name], self.memberships[name] = accounts, joined
         self.scopes[name] = anyio.CancelScope()
-        self.tasks.start_soon(self.run, name, joined, accounts, network)
+        self.tasks.start_soon(self.run, name, boot, joined, accounts, network)
 
-    async def run(self, name, joined, accounts, network):
+    async def run(self, name, boot, joined, accounts, network):
         with self.scopes[name]:
             async with anyio.create_task_group() as tasks:
                 accounts.join(joined, network, tasks)
+                if boot == "b1":
+                    accounts.vouch()
                 tasks.start_soon(accounts.run)
                 await joined.run()
 
@@ -211,3 +213,26 @@
     other.settle(request, 0)
     await anyio.sleep(0.5)
     assert owner.ledger.accounts["p"].committed == 0
+
+
+@with_fleet(4)
+async def test_rolling_restart_neither_loses_nor_invents_use(fleet):
+    """Guards against refused turns of programs that have used little, and against more use."""
+    budget = 40 * TURN
+    given = {f"p{number}": 0 for number in range(12)}
+    for round_number in range(8):
+        name = round_number % 4
+        await fleet.memberships[name].leave()
+        await anyio.sleep(0.3)
+        await fleet.memberships[name].depart()
+        fleet.kill(name)
+        await anyio.sleep(0.5)
+        fleet.start(name, boot=f"r{round_number}")
+        await anyio.sleep(0.7)
+        await fleet.nodes[name].learn_losses()
+        for program in given:
+            given[program] += await fleet.spend(program, budget, limit=2)
+    assert set(given.values()) == {16 * TURN}
+    for program in given:
+        given[program] += await fleet.spend(program, budget)
+    assert set(given.values()) == {budget}
--- a/thrift/dogwoodgap.thrift
+++ b/thrift/dogwoodgap.thrift
@@ -107,7 +107,8 @@
 
 struct TokenReservation { 1: string attempt, 2: i64 tokens }
 
-// recorded is the mark in the platform's store, revision its version there (0 without one).
+// recorded is the mark in the platform's store, revision its version there (0 without one);
+// assumed is the part of spent that the sender does not know but assumes.
 struct TokenAccount {
   1: string program,
   2: i64 budget,
@@ -115,6 +116,18 @@
   4: list<TokenReservation> reservations,
   5: i64 recorded,
   6: i64 revision,
+  7: i64 assumed,
+}
+
+// Asks for the account of a program, which the sender owns now; without a program only for what
+// the receiver knows of lost nodes.
+struct TokenFetch { 1: string program }
+
+// vouched says that the receiver knows all nodes whose accounts were lost lately.
+struct TokenFetchReply {
+  1: optional TokenAccount account,
+  2: bool vouched,
+  3: list<string> lost,
 }
 
 struct TokenTransfer { 1: list<TokenAccount> accounts }
@@ -160,6 +173,8 @@
   18: TokenSettle token_settle,
   19: TokenTransfer token_transfer,
   20: ServerListing server_listing,
+  21: TokenFetch token_fetch,
+  22: TokenFetchReply token_fetch_reply,
 }
 
 struct Envelope {
