--- a/src/dogwoodgap/budget_owners.py
+++ b/src/dogwoodgap/budget_owners.py
@@ -5,7 +5,6 @@
 """
 
 import collections.abc
-import dataclasses
 import logging
 import math
 import typing
@@ -80,7 +79,8 @@
         self.ledger = budgets.Ledger()
         self.locks: dict[str, anyio.Lock] = {}
         self.lost: dict[str, float] = {}
-        self.seen: dict[str, members.Member] = {}
+        self.boots: dict[str, str] = {}
+        self.left: set[str] = set()
         self.vouched_at = math.inf
         self.changed_at = -math.inf
         self.unrecorded: set[str] = set()
@@ -238,7 +238,10 @@
         async with self.locks.setdefault(request.program, anyio.Lock()):
             if request.program not in self.ledger.accounts and not request.last_resort:
                 await self.fetch(request.program)
+            is_new = request.program not in self.ledger.accounts
             account = self.ledger.open(request.program, request.budget, may_be_lost=may_be_lost)
+            if is_new and account.assumed:
+                log_account(events.Event.BUDGET_ASSUMED, "use assumed", request, account)
             verdict = self.ledger.reserve(account, request.attempt, request.tokens)
             if verdict is budgets.Verdict.RECORD_FIRST:
                 await self.record(request.program, account, account.committed + request.tokens)
@@ -369,16 +372,17 @@
 
     def on_member(self, member: members.Member) -> None:
         """Move accounts whose owner has changed; expect programs of a lost member."""
-        known = self.seen.get(member.node)
-        self.seen[member.node] = dataclasses.replace(member)
         self.changed_at = clock.now()
-        replaced = (
-            known is not None
-            and known.boot != member.boot
-            and known.status in (members.Status.ALIVE, members.Status.SUSPECT)
-        )
-        if replaced or (member.status is members.Status.DEAD and not member.departed):
-            self.expect_lost(member.node)
+        known = self.boots.get(member.node)
+        self.boots[member.node] = member.boot
+        if member.status is members.Status.LEAVING:
+            self.left.add(f"{member.node}/{member.boot}")
+        is_dead = member.status is members.Status.DEAD and not member.departed
+        is_replaced = known is not None and known != member.boot
+        if is_replaced or is_dead:
+            gone = f"{member.node}/{known if is_replaced else member.boot}"
+            if gone not in self.left:
+                self.expect_lost(member.node)
         if self.tasks is not None:
             self.tasks.start_soon(self.move_accounts)
 
