--- a/src/dogwoodgap/budget_owners.py
+++ b/src/dogwoodgap/budget_owners.py
@@ -21,6 +21,7 @@
     exceptions,
     members,
     membership,
+    pacing,
     peers,
     source,
 )
@@ -85,6 +86,7 @@
         self.changed_at = -math.inf
         self.unrecorded: set[str] = set()
         self.store_failed_at = -STORE_PAUSE_S
+        self.estimate = pacing.TurnEstimate()
         self.moving = anyio.Lock()
         self.membership: membership.Membership | None = None
         self.network: peers.Network | None = None
@@ -106,8 +108,8 @@
 
     # The node that forwards
 
-    async def reserve(self, call: dialect.Call) -> None:
-        """Reserve the most that a turn may use.
+    async def reserve(self, call: dialect.Call) -> pacing.Standing:
+        """Reserve the most that a turn may use; return how its program stands.
 
         Raises
         ------
@@ -123,9 +125,11 @@
             budget=call.token_budget,
             last_resort=False,
         )
+        if call.finish_at is not None:
+            request.finish_ms = int((call.finish_at - clock.now()) * 1000)
         for owner in self.owners(call.program_id)[:2]:
             try:
-                verdict = await self.ask(owner, request)
+                reply = await self.ask(owner, request)
             except exceptions.PeerError as error:
                 log_owner_lost(
                     "the owner of a program's budget does not answer; the next one decides",
@@ -137,10 +141,10 @@
                 request.last_resort = True
                 self.withdraw(owner, request)
                 continue
-            if verdict == ttypes.TokenVerdict.NOT_OWNER:
+            if reply.verdict == ttypes.TokenVerdict.NOT_OWNER:
                 continue
-            self.raise_refusal(call, verdict)
-            return
+            self.raise_refusal(call, reply.verdict)
+            return pacing.Standing(reply.standing or pacing.Standing.UNDER_WAY)
         raise exceptions.NotOwnerError(
             "no node could decide on the program's budget; send the turn again",
             retry_after_s=RETRY_AFTER_S,
@@ -174,14 +178,16 @@
         found = {member.node: member for member in self.membership.alive()}
         return [found[node] for node in ranked(program, found)]
 
-    async def ask(self, owner: members.Member, request: ttypes.TokenReserve) -> int:
-        """Return an owner's verdict."""
+    async def ask(
+        self, owner: members.Member, request: ttypes.TokenReserve
+    ) -> ttypes.TokenReserveReply:
+        """Return an owner's decision."""
         if owner is self.membership.local:
             return await self.decide(request)
         reply = await self.network.request(
             owner.peer_address, request, ttypes.TokenReserveReply, timeout_s=RESERVE_TIMEOUT_S
         )
-        return reply.message.verdict
+        return reply.message
 
     def settle(self, call: dialect.Call, tokens: int) -> None:
         """Tell the owner, in the background, what a turn has used."""
@@ -225,14 +231,14 @@
         """Decide on a reservation of another node."""
         if not message.last_resort and not self.is_owner(message.program):
             return ttypes.TokenReserveReply(verdict=ttypes.TokenVerdict.NOT_OWNER)
-        return ttypes.TokenReserveReply(verdict=await self.decide(message))
+        return await self.decide(message)
 
     def is_owner(self, program: str) -> bool:
         """Return whether this node owns a program."""
         owners = self.owners(program)
         return bool(owners) and owners[0] is self.membership.local
 
-    async def decide(self, request: ttypes.TokenReserve) -> int:
+    async def decide(self, request: ttypes.TokenReserve) -> ttypes.TokenReserveReply:
         """Reserve tokens of an owned program, recording its use first where that is due."""
         may_be_lost = request.last_resort or self.was_lost(request.program)
         async with self.locks.setdefault(request.program, anyio.Lock()):
@@ -249,7 +255,23 @@
         if verdict is budgets.Verdict.REFUSED:
             log_account(events.Event.BUDGET_REFUSED, "budget refused", request, account)
             self.unrecorded.add(request.program)
-        return WIRE_VERDICTS[verdict]
+        return ttypes.TokenReserveReply(
+            verdict=WIRE_VERDICTS[verdict], standing=self.pace(request, account)
+        )
+
+    def pace(self, request: ttypes.TokenReserve, account: budgets.Account) -> int | None:
+        """Count a turn and return how its program stands."""
+        if request.finish_ms is None:
+            return None
+        now = clock.now()
+        finish_at = now + request.finish_ms / 1000
+        if account.pace is None:
+            account.pace = pacing.Pace(now, finish_at)
+            account.turn_tokens = request.tokens
+        expected = self.estimate.expected_turns(account.budget, request.tokens)
+        found = pacing.standing(account.pace, expected, now)
+        account.pace.turns += 1
+        return int(found)
 
     async def fetch(self, program: str) -> None:
         """Ask the node that owned a program before the members changed for its account."""
@@ -463,6 +485,8 @@
         """Drop old accounts and their records."""
         for program, account in self.ledger.forget().items():
             self.locks.pop(program, None)
+            if account.pace is not None:
+                self.estimate.note_end(account.budget, account.turn_tokens, account.pace.turns)
             if account.revision:
                 await self.remove(program)
 
--- a/src/dogwoodgap/budgets.py
+++ b/src/dogwoodgap/budgets.py
@@ -9,7 +9,7 @@
 import dataclasses
 import enum
 
-from dogwoodgap import clock
+from dogwoodgap import clock, pacing
 
 UNRECORDED_SHARE = 0.4
 """Share of a budget that is used without a record. Of 244 measured programs that end by
@@ -59,6 +59,10 @@
         first turn, and the store decides between them.
     claimed : bool
         That record was written, or the store is away.
+    pace : pacing.Pace or None
+        Progress against the time objective; None without one.
+    turn_tokens : int
+        The most that a turn may use.
     """
 
     budget: int
@@ -69,6 +73,8 @@
     used_at: float = 0.0
     assumed: int = 0
     claimed: bool = False
+    pace: pacing.Pace | None = None
+    turn_tokens: int = 0
 
     @property
     def committed(self) -> int:
--- a/src/dogwoodgap/dialect.py
+++ b/src/dogwoodgap/dialect.py
@@ -190,7 +190,6 @@
         call: Call,
         server_id: str,
         remaining_s: float | None,
-        urgency: int | None,
         last_event_id: bytes | None,
     ) -> Headers:
         """Return the headers for a backend server."""
@@ -199,8 +198,6 @@
         headers.append((names.expected_server, server_id.encode("latin-1")))
         if remaining_s is not None:
             headers.append((names.deadline, str(max(1, int(remaining_s * 1000))).encode()))
-        if urgency is not None:
-            headers.append((names.urgency, str(urgency).encode()))
         if last_event_id is not None:
             headers.append((names.last_event_id, last_event_id))
         if call.body or call.method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
--- a/src/dogwoodgap/forwarder.py
+++ b/src/dogwoodgap/forwarder.py
@@ -22,8 +22,10 @@
     events,
     exceptions,
     exposition,
+    gate,
     http_pool,
     ingress,
+    pacing,
     routes,
     selection,
     servers,
@@ -72,7 +74,7 @@
     route: routes.Route
     service: str
     limit_at: float
-    urgency: int | None = None
+    standing: pacing.Standing = pacing.Standing.UNDER_WAY
     runs: int = 0
     refusals: int = 0
     events: int = 0
@@ -120,6 +122,8 @@
         self.suspects = suspects
         self.loads = selection.LoadTable(data_centre)
         self.pools: dict[str, upstream.ServerPool] = {}
+        self.gates: dict[str, gate.Gate] = {}
+        self.node_count: collections.abc.Callable[[], int] = lambda: 1
         self.active = 0
         directory.removal_hooks.append(self.forget)
 
@@ -215,9 +219,9 @@
         try:
             with anyio.CancelScope(deadline=progress.limit_at + LIMIT_GRACE_S) as scope:
                 if budgeted:
-                    await self.accounts.reserve(call)
+                    progress.standing = await self.accounts.reserve(call)
                     reserved = True
-                await self.run(call, progress, responder, digest)
+                await self.run_gated(call, progress, responder, digest)
             if scope.cancelled_caught:
                 await self.time_out(progress, responder)
         finally:
@@ -226,6 +230,33 @@
                 per_event = engine.tokens_per_event if engine else 1
                 self.accounts.settle(call, progress.events * per_event)
 
+    async def run_gated(
+        self,
+        call: dialect.Call,
+        progress: Progress,
+        responder: ingress.Responder,
+        digest: int,
+    ) -> None:
+        """Run a request; a turn waits for its place at the engines first."""
+        engine = self.engine(progress.service)
+        if engine is None:
+            await self.run(call, progress, responder, digest)
+            return
+        passage = self.gates.setdefault(progress.service, gate.Gate())
+        self.resize(passage, progress.service)
+        await passage.enter(progress.standing)
+        try:
+            await self.run(call, progress, responder, digest)
+        finally:
+            passage.leave()
+
+    def resize(self, passage: gate.Gate, service: str) -> None:
+        """Tell a gate the present size and load of its service."""
+        ready = self.directory.ready(service)
+        slots = sum(server.slots for server in ready)
+        busy = sum(self.loads.state(server).busy for server in ready)
+        passage.resize(slots, self.node_count(), busy)
+
     def engine(self, service: str) -> routes.Engine | None:
         """Return the engine of a service, or None for a plain one."""
         table = self.book.table
@@ -381,9 +412,7 @@
         request = h11.Request(
             method=call.method,
             target=call.target,
-            headers=self.codec.encode_call(
-                call, connection.server.id, remaining_s, progress.urgency, last_event_id
-            ),
+            headers=self.codec.encode_call(call, connection.server.id, remaining_s, last_event_id),
         )
         progress.offered_at = progress.offered_at or clock.now()
         progress.runs += 1
@@ -527,6 +556,7 @@
             ),
             tried=progress.trail if progress else [],
             events=progress.events if progress else 0,
+            standing=progress.standing.name if progress else None,
             routes_version=self.book.version,
             servers_revision=self.directory.revision,
             servers_age_ms=round(self.directory.age_s * 1000),
--- a/src/dogwoodgap/gateway.py
+++ b/src/dogwoodgap/gateway.py
@@ -106,6 +106,7 @@
             self.suspects,
             loaded.node.data_centre,
         )
+        self.forwarder.node_count = self.node_count
         self.front = ingress.Server(self.forwarder.handle, self.limits)
         self.stopping = False
         self.membership: membership.Membership | None = None
@@ -115,6 +116,10 @@
         """Return the limits for a new connection."""
         return self.book.table.limits if self.book.table else routes.Limits()
 
+    def node_count(self) -> int:
+        """Return the number of gateways that callers are sent to."""
+        return len(self.membership.alive()) if self.membership else 1
+
     @property
     def ready(self) -> bool:
         """Return whether callers may be sent here."""
--- a/src/dogwoodgap_wire/ttypes.py
+++ b/src/dogwoodgap_wire/ttypes.py
@@ -1882,6 +1882,7 @@
      - tokens
      - budget
      - last_resort
+     - finish_ms
 
     """
 
@@ -1891,15 +1892,17 @@
         'tokens',
         'budget',
         'last_resort',
+        'finish_ms',
     )
 
 
-    def __init__(self, program=None, attempt=None, tokens=None, budget=None, last_resort=None,):
+    def __init__(self, program=None, attempt=None, tokens=None, budget=None, last_resort=None, finish_ms=None,):
         self.program = program
         self.attempt = attempt
         self.tokens = tokens
         self.budget = budget
         self.last_resort = last_resort
+        self.finish_ms = finish_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1935,6 +1938,11 @@
                     self.last_resort = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.finish_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1965,6 +1973,10 @@
             oprot.writeFieldBegin('last_resort', TType.BOOL, 5)
             oprot.writeBool(self.last_resort)
             oprot.writeFieldEnd()
+        if self.finish_ms is not None:
+            oprot.writeFieldBegin('finish_ms', TType.I64, 6)
+            oprot.writeI64(self.finish_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1994,16 +2006,19 @@
     """
     Attributes:
      - verdict
+     - standing
 
     """
 
     __slots__ = (
         'verdict',
+        'standing',
     )
 
 
-    def __init__(self, verdict=None,):
+    def __init__(self, verdict=None, standing=None,):
         self.verdict = verdict
+        self.standing = standing
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2019,6 +2034,11 @@
                     self.verdict = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.standing = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2033,6 +2053,10 @@
             oprot.writeFieldBegin('verdict', TType.I32, 1)
             oprot.writeI32(self.verdict)
             oprot.writeFieldEnd()
+        if self.standing is not None:
+            oprot.writeFieldBegin('standing', TType.I32, 2)
+            oprot.writeI32(self.standing)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3464,11 +3488,13 @@
     (3, TType.I64, 'tokens', None, None, ),  # 3
     (4, TType.I64, 'budget', None, None, ),  # 4
     (5, TType.BOOL, 'last_resort', None, None, ),  # 5
+    (6, TType.I64, 'finish_ms', None, None, ),  # 6
 )
 all_structs.append(TokenReserveReply)
 TokenReserveReply.thrift_spec = (
     None,  # 0
     (1, TType.I32, 'verdict', None, None, ),  # 1
+    (2, TType.I32, 'standing', None, None, ),  # 2
 )
 all_structs.append(TokenSettle)
 TokenSettle.thrift_spec = (
--- a/thrift/dogwoodgap.thrift
+++ b/thrift/dogwoodgap.thrift
@@ -97,11 +97,14 @@
   3: i64 tokens,
   4: i64 budget,
   5: bool last_resort,
+  // Milliseconds until the program should be finished; absent when it has no time objective.
+  6: optional i64 finish_ms,
 }
 
 enum TokenVerdict { GRANTED = 1, REFUSED = 2, NOT_OWNER = 3, UNRECORDED = 4 }
 
-struct TokenReserveReply { 1: TokenVerdict verdict }
+// standing orders turns where they wait for engines (pacing.Standing); absent when unknown.
+struct TokenReserveReply { 1: TokenVerdict verdict, 2: optional i32 standing }
 
 struct TokenSettle { 1: string program, 2: string attempt, 3: i64 tokens }
 
