--- /dev/null
+++ b/src/dogwoodgap/bootstrap.py
@@ -0,0 +1,128 @@
+"""Routes and servers from another node, for a process that starts while the store is away."""
+
+import dataclasses
+import logging
+
+import anyio
+import msgspec
+
+from dogwoodgap import clock, events, exceptions, followers, peers, routes, servers
+from dogwoodgap_wire import ttypes
+
+ASK_TIMEOUT_S = 0.5
+ASK_INTERVAL_S = 0.5
+PATIENCE_S = 0.5
+"""The store answers in a few ms; other nodes are asked after this time."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouteDocument:
+    """A route table as it is sent between nodes."""
+
+    version: int
+    routes: list[routes.Route]
+    services: list[routes.Service]
+    limits: routes.Limits
+
+
+def encode_table(table: routes.RouteTable) -> bytes:
+    """Return a route table as a document."""
+    found = [route for prefixes in table.by_host.values() for route in prefixes.values()]
+    document = RouteDocument(table.version, found, list(table.services.values()), table.limits)
+    return msgspec.msgpack.encode(document)
+
+
+def decode_table(data: bytes) -> routes.RouteTable:
+    """Return the table of a document.
+
+    Raises
+    ------
+    FrameMalformedError
+        When the bytes are no route table.
+    """
+    try:
+        document = msgspec.msgpack.decode(data, type=RouteDocument)
+    except msgspec.DecodeError as error:
+        raise exceptions.FrameMalformedError(
+            f"the routes of another node do not decode ({error}); check its version"
+        ) from error
+    return routes.RouteTable(document.version, document.routes, document.services, document.limits)
+
+
+class Bootstrap:
+    """Asks other nodes until routes and servers are known, and answers those that ask.
+
+    Parameters
+    ----------
+    network : peers.Network
+        Connections between nodes.
+    seeds : list of str
+        Peer addresses of some nodes, which may be stale.
+    """
+
+    def __init__(
+        self,
+        network: peers.Network,
+        seeds: list[str],
+        route_follower: followers.RouteFollower,
+        server_follower: followers.ServerFollower,
+    ):
+        self.network = network
+        self.seeds = seeds
+        self.route_follower = route_follower
+        self.server_follower = server_follower
+        network.handlers.register(ttypes.FleetFetch, self.on_fetch)
+
+    async def on_fetch(
+        self, sender: ttypes.Member, message: ttypes.FleetFetch
+    ) -> ttypes.FleetFetchReply:
+        """Answer a node that starts."""
+        reply = ttypes.FleetFetchReply()
+        table = self.route_follower.book.table
+        directory = self.server_follower.directory
+        if table is not None:
+            reply.routes = encode_table(table)
+        if directory.revision >= 0:
+            reply.listing = ttypes.ServerListing(
+                revision=directory.revision,
+                age_ms=int(directory.age_s * 1000),
+                servers=[followers.to_wire(server) for server in directory.servers.values()],
+            )
+        return reply
+
+    def is_complete(self) -> bool:
+        """Return whether routes and servers are known."""
+        return self.route_follower.known.is_set() and self.server_follower.known.is_set()
+
+    async def run(self) -> None:
+        """Ask the seeds in turn until everything is known."""
+        await anyio.sleep(PATIENCE_S)
+        while not self.is_complete():
+            for address in self.seeds:
+                await self.ask(address)
+            await anyio.sleep(ASK_INTERVAL_S)
+
+    async def ask(self, address: str) -> None:
+        """Take over what one node knows."""
+        try:
+            reply = await self.network.request(
+                address, ttypes.FleetFetch(), ttypes.FleetFetchReply, timeout_s=ASK_TIMEOUT_S
+            )
+        except exceptions.PeerError:
+            # Seeds may be stale or down, and the store is asked all the while.
+            return
+        if reply.message.routes is not None:
+            self.route_follower.adopt(decode_table(reply.message.routes))
+        listing = reply.message.listing
+        if listing is not None:
+            entries = tuple(followers.from_wire(entry) for entry in listing.servers or [])
+            read_at = clock.now() - (listing.age_ms or 0) / 1000
+            self.server_follower.adopt(servers.Listing(listing.revision, entries), read_at)
+        events.emit(
+            events.Event.FLEET_FETCHED,
+            "routes and servers were taken over from another node",
+            level=logging.WARNING,
+            sender=reply.sender.node,
+            routes_version=self.route_follower.book.version,
+            servers_revision=self.server_follower.directory.revision,
+        )
--- a/src/dogwoodgap/crashes.py
+++ b/src/dogwoodgap/crashes.py
@@ -9,9 +9,11 @@
 import dataclasses
 import logging
 
+import anyio.abc
 import xxhash
 
-from dogwoodgap import clock, dialect, events
+from dogwoodgap import clock, dialect, events, exceptions, members, peers
+from dogwoodgap_wire import ttypes
 
 MAX_CRASHES = 2
 """Crashes after which a request is refused; the operators allow three."""
@@ -21,6 +23,7 @@
 
 MAX_DIGESTS = 4_096
 REFUSED_RETRY_S = 2.0
+NOTICE_TIMEOUT_S = 0.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -69,6 +72,46 @@
             crashes=crashes,
         )
 
+    def share(
+        self,
+        network: peers.Network,
+        others: collections.abc.Callable[[], list[members.Member]],
+        tasks: anyio.abc.TaskGroup,
+    ) -> None:
+        """Tell other nodes of crashes and take over what they tell."""
+
+        async def send(member: members.Member, message: ttypes.SuspectNotice) -> None:
+            try:
+                await network.request(
+                    member.peer_address, message, ttypes.Ack, timeout_s=NOTICE_TIMEOUT_S
+                )
+            except exceptions.PeerError as error:
+                events.emit(
+                    events.Event.SUSPECT_REPORT_FAILED,
+                    "a crash could not be reported to a node",
+                    level=logging.WARNING,
+                    node=member.node,
+                    digest=message.digest,
+                    detail=error.detail,
+                )
+
+        def tell(digest: int, crashes: int) -> None:
+            message = ttypes.SuspectNotice(digest=f"{digest:016x}", crashes=crashes)
+            for member in others():
+                tasks.start_soon(send, member, message)
+
+        async def on_notice(sender: ttypes.Member, message: ttypes.SuspectNotice) -> ttypes.Ack:
+            self.merge(int(message.digest, 16), message.crashes or 0)
+            return ttypes.Ack(ok=True)
+
+        self.hooks.append(tell)
+        network.handlers.register(ttypes.SuspectNotice, on_notice)
+
+    def note_success(self, digest: int) -> None:
+        """Clear a request that a server has completed."""
+        if self.suspicions:
+            self.suspicions.pop(digest, None)
+
     def is_refused(self, digest: int) -> bool:
         """Return whether a request is refused."""
         known = self.suspicions.get(digest)
--- a/src/dogwoodgap/documents.py
+++ b/src/dogwoodgap/documents.py
@@ -17,7 +17,7 @@
     (2, "journal and recovery"),
     (3, "calls and actions"),
     (4, "membership and configuration"),
-    (5, "scheduling"),
+    (5, "forwarding"),
     (6, "runners"),
     (7, "administration"),
 )
@@ -104,7 +104,7 @@
             "`--set section.field=value` replaces both. A changed file needs a restart. "
             f"Names match `{NAME_PATTERN}`."
         ],
-        *sections(settings.NodeSettings),
+        *sections(settings.GatewaySettings),
         ["## Fleet configuration"],
         [
             "One document for the whole fleet, changed with `dogwoodgap-ctl apply` or the "
--- a/src/dogwoodgap/events.py
+++ b/src/dogwoodgap/events.py
@@ -104,6 +104,7 @@
     BUDGET_RECORDED = 5018, "The use of a program's budget was recorded in the store."
     REMOVAL_COMPLETE = 5019, "A storage VM that is to be removed holds nothing that must last."
     BUDGET_ASSUMED = 5020, "The account of a program may be lost; a use of its budget is assumed."
+    FLEET_FETCHED = 5021, "Routes and servers were taken over from another node."
     RUNNER_LEAVING = 6001, "A runner is leaving and gets no new work."
     RUNNER_RETURNED = 6002, "A runner takes work again."
     RUNNER_DOWN = 6003, "A fresh connection to a runner failed; it gets no work until it answers."
--- a/src/dogwoodgap/followers.py
+++ b/src/dogwoodgap/followers.py
@@ -127,10 +127,14 @@
         reading = await self.store.read_routes()
         self.dependency.note_success()
         if reading.table is not None:
-            self.book.install(reading.table)
-            self.known.set()
+            self.adopt(reading.table)
         return reading.revision
 
+    def adopt(self, table: routes.RouteTable) -> None:
+        """Put routes in force unless newer ones are."""
+        self.book.install(table)
+        self.known.set()
+
 
 class ServerFollower:
     """Follows the backend servers by readings of the list, shared between nodes."""
@@ -190,8 +194,7 @@
             self.directory.note_outage()
             return
         self.dependency.note_success()
-        self.directory.apply(listing, read_at=self.tried_at)
-        self.known.set()
+        self.adopt(listing, self.tried_at)
         if self.membership is not None:
             await self.send(listing)
 
@@ -237,10 +240,13 @@
             listing = self.directory.listing_at(message.revision)
             if digest_of(listing) != message.digest:
                 return ttypes.Ack(ok=False)
-        read_at = clock.now() - (message.age_ms or 0) / 1000
+        self.adopt(listing, clock.now() - (message.age_ms or 0) / 1000)
+        return ttypes.Ack(ok=True)
+
+    def adopt(self, listing: servers.Listing, read_at: float) -> None:
+        """Take a listing over unless a newer one is known."""
         self.directory.apply(listing, read_at=read_at)
         self.known.set()
-        return ttypes.Ack(ok=True)
 
 
 def digest_of(listing: servers.Listing) -> int:
--- a/src/dogwoodgap/forwarder.py
+++ b/src/dogwoodgap/forwarder.py
@@ -303,6 +303,7 @@
             progress.trail.append(f"{server.id}:{result.value}")
             exposition.exchanges.labels(progress.service, result.value).inc()
             if result is Result.DONE:
+                self.suspects.note_success(digest)
                 return
             if result in (Result.NOT_RUN, Result.UNREACHABLE):
                 progress.excluded.add(server.id)
--- a/src/dogwoodgap/gateway.py
+++ b/src/dogwoodgap/gateway.py
@@ -10,6 +10,7 @@
 import anyio.abc
 
 from dogwoodgap import (
+    bootstrap,
     budget_owners,
     clock,
     crashes,
@@ -139,7 +140,12 @@
         section = self.settings.gateway
         async with anyio.create_task_group() as tasks:
             network = peers.PeerNetwork(self.settings.node.peer_bind, tasks)
+            network.hello = lambda: ttypes.Member(node=self.settings.node.name, boot=self.boot)
             await tasks.start(network.serve)
+            start = bootstrap.Bootstrap(
+                network, self.settings.node.seeds, self.route_follower, self.server_follower
+            )
+            tasks.start_soon(start.run)
             tasks.start_soon(self.route_follower.run)
             tasks.start_soon(self.server_follower.run)
             ready = ingress.Server(entrance.ready)
@@ -179,6 +185,7 @@
         joined = membership.Membership(self.settings, self.boot, network, None, hooks)
         self.accounts.join(joined, network, tasks)
         self.server_follower.join(joined, network)
+        self.suspects.share(network, joined.table.others, tasks)
         if self.settings.gateway.first_start:
             self.accounts.vouch()
         else:
--- a/src/dogwoodgap/settings_reference.py
+++ b/src/dogwoodgap/settings_reference.py
@@ -33,6 +33,15 @@
     "MembershipSection.discovery_ttl_s": "How long callers keep entry addresses, in seconds.",
     "AdminSection.bootstrap_key_digest": "SHA-256 of a token that is an administrator while no "
     "valid, unlimited administrator key is configured; empty: none.",
+    "GatewaySection.ready_bind": "Address of the gateway's readiness check.",
+    "GatewaySection.directory_bind": "Address of the directory that callers of a gateway ask.",
+    "GatewaySection.metrics_bind": "Address of the gateway's metrics; empty: none.",
+    "GatewaySection.stop_grace_s": "Time from the request to stop to the end of the process.",
+    "GatewaySection.directory_ttl_s": "How long callers keep addresses of gateways, in seconds.",
+    "GatewaySection.return_grace_s": "Time after an outage of the store for lapsed backend servers "
+    "to register again, in seconds.",
+    "GatewaySection.first_start": "Whether the whole fleet starts for the first time, so that no "
+    "program ran before.",
     "Profile.latency_weight": "Weight of program latency when a tool pause is decided.",
     "Profile.cache_weight": "Weight of wasted cache when a tool pause is decided.",
     "Profile.share_weight": "Share of programs with this profile against others.",
--- a/src/dogwoodgap_wire/ttypes.py
+++ b/src/dogwoodgap_wire/ttypes.py
@@ -2914,6 +2914,137 @@
         return not (self == other)
 
 
+class FleetFetch(object):
+
+    __slots__ = (
+    )
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('FleetFetch')
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class FleetFetchReply(object):
+    """
+    Attributes:
+     - routes
+     - listing
+
+    """
+
+    __slots__ = (
+        'routes',
+        'listing',
+    )
+
+
+    def __init__(self, routes=None, listing=None,):
+        self.routes = routes
+        self.listing = listing
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.routes = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.listing = ServerListing()
+                    self.listing.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('FleetFetchReply')
+        if self.routes is not None:
+            oprot.writeFieldBegin('routes', TType.STRING, 1)
+            oprot.writeBinary(self.routes)
+            oprot.writeFieldEnd()
+        if self.listing is not None:
+            oprot.writeFieldBegin('listing', TType.STRUCT, 2)
+            self.listing.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Message(object):
     """
     Attributes:
@@ -2939,6 +3070,8 @@
      - server_listing
      - token_fetch
      - token_fetch_reply
+     - fleet_fetch
+     - fleet_fetch_reply
 
     """
 
@@ -2965,10 +3098,12 @@
         'server_listing',
         'token_fetch',
         'token_fetch_reply',
+        'fleet_fetch',
+        'fleet_fetch_reply',
     )
 
 
-    def __init__(self, hello=None, ping=None, ping_reply=None, probe_request=None, probe_reply=None, configuration_fetch=None, configuration_reply=None, share_request=None, share_reply=None, suspect_notice=None, runner_notice=None, ack=None, member_fetch=None, member_reply=None, heartbeat=None, token_reserve=None, token_reserve_reply=None, token_settle=None, token_transfer=None, server_listing=None, token_fetch=None, token_fetch_reply=None,):
+    def __init__(self, hello=None, ping=None, ping_reply=None, probe_request=None, probe_reply=None, configuration_fetch=None, configuration_reply=None, share_request=None, share_reply=None, suspect_notice=None, runner_notice=None, ack=None, member_fetch=None, member_reply=None, heartbeat=None, token_reserve=None, token_reserve_reply=None, token_settle=None, token_transfer=None, server_listing=None, token_fetch=None, token_fetch_reply=None, fleet_fetch=None, fleet_fetch_reply=None,):
         self.hello = hello
         self.ping = ping
         self.ping_reply = ping_reply
@@ -2991,6 +3126,8 @@
         self.server_listing = server_listing
         self.token_fetch = token_fetch
         self.token_fetch_reply = token_fetch_reply
+        self.fleet_fetch = fleet_fetch
+        self.fleet_fetch_reply = fleet_fetch_reply
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3133,6 +3270,18 @@
                     self.token_fetch_reply.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 23:
+                if ftype == TType.STRUCT:
+                    self.fleet_fetch = FleetFetch()
+                    self.fleet_fetch.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 24:
+                if ftype == TType.STRUCT:
+                    self.fleet_fetch_reply = FleetFetchReply()
+                    self.fleet_fetch_reply.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3231,6 +3380,14 @@
             oprot.writeFieldBegin('token_fetch_reply', TType.STRUCT, 22)
             self.token_fetch_reply.write(oprot)
             oprot.writeFieldEnd()
+        if self.fleet_fetch is not None:
+            oprot.writeFieldBegin('fleet_fetch', TType.STRUCT, 23)
+            self.fleet_fetch.write(oprot)
+            oprot.writeFieldEnd()
+        if self.fleet_fetch_reply is not None:
+            oprot.writeFieldBegin('fleet_fetch_reply', TType.STRUCT, 24)
+            self.fleet_fetch_reply.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3557,6 +3714,15 @@
     (4, TType.I64, 'digest', None, None, ),  # 4
     (5, TType.I64, 'routes_version', None, None, ),  # 5
 )
+all_structs.append(FleetFetch)
+FleetFetch.thrift_spec = (
+)
+all_structs.append(FleetFetchReply)
+FleetFetchReply.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'routes', 'BINARY', None, ),  # 1
+    (2, TType.STRUCT, 'listing', [ServerListing, None], None, ),  # 2
+)
 all_structs.append(Message)
 Message.thrift_spec = (
     None,  # 0
@@ -3582,6 +3748,8 @@
     (20, TType.STRUCT, 'server_listing', [ServerListing, None], None, ),  # 20
     (21, TType.STRUCT, 'token_fetch', [TokenFetch, None], None, ),  # 21
     (22, TType.STRUCT, 'token_fetch_reply', [TokenFetchReply, None], None, ),  # 22
+    (23, TType.STRUCT, 'fleet_fetch', [FleetFetch, None], None, ),  # 23
+    (24, TType.STRUCT, 'fleet_fetch_reply', [FleetFetchReply, None], None, ),  # 24
 )
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
--- /dev/null
+++ b/tests/test_crashes.py
@@ -0,0 +1,56 @@
+"""Requests that crash servers, over several nodes."""
+
+import anyio
+import fake_network
+import trio.testing
+
+from dogwoodgap import crashes, members
+from dogwoodgap_wire import ttypes
+
+
+def run(main):
+    """Run a coroutine function on virtual time."""
+    anyio.run(
+        main,
+        backend="trio",
+        backend_options={"clock": trio.testing.MockClock(autojump_threshold=0)},
+    )
+
+
+def test_crashes_count_over_all_nodes():
+    """Guards against a request that crashes two servers for each node."""
+
+    async def main():
+        board = fake_network.Switchboard()
+        addresses = ["10.0.0.1:7080", "10.0.0.2:7080"]
+        nodes = [members.Member(f"n{i}", "b", "d", "", a) for i, a in enumerate(addresses)]
+        logs = [crashes.CrashLog(), crashes.CrashLog()]
+        async with anyio.create_task_group() as tasks:
+            for index, log in enumerate(logs):
+                network = fake_network.FakeNetwork(board, addresses[index])
+                network.hello = lambda: ttypes.Member(node="n", boot="b")
+                log.share(network, lambda other=nodes[1 - index]: [other], tasks)
+            logs[0].note_crash(7)
+            await anyio.sleep(0.1)
+            assert not logs[1].is_refused(7)
+            logs[1].note_crash(7)
+            await anyio.sleep(0.1)
+            assert logs[0].is_refused(7)
+            assert logs[1].is_refused(7)
+            await anyio.sleep(crashes.REMEMBERED_S + 1)
+            assert not logs[0].is_refused(7)
+
+    run(main)
+
+
+def test_completed_request_is_cleared():
+    """Guards against refusing a request that was only next to one that crashes servers."""
+
+    async def main():
+        log = crashes.CrashLog()
+        log.note_crash(7)
+        log.note_success(7)
+        log.note_crash(7)
+        assert not log.is_refused(7)
+
+    run(main)
--- /dev/null
+++ b/tests/test_gate.py
@@ -0,0 +1,181 @@
+"""Turns at a gate: a burst is played and what callers get is compared with no gate."""
+
+import heapq
+
+import anyio
+import pytest
+import trio.testing
+
+from dogwoodgap import exceptions, gate, pacing
+
+SLOTS = 16
+PROGRAMS = 130
+
+
+def run(main):
+    """Run a coroutine function on virtual time."""
+    anyio.run(
+        main,
+        backend="trio",
+        backend_options={"clock": trio.testing.MockClock(autojump_threshold=0)},
+    )
+
+
+def test_share_bounds_the_turns_of_a_node():
+    """Guards against more turns at the engines than they run well."""
+
+    async def main():
+        passage = gate.Gate()
+        passage.resize(SLOTS, nodes=2, busy=SLOTS)
+        inside = 0
+        for _ in range(30):
+            try:
+                with anyio.fail_after(0):
+                    await passage.enter(pacing.Standing.NEW)
+                inside += 1
+            except (TimeoutError, exceptions.OverloadedError):
+                break
+        assert inside == pytest.approx(SLOTS * gate.FILL / 2, abs=1)
+
+    run(main)
+
+
+def test_node_may_exceed_its_share_while_others_are_idle():
+    """Guards against waiting turns beside free slots."""
+
+    async def main():
+        passage = gate.Gate()
+        for _ in range(int(SLOTS * gate.FREE_FILL)):
+            passage.resize(SLOTS, nodes=4, busy=passage.running)
+            await passage.enter(pacing.Standing.NEW)
+        assert passage.running == int(SLOTS * gate.FREE_FILL)
+
+    run(main)
+
+
+def test_turns_under_way_go_before_new_and_late_ones():
+    """Guards against programs that are given up after most of their work is done."""
+
+    async def main():
+        passage = gate.Gate()
+        await passage.enter(pacing.Standing.NEW)
+        order = []
+
+        async def wait(standing):
+            await passage.enter(standing)
+            order.append(standing)
+            passage.leave()
+
+        async with anyio.create_task_group() as tasks:
+            for standing in (
+                pacing.Standing.LATE,
+                pacing.Standing.NEW,
+                pacing.Standing.UNDER_WAY,
+            ):
+                tasks.start_soon(wait, standing)
+            await anyio.wait_all_tasks_blocked()
+            passage.leave()
+        assert order == sorted(order)
+        assert passage.running == 0
+
+    run(main)
+
+
+def test_new_program_is_refused_early_with_a_time_to_return():
+    """Guards against callers that wait for nothing, and against a place that leaks."""
+
+    async def main():
+        passage = gate.Gate()
+        await passage.enter(pacing.Standing.NEW)
+        started = anyio.current_time()
+        with pytest.raises(exceptions.OverloadedError) as caught:
+            await passage.enter(pacing.Standing.NEW)
+        assert anyio.current_time() - started <= gate.WAIT_S[pacing.Standing.NEW] + 0.01
+        assert (caught.value.not_run, caught.value.retry_after_s > 0) == ("true", True)
+        passage.leave()
+        await passage.enter(pacing.Standing.NEW)
+        assert passage.running == 1
+
+    run(main)
+
+
+def test_caller_that_leaves_while_waiting_gives_its_place_up():
+    """Guards against places of callers that are gone."""
+
+    async def main():
+        passage = gate.Gate()
+        await passage.enter(pacing.Standing.NEW)
+        with anyio.move_on_after(0.01):
+            await passage.enter(pacing.Standing.UNDER_WAY)
+        passage.leave()
+        assert passage.running == 0
+
+    run(main)
+
+
+class Engine:
+    """Runs up to its slots at once; each turn takes longer the more run beside it."""
+
+    def __init__(self):
+        self.running = 0
+        self.waiting = []
+        self.count = 0
+
+    async def turn(self):
+        """Run one turn of 0.2 s on an idle engine and 0.3 s on a full one, as the sheets say."""
+        self.count += 1
+        if self.running >= SLOTS:
+            event = anyio.Event()
+            heapq.heappush(self.waiting, (self.count, event))
+            await event.wait()
+        self.running += 1
+        for _ in range(10):
+            await anyio.sleep(0.02 * (1 + 0.5 * self.running / SLOTS))
+        self.running -= 1
+        if self.waiting:
+            heapq.heappop(self.waiting)[1].set()
+
+
+async def play_burst(gated):
+    """Play programs of 4 turns at twice the capacity for 5 s; return those in time."""
+    engine = Engine()
+    passage = gate.Gate()
+    in_time = []
+    ends = []
+
+    async def program():
+        begun = anyio.current_time()
+        pace = pacing.Pace(begun, begun + 4 * 0.24 * 1.7 + 0.2)
+        for number in range(4):
+            while gated:
+                passage.resize(SLOTS, nodes=1, busy=passage.running)
+                try:
+                    await passage.enter(pacing.standing(pace, 4, anyio.current_time()))
+                    break
+                except exceptions.OverloadedError as error:
+                    await anyio.sleep(error.retry_after_s)
+            await engine.turn()
+            if gated:
+                passage.leave()
+            pace.turns = number + 1
+            await anyio.sleep(0.04)
+        ends.append(anyio.current_time())
+        in_time.append(anyio.current_time() <= pace.finish_at)
+
+    async with anyio.create_task_group() as tasks:
+        for _ in range(PROGRAMS):
+            tasks.start_soon(program)
+            await anyio.sleep(5 / PROGRAMS)
+    assert len(ends) == PROGRAMS
+    return sum(in_time)
+
+
+def test_more_programs_end_in_time_in_a_burst():
+    """Plays the load that the gate answers: all programs end, and more of them in time."""
+
+    async def main():
+        without = await play_burst(gated=False)
+        with_gate = await play_burst(gated=True)
+        assert with_gate >= 1.3 * without
+
+    run(main)
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,71 @@
+"""Log lines under load and under readers that stop reading."""
+
+import json
+import logging
+import os
+
+from dogwoodgap import logs
+
+
+class Clock:
+    """A time that tests move."""
+
+    def __init__(self):
+        self.time = 0.0
+
+    def __call__(self):
+        return self.time
+
+
+def record(event=1, message="m"):
+    item = logging.LogRecord("dogwoodgap", logging.INFO, "f", 1, message, None, None)
+    item.event = event
+    return item
+
+
+def read(descriptor):
+    return [json.loads(line) for line in os.read(descriptor, 1 << 20).splitlines()]
+
+
+def test_volume_of_one_event_is_bounded_and_counted():
+    """Guards against logs that grow with the load, and against silent losses."""
+    reading, writing = os.pipe()
+    clock = Clock()
+    handler = logs.BoundedHandler(writing, clock)
+    lines = []
+    for number in range(5_000):
+        clock.time = number / 5_000
+        handler.emit(record(1))
+        if number % 100 == 0:
+            lines += read(reading)
+    handler.emit(record(2))
+    clock.time = 10.0
+    handler.emit(record(3))
+    lines += read(reading)
+    events = [line["event"] for line in lines]
+    assert events.count(1) <= logs.BURST_LINES + logs.LINES_PER_S + 1
+    assert {2, 3} <= set(events)
+    summary = next(line for line in lines if "counts" in line)
+    assert summary["counts"]["1"] == 5_000 - events.count(1)
+
+
+def test_reader_that_stops_does_not_hold_the_process_up():
+    """Guards against a process that waits for whoever reads its log."""
+    reading, writing = os.pipe()
+    clock = Clock()
+    handler = logs.BoundedHandler(writing, clock)
+    for number in range(3_000):
+        clock.time = float(number)
+        handler.emit(record(1, "x" * 1_000))
+    assert handler.left_out[1] > 0
+    os.close(reading)
+    handler.emit(record(1))
+
+
+def test_long_lines_are_shortened():
+    """Guards against writes that a pipe takes only in parts."""
+    reading, writing = os.pipe()
+    handler = logs.BoundedHandler(writing, Clock())
+    handler.emit(record(1, "x" * 10_000))
+    (line,) = read(reading)
+    assert line["shortened_bytes"] > logs.MAX_LINE_BYTES
--- a/thrift/dogwoodgap.thrift
+++ b/thrift/dogwoodgap.thrift
@@ -155,6 +155,12 @@
   5: i64 routes_version,
 }
 
+// Asks for the routes and the server list of a node, when the platform's store does not answer.
+struct FleetFetch {}
+
+// routes is a msgpack document of one route table; absent when the node knows none.
+struct FleetFetchReply { 1: optional binary routes, 2: optional ServerListing listing }
+
 union Message {
   1: Hello hello,
   2: Ping ping,
@@ -178,6 +184,8 @@
   20: ServerListing server_listing,
   21: TokenFetch token_fetch,
   22: TokenFetchReply token_fetch_reply,
+  23: FleetFetch fleet_fetch,
+  24: FleetFetchReply fleet_fetch_reply,
 }
 
 struct Envelope {
