Replace silent kept connections and bound connections to a server

Cause: a repeatable request on a kept connection that went silent waited for its whole time; a server resets connections beyond its limit for all nodes, which leaves outcomes unknown. Tests: both fail without the change. The lab also finds its programs beside itself.

--- a/src/dogwoodgap/forwarder.py
+++ b/src/dogwoodgap/forwarder.py
@@ -48,6 +48,13 @@
 LIMIT_GRACE_S = 0.05
 """Time beyond the limit for the answer of a server that ends its work at the limit."""
 
+SILENCE_S = {routes.RouteKind.IDEMPOTENT: 0.4, routes.RouteKind.STREAMING: 1.2}
+"""Time without an answer after which a kept connection counts as silent. Idempotent requests take
+20 to 30 ms; callers abandon a stream that is silent for 2 s."""
+
+DEFAULT_CONNECTIONS = 20
+"""Connections of all nodes to a server whose service is not configured any more."""
+
 UNSAFE_FRESH_S = upstream.FRESH_S
 
 
@@ -359,8 +366,12 @@
         A request may run on as many servers as its route allows; those that have ended do not
         count. Once they are used up, it may only be repeated where it ran already.
         """
-        ready = self.directory.ready(progress.service)
-        allowed = [server for server in ready if server.id not in progress.excluded]
+        allowed = [
+            server
+            for server in self.directory.ready(progress.service)
+            if server.id not in progress.excluded
+            and self.loads.state(server).in_flight < self.connection_share(server)
+        ]
         running = {server_id for server_id, runs in progress.ran.items() if runs}
         alive = [server_id for server_id in running if not self.has_ended(server_id)]
         if len(alive) >= progress.route.max_runs:
@@ -368,6 +379,13 @@
         fresh = [server for server in allowed if server.id not in running]
         return fresh or [server for server in allowed if server.id in alive]
 
+    def connection_share(self, server: servers.BackendServer) -> int:
+        """Return how many connections this node may have to a server, which resets others."""
+        table = self.book.table
+        service = table.services.get(server.service) if table else None
+        most = service.max_connections if service else DEFAULT_CONNECTIONS
+        return max(2, most // self.node_count())
+
     async def exchange(
         self,
         call: dialect.Call,
@@ -395,11 +413,15 @@
                 state.note_answer(clock.now() - started_at)
                 self.loads.note_line(call.session_id, server)
                 kept, connection = connection, None
-                await pool.give_back(kept)
+                await pool.give_back(kept, self.connection_share(server) - state.in_flight)
             return result
         except upstream.ServerUnreachableError:
             state.note_unreachable(clock.now())
             return Result.UNREACHABLE
+        except upstream.AnswerSilentError as error:
+            progress.trail.append(error.detail)
+            await pool.close()
+            return Result.UNKNOWN
         except upstream.AnswerBrokenError as error:
             progress.trail.append(error.detail)
             await self.examine(pool, state, digest)
@@ -464,7 +486,16 @@
         request: h11.Request,
     ) -> Result:
         """Read an answer and pass it on."""
-        head = await connection.read_head(request, call, self.codec)
+        patience_s = math.inf
+        if connection.is_reused and progress.route.repeatable:
+            patience_s = SILENCE_S[progress.route.kind]
+        with anyio.move_on_after(patience_s) as scope:
+            head = await connection.read_head(request, call, self.codec)
+        if scope.cancelled_caught:
+            raise upstream.AnswerSilentError(
+                f"server {connection.server.id} sent nothing on a kept connection in "
+                f"{patience_s} s; the request is repeated on a new one"
+            )
         connection.note_keep_alive(head.headers)
         if head.facts.not_run or head.status == MISDIRECTED:
             progress.ran[connection.server.id] -= 1
--- a/src/dogwoodgap/upstream.py
+++ b/src/dogwoodgap/upstream.py
@@ -44,6 +44,12 @@
     code = "answer-broken"
 
 
+class AnswerSilentError(AnswerBrokenError):
+    """Nothing arrives on a kept connection; a new one may work."""
+
+    code = "answer-silent"
+
+
 @dataclasses.dataclass(slots=True)
 class Head:
     """Status and headers of an answer."""
@@ -216,9 +222,9 @@
         self.opened += 1
         return Connection(self.server, stream)
 
-    async def give_back(self, connection: Connection) -> None:
+    async def give_back(self, connection: Connection, most_idle: int) -> None:
         """Keep a connection for another request, or close it."""
-        if not connection.may_be_kept():
+        if not connection.may_be_kept() or len(self.idle) >= most_idle:
             await connection.close()
             return
         connection.state.start_next_cycle()
--- a/src/dogwoodgap_lab/cli.py
+++ b/src/dogwoodgap_lab/cli.py
@@ -179,12 +179,18 @@
 BasePort = typing.Annotated[int, typer.Option(help="First of 500 ports on 127.0.0.1.")]
 
 
+def find_own_programs() -> None:
+    """Let the script find the programs beside this one, also when their folder is not on PATH."""
+    os.environ["PATH"] = f"{pathlib.Path(sys.executable).parent}{os.pathsep}{os.environ['PATH']}"
+
+
 def replace_by_fleet(nodes: int, base_port: int, seed: int, command: list[str]) -> None:
     """Replace this process by the script that starts a fleet and runs a command against it."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix="dogwoodgap-"))
     both = list(deployments.DEPLOYMENTS.values())
     deployments.write(deployments.Layout(folder, both, nodes, base_port), seed=seed)
     typer.echo(f"logs are in {folder}")
+    find_own_programs()
     script = ["bash", str(FLEET_SCRIPT), str(folder), "dogwoodgap-lab", *command]
     os.execvp("bash", [*script, str(folder)])
 
@@ -227,7 +233,7 @@
     arguments = ["--base-port", str(base_port), "--seconds", str(seconds)]
     if report is not None:
         arguments += ["--report", str(report)]
-    os.environ["PATH"] = f"{pathlib.Path(sys.executable).parent}{os.pathsep}{os.environ['PATH']}"
+    find_own_programs()
     # This process becomes the script, which starts and stops the processes of the benchmark.
     command = ["bash", str(script), str(place), "dogwoodgap-lab", "run-bench", str(place)]
     os.execvp("bash", [*command, *arguments])
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -147,6 +147,56 @@
     run(main)
 
 
+def test_kept_connection_that_went_silent_is_replaced():
+    """Guards against requests that wait on a connection of which both ends lost track."""
+
+    async def first_only(backend, received, stream):
+        if received.connection == 1 and len(backend.received) > 1:
+            await anyio.sleep(30)
+        return await gateways.whole()(backend, received, stream)
+
+    async def main():
+        backend = plain("p1", first_only)
+        async with gateways.running(backend) as bench, gateways.caller(bench) as connection:
+            assert (await connection.call("GET", "/read/x")).status == 200
+            assert (await connection.call("GET", "/read/x")).status == 200
+        assert backend.opened == 2
+
+    run(main)
+
+
+def test_connections_to_a_server_are_bounded():
+    """Guards against connections that a server resets since it has too many."""
+
+    async def main():
+        released = anyio.Event()
+
+        async def waiting(backend, received, stream):
+            await released.wait()
+            return await gateways.whole()(backend, received, stream)
+
+        backend = plain("p1", waiting)
+        async with gateways.running(backend) as bench, anyio.create_task_group() as tasks:
+            services = [routes.Service("plain", 4), gateways.SERVICES[1]]
+            bench.book.install(routes.RouteTable(2, gateways.ROUTES, services))
+            found = []
+
+            async def ask(number):
+                answer = await gateways.once(
+                    bench, "POST", "/act/x", b"pay", dogwoodgap_attempt=f"a{number}"
+                )
+                found.append(answer.status)
+
+            for number in range(8):
+                tasks.start_soon(ask, number)
+            await anyio.sleep(0.2)
+            released.set()
+        assert backend.opened == 4
+        assert sorted(found) == [200] * 4 + [503] * 4
+
+    run(main)
+
+
 def test_refused_request_goes_to_another_server():
     """Guards against a failure although a server that ran nothing said so."""
 
