--- a/src/dogwoodgap/admin.py
+++ b/src/dogwoodgap/admin.py
@@ -71,6 +71,6 @@
     return views.refuse(
         exceptions.NotFoundError(
             f"{request.method} {request.url.path} is not part of the administration API; "
-            f"see docs/operations.md"
+            f"see docs/OPERATIONS.md"
         )
     )
--- a/src/dogwoodgap/ctl.py
+++ b/src/dogwoodgap/ctl.py
@@ -10,6 +10,7 @@
     admin_parts,
     ctl_client,
     ctl_demand,
+    ctl_explain,
     ctl_files,
     ctl_fleet,
     ctl_output,
@@ -35,6 +36,7 @@
 ctl_resources.add_commands(cli)
 ctl_fleet.add_commands(cli)
 ctl_demand.add_commands(cli)
+ctl_explain.add_commands(cli)
 
 Note = typing.Annotated[str, typer.Option(help="Reason, kept in the history.")]
 DryRun = typing.Annotated[bool, typer.Option("--dry-run", help="Show the difference only.")]
--- /dev/null
+++ b/src/dogwoodgap/ctl_explain.py
@@ -0,0 +1,88 @@
+"""Command that follows one request through collected logs."""
+
+import dataclasses
+import json
+import pathlib
+import typing
+
+import typer
+
+ABOUT_PROGRAM = frozenset({5015, 5016, 5017, 5018, 5020})
+"""Events of a program's budget, which may have decided a request of that program."""
+
+Logs = typing.Annotated[
+    list[pathlib.Path], typer.Argument(help="Log files of all processes.", exists=True)
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Line:
+    """One log line and the file that it stands in."""
+
+    source: str
+    fields: dict[str, typing.Any]
+
+    @property
+    def time(self) -> str:
+        """Return when the line was written."""
+        return str(self.fields.get("time", ""))
+
+
+def add_commands(cli: typer.Typer) -> None:
+    """Add the command of this module."""
+    cli.command()(explain)
+
+
+def explain(request_id: str, logs: Logs) -> None:
+    """Show what the logs say of a request and of the budget of its program, by time.
+
+    Example: dogwoodgap-ctl explain 9c41d07be2a35f68 gateway-1.log gateway-2.log
+    """
+    lines = read(logs)
+    found = related(lines, request_id)
+    if not found:
+        typer.echo(f"no line names {request_id}; collect the logs of all nodes", err=True)
+        raise typer.Exit(1)
+    for line in found:
+        typer.echo(describe(line))
+
+
+def read(paths: list[pathlib.Path]) -> list[Line]:
+    """Return all lines that hold a JSON object; text before it is passed over."""
+    found: list[Line] = []
+    for path in paths:
+        for text in path.read_text(encoding="utf-8", errors="replace").splitlines():
+            start = text.find("{")
+            if start < 0:
+                continue
+            try:
+                fields = json.loads(text[start:])
+            except json.JSONDecodeError:
+                continue
+            prefix = text[:start].split()
+            found.append(Line(prefix[-1] if prefix else path.stem, fields))
+    return found
+
+
+def related(lines: list[Line], request_id: str) -> list[Line]:
+    """Return the lines of a request, and those of its program's budget, by time."""
+    own = [line for line in lines if line.fields.get("request") == request_id]
+    programs = {line.fields.get("program") for line in own} - {None, ""}
+    about = [
+        line
+        for line in lines
+        if line not in own
+        and line.fields.get("event") in ABOUT_PROGRAM
+        and line.fields.get("program") in programs
+    ]
+    return sorted([*own, *about], key=lambda line: line.time)
+
+
+def describe(line: Line) -> str:
+    """Return a line as text: time, source, event, then the other fields."""
+    shown = {"time", "level", "message", "event", "event_name"}
+    rest = " ".join(
+        f"{name}={json.dumps(value)}" for name, value in line.fields.items() if name not in shown
+    )
+    name = line.fields.get("event_name", "")
+    return f"{line.time} {line.source} {name}: {line.fields.get('message', '')} {rest}"
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -1,4 +1,4 @@
-"""Failures of docs/operations.md: commands that do not run as printed."""
+"""Failures of docs/OPERATIONS.md: commands that do not run as printed."""
 
 import json
 import pathlib
@@ -18,7 +18,7 @@
 
 def printed_commands() -> list[list[str]]:
     """Return the commands of the indented blocks, in order."""
-    lines = (DOCS / "operations.md").read_text(encoding="utf-8").splitlines()
+    lines = (DOCS / "OPERATIONS.md").read_text(encoding="utf-8").splitlines()
     return [
         shlex.split(line)
         for line in lines
