--- a/src/dogwoodgap/bootstrap.py
+++ b/src/dogwoodgap/bootstrap.py
@@ -85,7 +85,7 @@
         if directory.revision >= 0:
             reply.listing = ttypes.ServerListing(
                 revision=directory.revision,
-                age_ms=int(directory.age_s * 1000),
+                age_ms=directory.age_ms,
                 servers=[followers.to_wire(server) for server in directory.servers.values()],
             )
         return reply
--- a/src/dogwoodgap/budget_owners.py
+++ b/src/dogwoodgap/budget_owners.py
@@ -14,6 +14,8 @@
 import xxhash
 
 from dogwoodgap import (
+    budget_records,
+    budget_wire,
     budgets,
     clock,
     dialect,
@@ -30,15 +32,9 @@
 RESERVE_TIMEOUT_S = 0.3
 """A reply takes one round trip between data centres, 1 to 3 ms, and at most a record's time."""
 
-RECORD_TIMEOUT_S = 0.15
-"""The store answers in 4 ms; turns do not wait for a store that is slow or away."""
-
 RECORD_TRIES = 2
 """The first write may meet a record of another node, which is read and then replaced."""
 
-STORE_PAUSE_S = 0.5
-"""After a failure the store is not asked for this long."""
-
 RETRY_AFTER_S = 0.2
 TAKEOVER_S = 15.0
 """Time after the loss of a member during which programs go on whose accounts it held: those that
@@ -79,16 +75,14 @@
     """
 
     def __init__(self, records: source.BudgetRecords):
-        self.records = records
         self.ledger = budgets.Ledger()
+        self.keeper = budget_records.RecordKeeper(records, self.ledger)
         self.locks: dict[str, anyio.Lock] = {}
         self.lost: dict[str, float] = {}
         self.boots: dict[str, str] = {}
         self.left: set[str] = set()
         self.vouched_at = math.inf
         self.changed_at = -math.inf
-        self.unrecorded: set[str] = set()
-        self.store_failed_at = -STORE_PAUSE_S
         self.estimate = pacing.TurnEstimate()
         self.moving = anyio.Lock()
         self.membership: membership.Membership | None = None
@@ -255,11 +249,13 @@
             for _ in range(RECORD_TRIES):
                 if verdict is not budgets.Verdict.RECORD_FIRST:
                     break
-                await self.record(request.program, account, account.committed + request.tokens)
+                await self.keeper.record(
+                    request.program, account, account.committed + request.tokens
+                )
                 verdict = self.ledger.reserve(account, request.attempt, request.tokens)
         if verdict is budgets.Verdict.REFUSED:
             log_account(events.Event.BUDGET_REFUSED, "budget refused", request, account)
-            self.unrecorded.add(request.program)
+            self.keeper.unrecorded.add(request.program)
         return ttypes.TokenReserveReply(
             verdict=WIRE_VERDICTS[verdict], standing=self.pace(request, account)
         )
@@ -285,7 +281,7 @@
         for owner in self.owners(program)[1:2]:
             reply = await self.ask_for(owner, program)
             if reply is not None and reply.account is not None:
-                self.ledger.adopt(program, from_wire(reply.account))
+                self.ledger.adopt(program, budget_wire.from_wire(reply.account))
 
     async def ask_for(self, member: members.Member, program: str) -> ttypes.TokenFetchReply | None:
         """Return what a member knows of a program and of lost nodes; None without an answer."""
@@ -307,7 +303,7 @@
         """Give an account to its new owner, and say which nodes were lost."""
         account = self.ledger.accounts.pop(message.program, None)
         return ttypes.TokenFetchReply(
-            account=None if account is None else to_wire(message.program, account),
+            account=None if account is None else budget_wire.to_wire(message.program, account),
             vouched=self.is_vouched(),
             lost=list(self.recently_lost()),
         )
@@ -352,45 +348,6 @@
         """Expect programs whose accounts a node held that was lost now."""
         self.lost[node] = clock.now() + TAKEOVER_S
 
-    async def record(self, program: str, account: budgets.Account, mark: int) -> None:
-        """Write a mark to the store; on a conflict take over the stored one."""
-        if clock.now() - self.store_failed_at < STORE_PAUSE_S:
-            account.claimed = True
-            return
-        mark = min(account.budget, mark)
-        record = source.BudgetRecord(program, account.budget, mark, account.revision)
-        try:
-            with anyio.fail_after(RECORD_TIMEOUT_S):
-                account.revision = await self.records.write(record)
-        except exceptions.VersionConflictError:
-            await self.read_record(program)
-        except (TimeoutError, exceptions.StoreError) as error:
-            self.store_failed_at = clock.now()
-            account.claimed = True
-            self.unrecorded.add(program)
-            log_unrecorded(program, "a program's use could not be recorded", error)
-        else:
-            account.recorded = mark
-            account.claimed = True
-            events.emit(
-                events.Event.BUDGET_RECORDED,
-                "a program's use was recorded",
-                program=program,
-                mark=mark,
-                revision=account.revision,
-            )
-
-    async def read_record(self, program: str) -> None:
-        """Take over the record that another node has written."""
-        try:
-            with anyio.fail_after(RECORD_TIMEOUT_S):
-                found = await self.records.read(program)
-        except (TimeoutError, exceptions.StoreError) as error:
-            self.store_failed_at = clock.now()
-            log_unrecorded(program, "the record of a program could not be read", error)
-            return
-        self.ledger.note_record(program, found.budget, found.mark, found.revision)
-
     async def on_settle(self, sender: ttypes.Member, message: ttypes.TokenSettle) -> ttypes.Ack:
         """Settle a reservation of another node."""
         return ttypes.Ack(ok=self.ledger.settle(message.program, message.attempt, message.tokens))
@@ -434,7 +391,9 @@
             for program in programs
             if (account := self.ledger.accounts.pop(program, None)) is not None
         }
-        message = ttypes.TokenTransfer(accounts=[to_wire(*item) for item in taken.items()])
+        message = ttypes.TokenTransfer(
+            accounts=[budget_wire.to_wire(*item) for item in taken.items()]
+        )
         try:
             await self.network.request(
                 owner.peer_address, message, ttypes.Ack, timeout_s=TRANSFER_TIMEOUT_S
@@ -452,40 +411,21 @@
     async def on_transfer(self, sender: ttypes.Member, message: ttypes.TokenTransfer) -> ttypes.Ack:
         """Take over accounts from another node."""
         for item in message.accounts or []:
-            self.ledger.adopt(item.program, from_wire(item))
+            self.ledger.adopt(item.program, budget_wire.from_wire(item))
         return ttypes.Ack(ok=True)
 
-    # Records
-
-    async def load(self) -> bool:
-        """Read all records; return whether the store answered."""
-        try:
-            found = await self.records.list()
-        except exceptions.StoreError as error:
-            log_unrecorded("", "the records of budgets could not be read", error)
-            return False
-        for record in found:
-            self.ledger.note_record(record.program, record.budget, record.mark, record.revision)
-        return True
+    # Old accounts
 
     async def run(self) -> None:
         """Record programs whose budget is used up and drop old accounts until cancelled."""
         swept_at = clock.now()
         while True:
             await anyio.sleep(FLUSH_S)
-            await self.flush()
+            await self.keeper.flush()
             if clock.now() - swept_at >= SWEEP_S:
                 swept_at = clock.now()
                 await self.sweep()
 
-    async def flush(self) -> None:
-        """Record the use of stopped programs, so that it outlives this node."""
-        pending, self.unrecorded = self.unrecorded, set()
-        for program in pending:
-            account = self.ledger.accounts.get(program)
-            if account is not None and account.committed > account.recorded:
-                await self.record(program, account, account.committed)
-
     async def sweep(self) -> None:
         """Drop old accounts and their records."""
         for program, account in self.ledger.forget().items():
@@ -493,14 +433,7 @@
             if account.pace is not None:
                 self.estimate.note_end(account.budget, account.turn_tokens, account.pace.turns)
             if account.revision:
-                await self.remove(program)
-
-    async def remove(self, program: str) -> None:
-        """Delete the record of a program that is over."""
-        try:
-            await self.records.delete(program)
-        except exceptions.StoreError as error:
-            log_unrecorded(program, "the record of a program that is over was not deleted", error)
+                await self.keeper.remove(program)
 
 
 def log_owner_lost(
@@ -517,17 +450,6 @@
     )
 
 
-def log_unrecorded(program: str, text: str, error: Exception) -> None:
-    """Log that the store did not take or give a record."""
-    events.emit(
-        events.Event.BUDGET_UNRECORDED,
-        text,
-        level=logging.WARNING,
-        program=program,
-        detail=repr(error),
-    )
-
-
 def log_account(
     event: events.Event, text: str, request: ttypes.TokenReserve, account: budgets.Account
 ) -> None:
@@ -545,35 +467,3 @@
         assumed=account.assumed,
         last_resort=request.last_resort,
     )
-
-
-def to_wire(program: str, account: budgets.Account) -> ttypes.TokenAccount:
-    """Return an account as a message."""
-    return ttypes.TokenAccount(
-        program=program,
-        budget=account.budget,
-        spent=account.spent,
-        reservations=[
-            ttypes.TokenReservation(attempt=attempt, tokens=item.tokens)
-            for attempt, item in account.reservations.items()
-        ],
-        recorded=account.recorded,
-        revision=account.revision,
-        assumed=account.assumed,
-    )
-
-
-def from_wire(item: ttypes.TokenAccount) -> budgets.Account:
-    """Return a received account."""
-    now = clock.now()
-    return budgets.Account(
-        budget=item.budget or 0,
-        spent=item.spent or 0,
-        reservations={
-            entry.attempt: budgets.Reservation(entry.tokens, now)
-            for entry in item.reservations or []
-        },
-        recorded=item.recorded or 0,
-        revision=item.revision or 0,
-        assumed=item.assumed or 0,
-    )
--- a/src/dogwoodgap/forwarder.py
+++ b/src/dogwoodgap/forwarder.py
@@ -6,8 +6,6 @@
 
 import collections
 import collections.abc
-import dataclasses
-import enum
 import logging
 import math
 
@@ -19,19 +17,18 @@
     clock,
     crashes,
     dialect,
-    event_stream,
     events,
     exceptions,
     exposition,
     gate,
-    http_pool,
     ingress,
-    pacing,
+    relay,
     routes,
     selection,
     servers,
     upstream,
 )
+from dogwoodgap import progress as progress_module
 
 MAX_REFUSALS = 4
 """Servers that may refuse a request as not run before the caller is told to come back."""
@@ -48,65 +45,9 @@
 LIMIT_GRACE_S = 0.05
 """Time beyond the limit for the answer of a server that ends its work at the limit."""
 
-SILENCE_S = {routes.RouteKind.IDEMPOTENT: 0.4, routes.RouteKind.STREAMING: 1.2}
-"""Time without an answer after which a kept connection counts as silent. Idempotent requests take
-20 to 30 ms; callers abandon a stream that is silent for 2 s."""
-
 DEFAULT_CONNECTIONS = 20
 """Connections of all nodes to a server whose service is not configured any more."""
 
-UNSAFE_FRESH_S = upstream.FRESH_S
-
-
-class Result(enum.Enum):
-    """How the exchange with one server ended."""
-
-    DONE = "done"
-    NOT_RUN = "not_run"
-    UNREACHABLE = "unreachable"
-    UNKNOWN = "unknown"
-    CUT = "cut"
-
-
-@dataclasses.dataclass(slots=True)
-class Progress:
-    """What has happened to one request so far.
-
-    Attributes
-    ----------
-    ran : collections.Counter
-        How often each server may have run it, by id.
-    repeats : int
-        Times that it was sent again after it may have run.
-    events : int
-        Events of its stream that the caller was given.
-    last_event_id : bytes or None
-        Id of the last of them.
-    """
-
-    route: routes.Route
-    service: str
-    limit_at: float
-    standing: pacing.Standing = pacing.Standing.UNDER_WAY
-    ran: collections.Counter[str] = dataclasses.field(default_factory=collections.Counter)
-    repeats: int = 0
-    refusals: int = 0
-    events: int = 0
-    last_event_id: bytes | None = None
-    excluded: set[str] = dataclasses.field(default_factory=set)
-    trail: list[str] = dataclasses.field(default_factory=list)
-    offered_at: float | None = None
-    status: int = 0
-
-    @property
-    def may_have_run(self) -> bool:
-        """Return whether any server may have run the request."""
-        return any(self.ran.values())
-
-
-class StreamBrokenError(Exception):
-    """A stream that the caller has begun to receive cannot be finished."""
-
 
 class Forwarder:
     """The path of requests through one node.
@@ -163,7 +104,7 @@
         self.active += 1
         exposition.active.inc()
         call: dialect.Call | None = None
-        progress: Progress | None = None
+        progress: progress_module.Progress | None = None
         outcome = "caller-gone"
         try:
             call = self.codec.decode_call(
@@ -178,7 +119,7 @@
             await refuse(responder, error, call, self.codec)
         except ingress.CallerGoneError:
             raise
-        except StreamBrokenError as error:
+        except progress_module.StreamBrokenError as error:
             outcome = f"cut: {error}"
             raise ingress.CallerGoneError from error
         except Exception as error:  # a fault of one request must not end its connection
@@ -195,7 +136,7 @@
             exposition.active.dec()
             self.report(call, progress, outcome)
 
-    def plan(self, call: dialect.Call) -> Progress:
+    def plan(self, call: dialect.Call) -> progress_module.Progress:
         """Find the route of a request.
 
         Raises
@@ -220,10 +161,10 @@
         limit_at = call.arrived_at + route.timeout_s
         if call.deadline_at is not None:
             limit_at = min(limit_at, call.deadline_at)
-        return Progress(route, route.choose_service(key), limit_at)
+        return progress_module.Progress(route, route.choose_service(key), limit_at)
 
     async def forward(
-        self, call: dialect.Call, progress: Progress, responder: ingress.Responder
+        self, call: dialect.Call, progress: progress_module.Progress, responder: ingress.Responder
     ) -> None:
         """Run a request within its time and its program's budget."""
         route = progress.route
@@ -252,7 +193,7 @@
     async def run_gated(
         self,
         call: dialect.Call,
-        progress: Progress,
+        progress: progress_module.Progress,
         responder: ingress.Responder,
         digest: int,
     ) -> None:
@@ -282,10 +223,12 @@
         known = table.services.get(service) if table else None
         return known.engine if known else None
 
-    async def time_out(self, progress: Progress, responder: ingress.Responder) -> None:
+    async def time_out(
+        self, progress: progress_module.Progress, responder: ingress.Responder
+    ) -> None:
         """End a request whose time is over."""
         if responder.started:
-            raise StreamBrokenError("timeout")
+            raise progress_module.StreamBrokenError("timeout")
         if progress.may_have_run:
             raise exceptions.DeadlinePassedError(
                 "the route's timeout passed before the answer came; repeat it only if it may run "
@@ -299,7 +242,7 @@
     async def run(
         self,
         call: dialect.Call,
-        progress: Progress,
+        progress: progress_module.Progress,
         responder: ingress.Responder,
         digest: int,
     ) -> None:
@@ -309,10 +252,10 @@
             result = await self.exchange(call, progress, responder, server, digest)
             progress.trail.append(f"{server.id}:{result.value}")
             exposition.exchanges.labels(progress.service, result.value).inc()
-            if result is Result.DONE:
+            if result is progress_module.Result.DONE:
                 self.suspects.note_success(digest)
                 return
-            if result in (Result.NOT_RUN, Result.UNREACHABLE):
+            if result in (progress_module.Result.NOT_RUN, progress_module.Result.UNREACHABLE):
                 progress.excluded.add(server.id)
                 progress.refusals += 1
                 if progress.refusals >= MAX_REFUSALS:
@@ -327,17 +270,21 @@
         server = self.directory.servers.get(server_id)
         return server is None or self.loads.state(server).failures > 0
 
-    def give_up(self, progress: Progress, responder: ingress.Responder, reason: str) -> None:
+    def give_up(
+        self, progress: progress_module.Progress, responder: ingress.Responder, reason: str
+    ) -> None:
         """End a request that no server may be asked to run again."""
         if responder.started:
-            raise StreamBrokenError(reason)
+            raise progress_module.StreamBrokenError(reason)
         if progress.may_have_run:
             raise exceptions.OutcomeUnknownError(
                 f"{reason}; the request may have run: repeat it only if it may run twice"
             )
         raise exceptions.OverloadedError(f"{reason}; come back later", retry_after_s=RETRY_AFTER_S)
 
-    def choose(self, call: dialect.Call, progress: Progress) -> servers.BackendServer:
+    def choose(
+        self, call: dialect.Call, progress: progress_module.Progress
+    ) -> servers.BackendServer:
         """Return the server for the next try.
 
         Raises
@@ -360,7 +307,7 @@
             retry_after_s=RETRY_AFTER_S,
         )
 
-    def candidates(self, progress: Progress) -> list[servers.BackendServer]:
+    def candidates(self, progress: progress_module.Progress) -> list[servers.BackendServer]:
         """Return the servers that may be sent a request now.
 
         A request may run on as many servers as its route allows; those that have ended do not
@@ -389,16 +336,16 @@
     async def exchange(
         self,
         call: dialect.Call,
-        progress: Progress,
+        progress: progress_module.Progress,
         responder: ingress.Responder,
         server: servers.BackendServer,
         digest: int,
-    ) -> Result:
+    ) -> progress_module.Result:
         """Send a request to one server and pass its answer on."""
         remaining_s = progress.limit_at - clock.now()
         if remaining_s < MIN_RUN_S:
-            await anyio.sleep(max(0.0, remaining_s))
-        longest_idle_s = math.inf if progress.route.repeatable else UNSAFE_FRESH_S
+            await self.time_out(progress, responder)
+        longest_idle_s = math.inf if progress.route.repeatable else upstream.FRESH_S
         state = self.loads.state(server)
         pool = self.pool(server)
         state.in_flight += 1
@@ -407,9 +354,9 @@
         try:
             connection = await pool.take(longest_idle_s)
             if not self.directory.is_usable(server):
-                return Result.NOT_RUN
+                return progress_module.Result.NOT_RUN
             result = await self.converse(call, progress, responder, connection)
-            if result is Result.DONE:
+            if result is progress_module.Result.DONE:
                 state.note_answer(clock.now() - started_at)
                 self.loads.note_line(call.session_id, server)
                 kept, connection = connection, None
@@ -417,15 +364,15 @@
             return result
         except upstream.ServerUnreachableError:
             state.note_unreachable(clock.now())
-            return Result.UNREACHABLE
+            return progress_module.Result.UNREACHABLE
         except upstream.AnswerSilentError as error:
             progress.trail.append(error.detail)
             await pool.close()
-            return Result.UNKNOWN
+            return progress_module.Result.UNKNOWN
         except upstream.AnswerBrokenError as error:
             progress.trail.append(error.detail)
             await self.examine(pool, state, digest)
-            return Result.UNKNOWN
+            return progress_module.Result.UNKNOWN
         finally:
             state.in_flight -= 1
             if connection is not None:
@@ -446,10 +393,10 @@
     async def converse(
         self,
         call: dialect.Call,
-        progress: Progress,
+        progress: progress_module.Progress,
         responder: ingress.Responder,
         connection: upstream.Connection,
-    ) -> Result:
+    ) -> progress_module.Result:
         """Send a request on a connection and read the answer."""
         remaining_s = progress.limit_at - clock.now()
         last_event_id = progress.last_event_id or call.last_event_id
@@ -462,14 +409,18 @@
         progress.ran[connection.server.id] += 1
         if len(call.body) <= upstream.INLINE_BODY_BYTES:
             await connection.send(request, call.body)
-            return await self.read_answer(call, progress, responder, connection, request)
+            return await relay.read_answer(
+                call, progress, responder, connection, request, self.codec
+            )
         # The error is raised outside, since a task group would wrap it in an exception group.
         failure: upstream.AnswerBrokenError | None = None
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(send_quietly, connection, request, call.body)
+            tasks.start_soon(relay.send_quietly, connection, request, call.body)
             await anyio.lowlevel.checkpoint()
             try:
-                result = await self.read_answer(call, progress, responder, connection, request)
+                result = await relay.read_answer(
+                    call, progress, responder, connection, request, self.codec
+                )
             except upstream.AnswerBrokenError as error:
                 failure = error
             tasks.cancel_scope.cancel()
@@ -477,111 +428,9 @@
             raise failure
         return result
 
-    async def read_answer(
-        self,
-        call: dialect.Call,
-        progress: Progress,
-        responder: ingress.Responder,
-        connection: upstream.Connection,
-        request: h11.Request,
-    ) -> Result:
-        """Read an answer and pass it on."""
-        patience_s = math.inf
-        if connection.is_reused and progress.route.repeatable:
-            patience_s = SILENCE_S[progress.route.kind]
-        with anyio.move_on_after(patience_s) as scope:
-            head = await connection.read_head(request, call, self.codec)
-        if scope.cancelled_caught:
-            raise upstream.AnswerSilentError(
-                f"server {connection.server.id} sent nothing on a kept connection in "
-                f"{patience_s} s; the request is repeated on a new one"
-            )
-        connection.note_keep_alive(head.headers)
-        if head.facts.not_run or head.status == MISDIRECTED:
-            progress.ran[connection.server.id] -= 1
-            await drain(connection)
-            return Result.NOT_RUN
-        if head.status < OK_END and (not head.facts.sealed or head.facts.encoded):
-            raise connection.broken("a success without its signature or with an encoding")
-        is_stream = progress.route.kind is routes.RouteKind.STREAMING and head.status < OK_END
-        if is_stream:
-            await self.pass_events(progress, responder, connection, head)
-        elif responder.started:
-            raise connection.broken(f"status {head.status} in place of the rest of a stream")
-        else:
-            await self.pass_whole(progress, responder, connection, head)
-        return Result.DONE
-
-    async def pass_whole(
-        self,
-        progress: Progress,
-        responder: ingress.Responder,
-        connection: upstream.Connection,
-        head: upstream.Head,
+    def report(
+        self, call: dialect.Call | None, progress: progress_module.Progress | None, outcome: str
     ) -> None:
-        """Pass an answer on once all of it is here."""
-        parts: list[bytes] = []
-        while isinstance(event := await connection.next_event(), h11.Data):
-            parts.append(bytes(event.data))
-        if not isinstance(event, h11.EndOfMessage):
-            raise connection.broken("the connection ended within the body")
-        progress.status = head.status
-        await responder.whole(head.status, passed_on(head.headers), b"".join(parts))
-
-    async def pass_events(
-        self,
-        progress: Progress,
-        responder: ingress.Responder,
-        connection: upstream.Connection,
-        head: upstream.Head,
-    ) -> None:
-        """Pass the events of a stream on as they arrive, each of them once and whole."""
-        splitter = event_stream.EventSplitter()
-        while isinstance(event := await connection.next_event(), h11.Data):
-            try:
-                found = splitter.feed(bytes(event.data))
-            except ValueError as error:
-                raise connection.broken(str(error)) from error
-            if fresh := self.select_events(progress, connection, found):
-                if not responder.started:
-                    progress.status = head.status
-                    await responder.start(head.status, stream_headers(head.headers))
-                await responder.data(b"".join(item.data for item in fresh))
-        if not isinstance(event, h11.EndOfMessage) or not splitter.is_clean:
-            raise connection.broken("the stream ended within an event")
-        if not responder.started:
-            progress.status = head.status
-            await responder.start(head.status, stream_headers(head.headers))
-        await responder.finish()
-
-    def select_events(
-        self,
-        progress: Progress,
-        connection: upstream.Connection,
-        found: list[event_stream.StreamEvent],
-    ) -> list[event_stream.StreamEvent]:
-        """Return the events that the caller does not have yet.
-
-        Raises
-        ------
-        AnswerBrokenError
-            When one is missing between the last one passed on and these.
-        """
-        fresh: list[event_stream.StreamEvent] = []
-        for item in found:
-            if item.id is not None and progress.last_event_id is not None:
-                last = int(progress.last_event_id)
-                if item.id <= last:
-                    continue
-                if item.id != last + 1:
-                    raise connection.broken(f"event {item.id} follows event {last}")
-            if item.id is not None:
-                progress.last_event_id = str(item.id).encode()
-            progress.events += 1
-            fresh.append(item)
-        return fresh
-
-    def report(self, call: dialect.Call | None, progress: Progress | None, outcome: str) -> None:
         """Write the log line of a request."""
         if call is None:
             return
@@ -612,43 +461,10 @@
             standing=progress.standing.name if progress else None,
             routes_version=self.book.version,
             servers_revision=self.directory.revision,
-            servers_age_ms=round(self.directory.age_s * 1000),
+            servers_age_ms=self.directory.age_ms,
         )
 
 
-MISDIRECTED = 421
-OK_END = 300
-
-
-async def send_quietly(connection: upstream.Connection, request: h11.Request, body: bytes) -> None:
-    """Send a long body; a failure shows where the answer is read."""
-    try:
-        await connection.send(request, body)
-    except upstream.AnswerBrokenError as error:
-        events.emit(
-            events.Event.BODY_INTERRUPTED,
-            "a server closed the connection while it received a body",
-            server=connection.server.id,
-            detail=error.detail,
-        )
-
-
-async def drain(connection: upstream.Connection) -> None:
-    """Read the rest of an answer that is not passed on."""
-    while isinstance(await connection.next_event(), h11.Data):
-        pass
-
-
-def passed_on(headers: dialect.Headers) -> dialect.Headers:
-    """Return the headers of an answer without those of its connection."""
-    return [pair for pair in headers if pair[0] not in dialect.CONNECTION_HEADERS]
-
-
-def stream_headers(headers: dialect.Headers) -> dialect.Headers:
-    """Return the headers of a stream, whose length is not known."""
-    return [*passed_on(headers), (b"transfer-encoding", b"chunked")]
-
-
 async def refuse(
     responder: ingress.Responder,
     error: exceptions.DogwoodgapError,
@@ -665,7 +481,3 @@
         headers.append((codec.names.attempt_id, call.attempt_id.encode("latin-1")))
     body = exceptions.encode_problem(error)
     await responder.whole(error.status, headers, body)
-
-
-Sender = collections.abc.Callable[[], collections.abc.Awaitable[None]]
-BROKEN = http_pool.BROKEN
--- a/src/dogwoodgap/gateway.py
+++ b/src/dogwoodgap/gateway.py
@@ -1,9 +1,9 @@
 """The gateway: forwards callers' requests by configured routes; one on each entry VM."""
 
-import collections.abc
 import dataclasses
 import logging
 import signal
+import typing
 import uuid
 
 import anyio
@@ -52,7 +52,7 @@
     ttl_s: float
 
 
-class Entrance(collections.abc.Hashable):
+class Entrance(typing.Protocol):
     """Answers the readiness check and callers that ask for addresses; met by an adapter."""
 
     async def ready(self, incoming: ingress.Incoming, responder: ingress.Responder) -> None:
@@ -88,7 +88,6 @@
         codec: dialect.Dialect,
     ):
         self.settings = loaded
-        self.store = store
         self.boot = uuid.uuid4().hex[:12]
         self.book = routes.RouteBook()
         self.directory = servers.ServerDirectory(loaded.gateway.return_grace_s)
@@ -123,8 +122,8 @@
 
     @property
     def ready(self) -> bool:
-        """Return whether callers may be sent here."""
-        return not self.stopping and self.book.table is not None and self.directory.revision >= 0
+        """Return whether callers may be sent here; members know routes and servers."""
+        return not self.stopping and self.membership is not None
 
     def answer_directory(self) -> DirectoryAnswer:
         """Return the addresses of the gateways that are ready."""
@@ -189,7 +188,7 @@
         if self.settings.gateway.first_start:
             self.accounts.vouch()
         else:
-            await self.accounts.load()
+            await self.accounts.keeper.load()
         tasks.start_soon(joined.run)
         with anyio.move_on_after(JOIN_S):
             while not joined.table.others():
--- /dev/null
+++ b/src/dogwoodgap/relay.py
@@ -0,0 +1,150 @@
+"""Passes the answer of a backend server on to a caller, whole or visibly cut."""
+
+import math
+
+import anyio
+import h11
+
+from dogwoodgap import dialect, event_stream, events, ingress, routes, upstream
+from dogwoodgap import progress as progress_module
+
+MISDIRECTED = 421
+OK_END = 300
+
+SILENCE_S = {routes.RouteKind.IDEMPOTENT: 0.4, routes.RouteKind.STREAMING: 1.2}
+"""Time without an answer after which a kept connection counts as silent. Idempotent requests take
+20 to 30 ms; callers abandon a stream that is silent for 2 s."""
+
+
+async def send_quietly(connection: upstream.Connection, request: h11.Request, body: bytes) -> None:
+    """Send a long body; a failure shows where the answer is read."""
+    try:
+        await connection.send(request, body)
+    except upstream.AnswerBrokenError as error:
+        events.emit(
+            events.Event.BODY_INTERRUPTED,
+            "a server closed the connection while it received a body",
+            server=connection.server.id,
+            detail=error.detail,
+        )
+
+
+async def drain(connection: upstream.Connection) -> None:
+    """Read the rest of an answer that is not passed on."""
+    while isinstance(await connection.next_event(), h11.Data):
+        pass
+
+
+async def read_answer(
+    call: dialect.Call,
+    progress: progress_module.Progress,
+    responder: ingress.Responder,
+    connection: upstream.Connection,
+    request: h11.Request,
+    codec: dialect.Dialect,
+) -> progress_module.Result:
+    """Read an answer and pass it on."""
+    patience_s = math.inf
+    if connection.is_reused and progress.route.repeatable:
+        patience_s = SILENCE_S[progress.route.kind]
+    with anyio.move_on_after(patience_s) as scope:
+        head = await connection.read_head(request, call, codec)
+    if scope.cancelled_caught:
+        raise upstream.AnswerSilentError(
+            f"server {connection.server.id} sent nothing on a kept connection in "
+            f"{patience_s} s; the request is repeated on a new one"
+        )
+    connection.note_keep_alive(head.headers)
+    if head.facts.not_run or head.status == MISDIRECTED:
+        progress.ran[connection.server.id] -= 1
+        await drain(connection)
+        return progress_module.Result.NOT_RUN
+    if head.status < OK_END and (not head.facts.sealed or head.facts.encoded):
+        raise connection.broken("a success without its signature or with an encoding")
+    is_stream = progress.route.kind is routes.RouteKind.STREAMING and head.status < OK_END
+    if is_stream:
+        await pass_events(progress, responder, connection, head)
+    elif responder.started:
+        raise connection.broken(f"status {head.status} in place of the rest of a stream")
+    else:
+        await pass_whole(progress, responder, connection, head)
+    return progress_module.Result.DONE
+
+
+async def pass_whole(
+    progress: progress_module.Progress,
+    responder: ingress.Responder,
+    connection: upstream.Connection,
+    head: upstream.Head,
+) -> None:
+    """Pass an answer on once all of it is here."""
+    parts: list[bytes] = []
+    while isinstance(event := await connection.next_event(), h11.Data):
+        parts.append(bytes(event.data))
+    if not isinstance(event, h11.EndOfMessage):
+        raise connection.broken("the connection ended within the body")
+    progress.status = head.status
+    await responder.whole(head.status, passed_on(head.headers), b"".join(parts))
+
+
+async def pass_events(
+    progress: progress_module.Progress,
+    responder: ingress.Responder,
+    connection: upstream.Connection,
+    head: upstream.Head,
+) -> None:
+    """Pass the events of a stream on as they arrive, each of them once and whole."""
+    splitter = event_stream.EventSplitter()
+    while isinstance(event := await connection.next_event(), h11.Data):
+        try:
+            found = splitter.feed(bytes(event.data))
+        except ValueError as error:
+            raise connection.broken(str(error)) from error
+        if fresh := select_events(progress, connection, found):
+            if not responder.started:
+                progress.status = head.status
+                await responder.start(head.status, stream_headers(head.headers))
+            await responder.data(b"".join(item.data for item in fresh))
+    if not isinstance(event, h11.EndOfMessage) or not splitter.is_clean:
+        raise connection.broken("the stream ended within an event")
+    if not responder.started:
+        progress.status = head.status
+        await responder.start(head.status, stream_headers(head.headers))
+    await responder.finish()
+
+
+def select_events(
+    progress: progress_module.Progress,
+    connection: upstream.Connection,
+    found: list[event_stream.StreamEvent],
+) -> list[event_stream.StreamEvent]:
+    """Return the events that the caller does not have yet.
+
+    Raises
+    ------
+    AnswerBrokenError
+        When one is missing between the last one passed on and these.
+    """
+    fresh: list[event_stream.StreamEvent] = []
+    for item in found:
+        if item.id is not None and progress.last_event_id is not None:
+            last = int(progress.last_event_id)
+            if item.id <= last:
+                continue
+            if item.id != last + 1:
+                raise connection.broken(f"event {item.id} follows event {last}")
+        if item.id is not None:
+            progress.last_event_id = str(item.id).encode()
+        progress.events += 1
+        fresh.append(item)
+    return fresh
+
+
+def passed_on(headers: dialect.Headers) -> dialect.Headers:
+    """Return the headers of an answer without those of its connection."""
+    return [pair for pair in headers if pair[0] not in dialect.CONNECTION_HEADERS]
+
+
+def stream_headers(headers: dialect.Headers) -> dialect.Headers:
+    """Return the headers of a stream, whose length is not known."""
+    return [*passed_on(headers), (b"transfer-encoding", b"chunked")]
--- a/src/dogwoodgap/servers.py
+++ b/src/dogwoodgap/servers.py
@@ -63,6 +63,11 @@
         """Return the time since the listing was last confirmed."""
         return clock.now() - self.confirmed_at
 
+    @property
+    def age_ms(self) -> int | None:
+        """Return the age in milliseconds, or None before the first listing."""
+        return None if math.isinf(self.age_s) else round(self.age_s * 1000)
+
     def note_outage(self) -> None:
         """Record that the store does not answer, so that lapsed entries get time to return."""
         self.grace_until = clock.now() + self.return_grace_s
--- a/tests/test_budget_owners.py
+++ b/tests/test_budget_owners.py
@@ -176,7 +176,7 @@
         fleet.kill(name)
     for name in range(3):
         fleet.start(name, boot="b2")
-        await fleet.nodes[name].load()
+        await fleet.nodes[name].keeper.load()
     await anyio.sleep(SETTLE_S)
     given += await fleet.spend("p", budget)
     assert given <= budget + TURN
--- /dev/null
+++ b/tests/test_followers.py
@@ -0,0 +1,174 @@
+"""Routes and server lists under a store that loses history, fails or is refused to some nodes."""
+
+import anyio
+import fake_network
+import trio.testing
+
+from dogwoodgap import exceptions, followers, membership, routes, servers, settings, source
+
+ENTRY = servers.BackendServer("a", "s", "10.9.0.1:80", "d", 4)
+AGE_LIMIT_S = 2.0
+"""A leaving server has to be known by then."""
+
+
+def run(main):
+    """Run a coroutine function on virtual time."""
+    anyio.run(
+        main,
+        backend="trio",
+        backend_options={"clock": trio.testing.MockClock(autojump_threshold=0)},
+    )
+
+
+class FakeStore:
+    """Routes and servers with a revision; ``down`` refuses all calls, ``expired`` all watches."""
+
+    def __init__(self):
+        self.version = 1
+        self.revision = 5
+        self.down = False
+        self.expired = False
+        self.reads = 0
+        self.listings = 0
+        self.changed = anyio.Event()
+
+    async def read_routes(self):
+        self.check()
+        self.reads += 1
+        return source.RoutesReading(routes.RouteTable(self.version, [], []), self.revision)
+
+    async def watch_routes(self, after, wait_s):
+        self.check()
+        if self.expired:
+            self.expired = False
+            raise exceptions.WatchExpiredError("gone")
+        with anyio.move_on_after(wait_s):
+            if self.revision == after:
+                await self.changed.wait()
+        return source.RoutesWatch(self.revision, self.revision != after)
+
+    async def read_servers(self, *, fresh):
+        self.check()
+        self.listings += 1
+        return servers.Listing(self.revision, (ENTRY,))
+
+    def check(self):
+        if self.down:
+            raise exceptions.StoreUnavailableError("down")
+
+    def change(self):
+        self.version += 1
+        self.revision += 1
+        self.changed.set()
+        self.changed = anyio.Event()
+
+
+def test_routes_are_read_only_when_they_change():
+    """Guards against a reading after each wait, and against routes that stay old after a 410."""
+
+    async def main():
+        store = FakeStore()
+        book = routes.RouteBook()
+        follower = followers.RouteFollower(store, book)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(follower.run)
+            await anyio.sleep(20)
+            assert store.reads == 1
+            store.change()
+            await anyio.sleep(0.5)
+            assert (book.version, store.reads) == (2, 2)
+            store.expired = True
+            await anyio.sleep(2)
+            assert store.reads == 3
+            store.down = True
+            await anyio.sleep(5)
+            store.change()
+            store.down = False
+            await anyio.sleep(AGE_LIMIT_S)
+            assert book.version == 3
+            tasks.cancel_scope.cancel()
+
+    run(main)
+
+
+def test_hint_of_another_node_ends_the_wait():
+    """Guards against old routes when the connection of the watch went silent."""
+
+    async def main():
+        store = FakeStore()
+        book = routes.RouteBook()
+        follower = followers.RouteFollower(store, book)
+        follower.rank = lambda: followers.MAX_RANK
+
+        async def silent(after, wait_s):
+            await anyio.sleep(wait_s)
+            return source.RoutesWatch(after, changed=False)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(follower.run)
+            await anyio.sleep(1)
+            store.watch_routes = silent
+            await anyio.sleep(20)
+            store.change()
+            follower.note_version(2)
+            await anyio.sleep(0.5)
+            assert book.version == 2
+            tasks.cancel_scope.cancel()
+
+    run(main)
+
+
+class Fleet:
+    """Nodes that follow one store, each by its own view of it."""
+
+    def __init__(self, tasks, count):
+        self.board = fake_network.Switchboard()
+        self.stores = [FakeStore() for _ in range(count)]
+        self.directories = [servers.ServerDirectory(2.0) for _ in range(count)]
+        for number in range(count):
+            self.start(tasks, number)
+
+    def start(self, tasks, number):
+        address = f"10.0.0.{number}:7080"
+        loaded = settings.GatewaySettings.model_validate(
+            {
+                "node": {
+                    "name": f"n{number}",
+                    "data_centre": "d",
+                    "peer_address": address,
+                    "seeds": ["10.0.0.0:7080"],
+                },
+                "platform": {"url": "http://platform"},
+            }
+        )
+        network = fake_network.FakeNetwork(self.board, address)
+        joined = membership.Membership(loaded, "b", network)
+        route_follower = followers.RouteFollower(self.stores[number], routes.RouteBook())
+        follower = followers.ServerFollower(
+            self.stores[number], self.directories[number], route_follower
+        )
+        follower.join(joined, network)
+        tasks.start_soon(joined.run)
+        tasks.start_soon(follower.run)
+
+
+def test_one_node_reads_for_all_and_others_step_in():
+    """Guards against a reading by each node, and against old lists when the reader is refused."""
+
+    async def main():
+        async with anyio.create_task_group() as tasks:
+            fleet = Fleet(tasks, 5)
+            await anyio.sleep(5)
+            for store in fleet.stores:
+                store.listings = 0
+            await anyio.sleep(10)
+            assert sum(store.listings for store in fleet.stores) <= 10 / 0.6 * 1.2
+            fleet.stores[0].down = True
+            fleet.stores[1].down = True
+            await anyio.sleep(3)
+            for _ in range(20):
+                await anyio.sleep(0.25)
+                assert max(directory.age_s for directory in fleet.directories) < AGE_LIMIT_S
+            tasks.cancel_scope.cancel()
+
+    run(main)
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -1,5 +1,7 @@
 """What callers and backend servers see of forwarded requests, on real sockets."""
 
+import math
+
 import anyio
 import gateways
 import pytest
@@ -107,6 +109,17 @@
     run(main)
 
 
+def test_request_before_the_first_listing_is_503():
+    """Guards against a connection that ends without an answer at a node that has just started."""
+
+    async def main():
+        async with gateways.running() as bench:
+            bench.directory.confirmed_at = -math.inf
+            assert (await gateways.once(bench, "GET", "/read/x")).status == 503
+
+    run(main)
+
+
 @pytest.mark.parametrize("fault", [truncated, reset_after_reading])
 def test_idempotent_request_runs_again_after_a_broken_answer(fault):
     """Guards against a partial answer that reaches a caller."""
