Serve while the last gateway leaves; show a gateway in the demo

Cause: when all gateways stop at once, none is left that takes work; the share of connections was divided by zero and moving accounts ended the process. Found by the new demo of a gateway. Ruled out: refusing turns as not run, since the leaving gateway still has its accounts. Tests: one for budgets, one for a whole gateway; both fail without the change.

--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 
 demo: install
 	PATH="$(CURDIR)/$(VENV)/bin:$$PATH" dogwoodgap-lab demo
+	$(VENV)/bin/dogwoodgap-lab gateway-demo
 
 # Needs the thrift compiler; the generated code is committed, so a build does not.
 thrift:
--- a/src/dogwoodgap/budget_owners.py
+++ b/src/dogwoodgap/budget_owners.py
@@ -166,13 +166,14 @@
             )
 
     def owners(self, program: str) -> list[members.Member]:
-        """Return the members in the order in which they own a program."""
+        """Return the members in the order in which they own a program; never none."""
         if self.membership is None:
             raise exceptions.NotReadyError(
                 "this node does not know the others yet; use another one",
                 retry_after_s=RETRY_AFTER_S,
             )
-        found = {member.node: member for member in self.membership.alive()}
+        alive = self.membership.alive() or [self.membership.local]
+        found = {member.node: member for member in alive}
         return [found[node] for node in ranked(program, found)]
 
     async def ask(
--- a/src/dogwoodgap/gateway.py
+++ b/src/dogwoodgap/gateway.py
@@ -117,8 +117,8 @@
         return self.book.table.limits if self.book.table else routes.Limits()
 
     def node_count(self) -> int:
-        """Return the number of gateways that callers are sent to."""
-        return len(self.membership.alive()) if self.membership else 1
+        """Return the number of gateways that callers are sent to, at least this one."""
+        return max(1, len(self.membership.alive())) if self.membership else 1
 
     @property
     def ready(self) -> bool:
--- a/src/dogwoodgap_lab/cli.py
+++ b/src/dogwoodgap_lab/cli.py
@@ -201,6 +201,14 @@
     replace_by_fleet(nodes, base_port, seed, ["run-demo", "--seed", str(seed)])
 
 
+@cli.command()
+def gateway_demo() -> None:
+    """Show a gateway with a routes file: retries, a resumed stream, a budget, a planned stop."""
+    from dogwoodgap_lab import gateway_demo as gateway_demo_module
+
+    raise typer.Exit(anyio.run(gateway_demo_module.run))
+
+
 @cli.command(hidden=True)
 def run_demo(folder: pathlib.Path, seed: Seed = 1) -> None:
     """Run the demonstration against a fleet that runs."""
--- a/tests/test_budget_owners.py
+++ b/tests/test_budget_owners.py
@@ -236,3 +236,14 @@
     for program in given:
         given[program] += await fleet.spend(program, budget)
     assert set(given.values()) == {budget}
+
+
+@with_fleet(1)
+async def test_last_node_keeps_its_accounts_while_it_leaves(fleet):
+    """Guards against a process that ends with an error when all nodes stop at once."""
+    budget = 10 * TURN
+    given = await fleet.spend("p", budget, limit=2)
+    await fleet.memberships[0].leave()
+    await anyio.sleep(0.5)
+    given += await fleet.spend("p", budget)
+    assert given == budget
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -356,3 +356,24 @@
         if word.lower() in path.read_text(encoding="utf-8").lower()
     ]
     assert found == []
+
+
+def test_last_gateway_answers_during_its_planned_stop():
+    """Guards against errors when no gateway is left that takes work."""
+
+    async def main():
+        backend = gateways.Backend("p1", "plain", echo)
+        async with running_store() as (stand_in, _), anyio.create_task_group() as tasks:
+            fill(stand_in, backend)
+            await tasks.start(backend.serve)
+            machine = Machine("n1", stand_in)
+            tasks.start_soon(machine.run)
+            await machine.wait_ready()
+            machine.stop.set()
+            await anyio.sleep(0.1)
+            answer = await machine.get(machine.settings.node.http_bind, "/read/x")
+            assert (answer.status, answer.complete) == (200, True)
+            await machine.ended.wait()
+            tasks.cancel_scope.cancel()
+
+    run(main)
