--- a/src/dogwoodgap/errorpages.py
+++ b/src/dogwoodgap/errorpages.py
@@ -6,7 +6,12 @@
 
 from dogwoodgap import exceptions
 
-DEFINING_MODULES = ("dogwoodgap.ctl", "dogwoodgap.client", "dogwoodgap.admin")
+DEFINING_MODULES = (
+    "dogwoodgap.ctl",
+    "dogwoodgap.client",
+    "dogwoodgap.admin",
+    "dogwoodgap.upstream",
+)
 """Modules that define error kinds of their own; the table holds only what was imported."""
 
 HEADER = """# Errors
