Free a suspect's claim when the boot that holds it is over; name what a check waited for

Cause: a claim ended only after 300 s when its holder's process had died, so that the same request was refused until its deadline. The unhandled TimeoutError of 'check' can only come from the waits of stage.py, which had no verdict. 'configuration-check' on a folder without a layout ended in a traceback. Ruled out: shorter claims, which would free the suspect while its run goes on; the dead boot and the loss of its shards are known already. Before: test_suspect_runs_again_once_the_boot_that_held_its_claim_is_over fails. After: it passes. Conclusion: the wait is bounded by the takeover of the dead boot's shards. A process that is not ready in time is a finding of rule processes-ready; the check goes on.

--- a/src/dogwoodgap/backends.py
+++ b/src/dogwoodgap/backends.py
@@ -83,11 +83,12 @@
         )
         self.quarantine = quarantine.Quarantine(
             name,
-            claims=suspects.Claims(store),
+            claims=suspects.Claims(store, is_over=fleet.ownership.is_over),
             journal=lambda record: fleet.ownership.session.record(record).wait(),
             send=fleet.broadcast,
             idle=self.directory.idle,
             probe=self.directory.check,
+            boot=lambda: fleet.ownership.me,
             reserve_limit=lambda service: len(self.directory.views(service)) // SUSPECT_SHARE,
         )
         self.guards = breakers.Guards()
--- a/src/dogwoodgap/quarantine.py
+++ b/src/dogwoodgap/quarantine.py
@@ -16,7 +16,7 @@
 
 import anyio
 
-from dogwoodgap import clock, connections, events, exceptions, records, structures, suspects
+from dogwoodgap import clock, connections, events, exceptions, records, shards, structures, suspects
 from dogwoodgap_wire import ttypes
 
 SETTLE_S = 1.0
@@ -82,6 +82,8 @@
         Opens a fresh connection to a runner.
     reserve_limit : callable
         How many runners of a service may be kept free for suspects at once.
+    boot : callable
+        Returns the present boot of this node, which holds its claims.
     """
 
     def __init__(
@@ -94,9 +96,11 @@
         idle: Idle,
         probe: ProbeRunner,
         reserve_limit: collections.abc.Callable[[str], int] = lambda service: 1,
+        boot: collections.abc.Callable[[], shards.Owner | None] = lambda: None,
         now: collections.abc.Callable[[], float] = clock.wall,
     ):
         self.node = node
+        self.boot = boot
         self.claims = claims
         self.journal = journal
         self.send = send
@@ -186,7 +190,7 @@
         suspect = self.table.find(run.digest) or self.table.add(run.digest)
         try:
             await self.journal(records.Suspected(run.digest, suspect.count(), suspect.until))
-            claim = await self.claims.acquire(run.digest, suspect.crashes, run.holder)
+            claim = await self.claims.acquire(run.digest, suspect.crashes, run.holder, self.boot())
         except exceptions.StoreError as error:
             raise exceptions.StoreUnavailableError(
                 "the request is suspected of crashing runners and runs again only when the "
--- a/src/dogwoodgap/recovery.py
+++ b/src/dogwoodgap/recovery.py
@@ -273,6 +273,10 @@
             return owner.boot != self.boot
         return self.members.is_dead(owner)
 
+    def is_over(self, owner: shards.Owner) -> bool:
+        """Return whether a boot is gone and owns no shard any more."""
+        return self.is_dead(owner) and owner not in self.assignment.current.owners()
+
     async def take_over_from(self, dead: shards.Owner) -> None:
         """Become the owner of all shards of a dead boot, with its journal as a source."""
         me = self.me
--- a/src/dogwoodgap/suspects.py
+++ b/src/dogwoodgap/suspects.py
@@ -9,11 +9,11 @@
 
 import msgspec
 
-from dogwoodgap import clock, events, exceptions, objectstore
+from dogwoodgap import clock, events, exceptions, objectstore, shards
 
 PREFIX = "quarantine/"
 CLAIM_LIFETIME_S = 300.0
-"""Longer than any call's deadline, so that a claim ends only with its holder's process."""
+"""Longer than any call's deadline: ends claims whose holder's end nobody noticed."""
 
 REFUSED_S = 86_400.0
 MAX_CRASHES = 2
@@ -50,6 +50,8 @@
     ----------
     holder : str
         Node and attempt that runs the suspect now; empty when none does.
+    held_by : shards.Owner or None
+        Boot of the holder; None in claims of earlier versions.
     """
 
     digest: str
@@ -57,6 +59,7 @@
     until: float = 0.0
     holder: str = ""
     held_until: float = 0.0
+    held_by: shards.Owner | None = None
 
 
 def merge(known: list[Crash], reported: collections.abc.Iterable[Crash]) -> list[Crash]:
@@ -166,15 +169,20 @@
     ----------
     now : callable
         Returns wall time in seconds.
+    is_over : callable
+        Whether a boot has ended and its shards have new owners. A live node that was found dead
+        by mistake notices the loss of its shards and drops its runs.
     """
 
     def __init__(
         self,
         store: objectstore.ObjectStore,
         now: collections.abc.Callable[[], float] = clock.wall,
+        is_over: collections.abc.Callable[[shards.Owner], bool] = lambda owner: False,
     ):
         self.store = store
         self.now = now
+        self.is_over = is_over
 
     async def update(self, digest: str, change: collections.abc.Callable[[Claim], None]) -> Claim:
         """Apply a change to the stored claim; repeats it when another node was faster.
@@ -213,9 +221,22 @@
 
         return await self.update(digest, add)
 
-    async def acquire(self, digest: str, crashes: list[Crash], holder: str) -> Claim:
+    def is_held(self, claim: Claim, holder: str) -> bool:
+        """Return whether a claim belongs to another run that may still go on."""
+        if claim.holder in ("", holder) or claim.held_until <= self.now():
+            return False
+        return claim.held_by is None or not self.is_over(claim.held_by)
+
+    async def acquire(
+        self, digest: str, crashes: list[Crash], holder: str, boot: shards.Owner | None = None
+    ) -> Claim:
         """Claim a suspect for one run, adding the crashes known here.
 
+        Parameters
+        ----------
+        boot : shards.Owner, optional
+            The boot that makes the run; its end frees the claim.
+
         Raises
         ------
         OverloadedError
@@ -227,13 +248,14 @@
             claim.until = max(claim.until, self.now() + CLAIM_LIFETIME_S)
             if len(claim.crashes) >= MAX_CRASHES:
                 return
-            if claim.holder not in ("", holder) and claim.held_until > self.now():
+            if self.is_held(claim, holder):
                 raise exceptions.OverloadedError(
                     "the same request is suspected of crashing runners and runs on another node; "
                     "repeat it later",
                     retry_after_s=RETRY_AFTER_S,
                 )
             claim.holder = holder
+            claim.held_by = boot
             claim.held_until = self.now() + CLAIM_LIFETIME_S
 
         return await self.update(digest, take)
--- a/src/dogwoodgap_lab/chaos.py
+++ b/src/dogwoodgap_lab/chaos.py
@@ -64,7 +64,21 @@
                 await anyio.sleep(chance.uniform(MIN_GAP_S, MAX_GAP_S))
                 name = chance.choice(names)
                 own = random.Random(chance.random())
-                tasks.start_soon(faults[name], self, own)
+                tasks.start_soon(self.apply, name, own)
+
+    async def apply(self, name: str, chance: random.Random) -> None:
+        """Do one fault to its end."""
+        with self.noting(name):
+            await faults[name](self, chance)
+
+    @contextlib.contextmanager
+    def noting(self, what: str) -> collections.abc.Iterator[None]:
+        """Add a process that is not ready in time to the evidence; the check goes on."""
+        try:
+            yield
+        except stage.OverdueError as error:
+            self.found.overdue.append(f"{what}: {error}")
+            self.field.note(f"{what}: {error}")
 
     async def calm(self) -> None:
         """Switch every fault off and wait until all nodes serve."""
--- a/src/dogwoodgap_lab/checking.py
+++ b/src/dogwoodgap_lab/checking.py
@@ -49,7 +49,8 @@
     """Run programs while faults happen, switch the faults off and wait for the programs."""
     async with anyio.create_task_group() as tasks:
         disorder = chaos.Chaos(field, done, found, tasks)
-        await disorder.arm()
+        with disorder.noting("start"):
+            await disorder.arm()
         tasks.start_soon(disorder.watch_generations)
         tasks.start_soon(progress, field, done)
         finished = anyio.Event()
@@ -60,7 +61,8 @@
 
         tasks.start_soon(run_load)
         await disorder.run(seed, seconds)
-        await disorder.calm()
+        with disorder.noting("end of the faults"):
+            await disorder.calm()
         with anyio.move_on_after(SETTLE_LIMIT_S):
             await finished.wait()
         tasks.cancel_scope.cancel()
--- a/src/dogwoodgap_lab/cli.py
+++ b/src/dogwoodgap_lab/cli.py
@@ -9,6 +9,7 @@
 import anyio
 import typer
 
+from dogwoodgap import exceptions
 from dogwoodgap_lab import (
     bench_fleet,
     capacity_cli,
@@ -24,6 +25,7 @@
     plain_service,
     platform_server,
     serving,
+    stage,
 )
 from dogwoodgap_lab import demo as demo_module
 
@@ -299,4 +301,8 @@
 
 def main() -> None:
     """Run the command line."""
-    cli()
+    try:
+        cli()
+    except (stage.OverdueError, exceptions.DogwoodgapError) as error:
+        typer.echo(str(error), err=True)
+        raise SystemExit(1) from error
--- a/src/dogwoodgap_lab/deployments.py
+++ b/src/dogwoodgap_lab/deployments.py
@@ -8,7 +8,7 @@
 
 import tomli_w
 
-from dogwoodgap import models
+from dogwoodgap import exceptions, models
 
 PLATFORM_OFFSET = 0
 HTTP_OFFSET = 100
@@ -214,7 +214,19 @@
 
 
 def read(folder: pathlib.Path) -> Layout:
-    """Return the layout that :func:`write` put into a folder."""
-    summary = json.loads((folder / "layout.json").read_text(encoding="utf-8"))
+    """Return the layout that :func:`write` put into a folder.
+
+    Raises
+    ------
+    SettingsInvalidError
+        When the folder holds none.
+    """
+    try:
+        summary = json.loads((folder / "layout.json").read_text(encoding="utf-8"))
+    except OSError as error:
+        raise exceptions.SettingsInvalidError(
+            f"{folder} holds no layout ({error.strerror}); write one with "
+            f"'dogwoodgap-lab layout {folder}'"
+        ) from error
     chosen = [DEPLOYMENTS[name] for name in summary["deployments"]]
     return Layout(folder, chosen, summary["node_count"], summary["base_port"])
--- a/src/dogwoodgap_lab/oracle.py
+++ b/src/dogwoodgap_lab/oracle.py
@@ -63,6 +63,7 @@
     accepted: list[AcceptedGeneration] = dataclasses.field(default_factory=list)
     cut_requests: list[str] = dataclasses.field(default_factory=list)
     probes_in_planned_stops: int = 0
+    overdue: list[str] = dataclasses.field(default_factory=list)
 
 
 Check = collections.abc.Callable[[Evidence], list[str]]
@@ -82,6 +83,12 @@
     return add
 
 
+@check("processes-ready")
+def processes_ready(evidence: Evidence) -> list[str]:
+    """Require that processes serve again in time after each fault."""
+    return list(evidence.overdue)
+
+
 @check("call-order")
 def call_order(evidence: Evidence) -> list[str]:
     """Sequence numbers rise and each acknowledged call saw all earlier ones."""
--- a/src/dogwoodgap_lab/stage.py
+++ b/src/dogwoodgap_lab/stage.py
@@ -1,5 +1,6 @@
 """A running test fleet: its processes, stand-ins and administration API."""
 
+import collections.abc
 import contextlib
 import dataclasses
 import json
@@ -44,6 +45,26 @@
     text: str
 
 
+class OverdueError(Exception):
+    """A process did not do in time what the check waits for."""
+
+
+@contextlib.contextmanager
+def within(limit_s: float, awaited: str) -> collections.abc.Iterator[None]:
+    """Bound a wait.
+
+    Raises
+    ------
+    OverdueError
+        When ``awaited`` has not happened within the limit.
+    """
+    try:
+        with anyio.fail_after(limit_s):
+            yield
+    except TimeoutError as error:
+        raise OverdueError(f"{awaited} within {limit_s:g} s; read the logs") from error
+
+
 class Stage:
     """Control over the processes that ``fleet.sh`` started.
 
@@ -126,7 +147,8 @@
     async def wait_ready(self, indexes: typing.Iterable[int]) -> None:
         """Wait until nodes serve callers."""
         for index in indexes:
-            with anyio.fail_after(READY_LIMIT_S):
+            name = self.layout.node_name(index)
+            with within(READY_LIMIT_S, f"{name} was not ready"):
                 while True:
                     if await self.is_ready(index):
                         break
@@ -136,7 +158,7 @@
         """Put the layout's configuration in force on all nodes."""
         document = json.loads((self.layout.folder / "configuration.json").read_text())
         entry = self.layout.entries()[0]
-        with anyio.fail_after(READY_LIMIT_S):
+        with within(READY_LIMIT_S, "the configuration was not accepted"):
             while True:
                 with contextlib.suppress(httpx.HTTPError):
                     reply = await self.put_configuration(entry, document, 0)
@@ -203,7 +225,7 @@
 
     async def control(self, url: str, document: dict[str, typing.Any]) -> None:
         """Send faults to a stand-in, again while it restarts after a crash."""
-        with anyio.fail_after(CONTROL_LIMIT_S):
+        with within(CONTROL_LIMIT_S, f"{url} did not take its faults"):
             while True:
                 with contextlib.suppress(httpx.HTTPError):
                     (await self.http.put(f"{url}/faults", json=document)).raise_for_status()
@@ -212,7 +234,7 @@
 
     async def read(self, url: str) -> typing.Any:
         """Return a JSON document of a stand-in, again while it restarts after a crash."""
-        with anyio.fail_after(CONTROL_LIMIT_S):
+        with within(CONTROL_LIMIT_S, f"{url} was not read"):
             while True:
                 with contextlib.suppress(httpx.HTTPError):
                     return (await self.http.get(url)).raise_for_status().json()
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -5,9 +5,11 @@
 
 import anyio
 import httpx
+import pytest
 
-from dogwoodgap import node, settings
+from dogwoodgap import exceptions, node, settings
 from dogwoodgap_lab import (
+    chaos,
     deployments,
     engine,
     engine_server,
@@ -128,3 +130,26 @@
     assert [trace.error for trace in done.traces if trace.error] == []
     assert done.ended == PROGRAMS
     assert found.probes_in_planned_stops > 5
+
+
+def test_node_that_is_not_ready_in_time_becomes_a_finding(tmp_path, monkeypatch):
+    """Guards against a check that ends with a traceback in place of a verdict."""
+    layout = deployments.Layout(tmp_path, [deployments.ORECHOV], 1, free_base())
+    monkeypatch.setattr(stage, "READY_LIMIT_S", 0.2)
+    found = oracle.Evidence()
+
+    async def wait() -> None:
+        async with httpx.AsyncClient() as http, anyio.create_task_group() as tasks:
+            field = stage.Stage(layout, http)
+            disorder = chaos.Chaos(field, load.Load(field, 1, PAUSE_S), found, tasks)
+            with disorder.noting("kill"):
+                await field.wait_ready([0])
+
+    anyio.run(wait)
+    assert found.overdue == ["kill: node1 was not ready within 0.2 s; read the logs"]
+
+
+def test_missing_layout_is_named_with_its_remedy(tmp_path):
+    """Guards against a traceback when a check runs before its layout is written."""
+    with pytest.raises(exceptions.SettingsInvalidError, match="dogwoodgap-lab layout"):
+        deployments.read(tmp_path / "none")
--- a/tests/test_oracle.py
+++ b/tests/test_oracle.py
@@ -58,6 +58,10 @@
     found.traces[0].exchanges.reverse()
 
 
+def stay_away(found):
+    found.overdue.append("kill: node1 was not ready within 30 s")
+
+
 def swap_turns(found):
     found.histories["p"].reverse()
 
@@ -128,6 +132,7 @@
 
 
 BREAKS = [
+    ("processes-ready", stay_away),
     ("call-order", swap_calls),
     ("call-order", swap_turns),
     ("history", lose_turn),
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 from virtual_loop import VirtualLoop
 
-from dogwoodgap import connections, exceptions, quarantine, structures, suspects
+from dogwoodgap import connections, exceptions, quarantine, shards, structures, suspects
 from dogwoodgap_lab import objects
 
 NODES = ("a", "b", "c")
@@ -232,3 +232,20 @@
     assert task.result() == "store-unavailable"
     assert world.lost["poison1"] == 1
     world.close()
+
+
+def test_suspect_runs_again_once_the_boot_that_held_its_claim_is_over():
+    """Guards against a suspect that waits for a dead node's claim until its deadline passes."""
+    loop = VirtualLoop()
+    ended: set[shards.Owner] = set()
+    claims = suspects.Claims(objects.ObjectTable(), loop.time, is_over=ended.__contains__)
+    dead, living = shards.Owner("a", "boot1"), shards.Owner("b", "boot1")
+    loop.run_until_complete(claims.acquire("plain1", [], "a/run", dead))
+    with pytest.raises(exceptions.OverloadedError):
+        loop.run_until_complete(claims.acquire("plain1", [], "b/run", living))
+    ended.add(dead)
+    claim = loop.run_until_complete(claims.acquire("plain1", [], "b/run", living))
+    assert (claim.holder, claim.held_by) == ("b/run", living)
+    with pytest.raises(exceptions.OverloadedError):
+        loop.run_until_complete(claims.acquire("plain1", [], "c/run", shards.Owner("c", "x")))
+    loop.close()
