Tell the next owners of a program of its record, for takeovers while the store is away

The next owner could not read the record, assumed 0.4 of the budget and ran another turn; further owners did the same, to 1,550 tokens. Ruled out: a late settlement (the account had no open turn); the reservation of the lost owner. Change: a record that the store has taken is told to the next five owners. While the store is away an account of a lost node is claimed only where a node that knows all records says so, and the use of the turn that then runs is told as well. A process that could not read the records reads them later. Copies are kept apart from accounts, so that a node no longer deletes the record of a live program of another.

--- a/src/dogwoodgap/budget_owners.py
+++ b/src/dogwoodgap/budget_owners.py
@@ -4,7 +4,9 @@
 accounts move to their new owners; an owner that cannot be reached is replaced by the next one.
 """
 
+import collections
 import collections.abc
+import dataclasses
 import logging
 import math
 import typing
@@ -46,6 +48,10 @@
 TRANSFER_TIMEOUT_S = 1.0
 FLUSH_S = 1.0
 SWEEP_S = 10.0
+RECORD_COPIES = 5
+"""Nodes that are told of a record after its owner, the next ones to own the program, so that they
+know it while the store is away. Up to 4 of 7 nodes are lost at once."""
+
 MAX_TRANSFER = 500
 """Accounts of one message; 40 kB."""
 
@@ -76,7 +82,7 @@
 
     def __init__(self, records: source.BudgetRecords):
         self.ledger = budgets.Ledger()
-        self.keeper = budget_records.RecordKeeper(records, self.ledger)
+        self.keeper = budget_records.RecordKeeper(records, self.ledger, self.send_copy)
         self.locks: dict[str, anyio.Lock] = {}
         self.lost: dict[str, float] = {}
         self.boots: dict[str, str] = {}
@@ -100,6 +106,7 @@
         network.handlers.register(ttypes.TokenSettle, self.on_settle)
         network.handlers.register(ttypes.TokenTransfer, self.on_transfer)
         network.handlers.register(ttypes.TokenFetch, self.on_fetch)
+        network.handlers.register(ttypes.TokenRecords, self.on_records)
         joined.subscribe(self.on_member)
         self.vouched_at = min(self.vouched_at, clock.now() + TAKEOVER_S)
 
@@ -244,15 +251,17 @@
                 await self.fetch(request.program)
             is_new = request.program not in self.ledger.accounts
             account = self.ledger.open(request.program, request.budget, may_be_lost=may_be_lost)
+            self.keeper.count(request.program)
             if is_new and account.assumed:
                 log_account(events.Event.BUDGET_ASSUMED, "use assumed", request, account)
             verdict = self.ledger.reserve(account, request.attempt, request.tokens)
             for _ in range(RECORD_TRIES):
                 if verdict is not budgets.Verdict.RECORD_FIRST:
                     break
-                await self.keeper.record(
-                    request.program, account, account.committed + request.tokens
-                )
+                mark = account.committed + request.tokens
+                is_stored = await self.keeper.record(request.program, account, mark)
+                if not is_stored and not account.claimed:
+                    account = await self.claim_unstored(request, account)
                 verdict = self.ledger.reserve(account, request.attempt, request.tokens)
         if verdict is budgets.Verdict.REFUSED:
             log_account(events.Event.BUDGET_REFUSED, "budget refused", request, account)
@@ -275,14 +284,91 @@
         account.pace.turns += 1
         return int(found)
 
+    async def claim_unstored(
+        self, request: ttypes.TokenReserve, account: budgets.Account
+    ) -> budgets.Account:
+        """Claim an account of another node, if its record is known although the store is away.
+
+        One more turn may then run. The next owners are told of it, since several owners may be
+        lost before the store is back.
+        """
+        if await self.find_copy(request.program):
+            account = self.ledger.accounts.get(request.program, account)
+            account.claimed = True
+            copy = budget_records.copy_of(request.program, account)
+            self.send_copy(dataclasses.replace(copy, told=account.committed + request.tokens))
+        return account
+
+    async def find_copy(self, program: str) -> bool:
+        """Return whether a node that was told of a program's records has said what it knows."""
+        alive = {member.node: member for member in self.membership.alive()}
+        holders = ranked(program, alive.keys() | self.recently_lost())[: 1 + RECORD_COPIES]
+        if self.membership.local.node in holders and self.keeper.is_complete:
+            return True
+        for node in holders:
+            if node not in alive or alive[node] is self.membership.local:
+                continue
+            reply = await self.ask_for(alive[node], program)
+            if reply is not None:
+                self.adopt_fetched(program, reply)
+                if reply.complete:
+                    return True
+        return False
+
+    def adopt_fetched(self, program: str, reply: ttypes.TokenFetchReply) -> None:
+        """Take over what a reply holds of a program."""
+        if reply.account is not None:
+            self.ledger.adopt(program, budget_wire.from_wire(reply.account))
+        if reply.record is not None:
+            self.keeper.note(budget_wire.record_from_wire(reply.record))
+
+    def send_copy(self, copy: budget_records.Copy) -> None:
+        """Tell the next owners of a program of its record, in the background."""
+        self.send_copies([copy])
+
+    def send_copies(self, copies: collections.abc.Iterable[budget_records.Copy]) -> None:
+        """Tell the next owners of programs of their records, in the background."""
+        if self.tasks is None:
+            return
+        by_holder: dict[str, list[ttypes.TokenRecord]] = collections.defaultdict(list)
+        found: dict[str, members.Member] = {}
+        for copy in copies:
+            message = budget_wire.record_to_wire(copy)
+            for member in self.owners(copy.record.program)[: 1 + RECORD_COPIES]:
+                if member is not self.membership.local:
+                    found[member.node] = member
+                    by_holder[member.node].append(message)
+        for node, messages in by_holder.items():
+            for start in range(0, len(messages), MAX_TRANSFER):
+                part = messages[start : start + MAX_TRANSFER]
+                self.tasks.start_soon(self.send_records, found[node], part)
+
+    async def send_records(self, member: members.Member, records: list[ttypes.TokenRecord]) -> None:
+        """Tell one node of records."""
+        try:
+            await self.network.request(
+                member.peer_address,
+                ttypes.TokenRecords(records=records),
+                ttypes.Ack,
+                timeout_s=TRANSFER_TIMEOUT_S,
+            )
+        except exceptions.PeerError as error:
+            log_owner_lost("a node was not told of records", member, error, records=len(records))
+
+    async def on_records(self, sender: ttypes.Member, message: ttypes.TokenRecords) -> ttypes.Ack:
+        """Remember records that another node has written."""
+        for item in message.records or []:
+            self.keeper.note(budget_wire.record_from_wire(item))
+        return ttypes.Ack(ok=True)
+
     async def fetch(self, program: str) -> None:
         """Ask the node that owned a program before the members changed for its account."""
         if clock.now() - self.changed_at > FETCH_S:
             return
         for owner in self.owners(program)[1:2]:
             reply = await self.ask_for(owner, program)
-            if reply is not None and reply.account is not None:
-                self.ledger.adopt(program, budget_wire.from_wire(reply.account))
+            if reply is not None:
+                self.adopt_fetched(program, reply)
 
     async def ask_for(self, member: members.Member, program: str) -> ttypes.TokenFetchReply | None:
         """Return what a member knows of a program and of lost nodes; None without an answer."""
@@ -303,10 +389,13 @@
     ) -> ttypes.TokenFetchReply:
         """Give an account to its new owner, and say which nodes were lost."""
         account = self.ledger.accounts.pop(message.program, None)
+        copy = self.keeper.copies.get(message.program)
         return ttypes.TokenFetchReply(
             account=None if account is None else budget_wire.to_wire(message.program, account),
             vouched=self.is_vouched(),
             lost=list(self.recently_lost()),
+            complete=self.keeper.is_complete,
+            record=None if copy is None else budget_wire.record_to_wire(copy),
         )
 
     async def learn_losses(self) -> None:
@@ -322,8 +411,9 @@
                 return
 
     def vouch(self) -> None:
-        """Declare that no account was lost before this process started."""
+        """Declare that there were no programs before this process started."""
         self.vouched_at = clock.now()
+        self.keeper.is_complete = True
 
     def is_vouched(self) -> bool:
         """Return whether this node knows all accounts that were lost lately."""
@@ -376,11 +466,15 @@
         async with self.moving:
             by_owner: dict[str, list[str]] = {}
             found: dict[str, members.Member] = {}
-            for program in self.ledger.accounts:
+            recorded: list[budget_records.Copy] = []
+            for program, account in self.ledger.accounts.items():
                 owner = self.owners(program)[0]
                 if owner is not self.membership.local:
                     found[owner.node] = owner
                     by_owner.setdefault(owner.node, []).append(program)
+                elif account.revision:
+                    recorded.append(budget_records.copy_of(program, account))
+            self.send_copies(recorded)
             for node, programs in by_owner.items():
                 for start in range(0, len(programs), MAX_TRANSFER):
                     await self.send_accounts(found[node], programs[start : start + MAX_TRANSFER])
@@ -422,6 +516,8 @@
         swept_at = clock.now()
         while True:
             await anyio.sleep(FLUSH_S)
+            if not self.keeper.is_complete:
+                await self.keeper.load()
             await self.keeper.flush()
             if clock.now() - swept_at >= SWEEP_S:
                 swept_at = clock.now()
@@ -433,7 +529,10 @@
             self.locks.pop(program, None)
             if account.pace is not None:
                 self.estimate.note_end(account.budget, account.turn_tokens, account.pace.turns)
-            if account.revision:
+            if account.revision and self.is_owner(program):
+                await self.keeper.remove(program)
+        for program in self.keeper.forget():
+            if program not in self.ledger.accounts and self.is_owner(program):
                 await self.keeper.remove(program)
 
 
--- a/src/dogwoodgap/budget_records.py
+++ b/src/dogwoodgap/budget_records.py
@@ -1,5 +1,7 @@
 """Records of token budgets in the platform's store, as the owner of programs writes them."""
 
+import collections.abc
+import dataclasses
 import logging
 
 import anyio
@@ -13,8 +15,28 @@
 """After a failure the store is not asked for this long."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Copy:
+    """A record of the store as nodes know it without asking.
+
+    Attributes
+    ----------
+    told : int
+        A later use, of which the owner told the others while the store was away.
+    """
+
+    record: source.BudgetRecord
+    noted_at: float
+    told: int = 0
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Return a value that is larger for later knowledge."""
+        return self.record.revision, self.told
+
+
 class RecordKeeper:
-    """Writes the use of programs and takes over what others wrote.
+    """Writes the use of programs and remembers what others wrote.
 
     Parameters
     ----------
@@ -22,53 +44,98 @@
         The records in the store.
     ledger : budgets.Ledger
         The accounts that they belong to.
+    written : callable
+        Called with each record that the store has taken.
+
+    Attributes
+    ----------
+    is_complete : bool
+        Whether all records before the start of this process are known; the writers of later ones
+        tell of them.
     """
 
-    def __init__(self, records: source.BudgetRecords, ledger: budgets.Ledger):
+    def __init__(
+        self,
+        records: source.BudgetRecords,
+        ledger: budgets.Ledger,
+        written: collections.abc.Callable[[Copy], None] = lambda copy: None,
+    ):
         self.records = records
+        self.written = written
         self.ledger = ledger
         self.unrecorded: set[str] = set()
         self.failed_at = -STORE_PAUSE_S
+        self.is_complete = False
+        self.copies: dict[str, Copy] = {}
+
+    async def record(self, program: str, account: budgets.Account, mark: int) -> bool:
+        """Write a mark to the store; on a conflict take over the stored one.
 
-    async def record(self, program: str, account: budgets.Account, mark: int) -> None:
-        """Write a mark to the store; on a conflict take over the stored one."""
+        Returns
+        -------
+        bool
+            Whether the store answered.
+        """
         if clock.now() - self.failed_at < STORE_PAUSE_S:
-            account.claimed = True
             self.unrecorded.add(program)
-            return
+            return False
         mark = min(account.budget, mark)
         record = source.BudgetRecord(program, account.budget, mark, account.revision)
         try:
             with anyio.fail_after(RECORD_TIMEOUT_S):
                 account.revision = await self.records.write(record)
         except exceptions.VersionConflictError:
-            await self.read(program)
+            return await self.read(program)
         except (TimeoutError, exceptions.StoreError) as error:
             self.failed_at = clock.now()
-            account.claimed = True
             self.unrecorded.add(program)
             log_unrecorded(program, "a program's use could not be recorded", error)
-        else:
-            account.recorded = mark
-            account.claimed = True
-            events.emit(
-                events.Event.BUDGET_RECORDED,
-                "a program's use was recorded",
-                program=program,
-                mark=mark,
-                revision=account.revision,
-            )
-
-    async def read(self, program: str) -> None:
-        """Take over the record that another node has written."""
+            return False
+        account.recorded = mark
+        account.claimed = True
+        events.emit(
+            events.Event.BUDGET_RECORDED,
+            "a program's use was recorded",
+            program=program,
+            mark=mark,
+            revision=account.revision,
+        )
+        self.written(copy_of(program, account))
+        return True
+
+    async def read(self, program: str) -> bool:
+        """Take over the record that another node has written; return whether it was read."""
         try:
             with anyio.fail_after(RECORD_TIMEOUT_S):
                 found = await self.records.read(program)
         except (TimeoutError, exceptions.StoreError) as error:
             self.failed_at = clock.now()
             log_unrecorded(program, "the record of a program could not be read", error)
-            return
-        self.ledger.note_record(program, found.budget, found.mark, found.revision)
+            return False
+        self.note(Copy(found, clock.now()))
+        return True
+
+    def note(self, copy: Copy) -> None:
+        """Remember a record of another node or process, and count it in its account."""
+        known = self.copies.get(copy.record.program)
+        if known is None or copy.order > known.order:
+            self.copies[copy.record.program] = copy
+        self.count(copy.record.program)
+
+    def count(self, program: str) -> None:
+        """Count what is known of a program's record in its account."""
+        copy = self.copies.get(program)
+        account = self.ledger.accounts.get(program)
+        if copy is not None and account is not None:
+            account.note_record(copy.record.mark, copy.record.revision, copy.told)
+
+    def forget(self) -> list[str]:
+        """Drop old copies and return their programs."""
+        limit = clock.now() - budgets.ACCOUNT_KEPT_S
+        old = [program for program, copy in self.copies.items() if copy.noted_at < limit]
+        for program in old:
+            del self.copies[program]
+        return old
 
     async def load(self) -> bool:
         """Read all records; return whether the store answered."""
@@ -78,7 +145,8 @@
             log_unrecorded("", "the records of budgets could not be read", error)
             return False
         for record in found:
-            self.ledger.note_record(record.program, record.budget, record.mark, record.revision)
+            self.note(Copy(record, clock.now()))
+        self.is_complete = True
         return True
 
     async def flush(self) -> None:
@@ -97,6 +165,12 @@
             log_unrecorded(program, "the record of a program that is over was not deleted", error)
 
 
+def copy_of(program: str, account: budgets.Account) -> Copy:
+    """Return what other nodes are told of an account."""
+    record = source.BudgetRecord(program, account.budget, account.recorded, account.revision)
+    return Copy(record, clock.now(), account.told)
+
+
 def log_unrecorded(program: str, text: str, error: Exception) -> None:
     """Log that the store did not take or give a record."""
     events.emit(
--- a/src/dogwoodgap/budget_wire.py
+++ b/src/dogwoodgap/budget_wire.py
@@ -1,6 +1,6 @@
 """Token accounts as messages between nodes."""
 
-from dogwoodgap import budgets, clock
+from dogwoodgap import budget_records, budgets, clock, source
 from dogwoodgap_wire import ttypes
 
 
@@ -34,3 +34,20 @@
         revision=item.revision or 0,
         assumed=item.assumed or 0,
     )
+
+
+def record_to_wire(copy: budget_records.Copy) -> ttypes.TokenRecord:
+    """Return the copy of a record as a message."""
+    return ttypes.TokenRecord(
+        program=copy.record.program,
+        budget=copy.record.budget,
+        mark=copy.record.mark,
+        revision=copy.record.revision,
+        told=copy.told,
+    )
+
+
+def record_from_wire(item: ttypes.TokenRecord) -> budget_records.Copy:
+    """Return a received copy of a record."""
+    record = source.BudgetRecord(item.program, item.budget or 0, item.mark or 0, item.revision or 0)
+    return budget_records.Copy(record, clock.now(), item.told or 0)
--- a/src/dogwoodgap/budgets.py
+++ b/src/dogwoodgap/budgets.py
@@ -57,6 +57,8 @@
         Part of ``spent`` that is not known but assumed, since another node may have held the
         account. Several nodes may believe so at once, so that a record is written before the
         first turn, and the store decides between them.
+    told : int
+        Use of which the next owners were told while the store was away; 0 without any.
     claimed : bool
         That record was written, or the store is away.
     pace : pacing.Pace or None
@@ -72,6 +74,7 @@
     revision: int = 0
     used_at: float = 0.0
     assumed: int = 0
+    told: int = 0
     claimed: bool = False
     pace: pacing.Pace | None = None
     turn_tokens: int = 0
@@ -84,13 +87,24 @@
     @property
     def covered(self) -> int:
         """Return the use that a node which takes the program over takes for granted."""
-        return max(self.recorded, unrecorded(self.budget))
+        return max(self.recorded, self.told, unrecorded(self.budget))
 
     @property
     def needs_record(self) -> bool:
         """Return whether the use so far has to be recorded before another turn."""
         return self.committed > self.covered or (self.assumed > 0 and not self.claimed)
 
+    def note_record(self, mark: int, revision: int, told: int = 0) -> None:
+        """Take over a record of the store, and what was told beyond it, as used."""
+        if revision <= self.revision and told <= self.told:
+            return
+        if revision > self.revision:
+            self.recorded, self.revision = mark, revision
+        self.told = max(self.told, told)
+        known = max(mark, told)
+        self.assumed = max(self.assumed, known - (self.spent - self.assumed))
+        self.spent = max(self.spent, known)
+
 
 def unrecorded(budget: int) -> int:
     """Return how much of a budget is used without a record."""
@@ -160,16 +174,6 @@
                 given.recorded, given.revision = known.recorded, known.revision
         self.accounts[program] = given
 
-    def note_record(self, program: str, budget: int, mark: int, revision: int) -> None:
-        """Take over a record of the store; its mark counts as used."""
-        account = self.accounts.get(program)
-        if account is None:
-            account = self.accounts[program] = Account(budget, used_at=clock.now())
-        if revision > account.revision:
-            account.recorded, account.revision = mark, revision
-            account.assumed = max(account.assumed, mark - (account.spent - account.assumed))
-            account.spent = max(account.spent, mark)
-
     def forget(self) -> dict[str, Account]:
         """Drop accounts that were not used for long and return them."""
         limit = clock.now() - ACCOUNT_KEPT_S
--- a/src/dogwoodgap_wire/ttypes.py
+++ b/src/dogwoodgap_wire/ttypes.py
@@ -2403,6 +2403,199 @@
         return not (self == other)
 
 
+class TokenRecord(object):
+    """
+    Attributes:
+     - program
+     - budget
+     - mark
+     - revision
+     - told
+
+    """
+
+    __slots__ = (
+        'program',
+        'budget',
+        'mark',
+        'revision',
+        'told',
+    )
+
+
+    def __init__(self, program=None, budget=None, mark=None, revision=None, told=None,):
+        self.program = program
+        self.budget = budget
+        self.mark = mark
+        self.revision = revision
+        self.told = told
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.program = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.budget = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.mark = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.told = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TokenRecord')
+        if self.program is not None:
+            oprot.writeFieldBegin('program', TType.STRING, 1)
+            oprot.writeString(self.program.encode('utf-8') if sys.version_info[0] == 2 else self.program)
+            oprot.writeFieldEnd()
+        if self.budget is not None:
+            oprot.writeFieldBegin('budget', TType.I64, 2)
+            oprot.writeI64(self.budget)
+            oprot.writeFieldEnd()
+        if self.mark is not None:
+            oprot.writeFieldBegin('mark', TType.I64, 3)
+            oprot.writeI64(self.mark)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 4)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.told is not None:
+            oprot.writeFieldBegin('told', TType.I64, 5)
+            oprot.writeI64(self.told)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TokenRecords(object):
+    """
+    Attributes:
+     - records
+
+    """
+
+    __slots__ = (
+        'records',
+    )
+
+
+    def __init__(self, records=None,):
+        self.records = records
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.records = []
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = TokenRecord()
+                        _elem61.read(iprot)
+                        self.records.append(_elem61)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TokenRecords')
+        if self.records is not None:
+            oprot.writeFieldBegin('records', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.records))
+            for iter62 in self.records:
+                iter62.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class TokenFetch(object):
     """
     Attributes:
@@ -2477,6 +2670,8 @@
      - account
      - vouched
      - lost
+     - complete
+     - record
 
     """
 
@@ -2484,13 +2679,17 @@
         'account',
         'vouched',
         'lost',
+        'complete',
+        'record',
     )
 
 
-    def __init__(self, account=None, vouched=None, lost=None,):
+    def __init__(self, account=None, vouched=None, lost=None, complete=None, record=None,):
         self.account = account
         self.vouched = vouched
         self.lost = lost
+        self.complete = complete
+        self.record = record
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2515,13 +2714,24 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.lost = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.lost.append(_elem61)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.lost.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.complete = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRUCT:
+                    self.record = TokenRecord()
+                    self.record.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2543,10 +2753,18 @@
         if self.lost is not None:
             oprot.writeFieldBegin('lost', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.lost))
-            for iter62 in self.lost:
-                oprot.writeString(iter62.encode('utf-8') if sys.version_info[0] == 2 else iter62)
+            for iter69 in self.lost:
+                oprot.writeString(iter69.encode('utf-8') if sys.version_info[0] == 2 else iter69)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.complete is not None:
+            oprot.writeFieldBegin('complete', TType.BOOL, 4)
+            oprot.writeBool(self.complete)
+            oprot.writeFieldEnd()
+        if self.record is not None:
+            oprot.writeFieldBegin('record', TType.STRUCT, 5)
+            self.record.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2599,11 +2817,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.accounts = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = TokenAccount()
-                        _elem68.read(iprot)
-                        self.accounts.append(_elem68)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = TokenAccount()
+                        _elem75.read(iprot)
+                        self.accounts.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2620,8 +2838,8 @@
         if self.accounts is not None:
             oprot.writeFieldBegin('accounts', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.accounts))
-            for iter69 in self.accounts:
-                iter69.write(oprot)
+            for iter76 in self.accounts:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2838,11 +3056,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.servers = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = ServerEntry()
-                        _elem75.read(iprot)
-                        self.servers.append(_elem75)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = ServerEntry()
+                        _elem82.read(iprot)
+                        self.servers.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2877,8 +3095,8 @@
         if self.servers is not None:
             oprot.writeFieldBegin('servers', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.servers))
-            for iter76 in self.servers:
-                iter76.write(oprot)
+            for iter83 in self.servers:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.digest is not None:
@@ -3072,6 +3290,7 @@
      - token_fetch_reply
      - fleet_fetch
      - fleet_fetch_reply
+     - token_records
 
     """
 
@@ -3100,10 +3319,11 @@
         'token_fetch_reply',
         'fleet_fetch',
         'fleet_fetch_reply',
+        'token_records',
     )
 
 
-    def __init__(self, hello=None, ping=None, ping_reply=None, probe_request=None, probe_reply=None, configuration_fetch=None, configuration_reply=None, share_request=None, share_reply=None, suspect_notice=None, runner_notice=None, ack=None, member_fetch=None, member_reply=None, heartbeat=None, token_reserve=None, token_reserve_reply=None, token_settle=None, token_transfer=None, server_listing=None, token_fetch=None, token_fetch_reply=None, fleet_fetch=None, fleet_fetch_reply=None,):
+    def __init__(self, hello=None, ping=None, ping_reply=None, probe_request=None, probe_reply=None, configuration_fetch=None, configuration_reply=None, share_request=None, share_reply=None, suspect_notice=None, runner_notice=None, ack=None, member_fetch=None, member_reply=None, heartbeat=None, token_reserve=None, token_reserve_reply=None, token_settle=None, token_transfer=None, server_listing=None, token_fetch=None, token_fetch_reply=None, fleet_fetch=None, fleet_fetch_reply=None, token_records=None,):
         self.hello = hello
         self.ping = ping
         self.ping_reply = ping_reply
@@ -3128,6 +3348,7 @@
         self.token_fetch_reply = token_fetch_reply
         self.fleet_fetch = fleet_fetch
         self.fleet_fetch_reply = fleet_fetch_reply
+        self.token_records = token_records
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3282,6 +3503,12 @@
                     self.fleet_fetch_reply.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 25:
+                if ftype == TType.STRUCT:
+                    self.token_records = TokenRecords()
+                    self.token_records.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3388,6 +3615,10 @@
             oprot.writeFieldBegin('fleet_fetch_reply', TType.STRUCT, 24)
             self.fleet_fetch_reply.write(oprot)
             oprot.writeFieldEnd()
+        if self.token_records is not None:
+            oprot.writeFieldBegin('token_records', TType.STRUCT, 25)
+            self.token_records.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3677,6 +3908,20 @@
     (6, TType.I64, 'revision', None, None, ),  # 6
     (7, TType.I64, 'assumed', None, None, ),  # 7
 )
+all_structs.append(TokenRecord)
+TokenRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'program', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'budget', None, None, ),  # 2
+    (3, TType.I64, 'mark', None, None, ),  # 3
+    (4, TType.I64, 'revision', None, None, ),  # 4
+    (5, TType.I64, 'told', None, None, ),  # 5
+)
+all_structs.append(TokenRecords)
+TokenRecords.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'records', (TType.STRUCT, [TokenRecord, None], False), None, ),  # 1
+)
 all_structs.append(TokenFetch)
 TokenFetch.thrift_spec = (
     None,  # 0
@@ -3688,6 +3933,8 @@
     (1, TType.STRUCT, 'account', [TokenAccount, None], None, ),  # 1
     (2, TType.BOOL, 'vouched', None, None, ),  # 2
     (3, TType.LIST, 'lost', (TType.STRING, 'UTF8', False), None, ),  # 3
+    (4, TType.BOOL, 'complete', None, None, ),  # 4
+    (5, TType.STRUCT, 'record', [TokenRecord, None], None, ),  # 5
 )
 all_structs.append(TokenTransfer)
 TokenTransfer.thrift_spec = (
@@ -3750,6 +3997,7 @@
     (22, TType.STRUCT, 'token_fetch_reply', [TokenFetchReply, None], None, ),  # 22
     (23, TType.STRUCT, 'fleet_fetch', [FleetFetch, None], None, ),  # 23
     (24, TType.STRUCT, 'fleet_fetch_reply', [FleetFetchReply, None], None, ),  # 24
+    (25, TType.STRUCT, 'token_records', [TokenRecords, None], None, ),  # 25
 )
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
--- a/tests/test_budget_owners.py
+++ b/tests/test_budget_owners.py
@@ -1,12 +1,14 @@
 """Budgets over several nodes: owners that die, leave or join, and a store that is away."""
 
+import collections
+
 import anyio
 import fake_network
 import gateways
 import pytest
 import trio.testing
 
-from dogwoodgap import budget_owners, dialect, exceptions, membership, settings
+from dogwoodgap import budget_owners, budgets, dialect, exceptions, membership, settings
 
 TURN = 290
 SETTLE_S = 3.0
@@ -47,6 +49,7 @@
         self.nodes = {}
         self.memberships = {}
         self.scopes = {}
+        self.given = collections.Counter()
 
     def address(self, name):
         return f"10.0.0.{name}:7080"
@@ -86,7 +89,7 @@
         del self.nodes[name]
 
     def owner(self, program):
-        node = self.nodes[0].owners(program)[0].node
+        node = next(iter(self.nodes.values())).owners(program)[0].node
         return int(node[1:])
 
     async def spend(self, program, budget, limit=60, pause_s=0.01):
@@ -101,6 +104,7 @@
             except exceptions.BudgetExceededError:
                 return given
             given += TURN
+            self.given[program] += TURN
             node.settle(call, TURN)
             await anyio.sleep(pause_s)
         return given
@@ -150,22 +154,57 @@
     @with_fleet(5)
     async def body(fleet):
         budget = 10 * TURN
-        given = await fleet.spend("p", budget, limit=4)
+        await fleet.spend("p", budget, limit=4)
         fleet.records.down = down
         fleet.kill(fleet.owner("p"))
         with anyio.move_on_after(20):
             while True:
                 try:
-                    given += await fleet.spend("p", budget)
+                    await fleet.spend("p", budget)
                     break
                 except exceptions.NotOwnerError:
                     fleet.records.down = False
                     await anyio.sleep(0.2)
-        assert given <= budget + TURN
+        assert fleet.given["p"] <= budget + TURN
 
     body()
 
 
+@pytest.mark.parametrize("killed", [1, 2, 4])
+def test_recorded_use_is_known_while_the_store_is_away(killed):
+    """Guards against an owner that takes less for granted than a record which it cannot read."""
+
+    @with_fleet(6)
+    async def body(fleet):
+        budget = 10 * TURN
+        await fleet.spend("p", budget, limit=8)
+        await anyio.sleep(0.1)
+        fleet.records.down = True
+        for _ in range(killed):
+            await anyio.sleep(SETTLE_S)
+            fleet.kill(fleet.owner("p"))
+            with anyio.move_on_after(4):
+                while True:
+                    try:
+                        await fleet.spend("p", budget)
+                        break
+                    except exceptions.NotOwnerError:
+                        await anyio.sleep(0.2)
+        assert fleet.given["p"] <= budget + TURN
+
+    body()
+
+
+@with_fleet(4)
+async def test_records_of_live_programs_outlive_the_sweep_of_other_nodes(fleet):
+    """Guards against a node that deletes the record of a program which another one owns."""
+    await fleet.spend("p", 10 * TURN, limit=8)
+    for _ in range(12):
+        await anyio.sleep(budgets.ACCOUNT_KEPT_S / 10)
+        await fleet.spend("p", 100 * TURN, limit=1)
+    assert "p" in fleet.records.items
+
+
 @with_fleet(3)
 async def test_budget_holds_when_all_nodes_die(fleet):
     """Guards against a stopped program that comes back after a power loss."""
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -98,7 +98,7 @@
             verdict = self.ledger.reserve(account, attempt, TURN)
             if verdict is budgets.Verdict.RECORD_FIRST:
                 if account.revision != self.revision:
-                    self.ledger.note_record("p", self.budget, self.mark, self.revision)
+                    account.note_record(self.mark, self.revision)
                 else:
                     self.revision += 1
                     self.mark = min(self.budget, account.committed + TURN)
--- a/thrift/dogwoodgap.thrift
+++ b/thrift/dogwoodgap.thrift
@@ -122,15 +122,30 @@
   7: i64 assumed,
 }
 
+// told is a later use, of which the owner told the others while the store was away.
+struct TokenRecord {
+  1: string program,
+  2: i64 budget,
+  3: i64 mark,
+  4: i64 revision,
+  5: optional i64 told,
+}
+
+// Records that were written to the platform's store, for the next owners of their programs.
+struct TokenRecords { 1: list<TokenRecord> records }
+
 // Asks for the account of a program, which the sender owns now; without a program only for what
 // the receiver knows of lost nodes.
 struct TokenFetch { 1: string program }
 
-// vouched says that the receiver knows all nodes whose accounts were lost lately.
+// vouched says that the receiver knows all nodes whose accounts were lost lately; complete, that
+// it knows all records that it was to be told of.
 struct TokenFetchReply {
   1: optional TokenAccount account,
   2: bool vouched,
   3: list<string> lost,
+  4: optional bool complete,
+  5: optional TokenRecord record,
 }
 
 struct TokenTransfer { 1: list<TokenAccount> accounts }
@@ -186,6 +201,7 @@
   22: TokenFetchReply token_fetch_reply,
   23: FleetFetch fleet_fetch,
   24: FleetFetchReply fleet_fetch_reply,
+  25: TokenRecords token_records,
 }
 
 struct Envelope {
