Split the choice of candidates from the forwarder; close idle connections to servers that left

Cause: the forwarder held two jobs; a pool of a server that left, or came back at another address, was dropped with its connections open; addresses were split in three places, two of them without a check. Before: test_idle_connections_to_a_server_that_left_are_closed fails. After: it passes.

--- a/src/dogwoodgap/forwarder.py
+++ b/src/dogwoodgap/forwarder.py
@@ -4,8 +4,6 @@
 route allows that; a refusal with 503 is given only when no server has run it.
 """
 
-import collections
-import collections.abc
 import logging
 import math
 
@@ -14,6 +12,7 @@
 
 from dogwoodgap import (
     budget_owners,
+    candidates,
     clock,
     crashes,
     dialect,
@@ -36,18 +35,12 @@
 MAX_REPEATS = 2
 """Times that a request which may run twice is sent again after its answer was lost."""
 
-RETRY_AFTER_S = 0.1
-"""Time after which a refused caller may return when nothing better is known."""
-
 MIN_RUN_S = 0.01
 """A request is not passed on with less time than this: no server could answer it."""
 
 LIMIT_GRACE_S = 0.05
 """Time beyond the limit for the answer of a server that ends its work at the limit."""
 
-DEFAULT_CONNECTIONS = 20
-"""Connections of all nodes to a server whose service is not configured any more."""
-
 
 class Forwarder:
     """The path of requests through one node.
@@ -83,19 +76,36 @@
         self.loads = selection.LoadTable(data_centre)
         self.pools: dict[str, upstream.ServerPool] = {}
         self.gates: dict[str, gate.Gate] = {}
-        self.node_count: collections.abc.Callable[[], int] = lambda: 1
+        self.candidates = candidates.Candidates(book, directory, self.loads)
+        self.retired: list[upstream.ServerPool] = []
+        self.has_retired = anyio.Event()
         self.active = 0
         directory.removal_hooks.append(self.forget)
 
     def forget(self, server: servers.BackendServer) -> None:
         """Drop what is known of a server that is gone."""
-        self.pools.pop(server.id, None)
+        self.retire(self.pools.pop(server.id, None))
         self.loads.forget(server)
 
+    def retire(self, pool: upstream.ServerPool | None) -> None:
+        """Have the idle connections of a pool closed."""
+        if pool is not None:
+            self.retired.append(pool)
+            self.has_retired.set()
+
+    async def close_retired(self) -> None:
+        """Close the idle connections to servers that are gone until cancelled."""
+        while True:
+            await self.has_retired.wait()
+            self.has_retired = anyio.Event()
+            while self.retired:
+                await self.retired.pop().close()
+
     def pool(self, server: servers.BackendServer) -> upstream.ServerPool:
         """Return the connections to a server."""
         found = self.pools.get(server.id)
         if found is None or found.server.address != server.address:
+            self.retire(found)
             found = self.pools[server.id] = upstream.ServerPool(server)
         return found
 
@@ -150,7 +160,7 @@
         if table is None:
             raise exceptions.NotReadyError(
                 "this node has not read the routes yet; use another one",
-                retry_after_s=RETRY_AFTER_S,
+                retry_after_s=candidates.RETRY_AFTER_S,
             )
         route = table.match(call.host, call.path)
         if route is None:
@@ -215,7 +225,7 @@
         ready = self.directory.ready(service)
         slots = sum(server.slots for server in ready)
         busy = sum(self.loads.state(server).busy for server in ready)
-        passage.resize(slots, self.node_count(), busy)
+        passage.resize(slots, self.candidates.node_count(), busy)
 
     def engine(self, service: str) -> routes.Engine | None:
         """Return the engine of a service, or None for a plain one."""
@@ -236,7 +246,8 @@
                 not_run="unknown",
             )
         raise exceptions.OverloadedError(
-            "no server took the request in time; come back later", retry_after_s=RETRY_AFTER_S
+            "no server took the request in time; come back later",
+            retry_after_s=candidates.RETRY_AFTER_S,
         )
 
     async def run(
@@ -248,7 +259,7 @@
     ) -> None:
         """Try servers until one answers or none may be tried."""
         while True:
-            server = self.choose(call, progress)
+            server = self.candidates.choose(call, progress, self.engine(progress.service))
             result = await self.exchange(call, progress, responder, server, digest)
             progress.trail.append(f"{server.id}:{result.value}")
             exposition.exchanges.labels(progress.service, result.value).inc()
@@ -265,11 +276,6 @@
             if not progress.route.repeatable or progress.repeats > MAX_REPEATS:
                 self.give_up(progress, responder, "the answer was lost")
 
-    def has_ended(self, server_id: str) -> bool:
-        """Return whether a server crashed or left since it was asked."""
-        server = self.directory.servers.get(server_id)
-        return server is None or self.loads.state(server).failures > 0
-
     def give_up(
         self, progress: progress_module.Progress, responder: ingress.Responder, reason: str
     ) -> None:
@@ -280,59 +286,10 @@
             raise exceptions.OutcomeUnknownError(
                 f"{reason}; the request may have run: repeat it only if it may run twice"
             )
-        raise exceptions.OverloadedError(f"{reason}; come back later", retry_after_s=RETRY_AFTER_S)
-
-    def choose(
-        self, call: dialect.Call, progress: progress_module.Progress
-    ) -> servers.BackendServer:
-        """Return the server for the next try.
-
-        Raises
-        ------
-        OverloadedError
-            When no server of the service takes work.
-        """
-        candidates = self.candidates(progress)
-        engine = self.engine(progress.service)
-        server = selection.choose(self.loads, candidates, engine, call, clock.now())
-        if server is not None:
-            return server
-        if progress.may_have_run or progress.last_event_id is not None:
-            raise exceptions.OutcomeUnknownError(
-                f"no other server of {progress.service} is left; the request may have run: "
-                "repeat it only if it may run twice"
-            )
         raise exceptions.OverloadedError(
-            f"no server of {progress.service} takes work; come back later",
-            retry_after_s=RETRY_AFTER_S,
+            f"{reason}; come back later", retry_after_s=candidates.RETRY_AFTER_S
         )
 
-    def candidates(self, progress: progress_module.Progress) -> list[servers.BackendServer]:
-        """Return the servers that may be sent a request now.
-
-        A request may run on as many servers as its route allows; those that have ended do not
-        count. Once they are used up, it may only be repeated where it ran already.
-        """
-        allowed = [
-            server
-            for server in self.directory.ready(progress.service)
-            if server.id not in progress.excluded
-            and self.loads.state(server).in_flight < self.connection_share(server)
-        ]
-        running = {server_id for server_id, runs in progress.ran.items() if runs}
-        alive = [server_id for server_id in running if not self.has_ended(server_id)]
-        if len(alive) >= progress.route.max_runs:
-            return [server for server in allowed if server.id in alive]
-        fresh = [server for server in allowed if server.id not in running]
-        return fresh or [server for server in allowed if server.id in alive]
-
-    def connection_share(self, server: servers.BackendServer) -> int:
-        """Return how many connections this node may have to a server, which resets others."""
-        table = self.book.table
-        service = table.services.get(server.service) if table else None
-        most = service.max_connections if service else DEFAULT_CONNECTIONS
-        return max(2, most // self.node_count())
-
     async def exchange(
         self,
         call: dialect.Call,
@@ -360,7 +317,9 @@
                 state.note_answer(clock.now() - started_at)
                 self.loads.note_line(call.session_id, server)
                 kept, connection = connection, None
-                await pool.give_back(kept, self.connection_share(server) - state.in_flight)
+                await pool.give_back(
+                    kept, self.candidates.connection_share(server) - state.in_flight
+                )
             return result
         except upstream.ServerUnreachableError:
             state.note_unreachable(clock.now())
--- a/src/dogwoodgap/gateway.py
+++ b/src/dogwoodgap/gateway.py
@@ -106,7 +106,7 @@
             self.suspects,
             loaded.node.data_centre,
         )
-        self.forwarder.node_count = self.node_count
+        self.forwarder.candidates.node_count = self.node_count
         self.front = ingress.Server(self.forwarder.handle, self.limits)
         self.stopping = False
         self.membership: membership.Membership | None = None
@@ -147,6 +147,7 @@
             tasks.start_soon(start.run)
             tasks.start_soon(self.route_follower.run)
             tasks.start_soon(self.server_follower.run)
+            tasks.start_soon(self.forwarder.close_retired)
             ready = ingress.Server(entrance.ready)
             await tasks.start(ready.serve, section.ready_bind)
             directory = ingress.Server(entrance.directory)
--- a/src/dogwoodgap/ingress.py
+++ b/src/dogwoodgap/ingress.py
@@ -9,7 +9,7 @@
 import anyio.abc
 import h11
 
-from dogwoodgap import clock, dialect, events, exceptions, http_pool, routes
+from dogwoodgap import clock, dialect, events, exceptions, http_pool, peer_connections, routes
 
 CLOSE_WAIT_S = 0.5
 """Time for a caller to read the last answer before the connection is closed."""
@@ -267,8 +267,8 @@
         self, address: str, *, task_status: anyio.abc.TaskStatus[int] = anyio.TASK_STATUS_IGNORED
     ) -> None:
         """Accept connections until cancelled; the start value is the port."""
-        host, _, port = address.rpartition(":")
-        listener = await anyio.create_tcp_listener(local_host=host, local_port=int(port))
+        host, port = peer_connections.split_address(address)
+        listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
         async with listener:
             task_status.started(listener.extra(anyio.abc.SocketAttribute.local_port))
             await listener.serve(self.serve_stream)
--- a/src/dogwoodgap/progress.py
+++ b/src/dogwoodgap/progress.py
@@ -14,7 +14,6 @@
     NOT_RUN = "not_run"
     UNREACHABLE = "unreachable"
     UNKNOWN = "unknown"
-    CUT = "cut"
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/dogwoodgap/upstream.py
+++ b/src/dogwoodgap/upstream.py
@@ -12,7 +12,7 @@
 import anyio.abc
 import h11
 
-from dogwoodgap import clock, dialect, exceptions, http_pool, servers
+from dogwoodgap import clock, dialect, exceptions, http_pool, peer_connections, servers
 
 CONNECT_TIMEOUT_S = 0.4
 """A server in the same region accepts within a few ms; a lost opening packet costs a second."""
@@ -210,11 +210,11 @@
 
     async def open(self) -> Connection:
         """Open a connection."""
-        host, _, port = self.server.address.rpartition(":")
         try:
+            host, port = peer_connections.split_address(self.server.address)
             with anyio.fail_after(CONNECT_TIMEOUT_S):
-                stream = await anyio.connect_tcp(host, int(port))
-        except (TimeoutError, *http_pool.BROKEN) as error:
+                stream = await anyio.connect_tcp(host, port)
+        except (TimeoutError, exceptions.PeerError, *http_pool.BROKEN) as error:
             raise ServerUnreachableError(
                 f"server {self.server.id} accepts no connection "
                 f"({type(error).__name__}); another one is used"
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -179,6 +179,31 @@
     run(main)
 
 
+def test_idle_connections_to_a_server_that_left_are_closed():
+    """Guards against connections that stay open to an address which another server may get."""
+    closed = []
+
+    async def main():
+        async def note_end(backend, received, stream):
+            await gateways.whole()(backend, received, stream)
+            try:
+                await stream.receive()
+            except (anyio.EndOfStream, anyio.BrokenResourceError):
+                closed.append(backend.id)
+            return False
+
+        async with gateways.running(plain("p1", note_end)) as bench:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(bench.forwarder.close_retired)
+                assert (await gateways.once(bench, "GET", "/read/x")).status == 200
+                bench.directory.apply(servers.Listing(bench.directory.revision + 1, ()))
+                await anyio.sleep(0.1)
+                tasks.cancel_scope.cancel()
+            assert closed == ["p1"]
+
+    run(main)
+
+
 def test_connections_to_a_server_are_bounded():
     """Guards against connections that a server resets since it has too many."""
 
