Repeat server errors elsewhere and avoid servers that fail a part of their requests

Error answers were passed on although other servers were free; quick errors made a failing server look fast; an idempotent request on a new connection waited for a hanging server until its deadline. Ruled out: too few tries per request (most failed requests had made one).

--- a/src/dogwoodgap/forwarder.py
+++ b/src/dogwoodgap/forwarder.py
@@ -22,6 +22,7 @@
     gate,
     ingress,
     relay,
+    repeats,
     routes,
     selection,
     servers,
@@ -32,9 +33,6 @@
 MAX_REFUSALS = 4
 """Servers that may refuse a request as not run before the caller is told to come back."""
 
-MAX_REPEATS = 2
-"""Times that a request which may run twice is sent again after its answer was lost."""
-
 MIN_RUN_S = 0.01
 """A request is not passed on with less time than this: no server could answer it."""
 
@@ -77,6 +75,7 @@
         self.pools: dict[str, upstream.ServerPool] = {}
         self.gates: dict[str, gate.Gate] = {}
         self.candidates = candidates.Candidates(book, directory, self.loads)
+        self.budgets: dict[str, repeats.RepeatBudget] = {}
         self.retired: list[upstream.ServerPool] = []
         self.has_retired = anyio.Event()
         self.active = 0
@@ -256,8 +255,25 @@
         progress: progress_module.Progress,
         responder: ingress.Responder,
         digest: int,
+    ) -> None:
+        """Pass on the answer of a server; a server error only when no other try is possible."""
+        try:
+            await self.try_servers(call, progress, responder, digest)
+        except (exceptions.OutcomeUnknownError, exceptions.OverloadedError):
+            if progress.failure is None or responder.started:
+                raise
+            await relay.pass_whole(progress, responder, progress.failure)
+
+    async def try_servers(
+        self,
+        call: dialect.Call,
+        progress: progress_module.Progress,
+        responder: ingress.Responder,
+        digest: int,
     ) -> None:
         """Try servers until one answers or none may be tried."""
+        budget = self.budgets.setdefault(progress.service, repeats.RepeatBudget())
+        budget.note_request()
         while True:
             server = self.candidates.choose(call, progress, self.engine(progress.service))
             result = await self.exchange(call, progress, responder, server, digest)
@@ -272,8 +288,8 @@
                 if progress.refusals >= MAX_REFUSALS:
                     self.give_up(progress, responder, "several servers took no request")
                 continue
-            progress.repeats += 1
-            if not progress.route.repeatable or progress.repeats > MAX_REPEATS:
+            left_s = progress.limit_at - clock.now()
+            if not repeats.may_repeat(progress, budget, left_s):
                 self.give_up(progress, responder, "the answer was lost")
 
     def give_up(
@@ -316,6 +332,11 @@
             if result is progress_module.Result.DONE:
                 state.note_answer(clock.now() - started_at)
                 self.loads.note_line(call.session_id, server)
+                state.note_outcome(clock.now(), failed=False)
+                self.loads.note_failures(progress.doubted, clock.now())
+            if result is progress_module.Result.FAILED:
+                progress.doubted.append(server.id)
+            if result in (progress_module.Result.DONE, progress_module.Result.FAILED):
                 kept, connection = connection, None
                 await pool.give_back(
                     kept, self.candidates.connection_share(server) - state.in_flight
@@ -326,10 +347,14 @@
             return progress_module.Result.UNREACHABLE
         except upstream.AnswerSilentError as error:
             progress.trail.append(error.detail)
+            progress.doubted.append(server.id)
             await pool.close()
             return progress_module.Result.UNKNOWN
         except upstream.AnswerBrokenError as error:
             progress.trail.append(error.detail)
+            if self.engine(progress.service) is None:
+                # Engines reset connections while their queue is long; their load shows elsewhere.
+                state.note_outcome(clock.now(), failed=True)
             await self.examine(pool, state, digest)
             return progress_module.Result.UNKNOWN
         finally:
@@ -366,10 +391,12 @@
         )
         progress.offered_at = progress.offered_at or clock.now()
         progress.ran[connection.server.id] += 1
+        state = self.loads.state(connection.server)
+        patience_s = repeats.patience_s(progress, state, is_reused=connection.is_reused)
         if len(call.body) <= upstream.INLINE_BODY_BYTES:
             await connection.send(request, call.body)
             return await relay.read_answer(
-                call, progress, responder, connection, request, self.codec
+                call, progress, responder, connection, request, self.codec, patience_s
             )
         # The error is raised outside, since a task group would wrap it in an exception group.
         failure: upstream.AnswerBrokenError | None = None
@@ -378,7 +405,7 @@
             await anyio.lowlevel.checkpoint()
             try:
                 result = await relay.read_answer(
-                    call, progress, responder, connection, request, self.codec
+                    call, progress, responder, connection, request, self.codec, patience_s
                 )
             except upstream.AnswerBrokenError as error:
                 failure = error
--- a/src/dogwoodgap/progress.py
+++ b/src/dogwoodgap/progress.py
@@ -4,7 +4,7 @@
 import dataclasses
 import enum
 
-from dogwoodgap import pacing, routes
+from dogwoodgap import dialect, pacing, routes
 
 
 class Result(enum.Enum):
@@ -14,6 +14,16 @@
     NOT_RUN = "not_run"
     UNREACHABLE = "unreachable"
     UNKNOWN = "unknown"
+    FAILED = "failed"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WholeAnswer:
+    """An answer of a backend server that was read to its end."""
+
+    status: int
+    headers: dialect.Headers
+    body: bytes
 
 
 @dataclasses.dataclass(slots=True)
@@ -30,6 +40,11 @@
         Events of its stream that the caller was given.
     last_event_id : bytes or None
         Id of the last of them.
+    doubted : list of str
+        Servers that were silent or answered with a server error, by id. They are at fault if
+        another server answers; otherwise the request may be.
+    failure : WholeAnswer or None
+        The last server error; the caller gets it when no other try is made.
     """
 
     route: routes.Route
@@ -45,6 +60,8 @@
     trail: list[str] = dataclasses.field(default_factory=list)
     offered_at: float | None = None
     status: int = 0
+    doubted: list[str] = dataclasses.field(default_factory=list)
+    failure: WholeAnswer | None = None
 
     @property
     def may_have_run(self) -> bool:
--- a/src/dogwoodgap/relay.py
+++ b/src/dogwoodgap/relay.py
@@ -1,7 +1,5 @@
 """Passes the answer of a backend server on to a caller, whole or visibly cut."""
 
-import math
-
 import anyio
 import h11
 
@@ -11,9 +9,7 @@
 MISDIRECTED = 421
 OK_END = 300
 
-SILENCE_S = {routes.RouteKind.IDEMPOTENT: 0.4, routes.RouteKind.STREAMING: 1.2}
-"""Time without an answer after which a kept connection counts as silent. Idempotent requests take
-20 to 30 ms; callers abandon a stream that is silent for 2 s."""
+SERVER_ERROR = 500
 
 
 async def send_quietly(connection: upstream.Connection, request: h11.Request, body: bytes) -> None:
@@ -42,17 +38,28 @@
     connection: upstream.Connection,
     request: h11.Request,
     codec: dialect.Dialect,
+    patience_s: float,
 ) -> progress_module.Result:
-    """Read an answer and pass it on."""
-    patience_s = math.inf
-    if connection.is_reused and progress.route.repeatable:
-        patience_s = SILENCE_S[progress.route.kind]
+    """Read an answer and pass it on.
+
+    Parameters
+    ----------
+    patience_s : float
+        Longest time until the head of the answer, in seconds.
+
+    Raises
+    ------
+    AnswerSilentError
+        When nothing came in that time.
+    AnswerBrokenError
+        When what came is no whole answer.
+    """
     with anyio.move_on_after(patience_s) as scope:
         head = await connection.read_head(request, call, codec)
     if scope.cancelled_caught:
         raise upstream.AnswerSilentError(
-            f"server {connection.server.id} sent nothing on a kept connection in "
-            f"{patience_s} s; the request is repeated on a new one"
+            f"server {connection.server.id} sent nothing in {patience_s:.2f} s; the request is "
+            "repeated on another connection"
         )
     connection.note_keep_alive(head.headers)
     if head.facts.not_run or head.status == MISDIRECTED:
@@ -67,24 +74,34 @@
     elif responder.started:
         raise connection.broken(f"status {head.status} in place of the rest of a stream")
     else:
-        await pass_whole(progress, responder, connection, head)
+        answer = await read_whole(connection, head)
+        if head.status >= SERVER_ERROR:
+            progress.failure = answer
+            return progress_module.Result.FAILED
+        await pass_whole(progress, responder, answer)
     return progress_module.Result.DONE
 
 
-async def pass_whole(
-    progress: progress_module.Progress,
-    responder: ingress.Responder,
-    connection: upstream.Connection,
-    head: upstream.Head,
-) -> None:
-    """Pass an answer on once all of it is here."""
+async def read_whole(
+    connection: upstream.Connection, head: upstream.Head
+) -> progress_module.WholeAnswer:
+    """Read an answer to its end."""
     parts: list[bytes] = []
     while isinstance(event := await connection.next_event(), h11.Data):
         parts.append(bytes(event.data))
     if not isinstance(event, h11.EndOfMessage):
         raise connection.broken("the connection ended within the body")
-    progress.status = head.status
-    await responder.whole(head.status, passed_on(head.headers), b"".join(parts))
+    return progress_module.WholeAnswer(head.status, passed_on(head.headers), b"".join(parts))
+
+
+async def pass_whole(
+    progress: progress_module.Progress,
+    responder: ingress.Responder,
+    answer: progress_module.WholeAnswer,
+) -> None:
+    """Pass a whole answer on."""
+    progress.status = answer.status
+    await responder.whole(answer.status, answer.headers, answer.body)
 
 
 async def pass_events(
--- a/src/dogwoodgap/selection.py
+++ b/src/dogwoodgap/selection.py
@@ -6,6 +6,8 @@
 answers bursts and engines that crash, drain or slow down.
 
 Plain services: the server with the least expected time, by learnt speed and requests in flight.
+
+Both avoid servers that fail part of their requests while their health answers are good.
 """
 
 import collections
@@ -34,6 +36,19 @@
 """A server that accepted no connection gets no request for this long, doubled each time."""
 
 MAX_FAILURE_PAUSE_S = 2.0
+FAILURE_WEIGHT = 0.15
+"""Weight of a new request in the moving average of a server's failures."""
+
+TOLERATED_FAILURES = 0.2
+"""Up to this average a server is not avoided: single failures come in bursts, in which sending the
+load of some servers to the others costs more than a few repeats."""
+
+FAILURE_HALF_LIFE_S = 2.0
+"""Time in which the average halves without requests, so that the server is tried again."""
+
+FAILURE_COST_S = 0.5
+"""Delay of a request that failed: its own time and that of another try by the caller."""
+
 REMOTE_S = 0.001
 """Preference for the own data centre, about one way between two of them."""
 
@@ -55,6 +70,8 @@
         Moving average of the time of an answer; 0 before the first.
     paused_until : float
         Until then it gets nothing, since it accepted no connection.
+    failing : float
+        Moving average of failed requests, 0 to 1, at ``failing_at`` (monotonic time in seconds).
     """
 
     in_flight: int = 0
@@ -62,6 +79,8 @@
     answer_s: float = 0.0
     paused_until: float = 0.0
     failures: int = 0
+    failing: float = 0.0
+    failing_at: float = 0.0
 
     @property
     def busy(self) -> int:
@@ -75,6 +94,24 @@
             self.answer_s = seconds
         self.answer_s += AVERAGE_WEIGHT * (seconds - self.answer_s)
 
+    def failing_average(self, now: float) -> float:
+        """Return the moving average of failed requests."""
+        return self.failing * 0.5 ** ((now - self.failing_at) / FAILURE_HALF_LIFE_S)
+
+    def failing_cost_s(self, now: float) -> float:
+        """Return the expected delay by failed requests in seconds."""
+        if self.failing <= TOLERATED_FAILURES:
+            return 0.0
+        average = self.failing_average(now)
+        return average * FAILURE_COST_S if average > TOLERATED_FAILURES else 0.0
+
+    def note_outcome(self, now: float, *, failed: bool) -> None:
+        """Record whether the server failed a request that it had taken."""
+        if failed or self.failing:
+            before = self.failing_average(now)
+            self.failing = before + FAILURE_WEIGHT * (float(failed) - before)
+            self.failing_at = now
+
     def note_unreachable(self, now: float) -> None:
         """Record that no connection was accepted."""
         pause = min(FAILURE_PAUSE_S * 2**self.failures, MAX_FAILURE_PAUSE_S)
@@ -101,6 +138,12 @@
         """Drop a server that is gone."""
         self.states.pop(server.id, None)
 
+    def note_failures(self, server_ids: list[str], now: float) -> None:
+        """Record that servers failed a request which another server answered."""
+        for server_id in server_ids:
+            if server_id in self.states:
+                self.states[server_id].note_outcome(now, failed=True)
+
     def note_line(self, session_id: str, server: servers.BackendServer) -> None:
         """Remember the engine that holds a line's prompt."""
         if session_id:
@@ -121,6 +164,7 @@
     engine: routes.Engine,
     call: dialect.Call,
     is_home: bool,
+    now: float,
 ) -> float:
     """Return the expected delay of a turn at an engine, beyond its own generation."""
     state = table.state(server)
@@ -133,18 +177,20 @@
         unread * PREFILL_S_PER_TOKEN
         + state.busy * NEIGHBOUR_S
         + waiting * turn_s / engine.slots
+        + state.failing_cost_s(now)
         + (0.0 if server.data_centre == table.data_centre else REMOTE_S)
     )
 
 
-def plain_cost_s(table: LoadTable, server: servers.BackendServer) -> float:
+def plain_cost_s(table: LoadTable, server: servers.BackendServer, now: float) -> float:
     """Return the expected time of a request at a plain server."""
     state = table.state(server)
     answer_s = state.answer_s or PLAIN_S
     slots = max(1, server.slots)
     waiting = max(0, state.busy + 1 - slots)
     near = 0.0 if server.data_centre == table.data_centre else REMOTE_S
-    return near + answer_s * (1 + waiting / slots) + state.busy * answer_s / slots / 8
+    failing = state.failing_cost_s(now)
+    return near + failing + answer_s * (1 + waiting / slots) + state.busy * answer_s / slots / 8
 
 
 def choose(
@@ -164,12 +210,12 @@
         return min(
             usable,
             key=lambda server: (
-                plain_cost_s(table, server),
+                plain_cost_s(table, server, now),
                 xxhash.xxh32_intdigest((salt + server.id).encode()),
             ),
         )
     owner = home(call.program_id or call.session_id or call.attempt_id, usable)
     return min(
         usable,
-        key=lambda server: engine_cost_s(table, server, engine, call, server is owner),
+        key=lambda server: engine_cost_s(table, server, engine, call, server is owner, now),
     )
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -6,7 +6,7 @@
 import gateways
 import pytest
 
-from dogwoodgap import routes, servers
+from dogwoodgap import repeats, routes, servers
 
 
 def run(main):
@@ -280,6 +280,74 @@
     run(main)
 
 
+def test_idempotent_request_that_a_server_fails_is_answered_by_another():
+    """Guards against errors of one server reaching callers while others would answer."""
+
+    async def main():
+        backends = [plain("p1", gateways.whole(b"no", 500)), plain("p2", gateways.whole(b"yes"))]
+        async with gateways.running(*backends) as bench:
+            for number in range(8):
+                answer = await gateways.once(
+                    bench, "GET", "/read/x", dogwoodgap_attempt=f"a{number}"
+                )
+                assert (answer.status, answer.body) == (200, b"yes")
+        assert 1 <= len(backends[0].received) < 8
+
+    run(main)
+
+
+def test_error_of_all_servers_is_passed_on_unchanged():
+    """Guards against an error of the gateway in place of the server's own answer."""
+
+    async def main():
+        backends = [
+            plain("p1", gateways.whole(b"no", 500)),
+            plain("p2", gateways.whole(b"no", 500)),
+        ]
+        async with gateways.running(*backends) as bench:
+            answer = await gateways.once(bench, "GET", "/read/x")
+        assert (answer.status, answer.body) == (500, b"no")
+        assert "dogwoodgap-seal" in answer.headers
+
+    run(main)
+
+
+def test_idempotent_request_leaves_a_server_that_hangs():
+    """Guards against a request that waits until its deadline while other servers are free."""
+
+    async def hang(backend, received, stream):
+        await anyio.sleep(30)
+        return False
+
+    async def main():
+        backends = [plain("p1", hang), plain("p2", gateways.whole(b"yes"))]
+        async with gateways.running(*backends) as bench:
+            for _ in range(4):
+                with anyio.fail_after(repeats.MAX_PATIENCE_S + 0.3):
+                    assert (await gateways.once(bench, "GET", "/read/x")).body == b"yes"
+        assert len(backends[0].received) <= 2
+
+    run(main)
+
+
+def test_request_that_takes_long_everywhere_puts_no_server_in_doubt():
+    """Guards against healthy servers that are avoided since one kind of request takes long."""
+
+    async def slow(backend, received, stream):
+        await anyio.sleep(2 * repeats.MIN_PATIENCE_S)
+        return await gateways.whole(b"late")(backend, received, stream)
+
+    async def main():
+        backends = [plain("p1", slow), plain("p2", slow)]
+        async with gateways.running(*backends) as bench:
+            assert (await gateways.once(bench, "GET", "/read/x")).body == b"late"
+            states = bench.forwarder.loads.states
+        assert len(backends[0].received) + len(backends[1].received) == 2
+        assert min(states[name].failing for name in ("p1", "p2")) == 0.0
+
+    run(main)
+
+
 def test_success_without_signature_is_not_passed_on():
     """Guards against bytes of a faulty server that look like an answer."""
 
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -83,3 +83,54 @@
         table.state(server).in_flight += 1
         counts[server.id] += 1
     assert counts[PLAIN[0].id] <= 1
+
+
+def test_server_that_fails_fast_does_not_attract_requests():
+    """Plays 400 requests, one each 5 ms; one of four servers fails 2 of 5 within 3 ms.
+
+    Guards against quick errors that look like a fast server.
+    """
+    table = selection.LoadTable("d")
+    now, failed = 0.0, 0
+    for number in range(400):
+        now += 0.005
+        server = selection.choose(table, PLAIN, None, call("p", attempt=f"a{number}"), now)
+        state = table.state(server)
+        if server is PLAIN[0] and number % 5 < 2:
+            failed += 1
+            state.note_outcome(now, failed=True)
+        else:
+            state.note_answer(0.02)
+            state.note_outcome(now, failed=False)
+    assert failed <= 15
+
+
+def test_few_lost_answers_do_not_move_the_load():
+    """Plays 1,000 requests; two of four servers lose 6 in 100 answers.
+
+    Guards against a load that the other servers do not carry.
+    """
+    table = selection.LoadTable("d")
+    counts = collections.Counter()
+    for number in range(1_000):
+        now = number * 0.005
+        server = selection.choose(table, PLAIN, None, call("p", attempt=f"a{number}"), now)
+        counts[server.id] += 1
+        lost = server in PLAIN[:2] and number % 17 == 0
+        table.state(server).note_answer(0.02)
+        table.state(server).note_outcome(now, failed=lost)
+    assert min(counts.values()) > 150
+
+
+def test_server_that_failed_is_tried_again():
+    """Guards against a server that stays unused after its fault is over."""
+    table = selection.LoadTable("d")
+    for _ in range(10):
+        table.state(PLAIN[0]).note_outcome(0.0, failed=True)
+    later = 8 * selection.FAILURE_HALF_LIFE_S
+    chosen = {
+        selection.choose(table, PLAIN, None, call("p", attempt=f"a{n}"), later).id
+        for n in range(200)
+        if not table.state(PLAIN[n % 4]).note_answer(0.02 + 0.002 * (n % 7))
+    }
+    assert PLAIN[0].id in chosen
