--- a/src/dogwoodgap/budget_owners.py
+++ b/src/dogwoodgap/budget_owners.py
@@ -4,11 +4,8 @@
 accounts move to their new owners; an owner that cannot be reached is replaced by the next one.
 """
 
-import collections
 import collections.abc
-import logging
 import math
-import typing
 
 import anyio
 import anyio.abc
@@ -16,6 +13,7 @@
 
 from dogwoodgap import (
     budget_records,
+    budget_transfers,
     budget_wire,
     budgets,
     clock,
@@ -44,16 +42,8 @@
 FETCH_S = 3.0
 """Time after a change of the members during which an account may still be at its last owner."""
 
-TRANSFER_TIMEOUT_S = 1.0
 FLUSH_S = 1.0
 SWEEP_S = 10.0
-RECORD_COPIES = 5
-"""Nodes that are told of a record after its owner, the next ones to own the program, so that they
-know it while the store is away. Up to 4 of 7 nodes are lost at once."""
-
-MAX_TRANSFER = 500
-"""Accounts of one message; 40 kB."""
-
 WIRE_VERDICTS = {
     budgets.Verdict.GRANTED: ttypes.TokenVerdict.GRANTED,
     budgets.Verdict.REFUSED: ttypes.TokenVerdict.REFUSED,
@@ -81,7 +71,8 @@
 
     def __init__(self, records: source.BudgetRecords):
         self.ledger = budgets.Ledger()
-        self.keeper = budget_records.RecordKeeper(records, self.ledger, self.send_copy)
+        self.keeper = budget_records.RecordKeeper(records, self.ledger)
+        self.transfers = budget_transfers.Transfers(self.ledger, self.keeper, self.owners)
         self.locks: dict[str, anyio.Lock] = {}
         self.lost: dict[str, float] = {}
         self.boots: dict[str, str] = {}
@@ -89,7 +80,6 @@
         self.vouched_at = math.inf
         self.changed_at = -math.inf
         self.estimate = pacing.TurnEstimate()
-        self.moving = anyio.Lock()
         self.membership: membership.Membership | None = None
         self.network: peers.Network | None = None
         self.tasks: anyio.abc.TaskGroup | None = None
@@ -103,9 +93,8 @@
         self.tasks = tasks
         network.handlers.register(ttypes.TokenReserve, self.on_reserve)
         network.handlers.register(ttypes.TokenSettle, self.on_settle)
-        network.handlers.register(ttypes.TokenTransfer, self.on_transfer)
         network.handlers.register(ttypes.TokenFetch, self.on_fetch)
-        network.handlers.register(ttypes.TokenRecords, self.on_records)
+        self.transfers.join(joined.local, network, tasks)
         joined.subscribe(self.on_member)
         self.vouched_at = min(self.vouched_at, clock.now() + TAKEOVER_S)
 
@@ -134,7 +123,7 @@
             try:
                 reply = await self.ask(owner, request)
             except exceptions.PeerError as error:
-                log_owner_lost(
+                budget_transfers.log_owner_lost(
                     "the owner of a program's budget does not answer; the next one decides",
                     owner,
                     error,
@@ -216,7 +205,7 @@
                     owner.peer_address, message, ttypes.Ack, timeout_s=RESERVE_TIMEOUT_S
                 )
             except exceptions.PeerError as error:
-                log_owner_lost(
+                budget_transfers.log_owner_lost(
                     "a settlement was not delivered; its reservation stays",
                     owner,
                     error,
@@ -295,13 +284,15 @@
             account = self.ledger.accounts.get(request.program, account)
             account.claimed = True
             account.told = account.committed + request.tokens
-            self.send_copy(budget_records.copy_of(request.program, account))
+            self.transfers.send_copies([budget_records.copy_of(request.program, account)])
         return account
 
     async def find_copy(self, program: str) -> bool:
         """Return whether a node that was told of a program's records has said what it knows."""
         alive = {member.node: member for member in self.membership.alive()}
-        holders = ranked(program, alive.keys() | self.recently_lost())[: 1 + RECORD_COPIES]
+        holders = ranked(program, alive.keys() | self.recently_lost())[
+            : 1 + budget_transfers.RECORD_COPIES
+        ]
         if self.membership.local.node in holders and self.keeper.is_complete:
             return True
         for node in holders:
@@ -321,45 +312,6 @@
         if reply.record is not None:
             self.keeper.note(budget_wire.record_from_wire(reply.record))
 
-    def send_copy(self, copy: budget_records.Copy) -> None:
-        """Tell the next owners of a program of its record, in the background."""
-        self.send_copies([copy])
-
-    def send_copies(self, copies: collections.abc.Iterable[budget_records.Copy]) -> None:
-        """Tell the next owners of programs of their records, in the background."""
-        if self.tasks is None:
-            return
-        by_holder: dict[str, list[ttypes.TokenRecord]] = collections.defaultdict(list)
-        found: dict[str, members.Member] = {}
-        for copy in copies:
-            message = budget_wire.record_to_wire(copy)
-            for member in self.owners(copy.record.program)[: 1 + RECORD_COPIES]:
-                if member is not self.membership.local:
-                    found[member.node] = member
-                    by_holder[member.node].append(message)
-        for node, messages in by_holder.items():
-            for start in range(0, len(messages), MAX_TRANSFER):
-                part = messages[start : start + MAX_TRANSFER]
-                self.tasks.start_soon(self.send_records, found[node], part)
-
-    async def send_records(self, member: members.Member, records: list[ttypes.TokenRecord]) -> None:
-        """Tell one node of records."""
-        try:
-            await self.network.request(
-                member.peer_address,
-                ttypes.TokenRecords(records=records),
-                ttypes.Ack,
-                timeout_s=TRANSFER_TIMEOUT_S,
-            )
-        except exceptions.PeerError as error:
-            log_owner_lost("a node was not told of records", member, error, records=len(records))
-
-    async def on_records(self, sender: ttypes.Member, message: ttypes.TokenRecords) -> ttypes.Ack:
-        """Remember records that another node has written."""
-        for item in message.records or []:
-            self.keeper.note(budget_wire.record_from_wire(item))
-        return ttypes.Ack(ok=True)
-
     async def fetch(self, program: str) -> None:
         """Ask the node that owned a program before the members changed for its account."""
         if clock.now() - self.changed_at > FETCH_S:
@@ -379,7 +331,9 @@
                 timeout_s=RESERVE_TIMEOUT_S / 2,
             )
         except exceptions.PeerError as error:
-            log_owner_lost("an account could not be fetched", member, error, program=program)
+            budget_transfers.log_owner_lost(
+                "an account could not be fetched", member, error, program=program
+            )
             return None
         return reply.message
 
@@ -458,55 +412,7 @@
             if gone not in self.left:
                 self.expect_lost(member.node)
         if self.tasks is not None:
-            self.tasks.start_soon(self.move_accounts)
-
-    async def move_accounts(self) -> None:
-        """Send accounts to the nodes that own them now; one task at a time, each account once."""
-        async with self.moving:
-            by_owner: dict[str, list[str]] = {}
-            found: dict[str, members.Member] = {}
-            recorded: list[budget_records.Copy] = []
-            for program, account in self.ledger.accounts.items():
-                owner = self.owners(program)[0]
-                if owner is not self.membership.local:
-                    found[owner.node] = owner
-                    by_owner.setdefault(owner.node, []).append(program)
-                elif account.revision:
-                    recorded.append(budget_records.copy_of(program, account))
-            self.send_copies(recorded)
-            for node, programs in by_owner.items():
-                for start in range(0, len(programs), MAX_TRANSFER):
-                    await self.send_accounts(found[node], programs[start : start + MAX_TRANSFER])
-
-    async def send_accounts(self, owner: members.Member, programs: list[str]) -> None:
-        """Send accounts to their new owner; they come back when it does not answer."""
-        taken = {
-            program: account
-            for program in programs
-            if (account := self.ledger.accounts.pop(program, None)) is not None
-        }
-        message = ttypes.TokenTransfer(
-            accounts=[budget_wire.to_wire(*item) for item in taken.items()]
-        )
-        try:
-            await self.network.request(
-                owner.peer_address, message, ttypes.Ack, timeout_s=TRANSFER_TIMEOUT_S
-            )
-        except exceptions.PeerError as error:
-            for program, account in taken.items():
-                self.ledger.adopt(program, account)
-            log_owner_lost(
-                "accounts could not be moved to their new owner; they stay here",
-                owner,
-                error,
-                accounts=len(taken),
-            )
-
-    async def on_transfer(self, sender: ttypes.Member, message: ttypes.TokenTransfer) -> ttypes.Ack:
-        """Take over accounts from another node."""
-        for item in message.accounts or []:
-            self.ledger.adopt(item.program, budget_wire.from_wire(item))
-        return ttypes.Ack(ok=True)
+            self.tasks.start_soon(self.transfers.move_accounts)
 
     # Old accounts
 
@@ -535,20 +441,6 @@
                 await self.keeper.remove(program)
 
 
-def log_owner_lost(
-    text: str, owner: members.Member, error: exceptions.PeerError, **fields: typing.Any
-) -> None:
-    """Log that another node did not answer."""
-    events.emit(
-        events.Event.BUDGET_OWNER_LOST,
-        text,
-        level=logging.WARNING,
-        owner=owner.node,
-        detail=error.detail,
-        **fields,
-    )
-
-
 def log_account(
     event: events.Event, text: str, request: ttypes.TokenReserve, account: budgets.Account
 ) -> None:
--- a/src/dogwoodgap/budget_records.py
+++ b/src/dogwoodgap/budget_records.py
@@ -44,24 +44,19 @@
         The records in the store.
     ledger : budgets.Ledger
         The accounts that they belong to.
-    written : callable
-        Called with each record that the store has taken.
 
     Attributes
     ----------
+    written : callable
+        Called with each record that the store has taken.
     is_complete : bool
         Whether all records before the start of this process are known; the writers of later ones
         tell of them.
     """
 
-    def __init__(
-        self,
-        records: source.BudgetRecords,
-        ledger: budgets.Ledger,
-        written: collections.abc.Callable[[Copy], None] = lambda copy: None,
-    ):
+    def __init__(self, records: source.BudgetRecords, ledger: budgets.Ledger):
         self.records = records
-        self.written = written
+        self.written: collections.abc.Callable[[Copy], None] = lambda copy: None
         self.ledger = ledger
         self.unrecorded: set[str] = set()
         self.failed_at = -STORE_PAUSE_S
