--- a/src/dogwoodgap/repeats.py
+++ b/src/dogwoodgap/repeats.py
@@ -24,7 +24,7 @@
 """Multiple of a server's usual answer time after which an idempotent request is sent elsewhere."""
 
 MIN_PATIENCE_S = 0.15
-"""Twice the longest answer time of an idempotent request at a server near its limit (75 ms)."""
+"""Five times the usual 20 to 30 ms of an idempotent request, so that a busy server is not left."""
 
 MAX_PATIENCE_S = 0.4
 """A third of the shortest deadline, so that two repeats still end in time."""
