Share the tests' virtual time, turns and held servers

Twenty test files had the same function that runs a coroutine on virtual time; tests/virtual_time.py has it now. Two tests each built a turn, a server that waits for its release, and a gateway on the stand-in store; tests/gateways.py and running_machine do. No assertion changed.

--- a/tests/callers.py
+++ b/tests/callers.py
@@ -5,7 +5,6 @@
 import hashlib
 
 import anyio
-import trio.testing
 
 from dogwoodgap import (
     actions,
@@ -31,15 +30,6 @@
 KEY = "secret"
 
 
-def run(main):
-    """Run a coroutine function on virtual time."""
-    anyio.run(
-        main,
-        backend="trio",
-        backend_options={"clock": trio.testing.MockClock(autojump_threshold=0)},
-    )
-
-
 @dataclasses.dataclass
 class Attempt:
     """How the engine answers one request; ``break_after`` tokens it fails."""
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -9,6 +9,7 @@
 import anyio
 import trio
 import trio.testing
+import virtual_time
 
 from dogwoodgap import clock, exceptions, objectstore, records, recovery, shards, structures
 from dogwoodgap_lab import objects
@@ -26,11 +27,7 @@
     source = random.Random(seed)
     real, uuid.uuid4 = uuid.uuid4, lambda: uuid.UUID(int=source.getrandbits(128), version=4)
     try:
-        anyio.run(
-            main,
-            backend="trio",
-            backend_options={"clock": trio.testing.MockClock(autojump_threshold=0)},
-        )
+        virtual_time.run(main)
     finally:
         uuid.uuid4 = real
 
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -165,6 +165,16 @@
     return script
 
 
+def held(released: anyio.Event) -> Script:
+    """Return a script that answers with a whole body once it is released."""
+
+    async def script(backend: Backend, received: Received, stream: anyio.abc.SocketStream) -> bool:
+        await released.wait()
+        return await whole()(backend, received, stream)
+
+    return script
+
+
 def not_run(status: int = 503) -> Script:
     """Return a script that refuses all requests as not run."""
     return whole(b"full", status, "dogwoodgap-not-run: 1")
@@ -198,6 +208,19 @@
     return script
 
 
+def turn(attempt_id: str, **options) -> dialect.Call:
+    """Return a turn of a program as it is decoded."""
+    fields = {
+        "method": b"POST",
+        "target": b"/",
+        "host": "h",
+        "path": "/",
+        "headers": [],
+        "arrived_at": 0.0,
+    }
+    return dialect.Call(attempt_id=attempt_id, **fields, **options)
+
+
 def route(name: str, kind: routes.RouteKind, service: str, **options) -> routes.Route:
     """Return a route of the test host whose prefix is its name."""
     return routes.Route(
--- a/tests/test_actions.py
+++ b/tests/test_actions.py
@@ -6,6 +6,7 @@
 import callers
 import hypothesis
 import pytest
+import virtual_time
 from hypothesis import stateful, strategies
 
 from dogwoodgap import clock, exceptions, intents, journal, structures
@@ -91,7 +92,7 @@
                 tasks.cancel_scope.cancel()
 
         self.store.faults.outage = False
-        callers.run(main)
+        virtual_time.run(main)
 
     async def end_outage(self, seconds):
         """End an outage of the platform."""
@@ -145,7 +146,7 @@
             assert results[0].not_run == "unknown"
             assert node.service.ledger == []
 
-    callers.run(main)
+    virtual_time.run(main)
 
 
 def test_unknown_outcome_is_never_called_not_run():
@@ -165,7 +166,7 @@
             assert (await node.intents.run(order())).body == {"found": "k1"}
             assert len(node.service.ledger) == 1
 
-    callers.run(main)
+    virtual_time.run(main)
 
 
 def test_result_is_answered_only_when_it_is_stored():
@@ -181,7 +182,7 @@
             assert (await node.intents.run(order())).status == 200
             assert len(node.service.ledger) == 1
 
-    callers.run(main)
+    virtual_time.run(main)
 
 
 def test_urgent_action_passes_hanging_and_dead_runners_in_an_outage():
@@ -198,7 +199,7 @@
                 await node.idempotent.run(order(key="", urgent=True, deadline_s=1.0))
             assert caught.value.not_run == "true"
 
-    callers.run(main)
+    virtual_time.run(main)
 
 
 def test_action_of_a_program_runs_once_and_in_order():
@@ -222,7 +223,7 @@
             await node.calls.submit(program, callers.request(2), 9.0).result()
             assert len(node.service.ledger) == 1
 
-    callers.run(main)
+    virtual_time.run(main)
 
 
 def test_number_of_a_refused_action_can_be_used_again():
@@ -245,4 +246,4 @@
             assert (await node.actions.run(program, 2, order("k2"), "")).status == 200
             assert program.next_seq == 4
 
-    callers.run(main)
+    virtual_time.run(main)
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -4,7 +4,7 @@
 import fake_admin
 import httpx
 import pytest
-import trio.testing
+import virtual_time
 
 from dogwoodgap import admin_fleet, keys
 
@@ -22,11 +22,7 @@
         async with httpx.AsyncClient(transport=transport, base_url="http://node") as client:
             await main(node, client)
 
-    anyio.run(
-        body,
-        backend="trio",
-        backend_options={"clock": trio.testing.MockClock(autojump_threshold=0)},
-    )
+    virtual_time.run(body)
 
 
 def as_user(token: str, generation: int | None = None) -> dict[str, str]:
--- a/tests/test_app.py
+++ b/tests/test_app.py
@@ -6,6 +6,7 @@
 import callers
 import httpx
 import pytest
+import virtual_time
 from test_actions import order
 
 from dogwoodgap import exceptions, forwarding, models
@@ -102,7 +103,7 @@
                 assert problem["not_run"] is True, case
                 assert (len(node.engine.requests), len(node.service.ledger)) == ran, case
 
-    callers.run(main)
+    virtual_time.run(main)
 
 
 def test_slow_sender_times_out():
@@ -125,7 +126,7 @@
             await node.app()(scope, anyio.sleep_forever, send)
         assert sent[0]["status"] == 408
 
-    callers.run(main)
+    virtual_time.run(main)
 
 
 def test_unexpected_error_becomes_a_logged_problem(caplog):
@@ -140,7 +141,7 @@
             assert (reply.status_code, reply.json()["code"]) == (500, "internal-error")
             assert reply.json()["not_run"] == "unknown"
 
-    callers.run(main)
+    virtual_time.run(main)
     assert [record.event_name for record in caplog.records] == ["REQUEST_FAILED"]
 
 
@@ -164,7 +165,7 @@
             assert (name, problem["code"]) == ("error", "runner-failed")
             assert problem["not_run"] == "unknown"
 
-    callers.run(main)
+    virtual_time.run(main)
 
 
 def test_chat_continues_a_program_and_ends_its_own():
@@ -193,7 +194,7 @@
             assert own.json()["status"] == "finished"
             assert node.engine.released
 
-    callers.run(main)
+    virtual_time.run(main)
 
 
 class Elsewhere:
@@ -256,7 +257,7 @@
                 node.forwarder.ownership = Elsewhere("")
                 assert (await http.get(PROGRAM)).json()["code"] == "not-owner"
 
-    callers.run(main)
+    virtual_time.run(main)
 
 
 def test_request_waits_while_its_shard_is_loaded():
@@ -272,7 +273,7 @@
             node.tasks.start_soon(finish_loading, node)
             assert (await http.get(PROGRAM)).status_code == 200
 
-    callers.run(main)
+    virtual_time.run(main)
 
 
 async def finish_loading(node):
@@ -316,7 +317,7 @@
                 await node.actions.run(program, 2, order("k2"), AUTH["Authorization"])
             assert caught.value.not_run == "true"
 
-    callers.run(main)
+    virtual_time.run(main)
 
 
 def test_openapi_names_every_model():
@@ -337,4 +338,4 @@
                 for operation in path.values()
             )
 
-    callers.run(main)
+    virtual_time.run(main)
--- a/tests/test_breakers.py
+++ b/tests/test_breakers.py
@@ -1,20 +1,11 @@
 """Circuit breaker, adaptive concurrency and retry budget on virtual time."""
 
 import anyio
-import trio.testing
+import virtual_time
 
 from dogwoodgap import breakers
 
 
-def run(main):
-    """Run a coroutine function on virtual time."""
-    anyio.run(
-        main,
-        backend="trio",
-        backend_options={"clock": trio.testing.MockClock(autojump_threshold=0)},
-    )
-
-
 def test_half_open_breaker_lets_one_probe_pass():
     """Guards against a recovering runner that is flooded, and against a breaker that sticks."""
 
@@ -38,7 +29,7 @@
         assert breaker.admit()
         assert breaker.admit()
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_late_failures_do_not_extend_an_open_breaker():
@@ -51,7 +42,7 @@
         await anyio.sleep(breakers.OPEN_S)
         assert breaker.admit()
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_concurrency_finds_the_capacity_of_a_runner():
@@ -77,7 +68,7 @@
         limiter.finished(0.1, 1, refused=True)
         assert limiter.allows(0)
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_retries_stay_a_share_of_traffic():
--- a/tests/test_budget_owners.py
+++ b/tests/test_budget_owners.py
@@ -6,33 +6,18 @@
 import fake_network
 import gateways
 import pytest
-import trio.testing
+import virtual_time
 
-from dogwoodgap import budget_owners, budgets, dialect, exceptions, membership, settings
+from dogwoodgap import budget_owners, budgets, exceptions, membership, settings
 
 TURN = 290
 SETTLE_S = 3.0
 """Time for the nodes to know one another."""
 
 
-def run(main):
-    """Run a coroutine function on virtual time."""
-    anyio.run(
-        main,
-        backend="trio",
-        backend_options={"clock": trio.testing.MockClock(autojump_threshold=0)},
-    )
-
-
 def turn(program, number, budget):
-    return dialect.Call(
-        attempt_id=f"{program}-{number}",
-        method=b"POST",
-        target=b"/",
-        host="h",
-        path="/",
-        headers=[],
-        arrived_at=0.0,
+    return gateways.turn(
+        f"{program}-{number}",
         program_id=program,
         token_budget=budget,
         max_output_tokens=TURN,
@@ -124,7 +109,7 @@
                     await body(fleet)
                     tasks.cancel_scope.cancel()
 
-            run(main)
+            virtual_time.run(main)
 
         wrapper.__name__ = body.__name__
         wrapper.__doc__ = body.__doc__
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -2,7 +2,7 @@
 
 import anyio
 import hypothesis
-import trio.testing
+import virtual_time
 from hypothesis import stateful, strategies
 
 from dogwoodgap import budgets
@@ -10,15 +10,6 @@
 TURN = 290
 
 
-def run(main):
-    """Run a coroutine function on virtual time."""
-    anyio.run(
-        main,
-        backend="trio",
-        backend_options={"clock": trio.testing.MockClock(autojump_threshold=0)},
-    )
-
-
 def test_budget_holds_for_turns_under_way():
     """Guards against parallel sub-agents that together exceed the budget."""
 
@@ -34,7 +25,7 @@
         ledger.settle("p", "a0", 50)
         assert account.committed == 2 * TURN + 50
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_each_of_many_lost_owners_does_not_cost_a_turn():
@@ -57,7 +48,7 @@
                     ledger.settle("p", f"a{number}", TURN)
         assert given <= budget + TURN
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_abandoned_reservation_counts_as_used():
@@ -71,7 +62,7 @@
         ledger.reserve(account, "a1", TURN)
         assert account.spent == TURN
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_moved_account_replaces_an_assumption():
@@ -83,7 +74,7 @@
         ledger.adopt("p", budgets.Account(1_000, spent=100))
         assert ledger.accounts["p"].spent == 100
 
-    run(main)
+    virtual_time.run(main)
 
 
 class LostOwners(stateful.RuleBasedStateMachine):
--- a/tests/test_cache_view.py
+++ b/tests/test_cache_view.py
@@ -3,21 +3,12 @@
 import collections
 
 import anyio
-import trio.testing
+import virtual_time
 
 from dogwoodgap import adapters, cache_usage, cache_view, exceptions, metrics, structures
 from dogwoodgap_lab import engine, faults
 
 
-def run(main):
-    """Run a coroutine function on virtual time."""
-    anyio.run(
-        main,
-        backend="trio",
-        backend_options={"clock": trio.testing.MockClock(autojump_threshold=0)},
-    )
-
-
 class LocalAdapter:
     """Reaches an engine without HTTP; orders can fail."""
 
@@ -71,7 +62,7 @@
             assert found.tokens(view, "c/live") == 0
             tasks.cancel_scope.cancel()
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_release_is_repeated_until_the_engine_confirms():
@@ -93,7 +84,7 @@
             assert sessions(runner) == set()
             tasks.cancel_scope.cancel()
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_session_stored_after_its_release_is_released_again():
@@ -115,7 +106,7 @@
             assert sessions(runner) == set()
             tasks.cancel_scope.cancel()
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_gap_in_events_brings_the_comparison_forward():
@@ -136,7 +127,7 @@
             assert found.tokens(view, "c/live") == 0
             tasks.cancel_scope.cancel()
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_cache_totals_become_counters_once(monkeypatch):
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -6,6 +6,7 @@
 import callers
 import hypothesis
 import pytest
+import virtual_time
 from hypothesis import strategies
 
 from dogwoodgap import adapters, clock, exceptions, models, programs, protection, structures
@@ -31,7 +32,7 @@
             sent = [message.content for message in node.engine.requests[1][1].messages]
             assert sent == ["hello", turn.text, "more"]
 
-    callers.run(main)
+    virtual_time.run(main)
 
 
 @pytest.mark.parametrize(
@@ -52,7 +53,7 @@
             assert first != second
             assert resumed.resume_from == (broken.break_after or 0)
 
-    callers.run(main)
+    virtual_time.run(main)
 
 
 def test_chunk_of_another_request_is_rejected():
@@ -86,7 +87,7 @@
             assert len(node.engine.requests) == 1
             assert len(node.calls.stored_turns(program)) == 1
 
-    callers.run(main)
+    virtual_time.run(main)
 
 
 def test_outage_before_the_start_is_refused_as_not_run():
@@ -106,7 +107,7 @@
             assert node.table.remaining_tokens(program) == program.budget_tokens
             await node.calls.submit(program, callers.request(text="again"), 5.0).result()
 
-    callers.run(main)
+    virtual_time.run(main)
 
 
 def test_refusal_after_a_failed_attempt_does_not_say_not_run():
@@ -131,7 +132,7 @@
             assert caught.value.not_run == "unknown"
             assert node.table.root(program).spent_tokens > 0
 
-    callers.run(main)
+    virtual_time.run(main)
 
 
 def test_call_goes_on_without_its_caller():
@@ -146,7 +147,7 @@
             await running.closed.wait()
             assert len(node.calls.stored_turns(program)) == 1
 
-    callers.run(main)
+    virtual_time.run(main)
 
 
 def test_call_of_a_program_that_moved_away_ends_alone():
@@ -163,7 +164,7 @@
             assert caught.value.not_run == "unknown"
             assert (await node.program("other")).id == "other"
 
-    callers.run(main)
+    virtual_time.run(main)
 
 
 def test_end_stops_the_call_then_releases_until_confirmed():
@@ -187,7 +188,7 @@
             assert node.engine.open_at_release == [0, 0, 0]
             assert not node.memory.pending
 
-    callers.run(main)
+    virtual_time.run(main)
 
 
 def test_limits_end_a_program():
@@ -225,7 +226,7 @@
             assert parent.status == structures.ProgramStatus.LIMITED
             assert node.engine.open == 0
 
-    callers.run(main)
+    virtual_time.run(main)
 
 
 def test_children_are_numbered_bounded_and_repeatable():
@@ -245,7 +246,7 @@
             with pytest.raises(exceptions.InvalidRequestError):
                 await node.program("9", parent="p")
 
-    callers.run(main)
+    virtual_time.run(main)
 
 
 def test_repeated_creation_waits_for_the_store():
@@ -263,7 +264,7 @@
             with pytest.raises(exceptions.ConflictError):
                 await node.program(profile="other")
 
-    callers.run(main)
+    virtual_time.run(main)
 
 
 STEP = strategies.tuples(
@@ -302,7 +303,7 @@
             assert root.reserved_tokens == 0
             assert root.spent_tokens <= budget
 
-    callers.run(main)
+    virtual_time.run(main)
 
 
 class HoldBack(protection.Unprotected):
@@ -337,4 +338,4 @@
             assert {turn.runner for turn in turns} == {"r1"}
             assert len(node.engine.requests) == 4
 
-    callers.run(main)
+    virtual_time.run(main)
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -5,6 +5,7 @@
 import httpx
 import msgspec
 import pytest
+import virtual_time
 
 from dogwoodgap import client, exceptions, programs, structures, views
 
@@ -63,7 +64,7 @@
             with pytest.raises(exceptions.ProgramFinishedError):
                 await child.call("more")
 
-    callers.run(main)
+    virtual_time.run(main)
 
 
 class InProgress(httpx.AsyncBaseTransport):
@@ -105,7 +106,7 @@
                         await program.act("plain", "book", deadline_s=1.0)
                 assert len(set(network.bodies)) == 1
 
-    callers.run(main)
+    virtual_time.run(main)
 
 
 def test_stream_goes_on_after_a_cut():
@@ -125,7 +126,7 @@
             with pytest.raises(exceptions.AnswerChangedError):
                 client.remainder(program.last, "x")
 
-    callers.run(main)
+    virtual_time.run(main)
 
 
 def test_entries_are_asked_for_once_per_ttl_and_after_a_failure():
@@ -147,7 +148,7 @@
             await dogwoodgap.program("llm")
             assert dogwoodgap.entries.known == ["http://n2"]
 
-    callers.run(main)
+    virtual_time.run(main)
 
 
 def test_refusals_are_raised_with_their_type():
@@ -172,4 +173,4 @@
             assert caught.value.not_run == "true"
             assert node.table.programs[programs.ProgramKey("c", program.id)].next_seq == 1
 
-    callers.run(main)
+    virtual_time.run(main)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -7,7 +7,7 @@
 import hypothesis
 import msgspec
 import pytest
-import trio.testing
+import virtual_time
 from hypothesis import stateful
 from hypothesis import strategies as st
 
@@ -27,15 +27,6 @@
 IN_FORCE_LIMIT_S = 5.0
 
 
-def run(main):
-    """Run a coroutine function on virtual time."""
-    anyio.run(
-        main,
-        backend="trio",
-        backend_options={"clock": trio.testing.MockClock(autojump_threshold=0)},
-    )
-
-
 def with_profile(name, weight=1.0):
     profiles = {"default": models.Profile(), name: models.Profile(latency_weight=weight)}
     return models.FleetConfiguration(profiles=profiles)
@@ -232,7 +223,7 @@
                 await fleet.check()
                 tasks.cancel_scope.cancel()
 
-        run(main)
+        virtual_time.run(main)
 
 
 ConfigurationMachine.TestCase.settings = hypothesis.settings(
@@ -256,7 +247,7 @@
                 await body(fleet)
                 tasks.cancel_scope.cancel()
 
-        run(main)
+        virtual_time.run(main)
 
     test.__doc__ = body.__doc__
     return test
@@ -349,7 +340,7 @@
             assert clock.now() - before < 3
             tasks.cancel_scope.cancel()
 
-    run(main)
+    virtual_time.run(main)
 
 
 @with_fleet
@@ -412,4 +403,4 @@
             assert target.generation == generation + 1
             assert table.documents == before + 1
 
-    run(main)
+    virtual_time.run(main)
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -2,21 +2,12 @@
 
 import anyio
 import fake_network
-import trio.testing
+import virtual_time
 
 from dogwoodgap import crashes, members
 from dogwoodgap_wire import ttypes
 
 
-def run(main):
-    """Run a coroutine function on virtual time."""
-    anyio.run(
-        main,
-        backend="trio",
-        backend_options={"clock": trio.testing.MockClock(autojump_threshold=0)},
-    )
-
-
 def test_crashes_count_over_all_nodes():
     """Guards against a request that crashes two servers for each node."""
 
@@ -40,7 +31,7 @@
             await anyio.sleep(crashes.REMEMBERED_S + 1)
             assert not logs[0].is_refused(7)
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_completed_request_is_cleared():
@@ -53,4 +44,4 @@
         log.note_crash(7)
         assert not log.is_refused(7)
 
-    run(main)
+    virtual_time.run(main)
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -5,8 +5,8 @@
 import fake_admin
 import httpx
 import pytest
-import trio.testing
 import typer.testing
+import virtual_time
 
 from dogwoodgap import ctl, ctl_session, exceptions, keys, metrics, views
 
@@ -64,7 +64,7 @@
         session = ctl_session.Session(
             transport=self.transport,
             backend="trio",
-            backend_options={"clock": trio.testing.MockClock(autojump_threshold=0)},
+            backend_options=virtual_time.options(),
         )
         environment = {"DOGWOODGAP_KEY": key, "DOGWOODGAP_NODE": node}
         result = self.runner.invoke(ctl.cli, arguments, obj=session, env=environment)
--- a/tests/test_demand.py
+++ b/tests/test_demand.py
@@ -1,7 +1,7 @@
 """Demand by hours over several nodes, lost replies and weeks."""
 
 import anyio
-import callers
+import virtual_time
 
 from dogwoodgap import clock, demand, objectstore, profiles
 from dogwoodgap_lab import objects
@@ -32,7 +32,7 @@
         document = demand.decode(await table.get(demand.demand_key("llm")))
         assert sum(document.hours.values()) == 19 * 3
 
-    callers.run(main)
+    virtual_time.run(main)
 
 
 def test_evening_peak_is_proposed_after_a_week_and_old_hours_are_dropped():
@@ -55,4 +55,4 @@
         document = demand.decode(await table.get(demand.demand_key("llm")))
         assert len(document.hours) <= profiles.KEPT_WEEKS * 7 * 24
 
-    callers.run(main)
+    virtual_time.run(main)
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -4,21 +4,12 @@
 
 import anyio
 import pytest
-import trio.testing
+import virtual_time
 
 from dogwoodgap import exceptions
 from dogwoodgap_lab import engine, faults
 
 
-def run(main):
-    """Run a coroutine function on virtual time."""
-    anyio.run(
-        main,
-        backend="trio",
-        backend_options={"clock": trio.testing.MockClock(autojump_threshold=0)},
-    )
-
-
 @contextlib.asynccontextmanager
 async def running(**options):
     """Run an engine's step loop around a test."""
@@ -56,7 +47,7 @@
             tasks.start_soon(one, runner, request("urgent", priority=1))
         assert order == ["first", "urgent", "batch"]
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_cache_evicts_the_least_recently_used_session_at_its_limit():
@@ -70,7 +61,7 @@
             assert runner.cached_tokens() <= 40
             assert runner.cache.wasted_token_s > 0.0
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_cancel_and_disconnect_free_memory():
@@ -88,7 +79,7 @@
             assert not runner.waiting
             assert not runner.running
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_resume_continues_the_same_text_on_another_engine():
@@ -100,7 +91,7 @@
             rest = await text_of(other, request("x", max_tokens=20, resume_from=7))
             assert whole[7:] == rest
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_crash_breaks_streams_and_refuses_until_the_restart():
@@ -121,7 +112,7 @@
             await anyio.sleep(5.0)
             assert len(await text_of(runner, request("y"))) == 5
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_events_are_late_with_gaps_and_load_reports_lag():
@@ -140,4 +131,4 @@
             assert page.cursor <= 8
             assert 0 < len(page.events) < 8
 
-    run(main)
+    virtual_time.run(main)
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -2,21 +2,12 @@
 
 import anyio
 import pytest
-import trio.testing
+import virtual_time
 
 from dogwoodgap import clock
 from dogwoodgap_lab import engine_model, simulation, strategies, workload
 
 
-def run(main):
-    """Run a coroutine function on virtual time."""
-    anyio.run(
-        main,
-        backend="trio",
-        backend_options={"clock": trio.testing.MockClock(autojump_threshold=0)},
-    )
-
-
 def test_an_experiment_repeats_exactly():
     """Guards against figures that depend on the order in which ready tasks run."""
     results = [
@@ -64,7 +55,7 @@
         assert memory.ended == pytest.approx(1_024 * 7.0)
         assert runner.used_tokens == 0
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_priorities_order_the_engines_queue_and_batches_slow_down():
@@ -97,7 +88,7 @@
         assert ended["middle"] == pytest.approx(8.0)
         assert ended["late"] > ended["middle"]
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_running_requests_share_the_memory_with_the_cache():
@@ -116,4 +107,4 @@
             assert runner.used_tokens <= 1_024
             tasks.cancel_scope.cancel()
 
-    run(main)
+    virtual_time.run(main)
--- a/tests/test_followers.py
+++ b/tests/test_followers.py
@@ -2,7 +2,7 @@
 
 import anyio
 import fake_network
-import trio.testing
+import virtual_time
 
 from dogwoodgap import exceptions, followers, membership, routes, servers, settings, source
 
@@ -11,15 +11,6 @@
 """A leaving server has to be known by then."""
 
 
-def run(main):
-    """Run a coroutine function on virtual time."""
-    anyio.run(
-        main,
-        backend="trio",
-        backend_options={"clock": trio.testing.MockClock(autojump_threshold=0)},
-    )
-
-
 class FakeStore:
     """Routes and servers with a revision; ``down`` refuses all calls, ``expired`` all watches."""
 
@@ -88,7 +79,7 @@
             assert book.version == 3
             tasks.cancel_scope.cancel()
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_hint_of_another_node_ends_the_wait():
@@ -115,7 +106,7 @@
             assert book.version == 2
             tasks.cancel_scope.cancel()
 
-    run(main)
+    virtual_time.run(main)
 
 
 class Fleet:
@@ -171,4 +162,4 @@
                 assert max(directory.age_s for directory in fleet.directories) < AGE_LIMIT_S
             tasks.cancel_scope.cancel()
 
-    run(main)
+    virtual_time.run(main)
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -209,12 +209,7 @@
 
     async def main():
         released = anyio.Event()
-
-        async def waiting(backend, received, stream):
-            await released.wait()
-            return await gateways.whole()(backend, received, stream)
-
-        backend = plain("p1", waiting)
+        backend = plain("p1", gateways.held(released))
         async with gateways.running(backend) as bench, anyio.create_task_group() as tasks:
             services = [routes.Service("plain", 4), gateways.SERVICES[1]]
             bench.book.install(routes.RouteTable(2, gateways.ROUTES, services))
@@ -680,12 +675,7 @@
 
     async def main():
         released = anyio.Event()
-
-        async def waiting(backend, received, stream):
-            await released.wait()
-            return await gateways.whole()(backend, received, stream)
-
-        backend = plain("p1", waiting)
+        backend = plain("p1", gateways.held(released))
         async with gateways.running(backend) as bench, gateways.caller(bench) as connection:
             await connection.send("POST", "/act/x", b"pay")
             await backend.asked.wait()
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -4,7 +4,7 @@
 
 import anyio
 import pytest
-import trio.testing
+import virtual_time
 
 from dogwoodgap import exceptions, gate, pacing
 
@@ -12,15 +12,6 @@
 PROGRAMS = 130
 
 
-def run(main):
-    """Run a coroutine function on virtual time."""
-    anyio.run(
-        main,
-        backend="trio",
-        backend_options={"clock": trio.testing.MockClock(autojump_threshold=0)},
-    )
-
-
 def test_share_bounds_the_turns_of_a_node():
     """Guards against more turns at the engines than they run well."""
 
@@ -37,7 +28,7 @@
                 break
         assert inside == pytest.approx(SLOTS * gate.FILL / 2, abs=1)
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_node_may_exceed_its_share_while_others_are_idle():
@@ -50,7 +41,7 @@
             await passage.enter(pacing.Standing.NEW)
         assert passage.running == int(SLOTS * gate.FREE_FILL)
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_turns_under_way_go_before_new_and_late_ones():
@@ -78,7 +69,7 @@
         assert order == sorted(order)
         assert passage.running == 0
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_new_program_is_refused_early_with_a_time_to_return():
@@ -96,7 +87,7 @@
         await passage.enter(pacing.Standing.NEW)
         assert passage.running == 1
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_caller_that_leaves_while_waiting_gives_its_place_up():
@@ -110,7 +101,7 @@
         passage.leave()
         assert passage.running == 0
 
-    run(main)
+    virtual_time.run(main)
 
 
 class Engine:
@@ -178,4 +169,4 @@
         with_gate = await play_burst(gated=True)
         assert with_gate >= 1.3 * without
 
-    run(main)
+    virtual_time.run(main)
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -2,21 +2,12 @@
 
 import anyio
 import pytest
-import trio.testing
+import virtual_time
 
 from dogwoodgap import clock, exceptions, journal, objectstore, records
 from dogwoodgap_lab import objects
 
 
-def run(main):
-    """Run a coroutine function on virtual time."""
-    anyio.run(
-        main,
-        backend="trio",
-        backend_options={"clock": trio.testing.MockClock(autojump_threshold=0)},
-    )
-
-
 def new_journal(table: objects.ObjectTable) -> journal.Journal:
     return journal.Journal(table, "n1", "b1", objectstore.RateBucket(100.0, 4.0))
 
@@ -41,7 +32,7 @@
         stored = [record.at for segment in segments for record in segment.records]
         assert stored == [float(number) for number in range(40)]
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_sealed_journal_acknowledges_nothing():
@@ -58,7 +49,7 @@
                 await log.append(touched(2))
             tasks.cancel_scope.cancel()
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_outage_delays_the_commit_until_the_store_returns():
@@ -80,4 +71,4 @@
             assert clock.now() - before <= journal.MAX_RETRY_DELAY_S
             tasks.cancel_scope.cancel()
 
-    run(main)
+    virtual_time.run(main)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -6,7 +6,7 @@
 import fake_network
 import hypothesis
 import pytest
-import trio.testing
+import virtual_time
 from hypothesis import stateful
 from hypothesis import strategies as st
 
@@ -18,15 +18,6 @@
 EPSILON = 1e-6
 
 
-def run(main):
-    """Run a coroutine function on virtual time."""
-    anyio.run(
-        main,
-        backend="trio",
-        backend_options={"clock": trio.testing.MockClock(autojump_threshold=0)},
-    )
-
-
 @dataclasses.dataclass
 class View:
     """What a node believes of the customer's shard."""
@@ -136,7 +127,7 @@
             await body(fleet)
             tasks.cancel_scope.cancel()
 
-    run(main)
+    virtual_time.run(main)
 
 
 class ShareMachine(stateful.RuleBasedStateMachine):
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -5,7 +5,7 @@
 import anyio
 import fake_network
 import pytest
-import trio.testing
+import virtual_time
 
 from dogwoodgap import clock, members, membership, objectstore, settings
 from dogwoodgap_lab import objects
@@ -15,15 +15,6 @@
 """3 s of the design, and a tenth for the granularity of the check."""
 
 
-def run(main):
-    """Run a coroutine function on virtual time."""
-    anyio.run(
-        main,
-        backend="trio",
-        backend_options={"clock": trio.testing.MockClock(autojump_threshold=0)},
-    )
-
-
 def address(number):
     return f"10.0.0.{number}:7080"
 
@@ -100,7 +91,7 @@
                     await body(fleet)
                     tasks.cancel_scope.cancel()
 
-            run(main)
+            virtual_time.run(main)
 
         test.__doc__ = body.__doc__
         return test
@@ -273,7 +264,7 @@
             print(f"{count} members: dead everywhere after {took:.1f} s")
             tasks.cancel_scope.cancel()
 
-    run(main)
+    virtual_time.run(main)
 
 
 def total(node):
--- a/tests/test_objects.py
+++ b/tests/test_objects.py
@@ -3,21 +3,12 @@
 import anyio
 import httpx
 import pytest
-import trio.testing
+import virtual_time
 
 from dogwoodgap import exceptions, objectstore
 from dogwoodgap_lab import objects
 
 
-def run(main):
-    """Run a coroutine function on virtual time."""
-    anyio.run(
-        main,
-        backend="trio",
-        backend_options={"clock": trio.testing.MockClock(autojump_threshold=0)},
-    )
-
-
 def test_watch_too_far_behind_gets_a_typed_answer():
     """Guards against a watch that silently skips changes that the log has dropped."""
 
@@ -31,7 +22,7 @@
         assert [change.key for change in page.changes] == ["k2", "k3", "k4"]
         assert (await table.watch("k", since=-1, timeout_s=9.0)).cursor == 5
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_calls_over_the_rate_are_refused_without_effect():
@@ -48,7 +39,7 @@
         await anyio.sleep(0.5)
         await table.put("k2", b"")
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_list_of_vms_lags():
@@ -64,7 +55,7 @@
         await anyio.sleep(5.0)
         assert (await table.vms())[0].leaving
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_a_watch_may_be_silent_for_as_long_as_it_waits():
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -8,8 +8,8 @@
 import fake_admin
 import pytest
 import test_ctl
-import trio.testing
 import typer.testing
+import virtual_time
 
 from dogwoodgap import ctl, ctl_session, models, node_cli
 
@@ -72,7 +72,7 @@
         return ctl_session.Session(
             transport=test_ctl.LossyTransport(self.node) if self.node else None,
             backend="trio",
-            backend_options={"clock": trio.testing.MockClock(autojump_threshold=0)},
+            backend_options=virtual_time.options(),
         )
 
 
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -1,20 +1,11 @@
 """Control of engines: read back, re-assertion and succession."""
 
 import anyio
-import trio.testing
+import virtual_time
 
 from dogwoodgap import adapters, exceptions, models, orders, structures
 
 
-def run(main):
-    """Run a coroutine function on virtual time."""
-    anyio.run(
-        main,
-        backend="trio",
-        backend_options={"clock": trio.testing.MockClock(autojump_threshold=0)},
-    )
-
-
 class FakeEngine:
     """One engine that may check fencing, ignore orders and lose replies."""
 
@@ -77,7 +68,7 @@
             assert (engine.loaded.model, engine.loaded.adapters) == ("m2", ["moisture"])
             tasks.cancel_scope.cancel()
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_node_without_control_gives_no_orders():
@@ -103,7 +94,7 @@
             assert len(engine.log) == before
             tasks.cancel_scope.cancel()
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_successor_outwaits_the_old_controller_of_an_engine_without_fencing():
@@ -131,7 +122,7 @@
             assert engine.loaded.model == "new"
             tasks.cancel_scope.cancel()
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_engine_with_fencing_refuses_a_controller_that_still_believes_in_its_control():
@@ -150,4 +141,4 @@
             assert [order.fencing for order in engine.log] == [1, 1, 2, 2]
             tasks.cancel_scope.cancel()
 
-    run(main)
+    virtual_time.run(main)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -272,6 +272,20 @@
     stand_in.put("servers", backend.id, spec={**SERVER, "addr": backend.address})
 
 
+@contextlib.asynccontextmanager
+async def running_machine():
+    """Run a gateway with a store and one server; give the store, the tasks and the gateway."""
+    backend = gateways.Backend("p1", "plain", echo)
+    async with running_store() as (stand_in, _), anyio.create_task_group() as tasks:
+        fill(stand_in, backend)
+        await tasks.start(backend.serve)
+        machine = Machine("n1", stand_in)
+        tasks.start_soon(machine.run)
+        await machine.wait_ready()
+        yield stand_in, tasks, machine
+        tasks.cancel_scope.cancel()
+
+
 def test_whole_gateway_serves_and_stops_as_planned():
     """Guards against requests that a planned stop cuts, and addresses of nodes that leave."""
 
@@ -318,19 +332,12 @@
     """Guards against a node that serves nobody until the store is back."""
 
     async def main():
-        backend = gateways.Backend("p1", "plain", echo)
-        async with running_store() as (stand_in, _), anyio.create_task_group() as tasks:
-            fill(stand_in, backend)
-            await tasks.start(backend.serve)
-            first = Machine("n1", stand_in)
-            tasks.start_soon(first.run)
-            await first.wait_ready()
+        async with running_machine() as (stand_in, tasks, first):
             stand_in.refuse = 503
             second = Machine("n2", stand_in, [first.settings.node.peer_bind])
             tasks.start_soon(second.run)
             await second.wait_ready()
             assert (await second.get(second.settings.node.http_bind, "/read/x")).status == 200
-            tasks.cancel_scope.cancel()
 
     run(main)
 
@@ -362,18 +369,11 @@
     """Guards against errors when no gateway is left that takes work."""
 
     async def main():
-        backend = gateways.Backend("p1", "plain", echo)
-        async with running_store() as (stand_in, _), anyio.create_task_group() as tasks:
-            fill(stand_in, backend)
-            await tasks.start(backend.serve)
-            machine = Machine("n1", stand_in)
-            tasks.start_soon(machine.run)
-            await machine.wait_ready()
+        async with running_machine() as (_, _, machine):
             machine.stop.set()
             await anyio.sleep(0.1)
             answer = await machine.get(machine.settings.node.http_bind, "/read/x")
             assert (answer.status, answer.complete) == (200, True)
             await machine.ended.wait()
-            tasks.cancel_scope.cancel()
 
     run(main)
--- a/tests/test_prefixes.py
+++ b/tests/test_prefixes.py
@@ -1,7 +1,7 @@
 """Failures of decisions about the engine memory of programs."""
 
 import anyio
-import trio.testing
+import virtual_time
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -14,15 +14,6 @@
 ]
 
 
-def run(main):
-    """Run a coroutine function on virtual time."""
-    anyio.run(
-        main,
-        backend="trio",
-        backend_options={"clock": trio.testing.MockClock(autojump_threshold=0)},
-    )
-
-
 def view(name="r0", **fields):
     values = {"service": "m", "address": "", "data_centre": "a", "slots": 4, "cache_tokens": 10_000}
     return structures.RunnerView(id=name, **(values | fields))
@@ -109,7 +100,7 @@
         assert orders == [("release", "c/ended"), ("release", "c/idle")]
         assert not dispatcher.sessions.sessions
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_a_program_whose_call_was_interrupted_reaches_the_idle_limit():
@@ -129,7 +120,7 @@
         assert {order.session for order in dispatcher.sweep()} == {"c/cancelled", "c/failed"}
         assert not dispatcher.sessions.sessions
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_engines_reports_reveal_lost_orders():
@@ -148,7 +139,7 @@
         assert [order.session for order in found] == ["c/gone"]
         assert [(order.runner, order.session) for order in stale] == [(other, "c/live")]
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_reports_during_a_first_call_release_nothing():
@@ -164,7 +155,7 @@
         dispatcher.sweep()
         assert [order.session for order in dispatcher.reconcile("r0", ["c/p"])] == ["c/p"]
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_an_exported_prefix_is_imported_by_the_next_call_and_a_failed_export_is_not():
@@ -187,7 +178,7 @@
         assert (placed.import_tokens, placed.runner.id) == (0, "r0")
         assert placed.item.exported_tokens == dispatcher.sessions.exported_tokens == 0
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_exports_are_bounded():
@@ -207,4 +198,4 @@
         assert exported == ["c/p3", "c/p4"]
         assert table.exported_tokens == sum(table.exports.values()) == 10_200
 
-    run(main)
+    virtual_time.run(main)
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -4,7 +4,7 @@
 import fake_admin
 import hypothesis
 import pytest
-import trio.testing
+import virtual_time
 from hypothesis import strategies
 
 from dogwoodgap import admin_changes, exceptions, keys, models, roles
@@ -103,8 +103,7 @@
             pass
         return configuration.documents[-1]
 
-    clock = trio.testing.MockClock(autojump_threshold=0)
-    after = anyio.run(main, backend="trio", backend_options={"clock": clock})
+    after = virtual_time.run(main)
     for kind in ("profiles", *RESOURCES, "keys"):
         old, new = getattr(base, kind), getattr(after, kind)
         for name in old.keys() | new.keys():
--- a/tests/test_runners.py
+++ b/tests/test_runners.py
@@ -1,21 +1,12 @@
 """The directory of runners: configuration, load, leaving and silent connections."""
 
 import anyio
-import trio.testing
+import virtual_time
 
 from dogwoodgap import adapters, connections, exceptions, models, objectstore, runners
 from dogwoodgap_wire import ttypes
 
 
-def run(main):
-    """Run a coroutine function on virtual time."""
-    anyio.run(
-        main,
-        backend="trio",
-        backend_options={"clock": trio.testing.MockClock(autojump_threshold=0)},
-    )
-
-
 class Backends:
     """Load reports and probes of all runners, as the directory's outside world."""
 
@@ -76,7 +67,7 @@
         found.apply(configuration("r1", "r3"))
         assert found.view("llm/r1") is view
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_load_counts_only_sends_after_the_report_was_made():
@@ -103,7 +94,7 @@
             assert view.sent_since_report == 0
             tasks.cancel_scope.cancel()
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_nodes_of_a_data_centre_share_the_polls():
@@ -135,7 +126,7 @@
                 assert all(view.reported_at > 60.0 for view in found.views("llm"))
             tasks.cancel_scope.cancel()
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_leaving_is_known_within_three_seconds_and_ends():
@@ -174,7 +165,7 @@
             assert told[-1] is False
             tasks.cancel_scope.cancel()
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_silent_connection_is_replaced_before_the_runner_counts_as_down():
@@ -207,7 +198,7 @@
             assert crashed == [view]
             tasks.cancel_scope.cancel()
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_old_load_report_does_not_show_an_idle_runner():
@@ -224,7 +215,7 @@
         backends.reports["r1"] = adapters.LoadReport(running=1)
         assert not await found.idle(view, since=8.0)
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_down_notice_of_a_peer_is_checked_by_an_own_probe():
@@ -249,7 +240,7 @@
             assert view.down
             tasks.cancel_scope.cancel()
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_reports_go_to_peers_of_the_data_centre_only():
@@ -270,4 +261,4 @@
             assert found.digests("far") == []
             tasks.cancel_scope.cancel()
 
-    run(main)
+    virtual_time.run(main)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -5,20 +5,11 @@
 import anyio
 import anyio.lowlevel
 import pytest
-import trio.testing
+import virtual_time
 
 from dogwoodgap import clock, exceptions, models, ordering, placement, scheduler, structures
 
 
-def run(main):
-    """Run a coroutine function on virtual time."""
-    anyio.run(
-        main,
-        backend="trio",
-        backend_options={"clock": trio.testing.MockClock(autojump_threshold=0)},
-    )
-
-
 def view(name="r0", **fields):
     values = {"service": "m", "address": "", "data_centre": "a", "slots": 2, "cache_tokens": 10_000}
     return structures.RunnerView(id=name, **(values | fields))
@@ -69,7 +60,7 @@
         before = served[: served.index(large)]
         assert max(work.enqueued_at for work in before) <= bound
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_urgent_calls_and_small_programs_come_first():
@@ -83,7 +74,7 @@
         late = order.key(item(attained_tokens=100_000, deadline_at=clock.now() + 0.05))
         assert urgent < late < small < large
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_a_flooding_customer_waits_behind_others():
@@ -98,7 +89,7 @@
         weighted = order.key(item(customer="c2"))
         assert weighted == order.key(item(customer="c1"))
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_refused_calls_were_never_sent():
@@ -118,7 +109,7 @@
         assert runners[0].in_flight == runners[0].sent_since_report == 0
         assert not dispatcher.queue
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_a_free_runner_admits_calls_whose_estimate_misses_the_deadline():
@@ -130,7 +121,7 @@
         placed = await dispatcher.acquire(item(max_tokens=100_000, deadline_at=clock.now() + 1.0))
         assert placed.estimated_finish_s > 1.0
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_the_estimated_wait_includes_the_competition_of_peers():
@@ -161,7 +152,7 @@
             assert refused.value.not_run == "true"
             tasks.cancel_scope.cancel()
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_the_queue_is_bounded_but_open_to_urgent_calls():
@@ -196,7 +187,7 @@
             tasks.cancel_scope.cancel()
         assert not dispatcher.queue
 
-    run(main)
+    virtual_time.run(main)
 
 
 @pytest.mark.parametrize("backend", ["asyncio", "trio"])
@@ -246,7 +237,7 @@
         assert 1 < dispatcher.index.evaluated <= limit
         assert placed.runner.id == "r3"
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_runners_that_are_down_leaving_or_excluded_get_nothing():
@@ -262,7 +253,7 @@
             placed = await dispatcher.acquire(item(exclude={"r42"}))
             assert placed.runner.id == "r40"
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_load_is_corrected_by_own_and_peers_sends():
@@ -281,7 +272,7 @@
         dispatcher.reported("r0", clock.now())
         assert math.isclose(runners[0].load(), 0)
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_engines_without_transfer_are_never_asked_to_export():
@@ -299,7 +290,7 @@
             assert (placed.export_from, placed.import_tokens) == expected
             assert dispatcher.retention.export is moves
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_an_unknown_plug_in_is_refused_with_its_name():
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -2,6 +2,8 @@
 
 import collections
 
+import gateways
+
 from dogwoodgap import dialect, routes, selection, servers
 
 ENGINE = routes.Engine(16, 100_000, 10)
@@ -10,14 +12,8 @@
 
 
 def call(program, tokens=1_500, attempt="a"):
-    return dialect.Call(
-        attempt_id=attempt,
-        method=b"POST",
-        target=b"/",
-        host="h",
-        path="/",
-        headers=[],
-        arrived_at=0.0,
+    return gateways.turn(
+        attempt,
         program_id=program,
         session_id=program,
         prompt_tokens=tokens,
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 import anyio
-import trio.testing
+import virtual_time
 
 from dogwoodgap import servers
 
@@ -12,15 +12,6 @@
 GRACE_S = 2.0
 
 
-def run(main):
-    """Run a coroutine function on virtual time."""
-    anyio.run(
-        main,
-        backend="trio",
-        backend_options={"clock": trio.testing.MockClock(autojump_threshold=0)},
-    )
-
-
 def ids(directory):
     return [server.id for server in directory.ready("s")]
 
@@ -37,7 +28,7 @@
         directory.apply(servers.Listing(3, ()))
         assert ids(directory) == []
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_older_listing_is_ignored():
@@ -49,7 +40,7 @@
         assert not directory.apply(servers.Listing(4, (ONE, TWO)))
         assert ids(directory) == ["b"]
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_entries_that_lapsed_in_an_outage_get_time_to_return():
@@ -65,7 +56,7 @@
         directory.apply(servers.Listing(3, (TWO,)))
         assert ids(directory) == ["b"]
 
-    run(main)
+    virtual_time.run(main)
 
 
 def test_server_that_started_again_is_another_one():
@@ -80,4 +71,4 @@
         assert removed == [ONE]
         assert not directory.is_usable(ONE)
 
-    run(main)
+    virtual_time.run(main)
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -7,10 +7,10 @@
 import ssl
 
 import anyio
-import callers
 import httpx
 import pytest
 import trustme
+import virtual_time
 
 from dogwoodgap import errorpages, exceptions, keys, middleware, models, serving, settings, tls
 
@@ -152,8 +152,8 @@
             assert anyio.current_time() == pytest.approx(expected_s, abs=0.1)
             tasks.cancel_scope.cancel()
 
-    callers.run(functools.partial(main, 4, 3 * 0.8 + middleware.QUIET_S))
-    callers.run(functools.partial(main, 1_000, middleware.MAX_QUIET_WAIT_S))
+    virtual_time.run(functools.partial(main, 4, 3 * 0.8 + middleware.QUIET_S))
+    virtual_time.run(functools.partial(main, 1_000, middleware.MAX_QUIET_WAIT_S))
 
 
 def test_second_request_to_stop_does_not_wait():
@@ -169,7 +169,7 @@
         stop.request()
         await stop.drained()
 
-    callers.run(main)
+    virtual_time.run(main)
 
 
 def write_certificate(authority, folder, name):
@@ -236,7 +236,7 @@
         with pytest.raises(exceptions.ForbiddenError):
             keys.check_caller(identity)
 
-    callers.run(main)
+    virtual_time.run(main)
 
 
 def test_error_page_is_up_to_date():
--- a/tests/test_settle.py
+++ b/tests/test_settle.py
@@ -1,10 +1,9 @@
 """Failures of settling lost replies, found by random faults and judged by the history."""
 
-import anyio
 import fake_admin
 import httpx
 import hypothesis
-import trio.testing
+import virtual_time
 from hypothesis import strategies
 
 from dogwoodgap import ctl_client, exceptions, views
@@ -69,8 +68,7 @@
             assert outcome.applied
             return "applied", outcome.generation
 
-    clock = trio.testing.MockClock(autojump_threshold=0)
-    code, generation = anyio.run(main, backend="trio", backend_options={"clock": clock})
+    code, generation = virtual_time.run(main)
     own = [entry.generation for entry in node.configuration.entries if entry.author == "olga"]
     hypothesis.event(code)
     assert len(own) <= 1
