--- a/src/dogwoodgap/bootstrap.py
+++ b/src/dogwoodgap/bootstrap.py
@@ -6,7 +6,7 @@
 import anyio
 import msgspec
 
-from dogwoodgap import clock, events, exceptions, followers, peers, routes, servers
+from dogwoodgap import events, exceptions, followers, peers, routes
 from dogwoodgap_wire import ttypes
 
 ASK_TIMEOUT_S = 0.5
@@ -113,11 +113,8 @@
             return
         if reply.message.routes is not None:
             self.route_follower.adopt(decode_table(reply.message.routes))
-        listing = reply.message.listing
-        if listing is not None:
-            entries = tuple(followers.from_wire(entry) for entry in listing.servers or [])
-            read_at = clock.now() - (listing.age_ms or 0) / 1000
-            self.server_follower.adopt(servers.Listing(listing.revision, entries), read_at)
+        if reply.message.listing is not None:
+            self.server_follower.adopt_message(reply.message.listing)
         events.emit(
             events.Event.FLEET_FETCHED,
             "routes and servers were taken over from another node",
--- a/src/dogwoodgap/budget_owners.py
+++ b/src/dogwoodgap/budget_owners.py
@@ -4,12 +4,10 @@
 accounts move to their new owners; an owner that cannot be reached is replaced by the next one.
 """
 
-import collections.abc
 import math
 
 import anyio
 import anyio.abc
-import xxhash
 
 from dogwoodgap import (
     budget_records,
@@ -24,6 +22,7 @@
     membership,
     pacing,
     peers,
+    shards,
     source,
 )
 from dogwoodgap_wire import ttypes
@@ -51,13 +50,6 @@
 }
 
 
-def ranked(program: str, nodes: collections.abc.Iterable[str]) -> list[str]:
-    """Return nodes in the order in which they own a program."""
-    return sorted(
-        nodes, key=lambda node: xxhash.xxh64_intdigest(f"{program}/{node}".encode()), reverse=True
-    )
-
-
 class BudgetOwners:
     """The token accounts as one node takes part in them.
 
@@ -65,8 +57,6 @@
     ----------
     records : source.BudgetRecords
         Records in the platform's store.
-    tasks : anyio.abc.TaskGroup
-        Where settlements and transfers run.
     """
 
     def __init__(self, records: source.BudgetRecords):
@@ -169,7 +159,7 @@
             )
         alive = self.membership.alive() or [self.membership.local]
         found = {member.node: member for member in alive}
-        return [found[node] for node in ranked(program, found)]
+        return [found[node] for node in shards.rendezvous(program, found)]
 
     async def ask(
         self, owner: members.Member, request: ttypes.TokenReserve
@@ -228,8 +218,7 @@
 
     def is_owner(self, program: str) -> bool:
         """Return whether this node owns a program."""
-        owners = self.owners(program)
-        return bool(owners) and owners[0] is self.membership.local
+        return self.owners(program)[0] is self.membership.local
 
     async def decide(self, request: ttypes.TokenReserve) -> ttypes.TokenReserveReply:
         """Reserve tokens of an owned program, recording its use first where that is due."""
@@ -290,7 +279,7 @@
     async def find_copy(self, program: str) -> bool:
         """Return whether a node that was told of a program's records has said what it knows."""
         alive = {member.node: member for member in self.membership.alive()}
-        holders = ranked(program, alive.keys() | self.recently_lost())[
+        holders = shards.rendezvous(program, alive.keys() | self.recently_lost())[
             : 1 + budget_transfers.RECORD_COPIES
         ]
         if self.membership.local.node in holders and self.keeper.is_complete:
@@ -386,7 +375,7 @@
         if not lost:
             return False
         nodes = {member.node for member in self.membership.alive()} | lost
-        return ranked(program, nodes)[0] in lost
+        return shards.rendezvous(program, nodes)[0] in lost
 
     def expect_lost(self, node: str) -> None:
         """Expect programs whose accounts a node held that was lost now."""
--- a/src/dogwoodgap/file_source.py
+++ b/src/dogwoodgap/file_source.py
@@ -127,7 +127,7 @@
                 await anyio.sleep(CHECK_S)
         return source.RoutesWatch(found, found != after)
 
-    async def read_servers(self, *, fresh: bool) -> servers.Listing:
+    async def read_servers(self) -> servers.Listing:
         """Return the backend servers of the file."""
         entries = (servers.BackendServer(**item.model_dump()) for item in self.load().servers)
         return servers.Listing(self.modified_ns(), tuple(entries))
--- a/src/dogwoodgap/followers.py
+++ b/src/dogwoodgap/followers.py
@@ -188,7 +188,7 @@
         """Read the list and send it to the others."""
         self.tried_at = clock.now()
         try:
-            listing = await self.store.read_servers(fresh=True)
+            listing = await self.store.read_servers()
         except exceptions.StoreError as error:
             self.dependency.note_failure(error)
             self.directory.note_outage()
@@ -234,21 +234,30 @@
         """Take over a reading of another node."""
         self.route_follower.note_version(message.routes_version or -1)
         if message.servers is not None:
-            entries = tuple(from_wire(entry) for entry in message.servers)
-            listing = servers.Listing(message.revision, entries)
-        else:
-            listing = self.directory.listing_at(message.revision)
-            if digest_of(listing) != message.digest:
-                return ttypes.Ack(ok=False)
-        self.adopt(listing, clock.now() - (message.age_ms or 0) / 1000)
+            self.adopt_message(message)
+            return ttypes.Ack(ok=True)
+        listing = self.directory.listing_at(message.revision)
+        if digest_of(listing) != message.digest:
+            return ttypes.Ack(ok=False)
+        self.adopt(listing, reading_time(message))
         return ttypes.Ack(ok=True)
 
+    def adopt_message(self, message: ttypes.ServerListing) -> None:
+        """Take over the entries of a message unless newer ones are known."""
+        entries = tuple(from_wire(entry) for entry in message.servers or [])
+        self.adopt(servers.Listing(message.revision, entries), reading_time(message))
+
     def adopt(self, listing: servers.Listing, read_at: float) -> None:
         """Take a listing over unless a newer one is known."""
         self.directory.apply(listing, read_at=read_at)
         self.known.set()
 
 
+def reading_time(message: ttypes.ServerListing) -> float:
+    """Return the local monotonic time at which the sender read a listing."""
+    return clock.now() - (message.age_ms or 0) / 1000
+
+
 def digest_of(listing: servers.Listing) -> int:
     """Return a signed 64-bit hash of the entries."""
     parts: collections.abc.Iterable[str] = sorted(repr(server) for server in listing.servers)
--- a/src/dogwoodgap/shards.py
+++ b/src/dogwoodgap/shards.py
@@ -51,9 +51,7 @@
 
 def rendezvous(name: str, nodes: collections.abc.Iterable[str]) -> list[str]:
     """Return nodes in the order of their rendezvous hashes for a name."""
-    return sorted(
-        nodes, key=lambda node: (xxhash.xxh3_64_intdigest(f"{name}@{node}".encode()), node)
-    )
+    return sorted(nodes, key=lambda node: (hash_of(f"{name}@{node}"), node))
 
 
 class Owner(msgspec.Struct, frozen=True, array_like=True, order=True):
--- a/src/dogwoodgap/source.py
+++ b/src/dogwoodgap/source.py
@@ -31,8 +31,8 @@
     async def watch_routes(self, after: int, wait_s: float) -> RoutesWatch:
         """Wait until the routes may have changed after a revision."""
 
-    async def read_servers(self, *, fresh: bool) -> servers.Listing:
-        """Return the registered backend servers; without ``fresh`` they may be seconds old."""
+    async def read_servers(self) -> servers.Listing:
+        """Return the registered backend servers."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_followers.py
+++ b/tests/test_followers.py
@@ -38,7 +38,7 @@
                 await self.changed.wait()
         return source.RoutesWatch(self.revision, self.revision != after)
 
-    async def read_servers(self, *, fresh):
+    async def read_servers(self):
         self.check()
         self.listings += 1
         return servers.Listing(self.revision, (ENTRY,))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -100,7 +100,7 @@
             ]
             for number, spec in enumerate(bad):
                 stand_in.put("servers", f"x{number}", spec=spec)
-            listing = await fleet.PlatformSource(calls).read_servers(fresh=True)
+            listing = await fleet.PlatformSource(calls).read_servers()
         assert [server.id for server in listing.servers] == ["a", "b"]
         assert [server.draining for server in listing.servers] == [False, True]
         assert listing.servers[1].started_ms == 5
@@ -149,7 +149,7 @@
         async with running_store() as (stand_in, calls):
             stand_in.refuse, stand_in.lose = refuse, lose
             with pytest.raises(expected):
-                await fleet.PlatformSource(calls).read_servers(fresh=True)
+                await fleet.PlatformSource(calls).read_servers()
 
     run(main)
 
