Give test listeners ports that outgoing connections cannot take

Cause: three copies of free_address chose a port from the range of outgoing connections and let it go again; a connection of the same test could take it before the listener started.

--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -3,11 +3,11 @@
 import collections.abc
 import contextlib
 import dataclasses
-import socket
 
 import anyio
 import anyio.abc
 import h11
+import listen_addresses
 
 from dogwoodgap import (
     budget_owners,
@@ -26,13 +26,6 @@
 TIMEOUT_S = 0.6
 
 
-def free_address() -> str:
-    """Return an address that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 class MemoryRecords:
     """Budget records in memory; ``down`` makes all calls fail."""
 
@@ -94,7 +87,7 @@
         self.id = server_id
         self.service = service
         self.script = script
-        self.address = free_address()
+        self.address = listen_addresses.free_address()
         self.received: list[Received] = []
         self.opened = 0
         self.asked = anyio.Event()
@@ -260,7 +253,7 @@
             self.book, self.directory, dialect.Dialect(NAMES), self.accounts, self.suspects, "d1"
         )
         self.server = ingress.Server(self.forwarder.handle)
-        self.address = free_address()
+        self.address = listen_addresses.free_address()
 
     def list_servers(self, **changes) -> None:
         """Register all backend servers."""
--- a/tests/live.py
+++ b/tests/live.py
@@ -2,10 +2,10 @@
 
 import contextlib
 import hashlib
-import socket
 
 import anyio
 import httpx
+import listen_addresses
 
 from dogwoodgap import middleware, node, serving, settings
 from dogwoodgap_lab import engine, engine_server, faults, objects, plain_service, platform_server
@@ -15,13 +15,6 @@
 LIMIT_S = 60.0
 
 
-def free_address() -> str:
-    """Return an address that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 def digest(token: str) -> str:
     """Return the stored form of a key."""
     return hashlib.sha256(token.encode()).hexdigest()
@@ -31,11 +24,11 @@
     """Addresses and parts of a running fleet."""
 
     def __init__(self, node_count: int, section: dict):
-        self.platform = free_address()
-        self.engine_address = free_address()
-        self.plain_address = free_address()
-        self.http = [free_address() for _ in range(node_count)]
-        self.peer = [free_address() for _ in range(node_count)]
+        self.platform = listen_addresses.free_address()
+        self.engine_address = listen_addresses.free_address()
+        self.plain_address = listen_addresses.free_address()
+        self.http = [listen_addresses.free_address() for _ in range(node_count)]
+        self.peer = [listen_addresses.free_address() for _ in range(node_count)]
         self.section = section
         self.scheme = "https" if "tls" in section else "http"
         self.table = objects.ObjectTable()
--- a/tests/platform_stand_in.py
+++ b/tests/platform_stand_in.py
@@ -5,7 +5,7 @@
 import urllib.parse
 
 import anyio
-import gateways
+import listen_addresses
 
 from dogwoodgap import ingress
 
@@ -76,7 +76,7 @@
     """
 
     def __init__(self) -> None:
-        self.address = gateways.free_address()
+        self.address = listen_addresses.free_address()
         self.kinds: dict[str, dict[str, dict]] = {}
         self.history: list[Change] = []
         self.revision = 10
--- /dev/null
+++ b/tests/test_listen_addresses.py
@@ -0,0 +1,12 @@
+"""Addresses of test listeners stay clear of outgoing connections."""
+
+import listen_addresses
+
+LOWEST_EPHEMERAL_PORT = 32_768
+
+
+def test_listeners_get_no_port_that_an_outgoing_connection_may_take():
+    """Guards against a listener that fails with EADDRINUSE since a connection has its port."""
+    chosen = [listen_addresses.free_address() for _ in range(50)]
+    assert len(set(chosen)) == 50
+    assert max(int(address.rpartition(":")[2]) for address in chosen) < LOWEST_EPHEMERAL_PORT
--- a/tests/test_live_tls.py
+++ b/tests/test_live_tls.py
@@ -10,6 +10,7 @@
 import h2.connection
 import h2.events
 import httpx
+import listen_addresses
 import live
 import test_live
 import trustme
@@ -114,7 +115,7 @@
     authority = trustme.CA()
     authority.cert_pem.write_to_path(tmp_path / "authority.pem")
     issue(authority, tmp_path)
-    monkeypatch.setenv("ALL_PROXY", f"http://{live.free_address()}")
+    monkeypatch.setenv("ALL_PROXY", f"http://{listen_addresses.free_address()}")
     monkeypatch.setattr(tls, "RELOAD_INTERVAL_S", 0.05)
     trust = ssl.create_default_context(cafile=str(tmp_path / "authority.pem"))
     h2_trust = ssl.create_default_context(cafile=str(tmp_path / "authority.pem"))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -5,6 +5,7 @@
 
 import anyio
 import gateways
+import listen_addresses
 import platform_stand_in
 import pytest
 from dogwoodgap_platform import entrance, fleet, names, records, removals, store
@@ -202,15 +203,15 @@
                 "node": {
                     "name": name,
                     "data_centre": "d1",
-                    "http_bind": gateways.free_address(),
-                    "peer_bind": gateways.free_address(),
+                    "http_bind": listen_addresses.free_address(),
+                    "peer_bind": listen_addresses.free_address(),
                     "seeds": list(seeds),
                 },
                 "platform": {"url": f"http://{stand_in.address}"},
                 "gateway": {
-                    "ready_bind": gateways.free_address(),
-                    "directory_bind": gateways.free_address(),
-                    "metrics_bind": gateways.free_address(),
+                    "ready_bind": listen_addresses.free_address(),
+                    "directory_bind": listen_addresses.free_address(),
+                    "metrics_bind": listen_addresses.free_address(),
                     "stop_grace_s": 3.0,
                     "directory_ttl_s": 0.2,
                     "first_start": True,
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -3,11 +3,11 @@
 import functools
 import hashlib
 import pathlib
-import socket
 import ssl
 
 import anyio
 import httpx
+import listen_addresses
 import pytest
 import trustme
 import virtual_time
@@ -15,13 +15,6 @@
 from dogwoodgap import errorpages, exceptions, keys, middleware, models, serving, settings, tls
 
 
-def free_address():
-    """Return an address that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 class SlowAnswer:
     """Answers in two pieces; the second one follows when the test says so."""
 
@@ -55,7 +48,7 @@
     async def main():
         slow = SlowAnswer()
         application = middleware.Problems(slow)
-        address = free_address()
+        address = listen_addresses.free_address()
         closing = anyio.Event()
         stop = serving.GracefulStop(linger_s=0.0)
         stop.waits.append(application.wait_idle)
@@ -96,7 +89,9 @@
         stop.set()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(anyio.sleep, 60)
-            await serving.serve(middleware.Problems(SlowAnswer()), free_address(), None, stop)
+            await serving.serve(
+                middleware.Problems(SlowAnswer()), listen_addresses.free_address(), None, stop
+            )
             tasks.cancel_scope.cancel()
 
     anyio.run(main)
@@ -108,7 +103,7 @@
     async def main():
         slow = SlowAnswer()
         application = middleware.Problems(slow)
-        address = free_address()
+        address = listen_addresses.free_address()
         closing = anyio.Event()
         replies = []
 
@@ -252,7 +247,7 @@
         slow = SlowAnswer()
         slow.proceed.set()
         application = middleware.Problems(slow)
-        address = free_address()
+        address = listen_addresses.free_address()
         closing = anyio.Event()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(serving.serve, application, address, None, closing)
