Count a gateway's control work in simulated fleets

Cause: a gateway among 64 used 0.06 to 0.07 cores at rest, and nothing in the repository showed which part grows with the number of gateways. The simulation runs real gateways with real connection handling on virtual time, so that its counts do not depend on the machine. Opening a stream is a method of its own, and a gateway starts to follow before it joins, so both can be simulated. No change of behaviour.

--- a/src/dogwoodgap/gateway.py
+++ b/src/dogwoodgap/gateway.py
@@ -144,14 +144,7 @@
         section = self.settings.gateway
         async with anyio.create_task_group() as tasks:
             network = peers.PeerNetwork(self.settings.node.peer_bind, tasks)
-            network.hello = lambda: ttypes.Member(node=self.settings.node.name, boot=self.boot)
-            await tasks.start(network.serve)
-            bootstrapper = bootstrap.Bootstrap(
-                network, self.settings.node.seeds, self.route_follower, self.server_follower
-            )
-            tasks.start_soon(bootstrapper.run)
-            tasks.start_soon(self.route_follower.run)
-            tasks.start_soon(self.server_follower.run)
+            await self.start_following(network, tasks)
             tasks.start_soon(self.forwarder.close_retired)
             ready_server = ingress.Server(endpoints.ready)
             await tasks.start(ready_server.serve, section.ready_bind)
@@ -171,6 +164,19 @@
             await self.stop()
             tasks.cancel_scope.cancel()
 
+    async def start_following(
+        self, network: peers.PeerNetwork, tasks: anyio.abc.TaskGroup
+    ) -> None:
+        """Start to exchange messages with other gateways, and to follow routes and servers."""
+        network.hello = lambda: ttypes.Member(node=self.settings.node.name, boot=self.boot)
+        await tasks.start(network.serve)
+        bootstrapper = bootstrap.Bootstrap(
+            network, self.settings.node.seeds, self.route_follower, self.server_follower
+        )
+        tasks.start_soon(bootstrapper.run)
+        tasks.start_soon(self.route_follower.run)
+        tasks.start_soon(self.server_follower.run)
+
     async def serve_metrics(self, request: ingress.Request, responder: ingress.Responder) -> None:
         """Respond to a metrics scrape."""
         exposition.servers_age.set(self.server_registry.age_s)
--- a/src/dogwoodgap/peer_connections.py
+++ b/src/dogwoodgap/peer_connections.py
@@ -27,6 +27,8 @@
     TimeoutError,
 )
 
+StreamOpener = collections.abc.Callable[[], collections.abc.Awaitable[anyio.abc.ByteStream]]
+
 
 @dataclasses.dataclass(slots=True)
 class PendingRequest:
@@ -133,21 +135,23 @@
             pending.done.set()
 
 
+async def open_stream(address: str, tls: ssl.SSLContext | None) -> anyio.abc.ByteStream:
+    """Open a TCP connection, with TLS if a context is given."""
+    host, port = split_address(address)
+    if tls is None:
+        return await anyio.connect_tcp(host, port)
+    return await anyio.connect_tcp(host, port, ssl_context=tls, tls_standard_compatible=False)
+
+
 @contextlib.asynccontextmanager
 async def connect(
-    address: str, hello: ttypes.Member, traffic: Traffic, tls: ssl.SSLContext | None
+    opener: StreamOpener, hello: ttypes.Member, traffic: Traffic
 ) -> collections.abc.AsyncIterator[Connection]:
-    """Connect, set up TLS and exchange ``Hello``; on exit, close without a TLS shutdown."""
-    host, port = split_address(address)
+    """Open a stream and exchange ``Hello``; on exit, close without a TLS shutdown."""
     stream: anyio.abc.ByteStream | None = None
     try:
         with anyio.fail_after(CONNECT_TIMEOUT_S):
-            if tls is None:
-                stream = await anyio.connect_tcp(host, port)
-            else:
-                stream = await anyio.connect_tcp(
-                    host, port, ssl_context=tls, tls_standard_compatible=False
-                )
+            stream = await opener()
             connection = Connection(stream, traffic)
             await connection.handshake(hello)
         yield connection
--- a/src/dogwoodgap/peers.py
+++ b/src/dogwoodgap/peers.py
@@ -3,6 +3,7 @@
 import collections.abc
 import contextlib
 import dataclasses
+import functools
 import logging
 import ssl
 import typing
@@ -270,7 +271,12 @@
         self, address: str
     ) -> contextlib.AbstractAsyncContextManager[peer_connections.Connection]:
         """Return a context manager that opens a connection and exchanges ``Hello``."""
-        return peer_connections.connect(address, self.hello(), self.traffic, self.client_tls)
+        opener = functools.partial(self.open_stream, address)
+        return peer_connections.connect(opener, self.hello(), self.traffic)
+
+    async def open_stream(self, address: str) -> anyio.abc.ByteStream:
+        """Open a stream to another node."""
+        return await peer_connections.open_stream(address, self.client_tls)
 
     def set_partners(self, addresses: collections.abc.Iterable[str]) -> None:
         """Keep persistent connections to exactly these addresses."""
--- a/src/dogwoodgap_lab/capacity_cli.py
+++ b/src/dogwoodgap_lab/capacity_cli.py
@@ -7,7 +7,13 @@
 import anyio
 import typer
 
-from dogwoodgap_lab import capacity_fit, capacity_nodes, capacity_processes, capacity_state
+from dogwoodgap_lab import (
+    capacity_fit,
+    capacity_nodes,
+    capacity_processes,
+    capacity_state,
+    gateway_scale,
+)
 
 cli = typer.Typer(no_args_is_help=True, help="Measure how costs grow with the size of the fleet.")
 
@@ -31,6 +37,13 @@
     capacity_fit.append_measure(output, capacity_nodes.measure(count, base_port))
 
 
+@cli.command()
+def gateways(count: int, turns_per_s: float = 1.0, output: Output = OUTPUT) -> None:
+    """Count calls, messages and connections of the gateways of a fleet on virtual time."""
+    for measure in gateway_scale.measure(count, turns_per_s).measures:
+        capacity_fit.append_measure(output, measure)
+
+
 @cli.command()
 def programs(
     count: int,
