Start a gateway without libraries that it does not use

Cause: the optional modules were blocked after httpx had been imported, so that each start loaded the command line of httpx with rich, click and pygments; the settings built all models of the HTTP interface; pydantic read the metadata of all packages to look for plug-ins; the member table pulled in the object store. The test fails without the change.

--- a/src/dogwoodgap/admin_changes.py
+++ b/src/dogwoodgap/admin_changes.py
@@ -15,6 +15,7 @@
     metrics,
     models,
     roles,
+    validation,
 )
 
 NOTE_CHANGE_ID_PATTERN = re.compile(r"^change=([A-Za-z0-9-]{1,64})(?: |$)")
@@ -177,12 +178,14 @@
     try:
         return models.FleetConfiguration.model_validate(document)
     except pydantic.ValidationError as error:
-        raise exceptions.SettingsInvalidError(f"correct {models.format_errors(error)}") from error
+        raise exceptions.SettingsInvalidError(
+            f"correct {validation.format_errors(error)}"
+        ) from error
 
 
 def parse_resource(
-    model: type[models.ModelT], path: str, body: object, fixed: dict[str, str]
-) -> models.ModelT:
+    model: type[validation.ModelT], path: str, body: object, fixed: dict[str, str]
+) -> validation.ModelT:
     """Validate a decoded JSON document as one resource; ``fixed`` holds fields from the URL.
 
     Raises
@@ -194,7 +197,7 @@
         return model.model_validate(body | fixed if isinstance(body, dict) else body)
     except pydantic.ValidationError as error:
         raise exceptions.SettingsInvalidError(
-            f"{path}: correct {models.format_errors(error)}"
+            f"{path}: correct {validation.format_errors(error)}"
         ) from error
 
 
--- a/src/dogwoodgap/admin_configuration.py
+++ b/src/dogwoodgap/admin_configuration.py
@@ -5,7 +5,16 @@
 import msgspec
 from starlette import requests, responses, routing
 
-from dogwoodgap import admin_changes, admin_http, admin_parts, keys, models, roles, views
+from dogwoodgap import (
+    admin_changes,
+    admin_http,
+    admin_parts,
+    keys,
+    models,
+    roles,
+    validation,
+    views,
+)
 
 DEFAULT_HISTORY_LIMIT = 20
 MAX_HISTORY_LIMIT = 500
@@ -52,7 +61,9 @@
     ) -> responses.Response:
         """Write the content of an older generation as a new generation."""
         change = admin_http.parse_change(request, identity)
-        body = models.parse_json(admin_parts.RollbackRequest, await admin_http.read_body(request))
+        body = validation.parse_json(
+            admin_parts.RollbackRequest, await admin_http.read_body(request)
+        )
         return admin_http.change_response(await self.updater.rollback(change, body.generation))
 
     async def history(
--- a/src/dogwoodgap/admin_http.py
+++ b/src/dogwoodgap/admin_http.py
@@ -17,8 +17,8 @@
     exceptions,
     keys,
     metrics,
-    models,
     roles,
+    validation,
     views,
 )
 
@@ -200,9 +200,11 @@
         ) from error
 
 
-async def read_model(request: requests.Request, model: type[models.ModelT]) -> models.ModelT:
+async def read_model(
+    request: requests.Request, model: type[validation.ModelT]
+) -> validation.ModelT:
     """Read and validate a body; an empty one gives the model's defaults."""
-    return models.parse_json(model, await read_body(request) or b"{}")
+    return validation.parse_json(model, await read_body(request) or b"{}")
 
 
 def integer_parameter(request: requests.Request, name: str, default: int, maximum: int) -> int:
--- a/src/dogwoodgap/admin_parts.py
+++ b/src/dogwoodgap/admin_parts.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from dogwoodgap import differences, models
+from dogwoodgap import differences, models, validation
 
 
 class HistoryEntry(typing.Protocol):
@@ -187,23 +187,23 @@
     nodes: dict[str, int]
 
 
-class RollbackRequest(models.StrictModel):
+class RollbackRequest(validation.StrictModel):
     """Body of ``POST /admin/v1/configuration/rollback``."""
 
     generation: int
 
 
-class KeyRequest(models.StrictModel):
+class KeyRequest(validation.StrictModel):
     """Body of ``POST /admin/v1/keys/{name}``; the node generates the token."""
 
     role: typing.Literal["caller", "viewer", "operator", "administrator"] = "caller"
-    customer: models.Name | None = None
-    services: list[models.Name] = []
-    customers: list[models.Name] = []
+    customer: validation.Name | None = None
+    services: list[validation.Name] = []
+    customers: list[validation.Name] = []
     not_after: float = 0.0
 
 
-class RotationRequest(models.StrictModel):
+class RotationRequest(validation.StrictModel):
     """Body of ``POST /admin/v1/keys/{name}/rotation``."""
 
     overlap_seconds: models.Seconds = 86_400.0
--- a/src/dogwoodgap/app.py
+++ b/src/dogwoodgap/app.py
@@ -27,6 +27,7 @@
     settings,
     shards,
     structures,
+    validation,
     views,
 )
 
@@ -127,7 +128,7 @@
         """Create a program, or return the one with this id."""
         identity = self.identify(request)
         data = await bodies.read(request, self.max_body_bytes)
-        body = models.parse_json(models.ProgramRequest, data)
+        body = validation.parse_json(models.ProgramRequest, data)
         keys.check_service(identity, body.service)
         routing_id = body.parent or body.id or self.new_local_id(identity.customer)
         shard = shards.program_shard(identity.customer, routing_id)
@@ -180,7 +181,7 @@
         """Run the next call of a program, or attach to the one with this number."""
         self.identify(request)
         data = await bodies.read(request, self.max_body_bytes)
-        body = models.parse_json(models.CallRequest, data)
+        body = validation.parse_json(models.CallRequest, data)
         wait_s = self.longest_call_s() if body.deadline_seconds is None else body.deadline_seconds
         forwarded = await self.forward_program_if_remote(request, data, wait_s)
         if forwarded is not None:
@@ -227,7 +228,7 @@
         """Run the next action of a program; an urgent idempotent one needs no number."""
         identity = self.identify(request)
         data = await bodies.read(request, self.max_body_bytes)
-        body = models.parse_json(models.ActionRequest, data)
+        body = validation.parse_json(models.ActionRequest, data)
         action = self.action_of(request, identity, body)
         if body.urgent and body.idempotent and body.seq is None:
             return views.action_response(await self.services.idempotent.run(action))
@@ -247,7 +248,7 @@
         """Run an action outside programs."""
         identity = self.identify(request)
         data = await bodies.read(request, self.max_body_bytes)
-        body = models.parse_json(models.ActionRequest, data)
+        body = validation.parse_json(models.ActionRequest, data)
         action = self.action_of(request, identity, body)
         if body.idempotent:
             return views.action_response(await self.services.idempotent.run(action))
@@ -308,7 +309,7 @@
         ) from error
 
 
-_key_type = pydantic.TypeAdapter(models.Name)
+_key_type = pydantic.TypeAdapter(validation.Name)
 
 
 async def stream_events(
--- a/src/dogwoodgap/budget_owners.py
+++ b/src/dogwoodgap/budget_owners.py
@@ -18,11 +18,11 @@
     dialect,
     events,
     exceptions,
+    hashing,
     members,
     membership,
     pacing,
     peers,
-    shards,
     source,
 )
 from dogwoodgap_wire import ttypes
@@ -161,7 +161,7 @@
             )
         alive = self.membership.alive() or [self.membership.local]
         by_node = {member.node: member for member in alive}
-        return [by_node[node] for node in shards.rendezvous_order(program, by_node)]
+        return [by_node[node] for node in hashing.rendezvous_order(program, by_node)]
 
     async def request_reservation(
         self, owner: members.Member, request: ttypes.TokenReserve
@@ -295,7 +295,7 @@
     async def find_record(self, program: str) -> bool:
         """Fetch a program's record; return whether a replica with all records has replied."""
         alive = {member.node: member for member in self.membership.alive()}
-        replicas = shards.rendezvous_order(program, alive.keys() | self.recently_lost_nodes())[
+        replicas = hashing.rendezvous_order(program, alive.keys() | self.recently_lost_nodes())[
             : 1 + budget_transfers.RECORD_REPLICAS
         ]
         if self.membership.local.node in replicas and self.record_client.is_complete:
@@ -393,7 +393,7 @@
         if not lost:
             return False
         nodes = {member.node for member in self.membership.alive()} | lost
-        return shards.rendezvous_order(program, nodes)[0] in lost
+        return hashing.rendezvous_order(program, nodes)[0] in lost
 
     def mark_lost(self, node: str) -> None:
         """Mark a node as lost, so that usage is assumed for the programs that it owned."""
--- a/src/dogwoodgap/completions.py
+++ b/src/dogwoodgap/completions.py
@@ -17,6 +17,7 @@
     prompts,
     shards,
     structures,
+    validation,
     views,
 )
 
@@ -112,7 +113,7 @@
         """Answer a conversation; the program named in the header is continued."""
         identity = self.app.identify(request)
         data = await bodies.read(request, self.app.max_body_bytes)
-        body = models.parse_json(models.ChatRequest, data)
+        body = validation.parse_json(models.ChatRequest, data)
         keys.check_service(identity, body.model)
         header_program = request.headers.get(PROGRAM_HEADER, "")
         program_id = header_program or self.app.new_local_id(identity.customer)
--- a/src/dogwoodgap/configuration.py
+++ b/src/dogwoodgap/configuration.py
@@ -18,12 +18,12 @@
     editor,
     events,
     exceptions,
+    hashing,
     members,
     models,
     objectstore,
     peers,
     revisions,
-    shards,
 )
 from dogwoodgap_wire import ttypes
 
@@ -245,7 +245,7 @@
         names = {
             member.node for member in self.live_members() if member.data_centre == self.data_centre
         }
-        ranked = sorted(names, key=lambda name: shards.stable_hash(f"configuration-watch/{name}"))
+        ranked = sorted(names, key=lambda name: hashing.stable_hash(f"configuration-watch/{name}"))
         return not ranked or self.node in ranked[: self.watches_per_data_centre]
 
     async def read(self) -> None:
--- a/src/dogwoodgap/ctl_files.py
+++ b/src/dogwoodgap/ctl_files.py
@@ -7,7 +7,7 @@
 
 import pydantic
 
-from dogwoodgap import exceptions, models
+from dogwoodgap import exceptions, models, validation
 
 
 def load_configuration(path: pathlib.Path) -> models.FleetConfiguration:
@@ -31,7 +31,7 @@
         return models.FleetConfiguration.model_validate(document)
     except pydantic.ValidationError as error:
         raise exceptions.SettingsInvalidError(
-            f"{path}: correct {models.format_errors(error)}"
+            f"{path}: correct {validation.format_errors(error)}"
         ) from error
 
 
--- a/src/dogwoodgap/discovery.py
+++ b/src/dogwoodgap/discovery.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from dogwoodgap import members, shards
+from dogwoodgap import hashing, members, shards
 
 OwnerLookup = collections.abc.Callable[[int], str]
 """Returns the name of the node that owns a shard; empty when it has no owner."""
@@ -65,7 +65,7 @@
         centre = centres[0] if centres else self.data_centre
 
         def rank(member: members.Member) -> tuple[bool, bool, int]:
-            tie_break = shards.stable_hash(f"{customer}/{shards.root_of(program)}/{member.node}")
+            tie_break = hashing.stable_hash(f"{customer}/{shards.root_of(program)}/{member.node}")
             return member.node != owner, member.data_centre != centre, tie_break
 
         ordered = sorted(alive, key=rank)
--- a/src/dogwoodgap/file_source.py
+++ b/src/dogwoodgap/file_source.py
@@ -6,20 +6,20 @@
 import anyio
 import pydantic
 
-from dogwoodgap import exceptions, models, routes, servers, source
+from dogwoodgap import exceptions, routes, servers, source, validation
 
 POLL_INTERVAL_S = 0.5
 """Interval at which the file is checked for changes."""
 
 
-class FileTarget(models.StrictModel):
+class FileTarget(validation.StrictModel):
     """A service and its share of a route."""
 
     service: str
     weight: float = pydantic.Field(default=1.0, gt=0)
 
 
-class FileRoute(models.StrictModel):
+class FileRoute(validation.StrictModel):
     """A route; times are in seconds, and the prefix ends with a slash."""
 
     name: str
@@ -35,7 +35,7 @@
     resumable: bool = False
 
 
-class FileEngine(models.StrictModel):
+class FileEngine(validation.StrictModel):
     """Capacity of each model engine of a service."""
 
     slots: int = pydantic.Field(ge=1)
@@ -43,7 +43,7 @@
     tokens_per_event: int = pydantic.Field(default=1, ge=1)
 
 
-class FileService(models.StrictModel):
+class FileService(validation.StrictModel):
     """A service and its limit of connections to each server."""
 
     name: str
@@ -51,7 +51,7 @@
     engine: FileEngine | None = None
 
 
-class FileServer(models.StrictModel):
+class FileServer(validation.StrictModel):
     """One backend server."""
 
     id: str
@@ -62,7 +62,7 @@
     draining: bool = False
 
 
-class FleetFile(models.StrictModel):
+class FleetFile(validation.StrictModel):
     """Contents of the file; routes apply only if ``version`` is newer than before."""
 
     version: int = pydantic.Field(ge=0)
@@ -97,7 +97,7 @@
             raise exceptions.StoreError(f"{self.path}: {error}; correct the file") from error
         except pydantic.ValidationError as error:
             raise exceptions.StoreError(
-                f"{self.path}: correct {models.format_errors(error)}"
+                f"{self.path}: correct {validation.format_errors(error)}"
             ) from error
 
     def modified_ns(self) -> int:
--- a/src/dogwoodgap/members.py
+++ b/src/dogwoodgap/members.py
@@ -6,7 +6,7 @@
 import logging
 import math
 
-from dogwoodgap import clock, events, exceptions, shards
+from dogwoodgap import clock, events, exceptions, hashing
 from dogwoodgap_wire import ttypes
 
 FULL_MESH_NODES = 16
@@ -335,7 +335,7 @@
             value = 0
             for member in [self.local, *self.others()]:
                 text = f"{member.node}/{member.boot}/{member.incarnation}"
-                value ^= shards.stable_hash(text)
+                value ^= hashing.stable_hash(text)
             self.cached_digest = value - (1 << 64) if value >> 63 else value
             self.cached_digest_version = self.version
         return self.cached_digest
@@ -375,7 +375,7 @@
     The distances on the ring are powers of the fourth root of the number of nodes, in both
     directions. Partnership is therefore mutual, and a change reaches 380 nodes in few hops.
     """
-    ring = sorted({local, *names}, key=lambda name: (shards.stable_hash(name), name))
+    ring = sorted({local, *names}, key=lambda name: (hashing.stable_hash(name), name))
     count = len(ring)
     if count <= FULL_MESH_NODES:
         return set(ring) - {local}
--- a/src/dogwoodgap/models.py
+++ b/src/dogwoodgap/models.py
@@ -5,37 +5,30 @@
 
 import pydantic
 
-from dogwoodgap import exceptions
+from dogwoodgap import validation
 
-Name = typing.Annotated[str, pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9_.:-]{0,127}$")]
 Seconds = typing.Annotated[float, pydantic.Field(ge=0, le=31 * 86_400)]
 
 
-class StrictModel(pydantic.BaseModel):
-    """Base of models for external documents; rejects unknown fields."""
-
-    model_config = pydantic.ConfigDict(extra="forbid")
-
-
-class Message(StrictModel):
+class Message(validation.StrictModel):
     """One message of a conversation."""
 
     role: typing.Literal["system", "user", "assistant", "tool"]
     content: str
 
 
-class ProgramRequest(StrictModel):
+class ProgramRequest(validation.StrictModel):
     """Body of ``POST /v1/programs``."""
 
-    id: Name | None = None
-    service: Name
-    profile: Name | None = None
+    id: validation.Name | None = None
+    service: validation.Name
+    profile: validation.Name | None = None
     budget_tokens: int | None = pydantic.Field(default=None, ge=1)
     deadline_seconds: Seconds | None = None
-    parent: Name | None = None
+    parent: validation.Name | None = None
 
 
-class CallRequest(StrictModel):
+class CallRequest(validation.StrictModel):
     """Body of ``POST /v1/programs/{id}/calls``; ``messages`` extend the history."""
 
     seq: int = pydantic.Field(ge=1)
@@ -43,10 +36,10 @@
     max_tokens: int = pydantic.Field(default=256, ge=1, le=131_072)
     stream: bool = False
     deadline_seconds: Seconds | None = None
-    next_tool: Name | None = None
+    next_tool: validation.Name | None = None
 
 
-class ActionRequest(StrictModel):
+class ActionRequest(validation.StrictModel):
     """Body of a request for an action on a plain service."""
 
     seq: int | None = pydantic.Field(default=None, ge=1)
@@ -73,7 +66,7 @@
     stream_options: StreamOptions | None = None
 
 
-class Profile(StrictModel):
+class Profile(validation.StrictModel):
     """Weights and limits for programs that use this profile."""
 
     latency_weight: float = pydantic.Field(default=1.0, ge=0, le=100)
@@ -89,41 +82,41 @@
     call_deadline_seconds: Seconds = 120.0
 
 
-class ProfileHours(StrictModel):
+class ProfileHours(validation.StrictModel):
     """A window of local hours in which a service uses a profile; it may span midnight."""
 
-    profile: Name
+    profile: validation.Name
     start_hour: float = pydantic.Field(ge=0, lt=24)
     end_hour: float = pydantic.Field(ge=0, lt=24)
     days: list[int] = pydantic.Field(default_factory=lambda: list(range(7)))
 
 
-class Runner(StrictModel):
+class Runner(validation.StrictModel):
     """One backend server of a service."""
 
-    id: Name
+    id: validation.Name
     address: str = pydantic.Field(pattern=r"^https?://")
-    data_centre: Name
+    data_centre: validation.Name
     checks_fencing: bool = False
     slots: int = pydantic.Field(default=16, ge=1)
     cache_tokens: int = pydantic.Field(default=200_000, ge=0)
 
 
-class Service(StrictModel):
+class Service(validation.StrictModel):
     """A model service or plain service and its runners."""
 
     kind: typing.Literal["model", "plain"]
     runners: list[Runner] = pydantic.Field(default_factory=list)
-    profile: Name = "default"
+    profile: validation.Name = "default"
     hours: list[ProfileHours] = pydantic.Field(default_factory=list)
     time_zone: str = "UTC"
     answers_outcomes: bool = False
     prefill_tokens_per_s: float = pydantic.Field(default=8_000.0, gt=0)
     decode_tokens_per_s: float = pydantic.Field(default=50.0, gt=0)
-    ordering: Name = "program"
-    placement: Name = "estimated-finish"
-    retention: Name = "cost"
-    admission: Name = "deadline"
+    ordering: validation.Name = "program"
+    placement: validation.Name = "estimated-finish"
+    retention: validation.Name = "cost"
+    admission: validation.Name = "deadline"
     model: str = ""
     version: str = ""
     adapters: list[str] = pydantic.Field(default_factory=list)
@@ -142,7 +135,7 @@
         return value
 
 
-class Customer(StrictModel):
+class Customer(validation.StrictModel):
     """Limits and weight of a customer; 0 means no limit."""
 
     weight: float = pydantic.Field(default=1.0, gt=0)
@@ -150,25 +143,27 @@
     concurrency: int = pydantic.Field(default=0, ge=0)
 
 
-class Key(StrictModel):
+class Key(validation.StrictModel):
     """An API key: the SHA-256 of the bearer token and what it allows."""
 
     digest: str = pydantic.Field(pattern=r"^[0-9a-f]{64}$")
-    customer: Name | None = None
+    customer: validation.Name | None = None
     role: typing.Literal["caller", "viewer", "operator", "administrator"] = "caller"
-    services: list[Name] = pydantic.Field(default_factory=list)
-    customers: list[Name] = pydantic.Field(default_factory=list)
+    services: list[validation.Name] = pydantic.Field(default_factory=list)
+    customers: list[validation.Name] = pydantic.Field(default_factory=list)
     not_after: float = 0.0
 
 
-class FleetConfiguration(StrictModel):
+class FleetConfiguration(validation.StrictModel):
     """Configuration of the whole fleet, one document with a generation number."""
 
     generation: int = pydantic.Field(default=0, ge=0)
-    profiles: dict[Name, Profile] = pydantic.Field(default_factory=lambda: {"default": Profile()})
-    services: dict[Name, Service] = pydantic.Field(default_factory=dict)
-    customers: dict[Name, Customer] = pydantic.Field(default_factory=dict)
-    keys: dict[Name, Key] = pydantic.Field(default_factory=dict)
+    profiles: dict[validation.Name, Profile] = pydantic.Field(
+        default_factory=lambda: {"default": Profile()}
+    )
+    services: dict[validation.Name, Service] = pydantic.Field(default_factory=dict)
+    customers: dict[validation.Name, Customer] = pydantic.Field(default_factory=dict)
+    keys: dict[validation.Name, Key] = pydantic.Field(default_factory=dict)
 
     @pydantic.model_validator(mode="after")
     def check_references(self) -> "FleetConfiguration":
@@ -188,29 +183,3 @@
                     f"keys.{name} refers to unknown customer {key.customer!r}; add it to customers"
                 )
         return self
-
-
-ModelT = typing.TypeVar("ModelT", bound=pydantic.BaseModel)
-
-
-def format_errors(error: pydantic.ValidationError) -> str:
-    """Return the path, reason and value of each validation error in one line."""
-    lines = []
-    for details in error.errors():
-        path = ".".join(str(part) for part in details["loc"]) or "(document)"
-        lines.append(f"{path}: {details['msg']} (got {str(details['input'])[:60]!r})")
-    return "; ".join(lines)
-
-
-def parse_json(model: type[ModelT], body: bytes) -> ModelT:
-    """Parse and validate a JSON request body.
-
-    Raises
-    ------
-    InvalidRequestError
-        If the body is invalid; the detail has the path, reason and value of each error.
-    """
-    try:
-        return model.model_validate_json(body)
-    except pydantic.ValidationError as error:
-        raise exceptions.InvalidRequestError(f"correct the body: {format_errors(error)}") from error
--- a/src/dogwoodgap/recovery.py
+++ b/src/dogwoodgap/recovery.py
@@ -18,6 +18,7 @@
     events,
     exceptions,
     handover,
+    hashing,
     journal,
     loading,
     objectstore,
@@ -250,7 +251,7 @@
 
     def rank(self, name: str) -> int:
         """Return this node's position in the rendezvous order of the live nodes."""
-        ordered = shards.rendezvous_order(name, {owner.node for owner in self.live()})
+        ordered = hashing.rendezvous_order(name, {owner.node for owner in self.live()})
         return ordered.index(self.node)
 
     def waited_s(self, name: str) -> float:
--- a/src/dogwoodgap/revisions.py
+++ b/src/dogwoodgap/revisions.py
@@ -6,7 +6,7 @@
 import msgspec
 import pydantic
 
-from dogwoodgap import exceptions, models
+from dogwoodgap import exceptions, models, validation
 
 CURRENT_KEY = "config/current"
 HISTORY_PREFIX = "config/history/"
@@ -98,7 +98,9 @@
             return models.FleetConfiguration.model_validate_json(document)
         return models.FleetConfiguration.model_validate(document)
     except pydantic.ValidationError as error:
-        raise exceptions.SettingsInvalidError(f"correct {models.format_errors(error)}") from error
+        raise exceptions.SettingsInvalidError(
+            f"correct {validation.format_errors(error)}"
+        ) from error
 
 
 def encode(revision: Revision) -> bytes:
--- a/src/dogwoodgap/settings.py
+++ b/src/dogwoodgap/settings.py
@@ -8,16 +8,16 @@
 
 import pydantic
 
-from dogwoodgap import exceptions, models
+from dogwoodgap import exceptions, validation
 
 ENVIRONMENT_PREFIX = "DOGWOODGAP_"
 
 
-class NodeSection(models.StrictModel):
+class NodeSection(validation.StrictModel):
     """Name, location and addresses of the node."""
 
-    name: models.Name
-    data_centre: models.Name
+    name: validation.Name
+    data_centre: validation.Name
     region: str = "default"
     http_bind: str = "127.0.0.1:8080"
     http_address: str = ""
@@ -29,7 +29,7 @@
     max_body_bytes: int = pydantic.Field(default=8 * 1024 * 1024, ge=1024)
 
 
-class PlatformSection(models.StrictModel):
+class PlatformSection(validation.StrictModel):
     """Access to the platform's object API."""
 
     url: str = pydantic.Field(pattern=r"^https?://")
@@ -39,7 +39,7 @@
     watches_per_data_centre: int = pydantic.Field(default=2, ge=1)
 
 
-class TlsSection(models.StrictModel):
+class TlsSection(validation.StrictModel):
     """Certificate files; empty paths disable TLS."""
 
     certificate: str = ""
@@ -47,7 +47,7 @@
     client_authority: str = ""
 
 
-class StatsdSection(models.StrictModel):
+class StatsdSection(validation.StrictModel):
     """The statsd server for metrics; an empty host disables them."""
 
     host: str = ""
@@ -55,13 +55,13 @@
     prefix: str = "dogwoodgap"
 
 
-class LogSection(models.StrictModel):
+class LogSection(validation.StrictModel):
     """Logging."""
 
     level: typing.Literal["debug", "info", "warning", "error"] = "info"
 
 
-class MembershipSection(models.StrictModel):
+class MembershipSection(validation.StrictModel):
     """Failure detection between nodes."""
 
     ping_interval_s: float = pydantic.Field(default=0.5, gt=0)
@@ -70,13 +70,13 @@
     discovery_ttl_s: float = pydantic.Field(default=5.0, gt=0)
 
 
-class AdminSection(models.StrictModel):
+class AdminSection(validation.StrictModel):
     """Administration before the first administrator key is configured."""
 
     bootstrap_key_digest: str = pydantic.Field(default="", pattern=r"^([0-9a-f]{64})?$")
 
 
-class GatewaySection(models.StrictModel):
+class GatewaySection(validation.StrictModel):
     """Settings of the gateway, which forwards requests by configured routes.
 
     Attributes
@@ -103,7 +103,7 @@
     first_start: bool = False
 
 
-class NodeSettings(models.StrictModel):
+class NodeSettings(validation.StrictModel):
     """All settings of ``dogwoodgap-node``."""
 
     node: NodeSection
@@ -169,5 +169,5 @@
         return kind.model_validate(document)
     except pydantic.ValidationError as error:
         raise exceptions.SettingsInvalidError(
-            f"{path}: correct {models.format_errors(error)}"
+            f"{path}: correct {validation.format_errors(error)}"
         ) from error
--- a/src/dogwoodgap/shards.py
+++ b/src/dogwoodgap/shards.py
@@ -12,9 +12,8 @@
 
 import anyio
 import msgspec
-import xxhash
 
-from dogwoodgap import clock, events, exceptions, objectstore
+from dogwoodgap import clock, events, exceptions, hashing, objectstore
 
 SHARD_COUNT = 1024
 ASSIGNMENT_KEY = "shards/assignment"
@@ -24,14 +23,9 @@
 MAX_RETRY_DELAY_S = 1.0
 
 
-def stable_hash(text: str) -> int:
-    """Return a 64-bit hash that is the same on all nodes."""
-    return xxhash.xxh3_64_intdigest(text.encode())
-
-
 def shard_of(text: str) -> int:
     """Return the shard to which a name is hashed."""
-    return stable_hash(text) % SHARD_COUNT
+    return hashing.stable_hash(text) % SHARD_COUNT
 
 
 def root_of(program: str) -> str:
@@ -49,11 +43,6 @@
     return shard_of(f"{customer}/key/{key}")
 
 
-def rendezvous_order(name: str, nodes: collections.abc.Iterable[str]) -> list[str]:
-    """Return nodes sorted by their rendezvous hashes for a name."""
-    return sorted(nodes, key=lambda node: (stable_hash(f"{name}@{node}"), node))
-
-
 class Owner(msgspec.Struct, frozen=True, array_like=True, order=True):
     """A node and its boot, which identifies one run of it."""
 
--- a/src/dogwoodgap_lab/capacity_state.py
+++ b/src/dogwoodgap_lab/capacity_state.py
@@ -15,6 +15,7 @@
 
 from dogwoodgap import (
     clock,
+    hashing,
     journal,
     models,
     objectstore,
@@ -104,7 +105,7 @@
     random_text: RandomText, name: str, turns: int, characters: int
 ) -> list[records.Record]:
     """Return the records of one program; half of a turn's text comes from the caller."""
-    customer = f"c{shards.stable_hash(name) % CUSTOMERS}"
+    customer = f"c{hashing.stable_hash(name) % CUSTOMERS}"
     found: list[records.Record] = [
         records.ProgramCreated(customer, name, "s", "default", 10**9, 0.0, 1e12)
     ]
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -20,13 +20,39 @@
 print(*sorted({name.partition('.')[0] for name, module in sys.modules.items() if module}))
 """
 
+LIST_PLATFORM_IMPORTS = """
+import sys
+import dogwoodgap_platform.__main__
+print(*sorted(name for name, module in sys.modules.items() if module))
+"""
+UNUSED_GATEWAY_MODULES = {
+    "click",
+    "dogwoodgap.models",
+    "dogwoodgap.shards",
+    "httpx._main",
+    "pygments",
+    "rich",
+    "trio",
+    "typer",
+}
 
-def test_the_node_imports_no_unused_libraries():
-    """Guards against imports that cost an idle node megabytes, such as rich or trio."""
+
+def list_modules(code: str) -> set[str]:
+    """Return the names that a program prints after its imports."""
     run = subprocess.run(
-        [sys.executable, "-c", LIST_IMPORTS], capture_output=True, text=True, check=True, timeout=60
+        [sys.executable, "-c", code], capture_output=True, text=True, check=True, timeout=60
     )
-    assert set(run.stdout.split()) & UNUSED_LIBRARIES == set()
+    return set(run.stdout.split())
+
+
+def test_a_gateway_imports_only_what_it_uses():
+    """Guards against a slow start: the command line of httpx alone took a fifth of it."""
+    assert list_modules(LIST_PLATFORM_IMPORTS) & UNUSED_GATEWAY_MODULES == set()
+
+
+def test_the_node_imports_no_unused_libraries():
+    """Guards against imports that cost an idle node megabytes, such as rich or trio."""
+    assert list_modules(LIST_IMPORTS) & UNUSED_LIBRARIES == set()
 
 
 def test_authorities_are_loaded_before_the_first_checked_connection(monkeypatch):
