Keep the order of owners, and send records only to nodes that lack them

Cause: each membership change made each gateway hash all nodes for each account that it held, and send all records that it owned to five others, over connections opened for one message each: a rolling restart of a third of 171 gateways brings 171 changes. The order of a program is kept, and only nodes that came are hashed; moves of a short time are combined; a record goes to a boot once. The test with 8 nodes fails without the change.

--- a/src/dogwoodgap/budget_owners.py
+++ b/src/dogwoodgap/budget_owners.py
@@ -18,9 +18,9 @@
     dialect,
     events,
     exceptions,
-    hashing,
     members,
     membership,
+    ownership_order,
     pacing,
     peers,
     source,
@@ -65,6 +65,11 @@
         self.transfers = budget_transfers.AccountTransfers(
             self.ledger, self.record_client, self.owners
         )
+        self.ownership = ownership_order.OwnershipOrder(1 + budget_transfers.RECORD_REPLICAS)
+        self.previous_ownership = ownership_order.OwnershipOrder(
+            1 + budget_transfers.RECORD_REPLICAS
+        )
+        self.nodes_with_lost: frozenset[str] = frozenset()
         self.locks: dict[str, anyio.Lock] = {}
         self.lost_until: dict[str, float] = {}
         self.boot_ids: dict[str, str] = {}
@@ -153,15 +158,18 @@
             )
 
     def owners(self, program: str) -> list[members.Member]:
-        """Return the members in the order of ownership of a program; the list is never empty."""
+        """Return the first members in the order of ownership of a program, at least one."""
         if self.membership is None:
             raise exceptions.NotReadyError(
                 "this node has not joined the fleet yet; use another node",
                 retry_after_s=RETRY_AFTER_S,
             )
-        alive = self.membership.alive() or [self.membership.local]
-        by_node = {member.node: member for member in alive}
-        return [by_node[node] for node in hashing.rendezvous_order(program, by_node)]
+        nodes = self.membership.table.alive_nodes()
+        if not nodes:
+            return [self.membership.local]
+        return [
+            self.membership.table.members[node] for node in self.ownership.first(program, nodes)
+        ]
 
     async def request_reservation(
         self, owner: members.Member, request: ttypes.TokenReserve
@@ -295,9 +303,7 @@
     async def find_record(self, program: str) -> bool:
         """Fetch a program's record; return whether a replica with all records has replied."""
         alive = {member.node: member for member in self.membership.alive()}
-        replicas = hashing.rendezvous_order(program, alive.keys() | self.recently_lost_nodes())[
-            : 1 + budget_transfers.RECORD_REPLICAS
-        ]
+        replicas = self.owners_before_losses(program)
         if self.membership.local.node in replicas and self.record_client.is_complete:
             return True
         for node in replicas:
@@ -390,10 +396,14 @@
         if not self.knows_losses():
             return True
         lost = self.recently_lost_nodes()
-        if not lost:
-            return False
-        nodes = {member.node for member in self.membership.alive()} | lost
-        return hashing.rendezvous_order(program, nodes)[0] in lost
+        return bool(lost) and self.owners_before_losses(program)[0] in lost
+
+    def owners_before_losses(self, program: str) -> list[str]:
+        """Return the first nodes in the order of ownership, including the recently lost ones."""
+        nodes = self.membership.table.alive_nodes() | self.recently_lost_nodes()
+        if nodes != self.nodes_with_lost:
+            self.nodes_with_lost = nodes
+        return self.previous_ownership.first(program, self.nodes_with_lost)
 
     def mark_lost(self, node: str) -> None:
         """Mark a node as lost, so that usage is assumed for the programs that it owned."""
@@ -418,8 +428,7 @@
             ended_boot = f"{member.node}/{previous_boot if is_replaced else member.boot}"
             if ended_boot not in self.left_boots:
                 self.mark_lost(member.node)
-        if self.tasks is not None:
-            self.tasks.start_soon(self.transfers.move_accounts)
+        self.transfers.request_move()
 
     # Periodic maintenance
 
@@ -439,6 +448,7 @@
         """Evict idle accounts and delete their records."""
         for program, account in self.ledger.evict_idle().items():
             self.locks.pop(program, None)
+            self.transfers.forget(program)
             if account.timing is not None:
                 self.turn_estimator.record_end(
                     account.budget, account.turn_tokens, account.timing.turns
--- a/src/dogwoodgap/budget_transfers.py
+++ b/src/dogwoodgap/budget_transfers.py
@@ -6,6 +6,7 @@
 
 import collections
 import collections.abc
+import dataclasses
 import logging
 import typing
 
@@ -34,6 +35,18 @@
 """Accounts or records in one message; 500 accounts take 40 kB."""
 
 
+MOVE_INTERVAL_S = 0.05
+"""Pause between two moves. Membership changes come in series, and each move visits all accounts."""
+
+
+@dataclasses.dataclass(slots=True)
+class ReplicatedRecord:
+    """The newest version of a record that was sent to other nodes, and the boots that have it."""
+
+    version: tuple[int, int]
+    boots: set[str] = dataclasses.field(default_factory=set)
+
+
 class AccountTransfers:
     """Sends and receives accounts and replicated records.
 
@@ -52,7 +65,9 @@
         self.ledger = ledger
         self.record_client = record_client
         self.owners = owners
-        self.move_lock = anyio.Lock()
+        self.is_move_requested = False
+        self.is_moving = False
+        self.replicated: dict[str, ReplicatedRecord] = {}
         self.local: members.Member | None = None
         self.network: peers.Network | None = None
         self.tasks: anyio.abc.TaskGroup | None = None
@@ -70,25 +85,41 @@
 
     # Moving accounts to their new owners
 
+    def request_move(self) -> None:
+        """Move accounts in the background; further requests of a short time are combined."""
+        self.is_move_requested = True
+        if self.tasks is not None and not self.is_moving:
+            self.is_moving = True
+            self.tasks.start_soon(self.move_until_settled)
+
+    async def move_until_settled(self) -> None:
+        """Move accounts until no further move was requested for ``MOVE_INTERVAL_S``."""
+        try:
+            while self.is_move_requested:
+                self.is_move_requested = False
+                await self.move_accounts()
+                await anyio.sleep(MOVE_INTERVAL_S)
+        finally:
+            self.is_moving = False
+
     async def move_accounts(self) -> None:
-        """Send accounts to their current owners; a lock ensures that each account is sent once."""
-        async with self.move_lock:
-            by_owner: dict[str, list[str]] = {}
-            members_by_node: dict[str, members.Member] = {}
-            owned_records: list[budget_records.CachedRecord] = []
-            for program, account in self.ledger.accounts.items():
-                owner = self.owners(program)[0]
-                if owner is not self.local:
-                    members_by_node[owner.node] = owner
-                    by_owner.setdefault(owner.node, []).append(program)
-                elif account.revision:
-                    owned_records.append(budget_records.cached_record(program, account))
-            self.replicate_records(owned_records)
-            for node, programs in by_owner.items():
-                for start in range(0, len(programs), MAX_ENTRIES_PER_MESSAGE):
-                    await self.send_accounts(
-                        members_by_node[node], programs[start : start + MAX_ENTRIES_PER_MESSAGE]
-                    )
+        """Send accounts to their current owners, and records to the nodes that lack them."""
+        by_owner: dict[str, list[str]] = {}
+        members_by_node: dict[str, members.Member] = {}
+        owned_records: list[budget_records.CachedRecord] = []
+        for program, account in self.ledger.accounts.items():
+            owner = self.owners(program)[0]
+            if owner is not self.local:
+                members_by_node[owner.node] = owner
+                by_owner.setdefault(owner.node, []).append(program)
+            elif account.revision:
+                owned_records.append(budget_records.cached_record(program, account))
+        self.replicate_records(owned_records)
+        for node, programs in by_owner.items():
+            for start in range(0, len(programs), MAX_ENTRIES_PER_MESSAGE):
+                await self.send_accounts(
+                    members_by_node[node], programs[start : start + MAX_ENTRIES_PER_MESSAGE]
+                )
 
     async def send_accounts(self, owner: members.Member, programs: list[str]) -> None:
         """Send accounts to their new owner; restore them if it does not respond."""
@@ -97,6 +128,8 @@
             for program in programs
             if (account := self.ledger.accounts.pop(program, None)) is not None
         }
+        for program in sent_accounts:
+            self.forget(program)
         message = ttypes.TokenTransfer(
             accounts=[budget_wire.to_wire(*item) for item in sent_accounts.items()]
         )
@@ -136,15 +169,31 @@
         members_by_node: dict[str, members.Member] = {}
         for entry in entries:
             message = budget_wire.record_to_wire(entry)
-            for member in self.owners(entry.record.program)[: 1 + RECORD_REPLICAS]:
-                if member is not self.local:
-                    members_by_node[member.node] = member
-                    by_replica[member.node].append(message)
+            for member in self.missing_replicas(entry):
+                members_by_node[member.node] = member
+                by_replica[member.node].append(message)
         for node, messages in by_replica.items():
             for start in range(0, len(messages), MAX_ENTRIES_PER_MESSAGE):
                 batch = messages[start : start + MAX_ENTRIES_PER_MESSAGE]
                 self.tasks.start_soon(self.send_records, members_by_node[node], batch)
 
+    def missing_replicas(self, entry: budget_records.CachedRecord) -> list[members.Member]:
+        """Return the replicas that were not sent this version of a record, and mark them."""
+        sent = self.replicated.get(entry.record.program)
+        if sent is None or sent.version < entry.version:
+            sent = self.replicated[entry.record.program] = ReplicatedRecord(entry.version)
+        missing = []
+        for member in self.owners(entry.record.program):
+            boot = f"{member.node}/{member.boot}"
+            if member is not self.local and boot not in sent.boots:
+                sent.boots.add(boot)
+                missing.append(member)
+        return missing
+
+    def forget(self, program: str) -> None:
+        """Forget which nodes have the record of a program that this node no longer owns."""
+        self.replicated.pop(program, None)
+
     async def send_records(self, member: members.Member, records: list[ttypes.TokenRecord]) -> None:
         """Send records to one node."""
         try:
@@ -155,6 +204,9 @@
                 timeout_s=TRANSFER_TIMEOUT_S,
             )
         except exceptions.PeerError as error:
+            for record in records:
+                if record.program in self.replicated:
+                    self.replicated[record.program].boots.discard(f"{member.node}/{member.boot}")
             log_peer_unreachable(
                 "failed to replicate records to a node", member, error, records=len(records)
             )
--- a/src/dogwoodgap/members.py
+++ b/src/dogwoodgap/members.py
@@ -151,6 +151,8 @@
         self.subscribers: list[collections.abc.Callable[[Member], None]] = []
         self.cached_alive_version = -1
         self.cached_alive: list[Member] = []
+        self.cached_nodes_version = -1
+        self.cached_nodes: frozenset[str] = frozenset()
         self.cached_others_version = -1
         self.cached_others: list[Member] = []
         self.cached_digest_version = -1
@@ -167,6 +169,15 @@
             self.cached_alive_version = self.version
         return self.cached_alive
 
+    def alive_nodes(self) -> frozenset[str]:
+        """Return the names of the members that accept work; the same object until a change."""
+        if self.cached_nodes_version != self.version:
+            nodes = frozenset(member.node for member in self.alive())
+            if nodes != self.cached_nodes:
+                self.cached_nodes = nodes
+            self.cached_nodes_version = self.version
+        return self.cached_nodes
+
     def others(self) -> list[Member]:
         """Return all members except the local one and the dead ones, sorted by name."""
         if self.cached_others_version != self.version:
--- a/src/dogwoodgap_lab/gateway_scale.py
+++ b/src/dogwoodgap_lab/gateway_scale.py
@@ -46,6 +46,9 @@
 ENGINE_SLOTS = 6
 TURN_S = 0.2
 TURNS_PER_PROGRAM = 5
+TOKEN_BUDGET = 800
+"""Low enough that the last turns of a program need a record in the store."""
+
 START_S = 4.0
 SETTLE_S = 2.0
 MEASUREMENT_S = 5.0
@@ -275,7 +278,7 @@
             finish_at=clock.now() + 3.0,
             program_id=f"p{self.number}-{program}",
             session_id=f"s{self.number}-{program}",
-            token_budget=2_000,
+            token_budget=TOKEN_BUDGET,
             prompt_tokens=1_000,
             max_output_tokens=100,
         )
--- a/tests/fake_network.py
+++ b/tests/fake_network.py
@@ -1,5 +1,6 @@
 """In-memory network for tests, with delays, broken links, paused nodes and lost replies."""
 
+import collections
 import itertools
 import random
 
@@ -44,6 +45,7 @@
         self.hello = None
         self.traffic = peer_connections.Traffic()
         self.partners = set()
+        self.sent = collections.Counter()
         shared_network.nodes[address] = self
 
     def set_partners(self, addresses):
@@ -59,6 +61,7 @@
 
     async def request(self, address, message, reply_type, *, timeout_s, reconnect=False):
         """Deliver a message and its reply, subject to the injected faults."""
+        self.sent[type(message)] += 1
         with anyio.move_on_after(timeout_s):
             await self.shared_network.wait_paused(self.address)
             if not self.shared_network.is_reachable(self.address, address):
--- a/tests/test_budget_owners.py
+++ b/tests/test_budget_owners.py
@@ -9,6 +9,7 @@
 import virtual_time
 
 from dogwoodgap import budget_owners, budgets, exceptions, membership, settings
+from dogwoodgap_wire import ttypes
 
 TURN = 290
 SETTLE_S = 3.0
@@ -271,3 +272,24 @@
     await anyio.sleep(0.5)
     spent += await fleet.spend("p", budget)
     assert spent == budget
+
+
+@with_fleet(8)
+async def test_records_are_sent_only_to_nodes_that_lack_them(fleet):
+    """Guards against all records being sent again at each membership change."""
+    for number in range(20):
+        await fleet.spend(f"p{number}", 4 * TURN, limit=4)
+    await anyio.sleep(2)
+    sent_before = count_sent(fleet, ttypes.TokenRecords)
+    fleet.kill(7)
+    await anyio.sleep(6)
+    fleet.start(7, boot="b2")
+    await anyio.sleep(6)
+    members_at_most = len(fleet.nodes) - 1
+    assert count_sent(fleet, ttypes.TokenRecords) - sent_before <= 2 * members_at_most
+
+
+def count_sent(fleet, message_type):
+    """Return how many messages of a type all running nodes have sent."""
+    networks = (fleet.shared_network.nodes[fleet.address(name)] for name in fleet.nodes)
+    return sum(network.sent[message_type] for network in networks)
