Keep partners while nodes come and go, and send their changes in batches

Cause: partners were chosen by positions on the ring, so that one restart moved the distant partners of most nodes; every change made each node ping all partners at most 0.1 s apart, and again for changes that a reply had carried; each node logged a line for each other one; each starting node fetched the table of each seed. Partners are the nodes closest to fixed distances (at most 11, mutual); above 16 nodes changes go out every 0.3 s, and only unsent ones cause a ping; statuses of a quarter of a second share a log line; one seed's table is enough, since recent changes are sent to each new partner.

--- a/src/dogwoodgap/detection.py
+++ b/src/dogwoodgap/detection.py
@@ -7,13 +7,12 @@
 import anyio
 import anyio.abc
 
-from dogwoodgap import clock, exceptions, members
+from dogwoodgap import clock, exceptions, members, ring
 from dogwoodgap_wire import ttypes
 
 if typing.TYPE_CHECKING:
     from dogwoodgap import membership as membership_module
 
-MIN_PING_INTERVAL_S = 0.1
 INDIRECT_PROBES = 3
 PAUSE_THRESHOLD_S = 2.0
 """The process counts as paused when its tasks did not run for longer than this."""
@@ -58,20 +57,19 @@
             self.refresh_partners(tasks)
         self.expire_suspects()
         self.membership.table.purge_expired()
+        self.membership.table.log_statuses()
 
     def refresh_partners(self, tasks: anyio.abc.TaskGroup) -> None:
         """Start and stop monitors and connections as the set of partners changes."""
-        partners = members.choose_partners(
-            self.membership.local.node, (member.node for member in self.membership.table.others())
-        )
+        local = self.membership.local.node
+        others = (member.node for member in self.membership.table.others())
+        partners = ring.Ring([local, *others]).partners(local)
         for node in self.monitors.keys() - partners:
             self.monitors.pop(node).cancel()
             self.membership.table.pending.pop(node, None)
         for node in sorted(partners - self.monitors.keys()):
             self.monitors[node] = anyio.CancelScope()
-            self.membership.table.pending[node] = {
-                self.membership.local.node: members.MAX_TRANSMISSIONS
-            }
+            self.membership.table.queue_recent_changes(node)
             tasks.start_soon(self.monitor, node, self.monitors[node])
         self.membership.network.set_partners(
             member.peer_address for member in self.partner_members()
@@ -109,13 +107,12 @@
         wakeup = self.membership.wakeup
         started_at = clock.now()
         member = self.membership.table.members.get(node)
-        if member is not None and not self.membership.table.pending.get(node):
+        min_interval_s = self.membership.change_interval_s
+        if member is not None and not self.membership.table.has_new_changes(node):
             delay = self.due_at(member) - started_at
-            with anyio.move_on_after(
-                min(max(MIN_PING_INTERVAL_S, delay), self.membership.interval_s)
-            ):
+            with anyio.move_on_after(min(max(min_interval_s, delay), self.membership.interval_s)):
                 await wakeup.wait()
-        gap = started_at + MIN_PING_INTERVAL_S - clock.now()
+        gap = started_at + min_interval_s - clock.now()
         if gap > 0:
             await anyio.sleep(gap)
 
@@ -131,7 +128,7 @@
     def is_due(self, member: members.Member) -> bool:
         """Return whether to ping a partner now: on changes, on request, or after the interval."""
         table = self.membership.table
-        if table.pending.get(member.node) or member.node in table.failure_reports:
+        if table.has_new_changes(member.node) or member.node in table.failure_reports:
             return True
         pinged_at = self.pinged_at.get(member.node, 0.0)
         return pinged_at < self.membership.ping_requested_at or clock.now() >= self.due_at(member)
--- a/src/dogwoodgap/members.py
+++ b/src/dogwoodgap/members.py
@@ -9,12 +9,16 @@
 from dogwoodgap import clock, events, exceptions, hashing
 from dogwoodgap_wire import ttypes
 
-FULL_MESH_NODES = 16
-PARTNER_COUNT = 8
 MAX_TRANSMISSIONS = 3
 """Maximum number of pings to one partner that carry a change; an answered ping ends it earlier."""
 
 MAX_CHANGES_PER_PING = 64
+RECENT_CHANGE_S = 10.0
+"""Age up to which a change is still sent to a new partner."""
+
+MAX_LOGGED_NODES = 20
+"""Names in one log line; a whole fleet that starts takes a few lines on each node."""
+
 DEAD_RETENTION_S = 600.0
 JOIN_WINDOW_S = 10.0
 """Two processes may claim one node name. Within this time after its start a node raises its
@@ -148,6 +152,7 @@
         self.version = 0
         self.superseded = False
         self.departed = False
+        self.unlogged: dict[Status, list[str]] = {}
         self.subscribers: list[collections.abc.Callable[[Member], None]] = []
         self.cached_alive_version = -1
         self.cached_alive: list[Member] = []
@@ -204,9 +209,20 @@
         if member.status is not status:
             member.status = status
             member.changed_at = clock.now()
-            log_status(member)
+            self.note_status(member)
         self.publish(member, source)
 
+    def note_status(self, member: Member) -> None:
+        """Note a new status for the next log lines."""
+        self.unlogged.setdefault(member.status, []).append(member.node)
+
+    def log_statuses(self) -> None:
+        """Log the statuses that have changed since the last call, one line for each status."""
+        unlogged, self.unlogged = self.unlogged, {}
+        for status, nodes in unlogged.items():
+            event, level, text = STATUS_EVENTS[status]
+            events.emit(event, text, level=level, nodes=nodes[:MAX_LOGGED_NODES], count=len(nodes))
+
     def record_contact(
         self, sender: ttypes.Member, incarnation: int, leaving: bool
     ) -> Member | None:
@@ -270,7 +286,7 @@
     def add(self, member: Member, source: str) -> None:
         """Add a new member."""
         self.members[member.node] = member
-        log_status(member)
+        self.note_status(member)
         self.publish(member, source)
 
     def replace_boot(self, member: Member, update: Member, source: str) -> None:
@@ -307,9 +323,24 @@
             self.publish(self.local)
         elif not self.superseded:
             self.superseded = True
-            log_status(update)
             self.publish(self.local)
 
+    def queue_recent_changes(self, node: str) -> None:
+        """Queue the local member and all recent changes for a new partner.
+
+        It may have become a partner after these changes were published. Older differences are
+        found by comparing digests.
+        """
+        limit = clock.now() - RECENT_CHANGE_S
+        names = [name for name, member in self.members.items() if member.changed_at > limit]
+        self.pending[node] = dict.fromkeys([self.local.node, *names], MAX_TRANSMISSIONS)
+        self.pending[node].pop(node, None)
+
+    def has_new_changes(self, node: str) -> bool:
+        """Return whether a partner has not yet been sent all changes, acknowledged or not."""
+        queue = self.pending.get(node, {})
+        return any(transmissions == MAX_TRANSMISSIONS for transmissions in queue.values())
+
     def next_changes(self, node: str) -> list[ttypes.Member]:
         """Return the changes to send to a node now and count each transmission.
 
@@ -363,36 +394,12 @@
 
 
 STATUS_EVENTS = {
-    Status.ALIVE: (events.Event.MEMBER_JOINED, logging.INFO, "member is alive"),
+    Status.ALIVE: (events.Event.MEMBER_JOINED, logging.INFO, "members are alive"),
     Status.SUSPECT: (
         events.Event.MEMBER_SUSPECT,
         logging.WARNING,
-        "member does not respond and is suspect",
+        "members do not respond and are suspect",
     ),
-    Status.LEAVING: (events.Event.MEMBER_LEAVING, logging.INFO, "member is leaving"),
-    Status.DEAD: (events.Event.MEMBER_DEAD, logging.WARNING, "member is dead"),
+    Status.LEAVING: (events.Event.MEMBER_LEAVING, logging.INFO, "members are leaving"),
+    Status.DEAD: (events.Event.MEMBER_DEAD, logging.WARNING, "members are dead"),
 }
-
-
-def log_status(member: Member) -> None:
-    """Log a member's new status."""
-    event, level, text = STATUS_EVENTS[member.status]
-    events.emit(event, text, level=level, node=member.node, boot=member.boot)
-
-
-def choose_partners(local: str, names: collections.abc.Iterable[str]) -> set[str]:
-    """Return the nodes that a node pings: all others, or 8 on a hash ring above 16 nodes.
-
-    The distances on the ring are powers of the fourth root of the number of nodes, in both
-    directions. Partnership is therefore mutual, and a change reaches 380 nodes in few hops.
-    """
-    ring = sorted({local, *names}, key=lambda name: (hashing.stable_hash(name), name))
-    count = len(ring)
-    if count <= FULL_MESH_NODES:
-        return set(ring) - {local}
-    position = ring.index(local)
-    partners: set[str] = set()
-    for power in range(PARTNER_COUNT // 2):
-        distance = max(power + 1, round(count ** (power * 2 / PARTNER_COUNT)))
-        partners |= {ring[(position + distance) % count], ring[(position - distance) % count]}
-    return partners - {local}
--- a/src/dogwoodgap/membership.py
+++ b/src/dogwoodgap/membership.py
@@ -8,18 +8,36 @@
 
 import anyio
 
-from dogwoodgap import clock, detection, events, exceptions, members, objectstore, peers, settings
+from dogwoodgap import (
+    clock,
+    detection,
+    events,
+    exceptions,
+    members,
+    objectstore,
+    peers,
+    ring,
+    settings,
+)
 from dogwoodgap_wire import ttypes
 
 LARGE_FLEET_PING_INTERVAL_S = 1.0
 LARGE_FLEET_SUSPECT_AFTER_S = 3.0
 LARGE_FLEET_DEAD_AFTER_S = 5.0
+CHANGE_INTERVAL_S = 0.1
+LARGE_FLEET_CHANGE_INTERVAL_S = 0.3
+"""Shortest time between two pings to a partner. Restarts come in series, and each of their changes
+would otherwise be a message of its own on every link between partners."""
+
+SEED_DELAY_S = 0.3
+"""Time after which a starting node also asks the next seed."""
+
 DISCOVERY_INTERVAL_S = 2.0
 ADDRESSES_PER_ROUND = 2
 VM_LIST_INTERVAL_S = 30.0
 """380 nodes then read the list 13 times per second, of the platform's limit of 2,000 reads/s."""
 
-TABLE_SYNC_DELAY_S = 10.0
+TABLE_SYNC_DELAY_S = members.RECENT_CHANGE_S
 """A full table is fetched after its digest has differed for this long. Gossip resolves shorter
 differences."""
 
@@ -173,7 +191,7 @@
     @property
     def is_large(self) -> bool:
         """Return whether the fleet is too large for a full mesh."""
-        return len(self.table.others()) + 1 > members.FULL_MESH_NODES
+        return len(self.table.others()) + 1 > ring.FULL_MESH_NODES
 
     @property
     def interval_s(self) -> float:
@@ -193,6 +211,11 @@
         configured = self.settings.dead_after_s
         return max(configured, LARGE_FLEET_DEAD_AFTER_S) if self.is_large else configured
 
+    @property
+    def change_interval_s(self) -> float:
+        """Shortest time between pings to a partner."""
+        return LARGE_FLEET_CHANGE_INTERVAL_S if self.is_large else CHANGE_INTERVAL_S
+
     # Background tasks
 
     async def run(self) -> None:
@@ -229,9 +252,7 @@
 
         These are seeds, VMs of the platform and dead members.
         """
-        async with anyio.create_task_group() as tasks:
-            for address in self.seeds:
-                tasks.start_soon(self.join_address, address)
+        await self.join_seeds()
         while True:
             await anyio.sleep(DISCOVERY_INTERVAL_S)
             known = {member.peer_address for member in [self.local, *self.table.others()]}
@@ -241,6 +262,22 @@
             for address in chosen:
                 await self.join_address(address)
 
+    async def join_seeds(self) -> None:
+        """Ask the seeds in a random order until one has sent its table.
+
+        Gossip brings the rest. If a whole fleet starts, a table for each node from each seed would
+        take seconds on the seeds' links.
+        """
+        async with anyio.create_task_group() as tasks:
+            for address in self.random.sample(self.seeds, len(self.seeds)):
+                if address != self.local.peer_address:
+                    tasks.start_soon(self.join_address, address)
+                    with anyio.move_on_after(SEED_DELAY_S):
+                        while not self.table.others():
+                            await self.wakeup.wait()
+                if self.table.others():
+                    return
+
     async def join_address(self, address: str) -> None:
         """Ping an address and fetch the member table when a node replies."""
         if address != self.local.peer_address and await self.ping_address(address):
--- a/src/dogwoodgap_lab/capacity_nodes.py
+++ b/src/dogwoodgap_lab/capacity_nodes.py
@@ -13,11 +13,11 @@
 from dogwoodgap import (
     clock,
     fleet,
-    members,
     models,
     objectstore,
     recovery,
     revisions,
+    ring,
     settings,
     shards,
 )
@@ -228,7 +228,7 @@
         results.append(await Trial(count, base_port).run())
 
     anyio.run(main, backend_options={"use_uvloop": True})
-    shape = "full mesh" if count <= members.FULL_MESH_NODES else "8 partners"
+    shape = "full mesh" if count <= ring.FULL_MESH_NODES else "8 partners"
     if results[0]["served_shards"] < shards.SHARD_COUNT:
         shape = "not at rest"
     return capacity_fit.Measure(f"nodes in one process, {shape} (nodes)", count, results[0])
