Pass the list of servers and crash reports on along the partners

Cause: one gateway sent each list to all others every 0.6 s, each over a connection of its own; behind rank 3 the whole fleet read the store at once when the first ranks could not, and each of these readers told all others. The node that read last goes on, the ones behind the first ranks wait for a random time, and the loop waits until the next reading is due. Ruled out: adding the list to pings, which need up to 1.5 s a hop; telling all partners, which is seven times as many messages.

--- a/src/dogwoodgap/crashes.py
+++ b/src/dogwoodgap/crashes.py
@@ -9,10 +9,9 @@
 import dataclasses
 import logging
 
-import anyio.abc
 import xxhash
 
-from dogwoodgap import clock, dialect, events, exceptions, members, peers
+from dogwoodgap import broadcast, clock, dialect, events, exceptions, members, peers
 from dogwoodgap_wire import ttypes
 
 MAX_CRASHES = 2
@@ -23,7 +22,6 @@
 
 MAX_DIGESTS = 4_096
 RETRY_AFTER_S = 2.0
-NOTICE_TIMEOUT_S = 0.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -72,36 +70,29 @@
             crashes=crashes,
         )
 
-    def start_sharing(
-        self,
-        network: peers.Network,
-        others: collections.abc.Callable[[], list[members.Member]],
-        tasks: anyio.abc.TaskGroup,
-    ) -> None:
-        """Start to send crash counts to other nodes and to merge theirs."""
-
-        async def send(member: members.Member, message: ttypes.SuspectNotice) -> None:
-            try:
-                await network.request(
-                    member.peer_address, message, ttypes.Ack, timeout_s=NOTICE_TIMEOUT_S
-                )
-            except exceptions.PeerError as error:
-                events.emit(
-                    events.Event.SUSPECT_REPORT_FAILED,
-                    "failed to report a crash to another node",
-                    level=logging.WARNING,
-                    node=member.node,
-                    digest=message.digest,
-                    detail=error.detail,
+    def start_sharing(self, network: peers.Network, broadcaster: broadcast.Broadcaster) -> None:
+        """Start to pass crash counts on to other nodes and to merge theirs."""
+
+        def notify_others(digest: int, crashes: int, part_end: int | None = None) -> None:
+            async def deliver(member: members.Member, end: int) -> None:
+                message = ttypes.SuspectNotice(
+                    digest=f"{digest:016x}", crashes=crashes, part_end=end
                 )
+                try:
+                    await broadcaster.request(member, message)
+                except exceptions.PeerError as error:
+                    log_report_failure(member, digest, error)
+                    raise
 
-        def notify_others(digest: int, crashes: int) -> None:
-            message = ttypes.SuspectNotice(digest=f"{digest:016x}", crashes=crashes)
-            for member in others():
-                tasks.start_soon(send, member, message)
+            broadcaster.start(deliver, part_end)
 
         async def on_notice(sender: ttypes.Member, message: ttypes.SuspectNotice) -> ttypes.Ack:
-            self.merge(int(message.digest, 16), message.crashes or 0)
+            digest, crashes = int(message.digest, 16), message.crashes or 0
+            known = self.records.get(digest)
+            is_news = known is None or crashes > known.crashes
+            self.merge(digest, crashes)
+            if is_news and message.part_end is not None:
+                notify_others(digest, crashes, message.part_end)
             return ttypes.Ack(ok=True)
 
         self.crash_hooks.append(notify_others)
@@ -121,3 +112,15 @@
             del self.records[digest]
             return False
         return record.crashes >= MAX_CRASHES
+
+
+def log_report_failure(member: members.Member, digest: int, error: exceptions.PeerError) -> None:
+    """Log that a node could not be told of a crash; the node after it is told instead."""
+    events.emit(
+        events.Event.SUSPECT_REPORT_FAILED,
+        "failed to report a crash to another node",
+        level=logging.WARNING,
+        node=member.node,
+        digest=f"{digest:016x}",
+        detail=error.detail,
+    )
--- a/src/dogwoodgap/followers.py
+++ b/src/dogwoodgap/followers.py
@@ -1,18 +1,20 @@
 """Keeps routes and backend servers up to date from the platform's store.
 
 Each call to the store has a cost. Routes are watched, which needs a call only when something
-changes. The list of servers changes several times a second, so one node polls it and sends it to
-the others. If it stops, the other nodes read the list themselves, in the order of their rank.
+changes. The list of servers changes several times a second, so one node polls it, and it is passed
+on to all others along the partners. If it stops, another node becomes the reader.
 """
 
 import collections.abc
 import logging
+import random
 
 import anyio
-import anyio.abc
+import cachetools
 import xxhash
 
 from dogwoodgap import (
+    broadcast,
     clock,
     events,
     exceptions,
@@ -37,14 +39,19 @@
 active within 2 s; the other nodes learn of new routes from the first two."""
 
 RETRY_DELAY_S = 0.4
-CHECK_INTERVAL_S = 0.1
-"""Interval at which a node checks whether it should read the list of servers."""
+READ_SPREAD_S = 0.02
+"""Longest additional time per node that a node behind the first ranks waits before it reads, drawn
+at random. Otherwise the whole fleet would read at once when the first ranks cannot."""
 
+MAX_READ_SPREAD_S = 1.0
+MIN_CHECK_DELAY_S = 0.02
+NEWS_S = 0.1
+"""A listing that was read this much later than the known one is passed on to other nodes."""
+
+MAX_SENT_DIGESTS = 64
 WATCH_PAUSE_S = 0.2
 """Pause between two watches, which limits reads when versions change rapidly."""
 
-SEND_TIMEOUT_S = 0.5
-
 
 class StoreAvailability:
     """Logs when the store becomes unavailable and when it is available again.
@@ -158,8 +165,10 @@
     ----------
     initialized : anyio.Event
         Set once a listing is known.
-    sent_digests : dict
+    sent_digests : cachetools.LRUCache
         Digest of the last listing that each member acknowledged, by node and boot.
+    is_reader : bool
+        Whether this node was the last one to read the list; it then goes on reading.
     """
 
     def __init__(
@@ -174,15 +183,24 @@
         self.availability = StoreAvailability("servers")
         self.initialized = anyio.Event()
         self.membership: membership.Membership | None = None
-        self.network: peers.Network | None = None
-        self.sent_digests: dict[str, int] = {}
+        self.broadcaster: broadcast.Broadcaster | None = None
+        self.sent_digests: cachetools.LRUCache[str, int] = cachetools.LRUCache(MAX_SENT_DIGESTS)
         route_follower.rank = lambda: self.rank
         self.last_attempt_at = -RETRY_DELAY_S
+        self.is_reader = False
+        self.spread = random.random()
+        self.digested: tuple[servers.BackendServer, ...] | None = None
+        self.digest = 0
 
-    def join(self, joined: membership.Membership, network: peers.Network) -> None:
+    def join(
+        self,
+        joined: membership.Membership,
+        network: peers.Network,
+        broadcaster: broadcast.Broadcaster,
+    ) -> None:
         """Start exchanging listings with the members."""
         self.membership = joined
-        self.network = network
+        self.broadcaster = broadcaster
         network.handlers.register(ttypes.ServerListing, self.on_listing)
 
     @property
@@ -196,77 +214,112 @@
     async def run(self) -> None:
         """Read the list whenever it is due, until cancelled."""
         while True:
-            if self.is_due():
+            if clock.now() >= self.due_at():
                 await self.read()
-            await anyio.sleep(CHECK_INTERVAL_S)
+            await clock.sleep_until(max(self.due_at(), clock.now() + MIN_CHECK_DELAY_S))
+
+    def due_at(self) -> float:
+        """Return when this node reads the list unless it receives a newer one before."""
+        delay_s = self.read_delay_s()
+        return max(
+            self.server_registry.confirmed_at + SERVERS_INTERVAL_S + delay_s,
+            self.last_attempt_at + RETRY_DELAY_S + delay_s,
+        )
+
+    def read_delay_s(self) -> float:
+        """Return the time for which this node leaves the reading to others.
 
-    def is_due(self) -> bool:
-        """Return whether this node should read the list now, given its rank."""
-        rank_delay_s = self.rank * RANK_DELAY_S
-        is_stale = self.server_registry.age_s >= SERVERS_INTERVAL_S + rank_delay_s
-        return is_stale and clock.now() - self.last_attempt_at >= RETRY_DELAY_S + rank_delay_s
+        The reader goes on. Behind it wait the first ranks; the other nodes, and those that cannot
+        reach the store, wait longest.
+        """
+        if self.is_reader or self.membership is None:
+            return 0.0
+        position = self.membership.position()
+        if position is not None and position < MAX_RANK and self.availability.lost_at is None:
+            return position * RANK_DELAY_S
+        spread_s = min(MAX_READ_SPREAD_S, READ_SPREAD_S * len(self.membership.alive()))
+        return MAX_RANK * RANK_DELAY_S + self.spread * spread_s
 
     async def read(self) -> None:
-        """Read the list and send it to the other members."""
+        """Read the list and pass it on to the other members."""
         self.last_attempt_at = clock.now()
+        self.spread = random.random()
         try:
             listing = await self.store.read_servers()
         except exceptions.StoreError as error:
+            self.is_reader = False
             self.availability.record_failure(error)
             self.server_registry.start_grace_period()
             return
+        self.is_reader = self.membership is not None
         self.availability.record_success()
         self.apply(listing, self.last_attempt_at)
-        if self.membership is not None:
-            await self.broadcast(listing)
-
-    async def broadcast(self, listing: servers.Listing) -> None:
-        """Send a listing to all other members."""
-        digest = listing_digest(listing)
-        async with anyio.create_task_group() as tasks:
-            for member in self.membership.alive():
-                if member is not self.membership.local:
-                    tasks.start_soon(self.send_to, member, listing, digest)
-
-    async def send_to(self, member: members.Member, listing: servers.Listing, digest: int) -> None:
+        self.pass_on(None)
+
+    def pass_on(self, part_end: int | None, routes_version: int = -1) -> None:
+        """Pass the known listing on to the members of a part of the ring."""
+        if self.broadcaster is None:
+            return
+        listing = self.server_registry.listing_at(self.server_registry.revision)
+        digest = self.known_digest()
+        known_version = max(routes_version, self.route_follower.active_routes.version)
+
+        async def deliver(member: members.Member, end: int) -> None:
+            message = ttypes.ServerListing(
+                revision=listing.revision,
+                digest=digest,
+                routes_version=known_version,
+                part_end=end,
+            )
+            await self.send_to(member, message, listing)
+
+        self.broadcaster.start(deliver, part_end)
+
+    async def send_to(
+        self, member: members.Member, message: ttypes.ServerListing, listing: servers.Listing
+    ) -> None:
         """Send a listing to one member, with entries only if they have changed for it."""
         key = f"{member.node}/{member.boot}"
-        message = ttypes.ServerListing(
-            revision=listing.revision,
-            age_ms=int((clock.now() - self.last_attempt_at) * 1000),
-            digest=digest,
-            routes_version=self.route_follower.active_routes.version,
-        )
-        if self.sent_digests.get(key) != digest:
-            message.servers = [to_wire(server) for server in listing.servers]
-        try:
-            reply = await self.network.request(
-                member.peer_address, message, ttypes.Ack, timeout_s=SEND_TIMEOUT_S
-            )
-        except exceptions.PeerError:
-            # The member falls back to reading the list itself; membership logs its loss.
-            self.sent_digests.pop(key, None)
+        message.age_ms = self.server_registry.age_ms
+        has_entries = self.sent_digests.get(key) == message.digest
+        if has_entries and (await self.broadcaster.request(member, message)).ok:
             return
-        if reply.message.ok:
-            self.sent_digests[key] = digest
-        else:
-            self.sent_digests.pop(key, None)
+        message.servers = [to_wire(server) for server in listing.servers]
+        await self.broadcaster.request(member, message)
+        self.sent_digests[key] = message.digest
 
     async def on_listing(self, sender: ttypes.Member, message: ttypes.ServerListing) -> ttypes.Ack:
-        """Apply a listing received from another node.
+        """Apply a listing received from another node, and pass it on if it is news.
 
-        A negative acknowledgement asks the sender to include the entries next time.
+        A negative acknowledgement asks the sender to include the entries.
         """
-        self.route_follower.refresh_if_older_than(message.routes_version or -1)
+        # A reader never gets its own listing back, so there is another one; the ranks decide.
+        self.is_reader = False
+        routes_version = -1 if message.routes_version is None else message.routes_version
+        self.route_follower.refresh_if_older_than(routes_version)
+        is_news = self.is_news(message)
         if message.servers is not None:
             self.apply_message(message)
-            return ttypes.Ack(ok=True)
-        listing = self.server_registry.listing_at(message.revision)
-        if listing_digest(listing) != message.digest:
-            return ttypes.Ack(ok=False)
-        self.apply(listing, read_at(message))
+        else:
+            if self.known_digest() != message.digest:
+                return ttypes.Ack(ok=False)
+            self.apply(self.server_registry.listing_at(message.revision), read_at(message))
+        if is_news and message.part_end is not None:
+            self.pass_on(message.part_end, routes_version)
         return ttypes.Ack(ok=True)
 
+    def known_digest(self) -> int:
+        """Return the digest of the known entries, which is computed once for each change."""
+        if self.digested is not self.server_registry.listed:
+            self.digested = self.server_registry.listed
+            self.digest = entries_digest(self.digested)
+        return self.digest
+
+    def is_news(self, message: ttypes.ServerListing) -> bool:
+        """Return whether a listing was read later than the known one."""
+        is_later = read_at(message) > self.server_registry.confirmed_at + NEWS_S
+        return is_later and message.revision >= self.server_registry.revision
+
     def apply_message(self, message: ttypes.ServerListing) -> None:
         """Apply the entries of a message unless newer ones are known."""
         entries = tuple(from_wire(entry) for entry in message.servers or [])
@@ -283,9 +336,9 @@
     return clock.now() - (message.age_ms or 0) / 1000
 
 
-def listing_digest(listing: servers.Listing) -> int:
-    """Return a signed 64-bit hash of the entries."""
-    parts: collections.abc.Iterable[str] = sorted(repr(server) for server in listing.servers)
+def entries_digest(entries: tuple[servers.BackendServer, ...]) -> int:
+    """Return a signed 64-bit hash of the entries of a listing."""
+    parts: collections.abc.Iterable[str] = sorted(repr(server) for server in entries)
     value = xxhash.xxh64_intdigest("\n".join(parts).encode())
     return value - (1 << 64) if value >> 63 else value
 
--- a/src/dogwoodgap/gateway.py
+++ b/src/dogwoodgap/gateway.py
@@ -11,6 +11,7 @@
 
 from dogwoodgap import (
     bootstrap,
+    broadcast,
     budget_owners,
     clock,
     crashes,
@@ -195,8 +196,9 @@
         )
         joined = membership.Membership(self.settings, self.boot, network, None, hooks)
         self.budget_coordinator.join(joined, network, tasks)
-        self.server_follower.join(joined, network)
-        self.crash_tracker.start_sharing(network, joined.table.others, tasks)
+        broadcaster = broadcast.Broadcaster(joined, network, tasks)
+        self.server_follower.join(joined, network, broadcaster)
+        self.crash_tracker.start_sharing(network, broadcaster)
         if self.settings.gateway.first_start:
             self.budget_coordinator.assume_no_losses()
         else:
--- a/src/dogwoodgap/ring.py
+++ b/src/dogwoodgap/ring.py
@@ -70,6 +70,40 @@
             chosen |= self.pointing_to(position, offset)
         return {self.names[index] for index in chosen if index != position}
 
+    def delegates(self, name: str, partners: set[str], end: int) -> list[tuple[str, int]]:
+        """Return which partners pass a message on to which part of the ring.
+
+        Parameters
+        ----------
+        name : str
+            Node that has the message.
+        partners : set of str
+            Nodes to which it has connections.
+        end : int
+            End of the part for which the node is responsible, which starts at the node itself. Its
+            own point stands for the whole ring.
+
+        Returns
+        -------
+        list of (str, int)
+            Partners, and the ends of the parts that start at them.
+        """
+        start = hashing.stable_hash(name)
+        distances = sorted(
+            ((hashing.stable_hash(partner) - start) % RING_SIZE, partner) for partner in partners
+        )
+        length = (end - start) % RING_SIZE or RING_SIZE
+        inside = [(distance, partner) for distance, partner in distances if distance < length]
+        ends = [(start + distance) % RING_SIZE for distance, _ in inside[1:]]
+        return [(partner, last) for (_, partner), last in zip(inside, [*ends, end], strict=False)]
+
+    def next_before(self, name: str, end: int) -> str | None:
+        """Return the node that follows a node on the ring, or None if it lies beyond an end."""
+        start = hashing.stable_hash(name)
+        after = bisect.bisect_right(self.hashes, start) % len(self.hashes)
+        distance = (self.hashes[after] - start) % RING_SIZE or RING_SIZE
+        return self.names[after] if distance < (end - start) % RING_SIZE else None
+
     def pointing_to(self, position: int, offset: int) -> set[int]:
         """Return the nodes for which the node at a position is the partner at a distance."""
         count = len(self.names)
--- a/src/dogwoodgap_wire/ttypes.py
+++ b/src/dogwoodgap_wire/ttypes.py
@@ -1594,6 +1594,7 @@
      - runner
      - reserved
      - until
+     - part_end
 
     """
 
@@ -1603,15 +1604,17 @@
         'runner',
         'reserved',
         'until',
+        'part_end',
     )
 
 
-    def __init__(self, digest=None, crashes=None, runner=None, reserved=None, until=None,):
+    def __init__(self, digest=None, crashes=None, runner=None, reserved=None, until=None, part_end=None,):
         self.digest = digest
         self.crashes = crashes
         self.runner = runner
         self.reserved = reserved
         self.until = until
+        self.part_end = part_end
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1647,6 +1650,11 @@
                     self.until = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.part_end = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1677,6 +1685,10 @@
             oprot.writeFieldBegin('until', TType.DOUBLE, 5)
             oprot.writeDouble(self.until)
             oprot.writeFieldEnd()
+        if self.part_end is not None:
+            oprot.writeFieldBegin('part_end', TType.I64, 6)
+            oprot.writeI64(self.part_end)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3015,6 +3027,7 @@
      - servers
      - digest
      - routes_version
+     - part_end
 
     """
 
@@ -3024,15 +3037,17 @@
         'servers',
         'digest',
         'routes_version',
+        'part_end',
     )
 
 
-    def __init__(self, revision=None, age_ms=None, servers=None, digest=None, routes_version=None,):
+    def __init__(self, revision=None, age_ms=None, servers=None, digest=None, routes_version=None, part_end=None,):
         self.revision = revision
         self.age_ms = age_ms
         self.servers = servers
         self.digest = digest
         self.routes_version = routes_version
+        self.part_end = part_end
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3074,6 +3089,11 @@
                     self.routes_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.part_end = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3107,6 +3127,10 @@
             oprot.writeFieldBegin('routes_version', TType.I64, 5)
             oprot.writeI64(self.routes_version)
             oprot.writeFieldEnd()
+        if self.part_end is not None:
+            oprot.writeFieldBegin('part_end', TType.I64, 6)
+            oprot.writeI64(self.part_end)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3854,6 +3878,7 @@
     (3, TType.STRING, 'runner', 'UTF8', None, ),  # 3
     (4, TType.BOOL, 'reserved', None, None, ),  # 4
     (5, TType.DOUBLE, 'until', None, None, ),  # 5
+    (6, TType.I64, 'part_end', None, None, ),  # 6
 )
 all_structs.append(RunnerNotice)
 RunnerNotice.thrift_spec = (
@@ -3960,6 +3985,7 @@
     (3, TType.LIST, 'servers', (TType.STRUCT, [ServerEntry, None], False), None, ),  # 3
     (4, TType.I64, 'digest', None, None, ),  # 4
     (5, TType.I64, 'routes_version', None, None, ),  # 5
+    (6, TType.I64, 'part_end', None, None, ),  # 6
 )
 all_structs.append(FleetFetch)
 FleetFetch.thrift_spec = (
--- a/tests/fake_network.py
+++ b/tests/fake_network.py
@@ -1,12 +1,13 @@
 """In-memory network for tests, with delays, broken links, paused nodes and lost replies."""
 
 import collections
+import dataclasses
 import itertools
 import random
 
 import anyio
 
-from dogwoodgap import exceptions, frames, peer_connections, peers
+from dogwoodgap import exceptions, frames, members, peer_connections, peers, ring
 from dogwoodgap_wire import ttypes
 
 
@@ -83,3 +84,33 @@
             received = target.transmit(self, reply, True)
             return peers.check_reply_type(target.hello(), received, reply_type)
         raise exceptions.PeerUnreachableError(f"no reply from {address} within {timeout_s} s")
+
+
+class StaticMembership:
+    """The part of a membership that broadcasts use, with members that never change."""
+
+    def __init__(self, local, all_members):
+        self.local = local
+        self.table = members.MemberTable(local, 1.5)
+        for member in all_members:
+            if member is not local:
+                self.table.members[member.node] = dataclasses.replace(member)
+        self.table.version += 1
+        self.detector = self
+        self.partners = ring.Ring(member.node for member in all_members).partners(local.node)
+
+    def find(self, node):
+        """Return a member by name."""
+        return self.table.members.get(node)
+
+    def partner_members(self):
+        """Return the partners of the local node."""
+        return [self.table.members[node] for node in self.partners]
+
+
+def static_members(count):
+    """Return members with distinct names and addresses."""
+    return [
+        members.Member(f"n{number:03}", "b", "d", "", f"10.0.{number // 250}.{number % 250}:7080")
+        for number in range(count)
+    ]
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -4,8 +4,7 @@
 import fake_network
 import virtual_time
 
-from dogwoodgap import crashes, members
-from dogwoodgap_wire import ttypes
+from dogwoodgap import broadcast, crashes
 
 
 def test_crashes_are_counted_across_nodes():
@@ -13,14 +12,14 @@
 
     async def main():
         shared_network = fake_network.SharedNetwork()
-        addresses = ["10.0.0.1:7080", "10.0.0.2:7080"]
-        nodes = [members.Member(f"n{i}", "b", "d", "", a) for i, a in enumerate(addresses)]
+        nodes = fake_network.static_members(2)
         trackers = [crashes.CrashTracker(), crashes.CrashTracker()]
         async with anyio.create_task_group() as tasks:
-            for index, tracker in enumerate(trackers):
-                network = fake_network.FakeNetwork(shared_network, addresses[index])
-                network.hello = lambda: ttypes.Member(node="n", boot="b")
-                tracker.start_sharing(network, lambda other=nodes[1 - index]: [other], tasks)
+            for node, tracker in zip(nodes, trackers, strict=True):
+                network = fake_network.FakeNetwork(shared_network, node.peer_address)
+                network.hello = node.to_wire
+                joined = fake_network.StaticMembership(node, nodes)
+                tracker.start_sharing(network, broadcast.Broadcaster(joined, network, tasks))
             trackers[0].record_crash(7)
             await anyio.sleep(0.1)
             assert not trackers[1].is_refused(7)
--- a/tests/test_followers.py
+++ b/tests/test_followers.py
@@ -4,7 +4,16 @@
 import fake_network
 import virtual_time
 
-from dogwoodgap import exceptions, followers, membership, routes, servers, settings, source
+from dogwoodgap import (
+    broadcast,
+    exceptions,
+    followers,
+    membership,
+    routes,
+    servers,
+    settings,
+    source,
+)
 
 ENTRY = servers.BackendServer("a", "s", "10.9.0.1:80", "d", 4)
 AGE_LIMIT_S = 2.0
@@ -138,7 +147,7 @@
         follower = followers.ServerFollower(
             self.stores[number], self.server_registries[number], route_follower
         )
-        follower.join(joined, network)
+        follower.join(joined, network, broadcast.Broadcaster(joined, network, tasks))
         tasks.start_soon(joined.run)
         tasks.start_soon(follower.run)
 
@@ -166,3 +175,35 @@
             tasks.cancel_scope.cancel()
 
     virtual_time.run(main)
+
+
+def test_few_nodes_read_while_the_store_rejects_the_first_ones():
+    """Guards against a whole fleet that reads at once when the first ranks cannot."""
+    count, rejected = 40, 13
+    able = count - rejected
+
+    async def main():
+        async with anyio.create_task_group() as tasks:
+            fleet = Fleet(tasks, count)
+            await anyio.sleep(8)
+            for store in fleet.stores[:rejected]:
+                store.down = True
+            before = sum(store.server_reads for store in fleet.stores)
+            await wait_and_check_ages(fleet, 3.0)
+            reads = sum(store.server_reads for store in fleet.stores) - before
+            assert reads < able / 2 + 3.0 / followers.SERVERS_INTERVAL_S
+            before += reads
+            await wait_and_check_ages(fleet, 12.0)
+            reads = sum(store.server_reads for store in fleet.stores) - before
+            assert reads <= 12.0 / followers.SERVERS_INTERVAL_S * 1.2
+            tasks.cancel_scope.cancel()
+
+    virtual_time.run(main)
+
+
+async def wait_and_check_ages(fleet, seconds):
+    """Wait while no listing of any node gets too old."""
+    for _ in range(int(seconds / 0.1)):
+        await anyio.sleep(0.1)
+        ages = [registry.age_s for registry in fleet.server_registries]
+        assert max(ages) < AGE_LIMIT_S
--- a/thrift/dogwoodgap.thrift
+++ b/thrift/dogwoodgap.thrift
@@ -85,6 +85,8 @@
   3: string runner,
   4: bool reserved,
   5: double until,
+  // End of the part of the hash ring that the receiver passes this on to; absent for one receiver.
+  6: optional i64 part_end,
 }
 struct RunnerNotice { 1: string service_name, 2: string runner, 3: bool leaving, 4: bool down }
 
@@ -173,6 +175,8 @@
   3: optional list<ServerEntry> servers,
   4: i64 digest,
   5: i64 routes_version,
+  // End of the part of the hash ring that the receiver passes this on to; absent for one receiver.
+  6: optional i64 part_end,
 }
 
 // Requests the routes and the server list of a node while the platform's store is unavailable.
