Keep connections to nodes that are no partners for the time of a turn

Cause: each reservation, settlement and record opened a connection of its own. Connections stay open for 2 s without requests and without heartbeats; after a request that gets no reply the next one opens a new connection. Ruled out: fewer owners of budgets, as a turn then still comes to the same owner only every 18 s at 171 gateways.

--- a/src/dogwoodgap/peer_connections.py
+++ b/src/dogwoodgap/peer_connections.py
@@ -58,6 +58,7 @@
         self.send_lock = anyio.Lock()
         self.scope = anyio.CancelScope()
         self.last_received_at = clock.now()
+        self.last_used_at = clock.now()
         self.remote = ttypes.Member(node="", boot="")
 
     async def send(self, message: typing.Any, request_id: int) -> None:
@@ -83,6 +84,7 @@
             await pending.done.wait()
         finally:
             self.pending.pop(request_id, None)
+            self.last_used_at = clock.now()
         if pending.message is None:
             raise anyio.BrokenResourceError
         return pending.message
@@ -123,6 +125,16 @@
                     heartbeat_at = clock.now() + HEARTBEAT_INTERVAL_S
                     await self.heartbeat()
 
+    async def run_until_idle(self, idle_s: float) -> None:
+        """Read replies until the connection ends or no request was pending for ``idle_s``."""
+        with self.scope:
+            while True:
+                idle_since = clock.now() if self.pending else self.last_used_at
+                if clock.now() - idle_since >= idle_s:
+                    return
+                with anyio.move_on_at(idle_since + idle_s):
+                    await self.receive()
+
     async def heartbeat(self) -> None:
         """Send a heartbeat on an idle connection; the reply updates ``last_received_at``."""
         if clock.now() - self.last_received_at >= HEARTBEAT_INTERVAL_S / 2:
--- a/src/dogwoodgap/peers.py
+++ b/src/dogwoodgap/peers.py
@@ -18,6 +18,10 @@
 SERVER_IDLE_TIMEOUT_S = 10.0
 MAX_RECONNECT_DELAY_S = 1.0
 MAX_HANDLERS_PER_CONNECTION = 64
+KEEP_IDLE_S = 2.0
+"""Idle time after which a connection to a node that is not a partner is closed. It spans a model
+turn, whose reservation and settlement go to the same node. Without heartbeats a dead connection is
+only noticed by a request, so it is not kept for longer."""
 
 Handler = collections.abc.Callable[[ttypes.Member, typing.Any], collections.abc.Awaitable[object]]
 MessageT = typing.TypeVar("MessageT")
@@ -168,6 +172,46 @@
         return connection.remote, await connection.request(message)
 
 
+class ShortLivedPeer:
+    """Connection to a node that is not a partner; it is closed once it is idle."""
+
+    def __init__(self, network: "PeerNetwork", address: str):
+        self.network = network
+        self.address = address
+        self.connection: peer_connections.Connection | None = None
+        self.opened = anyio.Event()
+
+    async def run(self) -> None:
+        """Open the connection and serve it until it ends or is idle."""
+        try:
+            async with self.network.open(self.address) as self.connection:
+                self.opened.set()
+                await self.connection.run_until_idle(KEEP_IDLE_S)
+        except (*peer_connections.CONNECTION_ERRORS, exceptions.PeerUnreachableError):
+            pass
+        except exceptions.FrameMalformedError as error:
+            log_malformed_frame(self.address, error)
+        finally:
+            self.network.forget(self)
+            if self.connection is not None:
+                self.connection.fail_pending()
+            self.opened.set()
+
+    async def request(self, message: typing.Any) -> tuple[ttypes.Member, typing.Any]:
+        """Send a message once the connection is open; after a failure it takes no further ones."""
+        is_answered = False
+        try:
+            await self.opened.wait()
+            if self.connection is None:
+                raise anyio.BrokenResourceError
+            reply = await self.connection.request(message)
+            is_answered = True
+        finally:
+            if not is_answered:
+                self.network.forget(self)
+        return self.connection.remote, reply
+
+
 def log_malformed_frame(address: str, error: exceptions.FrameMalformedError) -> None:
     """Log that a connection is closed because of a malformed frame."""
     events.emit(
@@ -206,6 +250,7 @@
         self.handlers = Handlers()
         self.hello = lambda: ttypes.Member(node="", boot="")
         self.peers: dict[str, Peer] = {}
+        self.short_lived: dict[str, ShortLivedPeer] = {}
         self.traffic = peer_connections.Traffic()
 
     async def request(
@@ -219,7 +264,7 @@
     ) -> Reply[MessageT]:
         """Send a message and return the reply.
 
-        Addresses that are not partners get a connection for this request only.
+        The connection to an address that is not a partner is closed once it is idle.
 
         Raises
         ------
@@ -232,7 +277,8 @@
         try:
             with anyio.fail_after(timeout_s):
                 if peer is None:
-                    sender, reply = await self.request_unpooled(address, message)
+                    short_lived = self.short_lived_peer(address, reconnect=reconnect)
+                    sender, reply = await short_lived.request(message)
                 else:
                     if reconnect:
                         peer.replace()
@@ -243,29 +289,18 @@
             ) from error
         return check_reply_type(sender, reply, reply_type)
 
-    async def request_unpooled(
-        self, address: str, message: typing.Any
-    ) -> tuple[ttypes.Member, typing.Any]:
-        """Send one request over a connection of its own."""
-        async with self.open(address) as connection, anyio.create_task_group() as tasks:
-            tasks.start_soon(self.read_replies, connection)
-            reply = None
-            with contextlib.suppress(*peer_connections.CONNECTION_ERRORS):
-                reply = await connection.request(message)
-            connection.scope.cancel()
-        if reply is None:
-            raise anyio.BrokenResourceError
-        return connection.remote, reply
-
-    async def read_replies(self, connection: peer_connections.Connection) -> None:
-        """Read from a single-request connection, and fail the request when it ends."""
-        try:
-            await connection.run()
-        except peer_connections.CONNECTION_ERRORS:
-            pass
-        except exceptions.FrameMalformedError as error:
-            log_malformed_frame("single-request connection", error)
-        connection.fail_pending()
+    def short_lived_peer(self, address: str, *, reconnect: bool) -> ShortLivedPeer:
+        """Return the open connection to a node that is not a partner, or open one."""
+        peer = self.short_lived.get(address)
+        if peer is None or reconnect:
+            peer = self.short_lived[address] = ShortLivedPeer(self, address)
+            self.tasks.start_soon(peer.run)
+        return peer
+
+    def forget(self, peer: ShortLivedPeer) -> None:
+        """Use a connection for no further requests."""
+        if self.short_lived.get(peer.address) is peer:
+            del self.short_lived[peer.address]
 
     def open(
         self, address: str
--- a/src/dogwoodgap_lab/gateway_scale.py
+++ b/src/dogwoodgap_lab/gateway_scale.py
@@ -46,7 +46,7 @@
 ENGINE_SLOTS = 6
 TURN_S = 0.2
 TURNS_PER_PROGRAM = 5
-TOKEN_BUDGET = 800
+TOKEN_BUDGET = 500
 """Low enough that the last turns of a program need a record in the store."""
 
 START_S = 4.0
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -85,6 +85,64 @@
     anyio.run(main)
 
 
+def test_connection_to_a_node_that_is_no_partner_is_kept_for_a_turn(monkeypatch):
+    """Guards against a handshake for each message between nodes that are not partners."""
+    monkeypatch.setattr(peers, "KEEP_IDLE_S", 0.2)
+
+    async def main():
+        async with pair() as (client, port):
+            opened = []
+            open_stream = client.open_stream
+
+            async def count_and_open(address):
+                opened.append(await open_stream(address))
+                return opened[-1]
+
+            client.open_stream = count_and_open
+            address = f"127.0.0.1:{port}"
+            async with anyio.create_task_group() as tasks:
+                for _ in range(20):
+                    tasks.start_soon(probe, client, address)
+            assert (await probe(client, address)).message.reachable
+            assert len(opened) == 1
+            await anyio.sleep(0.4)
+            assert client.short_lived == {}
+            assert (await probe(client, address)).message.reachable
+            assert len(opened) == 2
+            await probe(client, address, reconnect=True)
+            assert len(opened) == 3
+
+    anyio.run(main)
+
+
+def test_silent_kept_connection_takes_no_further_requests():
+    """Guards against repeated time-outs on one dead connection to a node that responds."""
+
+    async def main():
+        async with pair() as (client, port):
+            released = anyio.Event()
+
+            async def ignore(stream):
+                async with stream:
+                    await released.wait()
+
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=0)
+            silent_port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            async with listener, anyio.create_task_group() as tasks:
+                tasks.start_soon(listener.serve, ignore)
+                address = f"127.0.0.1:{port}"
+                assert (await probe(client, address)).message.reachable
+                kept = client.short_lived[address]
+                kept.connection.stream = await anyio.connect_tcp("127.0.0.1", silent_port)
+                with pytest.raises(exceptions.PeerUnreachableError):
+                    await probe(client, address, timeout_s=0.2)
+                assert (await probe(client, address)).message.reachable
+                released.set()
+                tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
 @pytest.mark.parametrize(
     "garbage",
     [b"\x00\x00\x00\x05abcde", b"\xff\xff\xff\xff", frames.encode(1, ttypes.MemberFetch())],
