Replace a silent connection after the first timeout, and halve the heartbeats

Cause: at rest a third of the frames between partners were heartbeats, whose only use is to find dead connections. A request that timed out left the connection in place, so that each further one timed out too until 2.5 s had passed. Now a timeout without any data since the request closes the connection; heartbeats come every 2 s. The extended test fails without the first part.

--- a/src/dogwoodgap/peer_connections.py
+++ b/src/dogwoodgap/peer_connections.py
@@ -13,9 +13,10 @@
 from dogwoodgap import clock, exceptions, frames
 from dogwoodgap_wire import ttypes
 
-HEARTBEAT_INTERVAL_S = 1.0
-SILENCE_TIMEOUT_S = 2.5
-"""A connection that received nothing for this long is closed; this spans two heartbeats."""
+HEARTBEAT_INTERVAL_S = 2.0
+SILENCE_TIMEOUT_S = 5.0
+"""A connection that received nothing for this long is closed; this spans two heartbeats. A request
+on a dead connection fails earlier, by its own timeout, and the next one opens a new connection."""
 
 CONNECT_TIMEOUT_S = 1.0
 
--- a/src/dogwoodgap/peers.py
+++ b/src/dogwoodgap/peers.py
@@ -12,7 +12,7 @@
 import anyio.abc
 import anyio.streams.tls
 
-from dogwoodgap import events, exceptions, frames, peer_connections
+from dogwoodgap import clock, events, exceptions, frames, peer_connections
 from dogwoodgap_wire import ttypes
 
 SERVER_IDLE_TIMEOUT_S = 10.0
@@ -157,6 +157,11 @@
             self.connection.scope.cancel()
             self.discard(self.connection)
 
+    def replace_if_silent(self, since: float) -> None:
+        """Close the current connection if it has received nothing since a time."""
+        if self.connection is not None and self.connection.last_received_at <= since:
+            self.replace()
+
     def discard(self, connection: peer_connections.Connection) -> None:
         """Make requests wait for the next connection, unless it already replaced this one."""
         if self.connection is connection:
@@ -274,6 +279,7 @@
             When the reply has another type, such as the ``Ack`` of a refusal.
         """
         peer = self.peers.get(address)
+        started_at = clock.now()
         try:
             with anyio.fail_after(timeout_s):
                 if peer is None:
@@ -284,6 +290,8 @@
                         peer.replace()
                     sender, reply = await peer.request(message)
         except peer_connections.CONNECTION_ERRORS as error:
+            if peer is not None and isinstance(error, TimeoutError):
+                peer.replace_if_silent(started_at)
             raise exceptions.PeerUnreachableError(
                 f"node at {address} did not reply within {timeout_s} s; try another node"
             ) from error
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -72,9 +72,11 @@
             silence_events[0].set()
             with pytest.raises(exceptions.PeerUnreachableError):
                 await probe(client, address, timeout_s=0.2)
+            assert (await probe(client, address)).message.reachable
+            assert len(silence_events) == 2
             assert (await probe(client, address, reconnect=True)).message.reachable
             opened = anyio.Event()
-            silence_events[1].set()
+            silence_events[2].set()
             with anyio.fail_after(
                 peer_connections.SILENCE_TIMEOUT_S + 2 * peer_connections.HEARTBEAT_INTERVAL_S
             ):
