--- a/src/dogwoodgap/events.py
+++ b/src/dogwoodgap/events.py
@@ -69,10 +69,10 @@
         "A connection to a node closed or stopped responding; a new one is opened.",
     )
     PEER_HANDLER_FAILED = 4003, "A message from another node could not be handled."
-    MEMBER_JOINED = 4011, "A node joined the fleet."
-    MEMBER_SUSPECT = 4012, "A node answers neither this node nor other nodes that probed it."
-    MEMBER_DEAD = 4013, "A node is declared dead; its shards are taken over."
-    MEMBER_LEAVING = 4014, "A node announced a planned stop."
+    MEMBER_JOINED = 4011, "Nodes joined the fleet; the line names those of a short time."
+    MEMBER_SUSPECT = 4012, "Nodes answer neither this node nor other nodes that probed them."
+    MEMBER_DEAD = 4013, "Nodes are declared dead; their shards are taken over."
+    MEMBER_LEAVING = 4014, "Nodes announced a planned stop."
     MEMBER_REPLACED = 4015, "A newer boot replaced an older one of the same node."
     CONFIGURATION_APPLIED = (
         4021,
@@ -127,7 +127,7 @@
     DIGEST_QUARANTINED = 6008, "A request crashed two runners and is refused."
     SUSPECT_REPORT_FAILED = (
         6009,
-        "A suspect request could not be reported to other nodes; it is retried.",
+        "A suspect request could not be reported to a node; it is retried, or the next node is told.",
     )
     CACHE_RELEASED = 6010, "The engine cache of an ended program was released."
     CACHE_RELEASE_FAILED = 6011, "A runner did not release a cache; it is retried."
--- a/src/dogwoodgap/members.py
+++ b/src/dogwoodgap/members.py
@@ -16,9 +16,6 @@
 RECENT_CHANGE_S = 10.0
 """Age up to which a change is still sent to a new partner."""
 
-MAX_LOGGED_NODES = 20
-"""Names in one log line; a whole fleet that starts takes a few lines on each node."""
-
 DEAD_RETENTION_S = 600.0
 JOIN_WINDOW_S = 10.0
 """Two processes may claim one node name. Within this time after its start a node raises its
@@ -221,7 +218,7 @@
         unlogged, self.unlogged = self.unlogged, {}
         for status, nodes in unlogged.items():
             event, level, text = STATUS_EVENTS[status]
-            events.emit(event, text, level=level, nodes=nodes[:MAX_LOGGED_NODES], count=len(nodes))
+            events.emit(event, text, level=level, nodes=nodes, count=len(nodes))
 
     def record_contact(
         self, sender: ttypes.Member, incarnation: int, leaving: bool
