--- a/src/dogwoodgap/events.py
+++ b/src/dogwoodgap/events.py
@@ -127,7 +127,7 @@
     DIGEST_QUARANTINED = 6008, "A request crashed two runners and is refused."
     SUSPECT_REPORT_FAILED = (
         6009,
-        "A suspect request could not be reported to a node; it is retried, or the next node is told.",
+        "A suspect request was not reported to a node; it is retried, or the next node is told.",
     )
     CACHE_RELEASED = 6010, "The engine cache of an ended program was released."
     CACHE_RELEASE_FAILED = 6011, "A runner did not release a cache; it is retried."
