Give up a response that exceeds a limit

Cause: a response was read into memory until its end or the deadline of the request, so that a server that sends without end could take a gateway of 128 MB over its limit, and with it all its requests. A refusal with an endless body held its request until the deadline. Bodies are limited by gateway.max_response_bytes (16 MiB); a larger one is an invalid response, a refusal is taken as such at the limit. Heads were limited already, and streams are passed on by event.

--- a/src/dogwoodgap/forwarder.py
+++ b/src/dogwoodgap/forwarder.py
@@ -58,6 +58,8 @@
         Records requests that have crashed servers.
     data_centre : str
         Data centre of this node.
+    max_response_bytes : int
+        Largest body of a server's response that is not a stream.
     """
 
     def __init__(
@@ -67,13 +69,15 @@
         header_codec: dialect.HeaderCodec,
         budget_coordinator: budget_owners.BudgetCoordinator,
         crash_tracker: crashes.CrashTracker,
-        data_centre: str = "",
+        data_centre: str,
+        max_response_bytes: int,
     ):
         self.active_routes = active_routes
         self.server_registry = server_registry
         self.header_codec = header_codec
         self.budget_coordinator = budget_coordinator
         self.crash_tracker = crash_tracker
+        self.max_response_bytes = max_response_bytes
         self.loads = selection.LoadTable(data_centre)
         self.pools: dict[str, upstream.ServerPool] = {}
         self.limiters: dict[str, gate.ConcurrencyLimiter] = {}
@@ -418,6 +422,7 @@
                 request,
                 self.header_codec,
                 response_timeout_s,
+                self.max_response_bytes,
             )
         # Raised outside the task group, which would wrap it in an exception group.
         failure: upstream.InvalidResponseError | None = None
@@ -433,6 +438,7 @@
                     request,
                     self.header_codec,
                     response_timeout_s,
+                    self.max_response_bytes,
                 )
             except upstream.InvalidResponseError as error:
                 failure = error
--- a/src/dogwoodgap/gateway.py
+++ b/src/dogwoodgap/gateway.py
@@ -108,6 +108,7 @@
             self.budget_coordinator,
             self.crash_tracker,
             gateway_settings.node.data_centre,
+            gateway_settings.gateway.max_response_bytes,
         )
         self.forwarder.server_selector.node_count = self.node_count
         self.request_server = ingress.Server(self.forwarder.handle, self.limits)
--- a/src/dogwoodgap/relay.py
+++ b/src/dogwoodgap/relay.py
@@ -28,10 +28,11 @@
         )
 
 
-async def discard_body(connection: upstream.Connection) -> None:
-    """Read and discard the rest of a response that is not relayed."""
-    while isinstance(await connection.next_event(), h11.Data):
-        pass
+async def discard_body(connection: upstream.Connection, max_bytes: int) -> None:
+    """Read and discard the rest of a response that is not relayed, up to a number of bytes."""
+    size = 0
+    while size <= max_bytes and isinstance(event := await connection.next_event(), h11.Data):
+        size += len(event.data)
 
 
 async def relay_response(
@@ -42,6 +43,7 @@
     request: h11.Request,
     header_codec: dialect.HeaderCodec,
     response_timeout_s: float,
+    max_response_bytes: int,
 ) -> progress_module.AttemptResult:
     """Read a response and relay it to the caller.
 
@@ -49,6 +51,8 @@
     ----------
     response_timeout_s : float
         Timeout for the status line and headers, in seconds.
+    max_response_bytes : int
+        Largest body of a response that is not a stream.
 
     Raises
     ------
@@ -67,7 +71,7 @@
     connection.update_keep_alive(head.headers)
     if head.metadata.not_run or head.status == MISDIRECTED_REQUEST:
         progress.runs[connection.server.id] -= 1
-        await discard_body(connection)
+        await discard_body(connection, max_response_bytes)
         return progress_module.AttemptResult.NOT_RUN
     if head.status < SUCCESS_END and (
         not head.metadata.signed or head.metadata.has_content_encoding
@@ -81,7 +85,7 @@
     elif responder.started:
         raise connection.invalid_response(f"status {head.status} instead of the rest of the stream")
     else:
-        response = await read_response(connection, head)
+        response = await read_response(connection, head, max_response_bytes)
         if head.status >= SERVER_ERROR:
             progress.failure = response
             return progress_module.AttemptResult.FAILED
@@ -90,12 +94,26 @@
 
 
 async def read_response(
-    connection: upstream.Connection, head: upstream.ResponseHead
+    connection: upstream.Connection, head: upstream.ResponseHead, max_bytes: int
 ) -> progress_module.BufferedResponse:
-    """Read the body and return the complete response."""
+    """Read the body and return the complete response.
+
+    Raises
+    ------
+    InvalidResponseError
+        If the body is incomplete or larger than ``max_bytes``; a faulty server may send without
+        end, and the body is held in memory.
+    """
     parts: list[bytes] = []
+    size = 0
     while isinstance(event := await connection.next_event(), h11.Data):
         parts.append(bytes(event.data))
+        size += len(event.data)
+        if size > max_bytes:
+            raise connection.invalid_response(
+                f"the body exceeds {max_bytes} bytes (raise gateway.max_response_bytes if "
+                "responses are that large)"
+            )
     if not isinstance(event, h11.EndOfMessage):
         raise connection.invalid_response("the connection closed before the end of the body")
     return progress_module.BufferedResponse(
--- a/src/dogwoodgap/settings.py
+++ b/src/dogwoodgap/settings.py
@@ -92,6 +92,9 @@
         register again, in seconds.
     first_start : bool
         Whether the whole fleet starts for the first time, so that no program can have run before.
+    max_response_bytes : int
+        Largest body of a backend server's response that is not a stream, in bytes. It is held in
+        memory until it is complete.
     """
 
     ready_bind: str = "127.0.0.1:8081"
@@ -101,6 +104,7 @@
     directory_ttl_s: float = pydantic.Field(default=1.0, gt=0)
     return_grace_s: float = pydantic.Field(default=2.0, ge=0)
     first_start: bool = False
+    max_response_bytes: int = pydantic.Field(default=16 * 1024 * 1024, ge=1024)
 
 
 class NodeSettings(validation.StrictModel):
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -24,6 +24,7 @@
 NAMES = dialect.HeaderNames(reserved=(b"dogwoodgap-hold",))
 SIGNATURE_HEADER = (b"dogwoodgap-seal", b"s1")
 TIMEOUT_S = 0.6
+MAX_RESPONSE_BYTES = 1024 * 1024
 
 
 class FakeBudgetRecords:
@@ -268,6 +269,7 @@
             self.budget_coordinator,
             self.crash_tracker,
             "d1",
+            MAX_RESPONSE_BYTES,
         )
         self.server = ingress.Server(self.forwarder.handle)
         self.address = listen_addresses.free_address()
