--- a/src/dogwoodgap/settings_reference.py
+++ b/src/dogwoodgap/settings_reference.py
@@ -40,8 +40,8 @@
     "GatewaySection.directory_ttl_s": "How long callers cache gateway addresses, in seconds.",
     "GatewaySection.return_grace_s": "Time after an outage of the store in which backend servers "
     "whose entries expired may register again, in seconds.",
-    "GatewaySection.max_response_bytes": "Largest body of a backend server's response, in bytes; it is "
-    "held in memory until it is complete. Streams are passed on by event.",
+    "GatewaySection.max_response_bytes": "Largest body of a backend server's response, in "
+    "bytes; it is held in memory until it is complete. Streams are passed on by event.",
     "GatewaySection.first_start": "Whether the whole fleet starts for the first time, so that no "
     "program ran before.",
     "Profile.latency_weight": "Weight of latency in ordering and in decisions on tool pauses.",
