Count the usage of an account once although its transfer was not acknowledged

Cause: a node whose transfer of an account got no acknowledgement keeps the account and sends it again at the next membership change; the new owner added both up. A program of 20 turns was refused after 10 (the test, which failed before, with all replies lost for 1.2 s of a planned stop). Usage is kept by the copy of the account that counted it, and merging takes the larger figure of each copy. A sum can't tell a second arrival from other usage, and numbering transfers does not help once the receiver has passed the account on.

--- a/src/dogwoodgap/budget_wire.py
+++ b/src/dogwoodgap/budget_wire.py
@@ -17,15 +17,16 @@
         recorded=account.recorded,
         revision=account.revision,
         assumed=account.assumed,
+        usage=account.usage,
     )
 
 
 def from_wire(message: ttypes.TokenAccount) -> budgets.Account:
     """Convert a received message to an account."""
     now = clock.now()
-    return budgets.Account(
+    account = budgets.Account(
         budget=message.budget or 0,
-        spent=message.spent or 0,
+        usage=dict(message.usage or {}),
         reservations={
             reservation.attempt: budgets.Reservation(reservation.tokens, now)
             for reservation in message.reservations or []
@@ -34,6 +35,10 @@
         revision=message.revision or 0,
         assumed=message.assumed or 0,
     )
+    if message.usage is None:
+        # Nodes of an older version send only the sum.
+        account.add_usage((message.spent or 0) - account.assumed)
+    return account
 
 
 def record_to_wire(entry: budget_records.CachedRecord) -> ttypes.TokenRecord:
--- a/src/dogwoodgap/budgets.py
+++ b/src/dogwoodgap/budgets.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 import enum
+import uuid
 
 from dogwoodgap import clock, pacing
 
@@ -45,8 +46,11 @@
 
     Attributes
     ----------
-    spent : int
-        Tokens delivered to callers, or assumed to have been delivered.
+    usage : dict of str to int
+        Tokens delivered to callers, by the copy of the account that counted them. A copy that
+        reaches a node twice, because its transfer was not acknowledged, then counts once.
+    copy_id : str
+        Identifies this copy.
     reservations : dict of str to Reservation
         Reservations of running turns, by attempt id.
     recorded : int
@@ -54,9 +58,9 @@
     revision : int
         Store revision of that record; 0 without a record.
     assumed : int
-        Part of ``spent`` that is assumed, because another node may have held the account. Several
-        nodes may assume this at the same time, so a record is written before the first turn and
-        the store resolves the conflict.
+        Tokens that are assumed to have been delivered, because another node may have held the
+        account. Several nodes may assume this at the same time, so a record is written before the
+        first turn and the store resolves the conflict.
     announced : int
         Usage announced to the next owners while the store was unavailable; 0 if none.
     claimed : bool
@@ -69,7 +73,8 @@
     """
 
     budget: int
-    spent: int = 0
+    usage: dict[str, int] = dataclasses.field(default_factory=dict)
+    copy_id: str = dataclasses.field(default_factory=lambda: uuid.uuid4().hex[:12])
     reservations: dict[str, Reservation] = dataclasses.field(default_factory=dict)
     recorded: int = 0
     revision: int = 0
@@ -80,6 +85,20 @@
     timing: pacing.ProgramTiming | None = None
     turn_tokens: int = 0
 
+    @property
+    def known_usage(self) -> int:
+        """Return the tokens that are known to have been delivered."""
+        return sum(self.usage.values())
+
+    @property
+    def spent(self) -> int:
+        """Return the tokens delivered, or assumed to have been delivered."""
+        return self.known_usage + self.assumed
+
+    def add_usage(self, tokens: int) -> None:
+        """Count delivered tokens."""
+        self.usage[self.copy_id] = self.usage.get(self.copy_id, 0) + tokens
+
     @property
     def committed(self) -> int:
         """Return the tokens spent and reserved."""
@@ -109,8 +128,7 @@
             self.recorded, self.revision = usage, revision
         self.announced = max(self.announced, announced)
         reported_usage = max(usage, announced)
-        self.assumed = max(self.assumed, reported_usage - (self.spent - self.assumed))
-        self.spent = max(self.spent, reported_usage)
+        self.assumed = max(self.assumed, reported_usage - self.known_usage)
 
 
 def unrecorded_allowance(budget: int) -> int:
@@ -136,7 +154,7 @@
         if account is None:
             account = self.accounts[program] = Account(budget)
             if assume_usage:
-                account.spent = account.assumed = unrecorded_allowance(budget)
+                account.assumed = unrecorded_allowance(budget)
         account.last_used_at = clock.now()
         return account
 
@@ -156,7 +174,7 @@
         cutoff = clock.now() - RESERVATION_TTL_S
         for attempt_id, reservation in list(account.reservations.items()):
             if reservation.reserved_at < cutoff:
-                account.spent += reservation.tokens
+                account.add_usage(reservation.tokens)
                 del account.reservations[attempt_id]
 
     def settle(self, program: str, attempt_id: str, tokens: int) -> bool:
@@ -164,7 +182,7 @@
         account = self.accounts.get(program)
         if account is None or account.reservations.pop(attempt_id, None) is None:
             return False
-        account.spent += tokens
+        account.add_usage(tokens)
         return True
 
     def merge(self, program: str, received: Account) -> None:
@@ -173,9 +191,9 @@
         received.last_used_at = clock.now()
         if local is not None:
             # The assumption of one node is superseded by the known usage of the other.
-            assumed = min(received.assumed, local.assumed)
-            usage = received.spent - received.assumed + local.spent - local.assumed
-            received.spent, received.assumed = usage + assumed, assumed
+            received.assumed = min(received.assumed, local.assumed)
+            for copy_id, tokens in local.usage.items():
+                received.usage[copy_id] = max(tokens, received.usage.get(copy_id, 0))
             received.reservations = {**received.reservations, **local.reservations}
             if local.revision > received.revision:
                 received.recorded, received.revision = local.recorded, local.revision
--- a/src/dogwoodgap_wire/ttypes.py
+++ b/src/dogwoodgap_wire/ttypes.py
@@ -2276,6 +2276,7 @@
      - recorded
      - revision
      - assumed
+     - usage
 
     """
 
@@ -2287,10 +2288,11 @@
         'recorded',
         'revision',
         'assumed',
+        'usage',
     )
 
 
-    def __init__(self, program=None, budget=None, spent=None, reservations=None, recorded=None, revision=None, assumed=None,):
+    def __init__(self, program=None, budget=None, spent=None, reservations=None, recorded=None, revision=None, assumed=None, usage=None,):
         self.program = program
         self.budget = budget
         self.spent = spent
@@ -2298,6 +2300,7 @@
         self.recorded = recorded
         self.revision = revision
         self.assumed = assumed
+        self.usage = usage
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2349,6 +2352,17 @@
                     self.assumed = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.MAP:
+                    self.usage = {}
+                    (_ktype56, _vtype57, _size55) = iprot.readMapBegin()
+                    for _i59 in range(_size55):
+                        _key60 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val61 = iprot.readI64()
+                        self.usage[_key60] = _val61
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2374,8 +2388,8 @@
         if self.reservations is not None:
             oprot.writeFieldBegin('reservations', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.reservations))
-            for iter55 in self.reservations:
-                iter55.write(oprot)
+            for iter62 in self.reservations:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.recorded is not None:
@@ -2390,6 +2404,14 @@
             oprot.writeFieldBegin('assumed', TType.I64, 7)
             oprot.writeI64(self.assumed)
             oprot.writeFieldEnd()
+        if self.usage is not None:
+            oprot.writeFieldBegin('usage', TType.MAP, 8)
+            oprot.writeMapBegin(TType.STRING, TType.I64, len(self.usage))
+            for kiter63, viter64 in self.usage.items():
+                oprot.writeString(kiter63.encode('utf-8') if sys.version_info[0] == 2 else kiter63)
+                oprot.writeI64(viter64)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2558,11 +2580,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.records = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = TokenRecord()
-                        _elem61.read(iprot)
-                        self.records.append(_elem61)
+                    (_etype68, _size65) = iprot.readListBegin()
+                    for _i69 in range(_size65):
+                        _elem70 = TokenRecord()
+                        _elem70.read(iprot)
+                        self.records.append(_elem70)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2579,8 +2601,8 @@
         if self.records is not None:
             oprot.writeFieldBegin('records', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.records))
-            for iter62 in self.records:
-                iter62.write(oprot)
+            for iter71 in self.records:
+                iter71.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2726,10 +2748,10 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.lost = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.lost.append(_elem68)
+                    (_etype75, _size72) = iprot.readListBegin()
+                    for _i76 in range(_size72):
+                        _elem77 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.lost.append(_elem77)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2765,8 +2787,8 @@
         if self.lost is not None:
             oprot.writeFieldBegin('lost', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.lost))
-            for iter69 in self.lost:
-                oprot.writeString(iter69.encode('utf-8') if sys.version_info[0] == 2 else iter69)
+            for iter78 in self.lost:
+                oprot.writeString(iter78.encode('utf-8') if sys.version_info[0] == 2 else iter78)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.complete is not None:
@@ -2829,11 +2851,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.accounts = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = TokenAccount()
-                        _elem75.read(iprot)
-                        self.accounts.append(_elem75)
+                    (_etype82, _size79) = iprot.readListBegin()
+                    for _i83 in range(_size79):
+                        _elem84 = TokenAccount()
+                        _elem84.read(iprot)
+                        self.accounts.append(_elem84)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2850,8 +2872,8 @@
         if self.accounts is not None:
             oprot.writeFieldBegin('accounts', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.accounts))
-            for iter76 in self.accounts:
-                iter76.write(oprot)
+            for iter85 in self.accounts:
+                iter85.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3071,11 +3093,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.servers = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = ServerEntry()
-                        _elem82.read(iprot)
-                        self.servers.append(_elem82)
+                    (_etype89, _size86) = iprot.readListBegin()
+                    for _i90 in range(_size86):
+                        _elem91 = ServerEntry()
+                        _elem91.read(iprot)
+                        self.servers.append(_elem91)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3115,8 +3137,8 @@
         if self.servers is not None:
             oprot.writeFieldBegin('servers', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.servers))
-            for iter83 in self.servers:
-                iter83.write(oprot)
+            for iter92 in self.servers:
+                iter92.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.digest is not None:
@@ -3932,6 +3954,7 @@
     (5, TType.I64, 'recorded', None, None, ),  # 5
     (6, TType.I64, 'revision', None, None, ),  # 6
     (7, TType.I64, 'assumed', None, None, ),  # 7
+    (8, TType.MAP, 'usage', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 8
 )
 all_structs.append(TokenRecord)
 TokenRecord.thrift_spec = (
--- a/tests/test_budget_owners.py
+++ b/tests/test_budget_owners.py
@@ -315,3 +315,21 @@
     """Return how many messages of a type all running nodes have sent."""
     networks = (fleet.shared_network.nodes[fleet.address(name)] for name in fleet.nodes)
     return sum(network.sent[message_type] for network in networks)
+
+
+@with_fleet(5)
+async def test_account_whose_transfer_was_not_acknowledged_counts_once(fleet):
+    """Guards against a refused program because its usage was merged twice."""
+    program, budget = "p", 20 * TURN
+    assert await fleet.spend(program, budget, limit=5) == 5 * TURN
+    leaving = fleet.owner(program)
+    fleet.shared_network.lost_replies = 1.0
+    fleet.tasks.start_soon(fleet.memberships[leaving].leave)
+    await anyio.sleep(1.2)
+    fleet.shared_network.lost_replies = 0.0
+    await anyio.sleep(2)
+    other = next(name for name in fleet.nodes if name not in (leaving, fleet.owner(program)))
+    await fleet.memberships[other].leave()
+    await anyio.sleep(3)
+    spent = await fleet.spend(program, budget, limit=30)
+    assert spent == 15 * TURN
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -75,7 +75,7 @@
     async def main():
         ledger = budgets.Ledger()
         ledger.get_or_create("p", 1_000, assume_usage=True)
-        ledger.merge("p", budgets.Account(1_000, spent=100))
+        ledger.merge("p", budgets.Account(1_000, {"other": 100}))
         assert ledger.accounts["p"].spent == 100
 
     virtual_time.run(main)
--- a/thrift/dogwoodgap.thrift
+++ b/thrift/dogwoodgap.thrift
@@ -125,6 +125,8 @@
   5: i64 recorded,
   6: i64 revision,
   7: i64 assumed,
+  // Known tokens by the copy of the account that counted them; spent is their sum and assumed.
+  8: optional map<string, i64> usage,
 }
 
 // mark is an upper bound of the program's usage and revision the version of this record in the
