Fetch the table of each seed that differs from the local one

A starting node stopped after the first contact; if the seed that it had asked had just started itself or was down, it knew few members until digests had differed for 10 s, and took programs for its own that others owned.

--- a/src/dogwoodgap/membership.py
+++ b/src/dogwoodgap/membership.py
@@ -263,25 +263,38 @@
                 await self.join_address(address)
 
     async def join_seeds(self) -> None:
-        """Ask the seeds in a random order until one has sent its table.
+        """Fetch the table of one seed, and those of the others that differ from it.
 
-        Gossip brings the rest. If a whole fleet starts, a table for each node from each seed would
-        take seconds on the seeds' links.
+        A seed may have just started itself and know few members. Seeds are asked in a random order,
+        so that the first ones do not serve a whole fleet that starts.
         """
+        fetched = anyio.Event()
+
+        async def join(address: str) -> None:
+            if await self.join_address(address):
+                fetched.set()
+
         async with anyio.create_task_group() as tasks:
             for address in self.random.sample(self.seeds, len(self.seeds)):
-                if address != self.local.peer_address:
-                    tasks.start_soon(self.join_address, address)
-                    with anyio.move_on_after(SEED_DELAY_S):
-                        while not self.table.others():
-                            await self.wakeup.wait()
-                if self.table.others():
-                    return
-
-    async def join_address(self, address: str) -> None:
-        """Ping an address and fetch the member table when a node replies."""
-        if address != self.local.peer_address and await self.ping_address(address):
-            await self.fetch_members(address)
+                tasks.start_soon(join, address)
+                with anyio.move_on_after(SEED_DELAY_S):
+                    await fetched.wait()
+
+    async def join_address(self, address: str) -> bool:
+        """Ping an address, and fetch the table of the node if it differs from the local one.
+
+        Returns
+        -------
+        bool
+            Whether the node replied and its table is known now.
+        """
+        if address == self.local.peer_address or not await self.ping_address(address):
+            return False
+        differs = any(
+            member.peer_address == address and member.node in self.digest_differs_since
+            for member in self.table.others()
+        )
+        return not differs or await self.fetch_members(address)
 
     async def run_vm_list(self) -> None:
         """Read the platform's list of VMs periodically."""
@@ -292,14 +305,17 @@
                 self.vm_count = len(vms)
             await anyio.sleep(VM_LIST_INTERVAL_S if self.vm_count else DISCOVERY_INTERVAL_S)
 
-    async def fetch_members(self, address: str) -> None:
-        """Fetch the member table of another node and merge it."""
-        with contextlib.suppress(exceptions.PeerError):
+    async def fetch_members(self, address: str) -> bool:
+        """Fetch the member table of another node and merge it; return whether it replied."""
+        try:
             reply = await self.network.request(
                 address, ttypes.MemberFetch(), ttypes.MemberReply, timeout_s=self.interval_s * 2
             )
-            for wire in reply.message.members or []:
-                self.table.merge(members.from_wire(wire), reply.sender.node)
+        except exceptions.PeerError:
+            return False
+        for wire in reply.message.members or []:
+            self.table.merge(members.from_wire(wire), reply.sender.node)
+        return True
 
     # Message handling
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -99,6 +99,15 @@
     return decorate
 
 
+@with_fleet(24)
+async def test_a_node_knows_the_fleet_although_a_seed_has_just_started(fleet):
+    """Guards against programs owned by few nodes while a starting node knows few others."""
+    await anyio.sleep(members.RECENT_CHANGE_S)
+    fleet.start(30, seeds=())
+    fleet.start(31, seeds=(30, 0))
+    await fleet.wait_for(lambda: len(fleet.nodes[31].alive()) == 26, limit_s=1.0)
+
+
 @with_fleet(5)
 async def test_members_are_sorted_only_after_a_change(fleet):
     """Guards against sorting all members on every request, which grows with the fleet."""
