Treat an invalid address of a node or server as unreachable

Cause: a port above 65,535 or a name that cannot be encoded raised errors that no one expected; in the task of a connection to a member they ended the whole process, so that one malformed address in a ping could have stopped every gateway that it reached. At a backend server they failed each request that chose it. Of seven invalid addresses of members two ended the process before, and of three of servers two were not taken for unreachable (both tests failed). Ports are checked where an address is split; names that cannot be encoded count as unreachable.

--- a/src/dogwoodgap/peer_connections.py
+++ b/src/dogwoodgap/peer_connections.py
@@ -28,6 +28,8 @@
     TimeoutError,
 )
 
+MAX_PORT = 65_535
+
 StreamOpener = collections.abc.Callable[[], collections.abc.Awaitable[anyio.abc.ByteStream]]
 
 
@@ -149,11 +151,23 @@
 
 
 async def open_stream(address: str, tls: ssl.SSLContext | None) -> anyio.abc.ByteStream:
-    """Open a TCP connection, with TLS if a context is given."""
+    """Open a TCP connection, with TLS if a context is given.
+
+    Raises
+    ------
+    PeerUnreachableError
+        When the address is invalid; other nodes may have sent it.
+    """
     host, port = split_address(address)
-    if tls is None:
-        return await anyio.connect_tcp(host, port)
-    return await anyio.connect_tcp(host, port, ssl_context=tls, tls_standard_compatible=False)
+    try:
+        if tls is None:
+            return await anyio.connect_tcp(host, port)
+        return await anyio.connect_tcp(host, port, ssl_context=tls, tls_standard_compatible=False)
+    except ValueError as error:  # the name cannot be encoded
+        raise exceptions.PeerUnreachableError(
+            f"peer address {address!r} is invalid ({error}); correct the settings of that node",
+            not_run="true",
+        ) from error
 
 
 @contextlib.asynccontextmanager
@@ -179,10 +193,10 @@
     Raises
     ------
     PeerUnreachableError
-        When the address has no port.
+        When the address has no valid port.
     """
     host, _, port = address.rpartition(":")
-    if not host or not port.isdigit():
+    if not host or not port.isdecimal() or not port.isascii() or int(port) > MAX_PORT:
         raise exceptions.PeerUnreachableError(
             f"peer address {address!r} is not host:port; correct the settings", not_run="true"
         )
--- a/src/dogwoodgap/upstream.py
+++ b/src/dogwoodgap/upstream.py
@@ -222,7 +222,12 @@
             host, port = peer_connections.split_address(self.server.address)
             with anyio.fail_after(CONNECT_TIMEOUT_S):
                 stream = await anyio.connect_tcp(host, port)
-        except (TimeoutError, exceptions.PeerError, *http_pool.CONNECTION_ERRORS) as error:
+        except (
+            TimeoutError,
+            exceptions.PeerError,
+            *http_pool.CONNECTION_ERRORS,
+            ValueError,  # the name cannot be encoded
+        ) as error:
             raise ServerUnreachableError(
                 f"cannot connect to server {self.server.id} "
                 f"({type(error).__name__}); another server is used"
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -6,7 +6,7 @@
 import gateways
 import pytest
 
-from dogwoodgap import repeats, routes, servers
+from dogwoodgap import repeats, routes, servers, upstream
 
 
 def run(main):
@@ -254,6 +254,20 @@
     run(main)
 
 
+@pytest.mark.parametrize(
+    "address", ["127.0.0.1:99999", "é" * 80 + ":1", "no-port"], ids=["port", "name", "no port"]
+)
+def test_server_with_an_invalid_address_is_unreachable(address):
+    """Guards against a request that fails, rather than goes elsewhere, by one malformed entry."""
+
+    async def main():
+        pool = upstream.ServerPool(servers.BackendServer("p0", "plain", address, "d1", 4))
+        with pytest.raises(upstream.ServerUnreachableError):
+            await pool.acquire(math.inf)
+
+    run(main)
+
+
 def test_request_refused_by_all_servers_is_503():
     """Guards against a status other than 503, and a gateway error with a server's signature."""
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -202,3 +202,24 @@
                 )
 
     anyio.run(main)
+
+
+@pytest.mark.parametrize(
+    "address",
+    ["127.0.0.1:99999", "a..b:80", "x" * 300 + ":80", "127.0.0.1:", "", "\x00:80", "é" * 80 + ":1"],
+    ids=["port", "empty label", "long label", "no port", "empty", "zero byte", "long name"],
+)
+def test_invalid_address_of_a_member_is_unreachable(address):
+    """Guards against one malformed member address that ends the process of each node."""
+
+    async def main():
+        async with pair() as (client, port):
+            with pytest.raises(exceptions.PeerUnreachableError):
+                await probe(client, address, timeout_s=1.0)
+            client.set_partners([address])
+            with pytest.raises(exceptions.PeerUnreachableError):
+                await probe(client, address, timeout_s=0.3)
+            client.set_partners([])
+            assert (await probe(client, f"127.0.0.1:{port}")).message.reachable
+
+    anyio.run(main)
