--- a/src/dogwoodgap/peer_connections.py
+++ b/src/dogwoodgap/peer_connections.py
@@ -132,10 +132,10 @@
         """Read replies until the connection ends or no request was pending for ``idle_s``."""
         with self.scope:
             while True:
-                idle_since = clock.now() if self.pending else self.last_used_at
-                if clock.now() - idle_since >= idle_s:
+                close_at = (clock.now() if self.pending else self.last_used_at) + idle_s
+                if clock.now() >= close_at:
                     return
-                with anyio.move_on_at(idle_since + idle_s):
+                with anyio.move_on_at(close_at):
                     await self.receive()
 
     async def heartbeat(self) -> None:
--- a/src/dogwoodgap_lab/gateway_scale.py
+++ b/src/dogwoodgap_lab/gateway_scale.py
@@ -322,10 +322,13 @@
         Number of gateways.
     profiled : bool
         Whether function calls are counted, which takes most of the time of a run.
+    restarting : bool
+        Whether a share of the gateways restarts at the end.
     """
 
-    def __init__(self, count: int, *, profiled: bool):
+    def __init__(self, count: int, *, profiled: bool, restarting: bool):
         self.profiled = profiled
+        self.restarting = restarting
         self.links = Links()
         self.store = SimulatedStore(ENGINES)
         self.records = file_source.InMemoryBudgetRecords()
@@ -427,15 +430,19 @@
                 self.tasks.start_soon(member.place_turns, turns_per_s)
             await anyio.sleep(1)
             self.measures.append(await self.measure("turns", MEASUREMENT_S))
-            self.measures.append(await self.measure("restarts", STOP_S + 2, self.restart_some()))
+            if self.restarting:
+                measured = await self.measure("restarts", STOP_S + 2, self.restart_some())
+                self.measures.append(measured)
             self.tasks.cancel_scope.cancel()
 
 
-def measure(count: int, turns_per_s: float = 1.0, *, profiled: bool = True) -> SimulatedFleet:
+def measure(
+    count: int, turns_per_s: float = 1.0, *, profiled: bool = True, restarting: bool = True
+) -> SimulatedFleet:
     """Run a fleet of ``count`` gateways on virtual time and return it with its measures."""
 
     async def run() -> SimulatedFleet:
-        fleet = SimulatedFleet(count, profiled=profiled)
+        fleet = SimulatedFleet(count, profiled=profiled, restarting=restarting)
         await fleet.run(turns_per_s)
         return fleet
 
