Log the request rate limit that a server reports

It is decoded now, kept per server, logged when it changes (SERVER_LIMIT_CHANGED) and counted in dogwoodgap_limited_servers. No decision depends on it yet. A response lifts a limit only if its request was sent after the limit was known, since responses may overtake each other.

--- a/src/dogwoodgap/dialect.py
+++ b/src/dogwoodgap/dialect.py
@@ -4,6 +4,7 @@
 """
 
 import dataclasses
+import math
 import urllib.parse
 
 from dogwoodgap import exceptions
@@ -46,6 +47,8 @@
         Set by a backend server that did not run the request.
     load : bytes
         A backend server's running and waiting requests and its slots.
+    rate_limit : bytes
+        Requests per second that a backend server accepts from all nodes together.
     finish : bytes
         Remaining time until the program should finish, in milliseconds.
     token_count : bytes
@@ -60,6 +63,7 @@
     expected_server: bytes = b"dogwoodgap-expect-server"
     not_run: bytes = b"dogwoodgap-not-run"
     load: bytes = b"dogwoodgap-load"
+    rate_limit: bytes = b"dogwoodgap-rate-limit"
     urgency: bytes = b"dogwoodgap-urgency"
     last_event_id: bytes = b"last-event-id"
     program_id: bytes = b"dogwoodgap-program"
@@ -131,6 +135,8 @@
 
     Attributes
     ----------
+    rate_limit : float or None
+        Requests per second that the server accepts from all nodes together; None without a limit.
     has_content_encoding : bool
         Whether the body has a content encoding.
     """
@@ -139,6 +145,7 @@
     signed: bool
     not_run: bool
     load: ServerLoad | None
+    rate_limit: float | None
     has_content_encoding: bool
 
 
@@ -228,6 +235,7 @@
             signed=names.signature in values,
             not_run=names.not_run in values,
             load=parse_load(values.get(names.load)),
+            rate_limit=parse_rate(values.get(names.rate_limit)),
             has_content_encoding=b"content-encoding" in values,
         )
 
@@ -275,6 +283,17 @@
     return ServerLoad(running, waiting, slots)
 
 
+def parse_rate(value: bytes | None) -> float | None:
+    """Parse a rate; returns None if it is absent, malformed, negative or infinite."""
+    if value is None:
+        return None
+    try:
+        rate = float(value)
+    except ValueError:
+        return None
+    return rate if math.isfinite(rate) and rate >= 0.0 else None
+
+
 def invalid_header(name: bytes, value: bytes, expected: str) -> exceptions.InvalidRequestError:
     """Return the error for a malformed header."""
     text = urllib.parse.quote_from_bytes(value[:64])
--- a/src/dogwoodgap/events.py
+++ b/src/dogwoodgap/events.py
@@ -114,6 +114,10 @@
         "The account of a program may have been lost; its token usage is assumed.",
     )
     FLEET_FETCHED = 5021, "Routes and servers were fetched from another node."
+    SERVER_LIMIT_CHANGED = (
+        5022,
+        "A backend server reported, changed or lifted a limit on its requests per second.",
+    )
     RUNNER_LEAVING = 6001, "A runner is leaving and gets no new work."
     RUNNER_RETURNED = 6002, "A runner accepts work again."
     RUNNER_DOWN = 6003, "A new connection to a runner failed; it gets no work until it answers."
--- a/src/dogwoodgap/exposition.py
+++ b/src/dogwoodgap/exposition.py
@@ -35,6 +35,11 @@
     ["service", "result"],
     registry=registry,
 )
+limited_servers = prometheus_client.Gauge(
+    "dogwoodgap_limited_servers",
+    "Backend servers that report a limit on their requests per second.",
+    registry=registry,
+)
 active_requests = prometheus_client.Gauge(
     "dogwoodgap_active_requests", "Requests that are being answered.", registry=registry
 )
--- a/src/dogwoodgap/forwarder.py
+++ b/src/dogwoodgap/forwarder.py
@@ -22,6 +22,7 @@
     exposition,
     gate,
     ingress,
+    rate_limits,
     relay,
     repeats,
     routes,
@@ -79,6 +80,7 @@
         self.crash_tracker = crash_tracker
         self.max_response_bytes = max_response_bytes
         self.loads = selection.LoadTable(data_centre)
+        self.reported_limits = rate_limits.LimitTable()
         self.pools: dict[str, upstream.ServerPool] = {}
         self.limiters: dict[str, gate.ConcurrencyLimiter] = {}
         self.server_selector = candidates.ServerSelector(active_routes, server_registry, self.loads)
@@ -92,6 +94,7 @@
         """Discard the connections and load state of a removed server."""
         self.retire_pool(self.pools.pop(server.id, None))
         self.loads.remove(server)
+        self.reported_limits.remove(server)
 
     def retire_pool(self, pool: upstream.ServerPool | None) -> None:
         """Queue a pool whose idle connections are to be closed."""
@@ -412,6 +415,11 @@
         response_timeout_s = repeats.response_timeout_s(
             progress, state, is_reused=connection.is_reused
         )
+        sent_at = clock.now()
+
+        def on_head(head: upstream.ResponseHead) -> None:
+            self.reported_limits.observe(connection.server, head.metadata, sent_at)
+
         if len(call.body) <= upstream.MAX_INLINE_BODY_BYTES:
             await connection.send(request, call.body)
             return await relay.relay_response(
@@ -423,6 +431,7 @@
                 self.header_codec,
                 response_timeout_s,
                 self.max_response_bytes,
+                on_head,
             )
         # Raised outside the task group, which would wrap it in an exception group.
         failure: upstream.InvalidResponseError | None = None
@@ -439,6 +448,7 @@
                     self.header_codec,
                     response_timeout_s,
                     self.max_response_bytes,
+                    on_head,
                 )
             except upstream.InvalidResponseError as error:
                 failure = error
--- a/src/dogwoodgap/relay.py
+++ b/src/dogwoodgap/relay.py
@@ -1,5 +1,7 @@
 """Relays a backend server's response to a caller, either complete or detectably truncated."""
 
+import collections.abc
+
 import anyio
 import h11
 
@@ -44,6 +46,7 @@
     header_codec: dialect.HeaderCodec,
     response_timeout_s: float,
     max_response_bytes: int,
+    on_head: collections.abc.Callable[[upstream.ResponseHead], None],
 ) -> progress_module.AttemptResult:
     """Read a response and relay it to the caller.
 
@@ -53,6 +56,8 @@
         Timeout for the status line and headers, in seconds.
     max_response_bytes : int
         Largest body of a response that is not a stream.
+    on_head : callable
+        Called with the head of the response before its body is read.
 
     Raises
     ------
@@ -69,6 +74,7 @@
             "the request is retried on another connection"
         )
     connection.update_keep_alive(head.headers)
+    on_head(head)
     if head.metadata.not_run or head.status == MISDIRECTED_REQUEST:
         progress.runs[connection.server.id] -= 1
         await discard_body(connection, max_response_bytes)
