Keep the request rate limits of servers over all nodes

A request to a limited server now needs a permit from the node that shares out its limit, chosen by rendezvous hashing. A share for each node would be far under one request at 171 nodes, and what each one saves up would add up. The owner spaces requests by the generic cell rate algorithm; an owner that does not respond is replaced by the next in the order, and the members in contact use only their part while others may be cut off. Changes of a limit go to all nodes, and a starting node fetches the known limits. Other servers are preferred to waiting; if all limits are exhausted, a request waits for its turn or is refused with the time at which one is due.

--- a/src/dogwoodgap/events.py
+++ b/src/dogwoodgap/events.py
@@ -118,6 +118,7 @@
         5022,
         "A backend server reported, changed or lifted a limit on its requests per second.",
     )
+    LIMIT_OWNER_LOST = 5023, "The node that shares out a server's limit does not respond."
     RUNNER_LEAVING = 6001, "A runner is leaving and gets no new work."
     RUNNER_RETURNED = 6002, "A runner accepts work again."
     RUNNER_DOWN = 6003, "A new connection to a runner failed; it gets no work until it answers."
--- a/src/dogwoodgap/exposition.py
+++ b/src/dogwoodgap/exposition.py
@@ -40,6 +40,12 @@
     "Backend servers that report a limit on their requests per second.",
     registry=registry,
 )
+permits = prometheus_client.Counter(
+    "dogwoodgap_permits",
+    "Permits for requests to limited backend servers by result.",
+    ["result"],
+    registry=registry,
+)
 active_requests = prometheus_client.Gauge(
     "dogwoodgap_active_requests", "Requests that are being answered.", registry=registry
 )
--- a/src/dogwoodgap/forwarder.py
+++ b/src/dogwoodgap/forwarder.py
@@ -22,7 +22,7 @@
     exposition,
     gate,
     ingress,
-    rate_limits,
+    permits,
     relay,
     repeats,
     routes,
@@ -57,6 +57,8 @@
         Token budgets of programs.
     crash_tracker : crashes.CrashTracker
         Records requests that have crashed servers.
+    permit_coordinator : permits.PermitCoordinator
+        Keeps the request rate limits that servers report.
     data_centre : str
         Data centre of this node.
     max_response_bytes : int
@@ -70,6 +72,7 @@
         header_codec: dialect.HeaderCodec,
         budget_coordinator: budget_owners.BudgetCoordinator,
         crash_tracker: crashes.CrashTracker,
+        permit_coordinator: permits.PermitCoordinator,
         data_centre: str,
         max_response_bytes: int,
     ):
@@ -78,12 +81,13 @@
         self.header_codec = header_codec
         self.budget_coordinator = budget_coordinator
         self.crash_tracker = crash_tracker
+        self.permit_coordinator = permit_coordinator
         self.max_response_bytes = max_response_bytes
         self.loads = selection.LoadTable(data_centre)
-        self.reported_limits = rate_limits.LimitTable()
         self.pools: dict[str, upstream.ServerPool] = {}
         self.limiters: dict[str, gate.ConcurrencyLimiter] = {}
         self.server_selector = candidates.ServerSelector(active_routes, server_registry, self.loads)
+        self.server_selector.available_at = permit_coordinator.available_at
         self.retry_budgets: dict[str, repeats.RetryBudget] = {}
         self.retired: list[upstream.ServerPool] = []
         self.has_retired = anyio.Event()
@@ -94,7 +98,7 @@
         """Discard the connections and load state of a removed server."""
         self.retire_pool(self.pools.pop(server.id, None))
         self.loads.remove(server)
-        self.reported_limits.remove(server)
+        self.permit_coordinator.remove(server)
 
     def retire_pool(self, pool: upstream.ServerPool | None) -> None:
         """Queue a pool whose idle connections are to be closed."""
@@ -232,10 +236,18 @@
     def update_limiter(self, limiter: gate.ConcurrencyLimiter, service: str) -> None:
         """Update a limiter with the current capacity and load of its service."""
         ready = self.server_registry.ready(service)
-        slots = sum(server.slots for server in ready)
+        slots = sum(self.usable_slots(server) for server in ready)
         in_flight = sum(self.loads.state(server).total_in_flight for server in ready)
         limiter.resize(slots, self.server_selector.node_count(), in_flight)
 
+    def usable_slots(self, server: servers.BackendServer) -> float:
+        """Return the slots of a server that its rate limit can fill."""
+        limit_per_s = self.permit_coordinator.limit(server)
+        if limit_per_s is None:
+            return server.slots
+        turn_s = self.loads.state(server).response_time_s or selection.DEFAULT_TURN_S
+        return min(server.slots, limit_per_s * turn_s)
+
     def engine(self, service: str) -> routes.Engine | None:
         """Return the engine settings of a service, or None if it runs no model engine."""
         table = self.active_routes.table
@@ -285,7 +297,7 @@
         budget = self.retry_budgets.setdefault(progress.service, repeats.RetryBudget())
         budget.record_request()
         while True:
-            server = self.server_selector.choose(call, progress, self.engine(progress.service))
+            server = await self.permitted_server(call, progress, responder)
             result = await self.try_server(call, progress, responder, server, digest)
             progress.attempt_log.append(f"{server.id}:{result.value}")
             exposition.exchanges.labels(progress.service, result.value).inc()
@@ -305,8 +317,46 @@
             if not repeats.acquire_retry(progress, budget, remaining_s):
                 self.raise_failure(progress, responder, "the response was lost")
 
+    async def permitted_server(
+        self, call: dialect.Call, progress: progress_module.Progress, responder: ingress.Responder
+    ) -> servers.BackendServer:
+        """Choose the server for the next attempt, and acquire a permit if it has a rate limit.
+
+        Other servers are preferred to waiting for a permit.
+        """
+        while True:
+            server = self.server_selector.choose(call, progress, self.engine(progress.service))
+            available_at = self.permit_coordinator.available_at(server)
+            must_wait = available_at > clock.now()
+            max_delay_s = self.max_permit_delay_s(progress) if must_wait else 0.0
+            delay_s = await self.permit_coordinator.acquire(server, max_delay_s)
+            if delay_s is not None:
+                if delay_s:
+                    await anyio.sleep(delay_s)
+                return server
+            if must_wait:
+                progress.attempt_log.append(f"{server.id}:limited")
+                retry_after_s = self.permit_coordinator.available_at(server) - clock.now()
+                self.raise_failure(
+                    progress,
+                    responder,
+                    "the request rate limits of all servers are reached",
+                    max(candidates.RETRY_AFTER_S, retry_after_s),
+                )
+
+    def max_permit_delay_s(self, progress: progress_module.Progress) -> float:
+        """Return how long a request may wait for a permit, in seconds."""
+        max_wait_s = gate.MAX_WAIT_S[progress.turn_priority]
+        if self.engine(progress.service) is None:
+            max_wait_s = progress.route.objective_s
+        return max(0.0, min(max_wait_s, progress.deadline_at - clock.now() - MIN_REMAINING_S))
+
     def raise_failure(
-        self, progress: progress_module.Progress, responder: ingress.Responder, reason: str
+        self,
+        progress: progress_module.Progress,
+        responder: ingress.Responder,
+        reason: str,
+        retry_after_s: float = candidates.RETRY_AFTER_S,
     ) -> None:
         """Raise the error for a request that must not be retried."""
         if responder.started:
@@ -315,9 +365,7 @@
             raise exceptions.OutcomeUnknownError(
                 f"{reason}; the request may have run: retry only if it may run twice"
             )
-        raise exceptions.OverloadedError(
-            f"{reason}; retry later", retry_after_s=candidates.RETRY_AFTER_S
-        )
+        raise exceptions.OverloadedError(f"{reason}; retry later", retry_after_s=retry_after_s)
 
     async def try_server(
         self,
@@ -418,7 +466,7 @@
         sent_at = clock.now()
 
         def on_head(head: upstream.ResponseHead) -> None:
-            self.reported_limits.observe(connection.server, head.metadata, sent_at)
+            self.permit_coordinator.observe(connection.server, head.metadata, sent_at)
 
         if len(call.body) <= upstream.MAX_INLINE_BODY_BYTES:
             await connection.send(request, call.body)
--- a/src/dogwoodgap/gate.py
+++ b/src/dogwoodgap/gate.py
@@ -56,12 +56,12 @@
         self.waiters: list[Waiter] = []
         self.sequence = itertools.count()
 
-    def resize(self, slots: int, nodes: int, in_flight: int) -> None:
+    def resize(self, slots: float, nodes: int, in_flight: int) -> None:
         """Recompute the limit from the slots, the number of nodes and the known load.
 
         Parameters
         ----------
-        slots : int
+        slots : float
             Requests that all engines together run concurrently.
         nodes : int
             Nodes that receive requests from callers.
--- a/src/dogwoodgap/gateway.py
+++ b/src/dogwoodgap/gateway.py
@@ -24,6 +24,7 @@
     members,
     membership,
     peers,
+    permits,
     removals,
     routes,
     servers,
@@ -101,12 +102,14 @@
         )
         self.crash_tracker = crashes.CrashTracker()
         self.budget_coordinator = budget_owners.BudgetCoordinator(records)
+        self.permit_coordinator = permits.PermitCoordinator()
         self.forwarder = forwarder.Forwarder(
             self.active_routes,
             self.server_registry,
             header_codec,
             self.budget_coordinator,
             self.crash_tracker,
+            self.permit_coordinator,
             gateway_settings.node.data_centre,
             gateway_settings.gateway.max_response_bytes,
         )
@@ -200,6 +203,7 @@
         broadcaster = broadcast.Broadcaster(joined, network, tasks)
         self.server_follower.join(joined, network, broadcaster)
         self.crash_tracker.start_sharing(network, broadcaster)
+        self.permit_coordinator.join(joined, network, broadcaster)
         if self.settings.gateway.first_start:
             self.budget_coordinator.assume_no_losses()
         else:
@@ -209,6 +213,7 @@
             while not joined.table.others():
                 await joined.wakeup.wait()
         await self.budget_coordinator.fetch_losses()
+        await self.permit_coordinator.fetch_limits()
         self.membership = joined
         tasks.start_soon(self.budget_coordinator.run)
         tasks.start_soon(self.removal_follower.run)
--- a/src/dogwoodgap_wire/ttypes.py
+++ b/src/dogwoodgap_wire/ttypes.py
@@ -3321,6 +3321,423 @@
         return not (self == other)
 
 
+class ServerLimit(object):
+    """
+    Attributes:
+     - server
+     - started_ms
+     - version
+     - per_second
+     - part_end
+
+    """
+
+    __slots__ = (
+        'server',
+        'started_ms',
+        'version',
+        'per_second',
+        'part_end',
+    )
+
+
+    def __init__(self, server=None, started_ms=None, version=None, per_second=None, part_end=None,):
+        self.server = server
+        self.started_ms = started_ms
+        self.version = version
+        self.per_second = per_second
+        self.part_end = part_end
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.server = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.started_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.per_second = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.part_end = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServerLimit')
+        if self.server is not None:
+            oprot.writeFieldBegin('server', TType.STRING, 1)
+            oprot.writeString(self.server.encode('utf-8') if sys.version_info[0] == 2 else self.server)
+            oprot.writeFieldEnd()
+        if self.started_ms is not None:
+            oprot.writeFieldBegin('started_ms', TType.I64, 2)
+            oprot.writeI64(self.started_ms)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 3)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.per_second is not None:
+            oprot.writeFieldBegin('per_second', TType.DOUBLE, 4)
+            oprot.writeDouble(self.per_second)
+            oprot.writeFieldEnd()
+        if self.part_end is not None:
+            oprot.writeFieldBegin('part_end', TType.I64, 5)
+            oprot.writeI64(self.part_end)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ServerLimitFetch(object):
+
+    __slots__ = (
+    )
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServerLimitFetch')
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ServerLimitFetchReply(object):
+    """
+    Attributes:
+     - limits
+
+    """
+
+    __slots__ = (
+        'limits',
+    )
+
+
+    def __init__(self, limits=None,):
+        self.limits = limits
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.limits = []
+                    (_etype96, _size93) = iprot.readListBegin()
+                    for _i97 in range(_size93):
+                        _elem98 = ServerLimit()
+                        _elem98.read(iprot)
+                        self.limits.append(_elem98)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServerLimitFetchReply')
+        if self.limits is not None:
+            oprot.writeFieldBegin('limits', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.limits))
+            for iter99 in self.limits:
+                iter99.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PermitRequest(object):
+    """
+    Attributes:
+     - limit
+     - max_delay
+
+    """
+
+    __slots__ = (
+        'limit',
+        'max_delay',
+    )
+
+
+    def __init__(self, limit=None, max_delay=None,):
+        self.limit = limit
+        self.max_delay = max_delay
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.limit = ServerLimit()
+                    self.limit.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.max_delay = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PermitRequest')
+        if self.limit is not None:
+            oprot.writeFieldBegin('limit', TType.STRUCT, 1)
+            self.limit.write(oprot)
+            oprot.writeFieldEnd()
+        if self.max_delay is not None:
+            oprot.writeFieldBegin('max_delay', TType.DOUBLE, 2)
+            oprot.writeDouble(self.max_delay)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PermitReply(object):
+    """
+    Attributes:
+     - granted
+     - delay
+     - limit
+
+    """
+
+    __slots__ = (
+        'granted',
+        'delay',
+        'limit',
+    )
+
+
+    def __init__(self, granted=None, delay=None, limit=None,):
+        self.granted = granted
+        self.delay = delay
+        self.limit = limit
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.granted = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.delay = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRUCT:
+                    self.limit = ServerLimit()
+                    self.limit.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PermitReply')
+        if self.granted is not None:
+            oprot.writeFieldBegin('granted', TType.BOOL, 1)
+            oprot.writeBool(self.granted)
+            oprot.writeFieldEnd()
+        if self.delay is not None:
+            oprot.writeFieldBegin('delay', TType.DOUBLE, 2)
+            oprot.writeDouble(self.delay)
+            oprot.writeFieldEnd()
+        if self.limit is not None:
+            oprot.writeFieldBegin('limit', TType.STRUCT, 3)
+            self.limit.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Message(object):
     """
     Attributes:
@@ -3349,6 +3766,11 @@
      - fleet_fetch
      - fleet_fetch_reply
      - token_records
+     - server_limit
+     - server_limit_fetch
+     - server_limit_fetch_reply
+     - permit_request
+     - permit_reply
 
     """
 
@@ -3378,10 +3800,15 @@
         'fleet_fetch',
         'fleet_fetch_reply',
         'token_records',
+        'server_limit',
+        'server_limit_fetch',
+        'server_limit_fetch_reply',
+        'permit_request',
+        'permit_reply',
     )
 
 
-    def __init__(self, hello=None, ping=None, ping_reply=None, probe_request=None, probe_reply=None, configuration_fetch=None, configuration_reply=None, share_request=None, share_reply=None, suspect_notice=None, runner_notice=None, ack=None, member_fetch=None, member_reply=None, heartbeat=None, token_reserve=None, token_reserve_reply=None, token_settle=None, token_transfer=None, server_listing=None, token_fetch=None, token_fetch_reply=None, fleet_fetch=None, fleet_fetch_reply=None, token_records=None,):
+    def __init__(self, hello=None, ping=None, ping_reply=None, probe_request=None, probe_reply=None, configuration_fetch=None, configuration_reply=None, share_request=None, share_reply=None, suspect_notice=None, runner_notice=None, ack=None, member_fetch=None, member_reply=None, heartbeat=None, token_reserve=None, token_reserve_reply=None, token_settle=None, token_transfer=None, server_listing=None, token_fetch=None, token_fetch_reply=None, fleet_fetch=None, fleet_fetch_reply=None, token_records=None, server_limit=None, server_limit_fetch=None, server_limit_fetch_reply=None, permit_request=None, permit_reply=None,):
         self.hello = hello
         self.ping = ping
         self.ping_reply = ping_reply
@@ -3407,6 +3834,11 @@
         self.fleet_fetch = fleet_fetch
         self.fleet_fetch_reply = fleet_fetch_reply
         self.token_records = token_records
+        self.server_limit = server_limit
+        self.server_limit_fetch = server_limit_fetch
+        self.server_limit_fetch_reply = server_limit_fetch_reply
+        self.permit_request = permit_request
+        self.permit_reply = permit_reply
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3567,6 +3999,36 @@
                     self.token_records.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 26:
+                if ftype == TType.STRUCT:
+                    self.server_limit = ServerLimit()
+                    self.server_limit.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 27:
+                if ftype == TType.STRUCT:
+                    self.server_limit_fetch = ServerLimitFetch()
+                    self.server_limit_fetch.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 28:
+                if ftype == TType.STRUCT:
+                    self.server_limit_fetch_reply = ServerLimitFetchReply()
+                    self.server_limit_fetch_reply.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 29:
+                if ftype == TType.STRUCT:
+                    self.permit_request = PermitRequest()
+                    self.permit_request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 30:
+                if ftype == TType.STRUCT:
+                    self.permit_reply = PermitReply()
+                    self.permit_reply.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3677,6 +4139,26 @@
             oprot.writeFieldBegin('token_records', TType.STRUCT, 25)
             self.token_records.write(oprot)
             oprot.writeFieldEnd()
+        if self.server_limit is not None:
+            oprot.writeFieldBegin('server_limit', TType.STRUCT, 26)
+            self.server_limit.write(oprot)
+            oprot.writeFieldEnd()
+        if self.server_limit_fetch is not None:
+            oprot.writeFieldBegin('server_limit_fetch', TType.STRUCT, 27)
+            self.server_limit_fetch.write(oprot)
+            oprot.writeFieldEnd()
+        if self.server_limit_fetch_reply is not None:
+            oprot.writeFieldBegin('server_limit_fetch_reply', TType.STRUCT, 28)
+            self.server_limit_fetch_reply.write(oprot)
+            oprot.writeFieldEnd()
+        if self.permit_request is not None:
+            oprot.writeFieldBegin('permit_request', TType.STRUCT, 29)
+            self.permit_request.write(oprot)
+            oprot.writeFieldEnd()
+        if self.permit_reply is not None:
+            oprot.writeFieldBegin('permit_reply', TType.STRUCT, 30)
+            self.permit_reply.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4032,6 +4514,36 @@
     (1, TType.STRING, 'routes', 'BINARY', None, ),  # 1
     (2, TType.STRUCT, 'listing', [ServerListing, None], None, ),  # 2
 )
+all_structs.append(ServerLimit)
+ServerLimit.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'server', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'started_ms', None, None, ),  # 2
+    (3, TType.I64, 'version', None, None, ),  # 3
+    (4, TType.DOUBLE, 'per_second', None, None, ),  # 4
+    (5, TType.I64, 'part_end', None, None, ),  # 5
+)
+all_structs.append(ServerLimitFetch)
+ServerLimitFetch.thrift_spec = (
+)
+all_structs.append(ServerLimitFetchReply)
+ServerLimitFetchReply.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'limits', (TType.STRUCT, [ServerLimit, None], False), None, ),  # 1
+)
+all_structs.append(PermitRequest)
+PermitRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'limit', [ServerLimit, None], None, ),  # 1
+    (2, TType.DOUBLE, 'max_delay', None, None, ),  # 2
+)
+all_structs.append(PermitReply)
+PermitReply.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'granted', None, None, ),  # 1
+    (2, TType.DOUBLE, 'delay', None, None, ),  # 2
+    (3, TType.STRUCT, 'limit', [ServerLimit, None], None, ),  # 3
+)
 all_structs.append(Message)
 Message.thrift_spec = (
     None,  # 0
@@ -4060,6 +4572,11 @@
     (23, TType.STRUCT, 'fleet_fetch', [FleetFetch, None], None, ),  # 23
     (24, TType.STRUCT, 'fleet_fetch_reply', [FleetFetchReply, None], None, ),  # 24
     (25, TType.STRUCT, 'token_records', [TokenRecords, None], None, ),  # 25
+    (26, TType.STRUCT, 'server_limit', [ServerLimit, None], None, ),  # 26
+    (27, TType.STRUCT, 'server_limit_fetch', [ServerLimitFetch, None], None, ),  # 27
+    (28, TType.STRUCT, 'server_limit_fetch_reply', [ServerLimitFetchReply, None], None, ),  # 28
+    (29, TType.STRUCT, 'permit_request', [PermitRequest, None], None, ),  # 29
+    (30, TType.STRUCT, 'permit_reply', [PermitReply, None], None, ),  # 30
 )
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -16,6 +16,7 @@
     exceptions,
     forwarder,
     ingress,
+    permits,
     routes,
     servers,
     source,
@@ -262,12 +263,14 @@
         self.records = FakeBudgetRecords()
         self.budget_coordinator = budget_owners.BudgetCoordinator(self.records)
         self.crash_tracker = crashes.CrashTracker()
+        self.permit_coordinator = permits.PermitCoordinator()
         self.forwarder = forwarder.Forwarder(
             self.active_routes,
             self.server_registry,
             dialect.HeaderCodec(NAMES),
             self.budget_coordinator,
             self.crash_tracker,
+            self.permit_coordinator,
             "d1",
             MAX_RESPONSE_BYTES,
         )
--- a/thrift/dogwoodgap.thrift
+++ b/thrift/dogwoodgap.thrift
@@ -189,6 +189,28 @@
 // routes is a route table encoded as msgpack; absent when the node has none.
 struct FleetFetchReply { 1: optional binary routes, 2: optional ServerListing listing }
 
+// The limit on requests per second that one process of a backend server reports for all nodes
+// together; per_second is absent when the server has lifted it. A greater version is newer.
+struct ServerLimit {
+  1: string server,
+  2: i64 started_ms,
+  3: i64 version,
+  4: optional double per_second,
+  // End of the part of the hash ring that the receiver passes this on to; absent for one receiver.
+  5: optional i64 part_end,
+}
+
+// Requests the limits that the receiver knows.
+struct ServerLimitFetch {}
+struct ServerLimitFetchReply { 1: list<ServerLimit> limits }
+
+// Asks the node that shares out a server's limit whether one request may be sent within max_delay
+// seconds. limit is the limit as the sender knows it, and the reply has the newer one of both nodes.
+struct PermitRequest { 1: ServerLimit limit, 2: double max_delay }
+
+// delay is the time in seconds until the request may be sent, or until it is worth asking again.
+struct PermitReply { 1: bool granted, 2: double delay, 3: ServerLimit limit }
+
 union Message {
   1: Hello hello,
   2: Ping ping,
@@ -215,6 +237,11 @@
   23: FleetFetch fleet_fetch,
   24: FleetFetchReply fleet_fetch_reply,
   25: TokenRecords token_records,
+  26: ServerLimit server_limit,
+  27: ServerLimitFetch server_limit_fetch,
+  28: ServerLimitFetchReply server_limit_fetch_reply,
+  29: PermitRequest permit_request,
+  30: PermitReply permit_reply,
 }
 
 struct Envelope {
