Give engines with a request rate limit fewer programs, and count the wait as delay

Rendezvous hashing is weighted by the part of the slots that a limit can fill, which all nodes know, and the time until the next permit counts as delay of a server instead of excluding it. A denied permit updates that delay, and the choice is made again until a permit or too long a delay settles it.

--- a/src/dogwoodgap/candidates.py
+++ b/src/dogwoodgap/candidates.py
@@ -30,8 +30,6 @@
     ----------
     node_count : callable
         Returns the number of nodes that receive requests from callers.
-    available_at : callable
-        Returns the monotonic time from which a server may get a request under its rate limit.
     """
 
     def __init__(
@@ -44,16 +42,12 @@
         self.server_registry = server_registry
         self.loads = loads
         self.node_count: collections.abc.Callable[[], int] = lambda: 1
-        self.available_at: collections.abc.Callable[[servers.BackendServer], float] = lambda _: 0.0
 
     def choose(
         self, call: dialect.Call, state: progress.Progress, engine: routes.Engine | None
     ) -> servers.BackendServer:
         """Return the server for the next attempt.
 
-        If the rate limits of all eligible servers are exhausted, it is the one that is available
-        first.
-
         Raises
         ------
         OverloadedError
@@ -61,12 +55,9 @@
         OutcomeUnknownError
             If no server is left to try and the request may have run.
         """
-        now = clock.now()
-        eligible = self.eligible_servers(state)
-        available = [server for server in eligible if self.available_at(server) <= now]
-        if eligible and not available:
-            return min(eligible, key=self.available_at)
-        server = selection.choose(self.loads, available, engine, call, now)
+        server = selection.choose(
+            self.loads, self.eligible_servers(state), engine, call, clock.now()
+        )
         if server is not None:
             return server
         if state.may_have_run or state.last_event_id is not None:
--- a/src/dogwoodgap/forwarder.py
+++ b/src/dogwoodgap/forwarder.py
@@ -38,6 +38,9 @@
 MIN_REMAINING_S = 0.01
 """A request with less time left is not forwarded, because no server could respond in time."""
 
+PERMIT_DELAY_SLACK_S = 0.1
+"""Time by which a permit may come later than expected, as other nodes ask at the same time."""
+
 DEADLINE_GRACE_S = 0.05
 """Extra time for the response of a server that stops working exactly at the deadline."""
 
@@ -84,10 +87,11 @@
         self.permit_coordinator = permit_coordinator
         self.max_response_bytes = max_response_bytes
         self.loads = selection.LoadTable(data_centre)
+        self.loads.limit_per_s = permit_coordinator.limit
+        self.loads.available_at = permit_coordinator.available_at
         self.pools: dict[str, upstream.ServerPool] = {}
         self.limiters: dict[str, gate.ConcurrencyLimiter] = {}
         self.server_selector = candidates.ServerSelector(active_routes, server_registry, self.loads)
-        self.server_selector.available_at = permit_coordinator.available_at
         self.retry_budgets: dict[str, repeats.RetryBudget] = {}
         self.retired: list[upstream.ServerPool] = []
         self.has_retired = anyio.Event()
@@ -236,18 +240,17 @@
     def update_limiter(self, limiter: gate.ConcurrencyLimiter, service: str) -> None:
         """Update a limiter with the current capacity and load of its service."""
         ready = self.server_registry.ready(service)
-        slots = sum(self.usable_slots(server) for server in ready)
+        slots = sum(
+            selection.usable_slots(
+                self.loads,
+                server,
+                self.loads.state(server).response_time_s or selection.DEFAULT_TURN_S,
+            )
+            for server in ready
+        )
         in_flight = sum(self.loads.state(server).total_in_flight for server in ready)
         limiter.resize(slots, self.server_selector.node_count(), in_flight)
 
-    def usable_slots(self, server: servers.BackendServer) -> float:
-        """Return the slots of a server that its rate limit can fill."""
-        limit_per_s = self.permit_coordinator.limit(server)
-        if limit_per_s is None:
-            return server.slots
-        turn_s = self.loads.state(server).response_time_s or selection.DEFAULT_TURN_S
-        return min(server.slots, limit_per_s * turn_s)
-
     def engine(self, service: str) -> routes.Engine | None:
         """Return the engine settings of a service, or None if it runs no model engine."""
         table = self.active_routes.table
@@ -322,34 +325,34 @@
     ) -> servers.BackendServer:
         """Choose the server for the next attempt, and acquire a permit if it has a rate limit.
 
-        Other servers are preferred to waiting for a permit.
+        A denied permit raises the expected delay of its server, so another one may be chosen next.
         """
         while True:
             server = self.server_selector.choose(call, progress, self.engine(progress.service))
-            available_at = self.permit_coordinator.available_at(server)
-            must_wait = available_at > clock.now()
-            max_delay_s = self.max_permit_delay_s(progress) if must_wait else 0.0
-            delay_s = await self.permit_coordinator.acquire(server, max_delay_s)
+            expected_s = self.expected_permit_delay_s(server)
+            longest_s = self.max_permit_delay_s(progress)
+            if expected_s > longest_s:
+                progress.attempt_log.append(f"{server.id}:limited")
+                self.raise_failure(
+                    progress, responder, "the servers reached their request rate limits", expected_s
+                )
+            accepted_s = min(longest_s, expected_s + PERMIT_DELAY_SLACK_S) if expected_s else 0.0
+            delay_s = await self.permit_coordinator.acquire(server, accepted_s)
             if delay_s is not None:
                 if delay_s:
                     await anyio.sleep(delay_s)
                 return server
-            if must_wait:
-                progress.attempt_log.append(f"{server.id}:limited")
-                retry_after_s = self.permit_coordinator.available_at(server) - clock.now()
-                self.raise_failure(
-                    progress,
-                    responder,
-                    "the request rate limits of all servers are reached",
-                    max(candidates.RETRY_AFTER_S, retry_after_s),
-                )
+
+    def expected_permit_delay_s(self, server: servers.BackendServer) -> float:
+        """Return the expected delay of a permit for a server, in seconds."""
+        return max(0.0, self.permit_coordinator.available_at(server) - clock.now())
 
     def max_permit_delay_s(self, progress: progress_module.Progress) -> float:
         """Return how long a request may wait for a permit, in seconds."""
         max_wait_s = gate.MAX_WAIT_S[progress.turn_priority]
         if self.engine(progress.service) is None:
             max_wait_s = progress.route.objective_s
-        return max(0.0, min(max_wait_s, progress.deadline_at - clock.now() - MIN_REMAINING_S))
+        return min(max_wait_s, progress.deadline_at - clock.now() - MIN_REMAINING_S)
 
     def raise_failure(
         self,
--- a/src/dogwoodgap/selection.py
+++ b/src/dogwoodgap/selection.py
@@ -8,11 +8,15 @@
 Plain services: the server with the lowest expected response time, estimated from its average
 response time and its requests in flight.
 
-Both avoid servers that fail some of their requests although they report themselves healthy.
+Both avoid servers that fail some of their requests although they report themselves healthy. An
+engine with a request rate limit is home to correspondingly fewer programs. For both kinds, the time
+until a limit allows another request counts as delay.
 """
 
 import collections
+import collections.abc
 import dataclasses
+import math
 
 import xxhash
 
@@ -53,6 +57,11 @@
 REMOTE_DATA_CENTRE_S = 0.001
 """Cost of a server in another data centre: about the one-way network delay."""
 
+MIN_WEIGHT = 0.01
+"""Least weight of a server as the home of programs; a server without a limit has 1."""
+
+HASH_RANGE = 2.0**64
+
 MAX_SESSIONS = 4_096
 """Sessions whose last engine is remembered."""
 
@@ -123,12 +132,24 @@
 
 
 class LoadTable:
-    """The state of each server, and the engine that each session used last."""
+    """The state of each server, and the engine that each session used last.
+
+    Attributes
+    ----------
+    limit_per_s : callable
+        Returns the request rate limit of a server, or None without one.
+    available_at : callable
+        Returns the monotonic time from which a server may get a request under its rate limit.
+    """
 
     def __init__(self, data_centre: str = ""):
         self.data_centre = data_centre
         self.states: dict[str, ServerState] = {}
         self.session_servers: collections.OrderedDict[str, str] = collections.OrderedDict()
+        self.limit_per_s: collections.abc.Callable[[servers.BackendServer], float | None] = (
+            lambda _: None
+        )
+        self.available_at: collections.abc.Callable[[servers.BackendServer], float] = lambda _: 0.0
 
     def state(self, server: servers.BackendServer) -> ServerState:
         """Return the state of a server, creating it if needed."""
@@ -156,9 +177,28 @@
                 self.session_servers.popitem(last=False)
 
 
-def rendezvous_server(key: str, candidates: list[servers.BackendServer]) -> servers.BackendServer:
-    """Return the server for a key by rendezvous hashing; all nodes get the same one."""
-    return max(candidates, key=lambda server: xxhash.xxh64_intdigest(f"{key}/{server.id}".encode()))
+def usable_slots(table: LoadTable, server: servers.BackendServer, turn_s: float) -> float:
+    """Return the slots of a server that its rate limit can fill with turns of a duration."""
+    limit_per_s = table.limit_per_s(server)
+    return server.slots if limit_per_s is None else min(server.slots, limit_per_s * turn_s)
+
+
+def rendezvous_server(
+    table: LoadTable, key: str, candidates: list[servers.BackendServer]
+) -> servers.BackendServer:
+    """Return the server for a key by weighted rendezvous hashing; all nodes get the same one.
+
+    The weight is the usable part of a server's slots. It depends only on what all nodes know, not
+    on the response times that each one measures.
+    """
+
+    def score(server: servers.BackendServer) -> float:
+        digest = xxhash.xxh64_intdigest(f"{key}/{server.id}".encode())
+        usable = usable_slots(table, server, DEFAULT_TURN_S) / max(1, server.slots)
+        weight = max(usable, MIN_WEIGHT) if table.limit_per_s(server) is not None else 1.0
+        return -weight / math.log((digest + 0.5) / HASH_RANGE)
+
+    return max(candidates, key=score)
 
 
 def engine_cost_s(
@@ -181,6 +221,7 @@
         + state.total_in_flight * RUNNING_REQUEST_DELAY_S
         + queued * turn_s / engine.slots
         + state.failure_cost_s(now)
+        + max(0.0, table.available_at(server) - now)
         + (0.0 if server.data_centre == table.data_centre else REMOTE_DATA_CENTRE_S)
     )
 
@@ -196,6 +237,7 @@
     return (
         data_centre_cost_s
         + failure_cost_s
+        + max(0.0, table.available_at(server) - now)
         + response_time_s * (1 + queued / slots)
         + state.total_in_flight * response_time_s / slots / 8
     )
@@ -222,7 +264,9 @@
                 xxhash.xxh32_intdigest((salt + server.id).encode()),
             ),
         )
-    home_server = rendezvous_server(call.program_id or call.session_id or call.attempt_id, usable)
+    home_server = rendezvous_server(
+        table, call.program_id or call.session_id or call.attempt_id, usable
+    )
     return min(
         usable,
         key=lambda server: engine_cost_s(table, server, engine, call, server is home_server, now),
