Log the software versions of a stream, and which stream a caller resumes

The version of a server's entry is decoded now and reaches all gateways with the list of servers; the request log has the versions whose events were relayed and the attempt that a caller resumes. No decision depends on them yet.

--- a/src/dogwoodgap/file_source.py
+++ b/src/dogwoodgap/file_source.py
@@ -60,6 +60,7 @@
     data_centre: str = ""
     slots: int = pydantic.Field(default=1, ge=1)
     draining: bool = False
+    software_version: str = ""
 
 
 class FleetFile(validation.StrictModel):
--- a/src/dogwoodgap/followers.py
+++ b/src/dogwoodgap/followers.py
@@ -368,6 +368,7 @@
         slots=server.slots,
         draining=server.draining,
         started_ms=server.started_ms,
+        software_version=server.software_version,
     )
 
 
@@ -381,4 +382,5 @@
         slots=entry.slots or 1,
         draining=bool(entry.draining),
         started_ms=entry.started_ms or 0,
+        software_version=entry.software_version or "",
     )
--- a/src/dogwoodgap/forwarder.py
+++ b/src/dogwoodgap/forwarder.py
@@ -540,6 +540,8 @@
             ),
             tried=progress.attempt_log if progress else [],
             events=progress.events if progress else 0,
+            stream_versions=progress.stream_versions if progress else [],
+            resumed_attempt=call.resumed_attempt,
             standing=progress.turn_priority.name if progress else None,
             routes_version=self.active_routes.version,
             servers_revision=self.server_registry.revision,
--- a/src/dogwoodgap/relay.py
+++ b/src/dogwoodgap/relay.py
@@ -189,6 +189,9 @@
             progress.last_event_id = str(event.id).encode()
         progress.events += 1
         new_events.append(event)
+    version = connection.server.software_version
+    if new_events and progress.stream_versions[-1:] != [version]:
+        progress.stream_versions.append(version)
     return new_events
 
 
--- a/src/dogwoodgap/servers.py
+++ b/src/dogwoodgap/servers.py
@@ -20,6 +20,8 @@
         Requests that the server runs concurrently.
     draining : bool
         Whether the server finishes its requests and accepts no new ones.
+    software_version : str
+        Version of the server's software. Only servers of one version can continue a stream.
     """
 
     id: str
@@ -29,6 +31,7 @@
     slots: int
     draining: bool = False
     started_ms: int = 0
+    software_version: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/dogwoodgap_wire/ttypes.py
+++ b/src/dogwoodgap_wire/ttypes.py
@@ -2911,6 +2911,7 @@
      - slots
      - draining
      - started_ms
+     - software_version
 
     """
 
@@ -2922,10 +2923,11 @@
         'slots',
         'draining',
         'started_ms',
+        'software_version',
     )
 
 
-    def __init__(self, id=None, service_name=None, address=None, data_centre=None, slots=None, draining=None, started_ms=None,):
+    def __init__(self, id=None, service_name=None, address=None, data_centre=None, slots=None, draining=None, started_ms=None, software_version=None,):
         self.id = id
         self.service_name = service_name
         self.address = address
@@ -2933,6 +2935,7 @@
         self.slots = slots
         self.draining = draining
         self.started_ms = started_ms
+        self.software_version = software_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2978,6 +2981,11 @@
                     self.started_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRING:
+                    self.software_version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3016,6 +3024,10 @@
             oprot.writeFieldBegin('started_ms', TType.I64, 7)
             oprot.writeI64(self.started_ms)
             oprot.writeFieldEnd()
+        if self.software_version is not None:
+            oprot.writeFieldBegin('software_version', TType.STRING, 8)
+            oprot.writeString(self.software_version.encode('utf-8') if sys.version_info[0] == 2 else self.software_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4493,6 +4505,7 @@
     (5, TType.I32, 'slots', None, None, ),  # 5
     (6, TType.BOOL, 'draining', None, None, ),  # 6
     (7, TType.I64, 'started_ms', None, None, ),  # 7
+    (8, TType.STRING, 'software_version', 'UTF8', None, ),  # 8
 )
 all_structs.append(ServerListing)
 ServerListing.thrift_spec = (
--- a/thrift/dogwoodgap.thrift
+++ b/thrift/dogwoodgap.thrift
@@ -167,6 +167,7 @@
   5: i32 slots,
   6: bool draining,
   7: i64 started_ms,
+  8: optional string software_version,
 }
 
 // A snapshot of the platform's list of backend servers, taken age_ms ago; servers is absent when the
