Count limited servers when metrics are read

The decision module imported the metrics, and with them the HTTP server, which the import contract forbids; lint-imports was red since the limits were kept.

--- a/src/dogwoodgap/gateway.py
+++ b/src/dogwoodgap/gateway.py
@@ -184,6 +184,7 @@
         """Respond to a metrics scrape."""
         exposition.servers_age.set(self.server_registry.age_s)
         exposition.routes_version.set(self.active_routes.version)
+        exposition.limited_servers.set(self.permit_coordinator.limits.limited_count())
         await exposition.serve(request, responder)
 
     async def join(self, network: peers.PeerNetwork, tasks: anyio.abc.TaskGroup) -> None:
--- a/src/dogwoodgap/rate_limits.py
+++ b/src/dogwoodgap/rate_limits.py
@@ -10,7 +10,7 @@
 
 import cachetools
 
-from dogwoodgap import clock, dialect, events, exposition, members, servers
+from dogwoodgap import clock, dialect, events, members, servers
 
 MAX_SERVERS = 4_096
 """Server processes whose limits and allowances are kept."""
@@ -110,7 +110,6 @@
     def store(self, key: ServerKey, report: ReportedLimit, node: str | None = None) -> None:
         """Replace the report of a server; ``node`` is the node that passed it on, if any."""
         self.reports[key] = report
-        self.update_metric()
         events.emit(
             events.Event.SERVER_LIMIT_CHANGED,
             "server lifted its request rate limit"
@@ -125,14 +124,11 @@
 
     def remove(self, key: ServerKey) -> None:
         """Forget the limit of an ended server."""
-        if self.reports.pop(key, None) is not None:
-            self.update_metric()
+        self.reports.pop(key, None)
 
-    def update_metric(self) -> None:
-        """Update the number of limited servers."""
-        exposition.limited_servers.set(
-            sum(report.per_second is not None for report in self.reports.values())
-        )
+    def limited_count(self) -> int:
+        """Return the number of servers that report a limit."""
+        return sum(report.per_second is not None for report in self.reports.values())
 
 
 @dataclasses.dataclass(slots=True)
