Continue a stream only at the software version that began it

A stream that has sent an event goes on only at servers of its version, and is cut otherwise. A caller that resumes one may come to any gateway, so the gateway that begins a stream records its version at the first owners of its program, but only while the service has servers of several versions: without a record, the version that was alone before is the one. Where that cannot be told, as after a restart or with an old list of servers, other gateways are asked, and otherwise the request is refused as not run.

--- a/src/dogwoodgap/candidates.py
+++ b/src/dogwoodgap/candidates.py
@@ -74,13 +74,16 @@
         """Return the servers that a request may be sent to now.
 
         A request may run on at most ``max_runs`` servers of its route, not counting servers that
-        have ended. At that limit it may only be retried on a server where it already ran.
+        have ended. At that limit it may only be retried on a server where it already ran. A stream
+        is continued only at the software version that began it.
         """
         limit = self.connection_limit(state.service)
         allowed = [
             server
             for server in self.server_registry.ready(state.service)
-            if server.id not in state.excluded and self.loads.state(server).in_flight < limit
+            if server.id not in state.excluded
+            and state.required_version in (None, server.software_version)
+            and self.loads.state(server).in_flight < limit
         ]
         running = {server_id for server_id, count in state.runs.items() if count}
         still_running = [server_id for server_id in running if not self.has_ended(server_id)]
--- a/src/dogwoodgap/events.py
+++ b/src/dogwoodgap/events.py
@@ -119,6 +119,11 @@
         "A backend server reported, changed or lifted a limit on its requests per second.",
     )
     LIMIT_OWNER_LOST = 5023, "The node that shares out a server's limit does not respond."
+    STREAM_RECORD_FAILED = (
+        5024,
+        "The software version of a stream could not be recorded at another node or fetched.",
+    )
+    STREAM_NOT_RESUMED = 5025, "A caller resumes a stream whose software version is not known."
     RUNNER_LEAVING = 6001, "A runner is leaving and gets no new work."
     RUNNER_RETURNED = 6002, "A runner accepts work again."
     RUNNER_DOWN = 6003, "A new connection to a runner failed; it gets no work until it answers."
--- a/src/dogwoodgap/forwarder.py
+++ b/src/dogwoodgap/forwarder.py
@@ -28,6 +28,7 @@
     routes,
     selection,
     servers,
+    stream_owners,
     upstream,
 )
 from dogwoodgap import progress as progress_module
@@ -62,6 +63,8 @@
         Records requests that have crashed servers.
     permit_coordinator : permits.PermitCoordinator
         Keeps the request rate limits that servers report.
+    stream_recorder : stream_owners.StreamRecorder
+        Remembers at which software version streams began.
     data_centre : str
         Data centre of this node.
     max_response_bytes : int
@@ -76,6 +79,7 @@
         budget_coordinator: budget_owners.BudgetCoordinator,
         crash_tracker: crashes.CrashTracker,
         permit_coordinator: permits.PermitCoordinator,
+        stream_recorder: stream_owners.StreamRecorder,
         data_centre: str,
         max_response_bytes: int,
     ):
@@ -85,6 +89,7 @@
         self.budget_coordinator = budget_coordinator
         self.crash_tracker = crash_tracker
         self.permit_coordinator = permit_coordinator
+        self.stream_recorder = stream_recorder
         self.max_response_bytes = max_response_bytes
         self.loads = selection.LoadTable(data_centre)
         self.loads.limit_per_s = permit_coordinator.limit
@@ -205,6 +210,8 @@
         is_reserved = False
         try:
             with anyio.CancelScope(deadline=progress.deadline_at + DEADLINE_GRACE_S) as scope:
+                if call.last_event_id is not None and route.kind is routes.RouteKind.STREAMING:
+                    await self.require_version(call, progress)
                 if has_budget:
                     progress.turn_priority = await self.budget_coordinator.reserve(call)
                     is_reserved = True
@@ -217,6 +224,32 @@
                 tokens_per_event = engine.tokens_per_event if engine else 1
                 self.budget_coordinator.settle(call, progress.events * tokens_per_event)
 
+    async def require_version(self, call: dialect.Call, progress: progress_module.Progress) -> None:
+        """Restrict a stream that a caller resumes to the software version that began it.
+
+        Raises
+        ------
+        OverloadedError
+            If that version is not known, or none of its servers accepts requests.
+        """
+        version = await self.stream_recorder.find_version(call, progress.route, progress.service)
+        if version is not None:
+            progress.required_version = version
+            return
+        events.emit(
+            events.Event.STREAM_NOT_RESUMED,
+            "a caller resumes a stream whose software version is not known",
+            request=call.attempt_id,
+            resumed_attempt=call.resumed_attempt,
+            service=progress.service,
+            servers_age_ms=self.server_registry.age_ms,
+        )
+        raise exceptions.OverloadedError(
+            "the software version that began the stream is not known; send the request again "
+            "from its start",
+            retry_after_s=candidates.RETRY_AFTER_S,
+        )
+
     async def run_admitted(
         self,
         call: dialect.Call,
@@ -470,6 +503,9 @@
 
         def on_head(head: upstream.ResponseHead) -> None:
             self.permit_coordinator.observe(connection.server, head.metadata, sent_at)
+            is_stream = progress.route.kind is routes.RouteKind.STREAMING
+            if is_stream and head.metadata.signed and progress.required_version is None:
+                self.stream_recorder.record(call, progress.route, connection.server)
 
         if len(call.body) <= upstream.MAX_INLINE_BODY_BYTES:
             await connection.send(request, call.body)
--- a/src/dogwoodgap/gateway.py
+++ b/src/dogwoodgap/gateway.py
@@ -30,6 +30,7 @@
     servers,
     settings,
     source,
+    stream_owners,
 )
 from dogwoodgap_wire import ttypes
 
@@ -103,6 +104,7 @@
         self.crash_tracker = crashes.CrashTracker()
         self.budget_coordinator = budget_owners.BudgetCoordinator(records)
         self.permit_coordinator = permits.PermitCoordinator()
+        self.stream_recorder = stream_owners.StreamRecorder(self.server_registry)
         self.forwarder = forwarder.Forwarder(
             self.active_routes,
             self.server_registry,
@@ -110,6 +112,7 @@
             self.budget_coordinator,
             self.crash_tracker,
             self.permit_coordinator,
+            self.stream_recorder,
             gateway_settings.node.data_centre,
             gateway_settings.gateway.max_response_bytes,
         )
@@ -205,6 +208,7 @@
         self.server_follower.join(joined, network, broadcaster)
         self.crash_tracker.start_sharing(network, broadcaster)
         self.permit_coordinator.join(joined, network, broadcaster)
+        self.stream_recorder.join(joined, network, tasks)
         if self.settings.gateway.first_start:
             self.budget_coordinator.assume_no_losses()
         else:
--- a/src/dogwoodgap/progress.py
+++ b/src/dogwoodgap/progress.py
@@ -44,6 +44,8 @@
         Number of stream events sent to the caller.
     last_event_id : bytes or None
         Id of the last event sent to the caller.
+    required_version : str or None
+        Software version that has to continue the stream; None before its first event.
     stream_versions : list of str
         Software versions of the servers whose events were sent to the caller, in order.
     excluded : set of str
@@ -68,6 +70,7 @@
     refusals: int = 0
     events: int = 0
     last_event_id: bytes | None = None
+    required_version: str | None = None
     stream_versions: list[str] = dataclasses.field(default_factory=list)
     excluded: set[str] = dataclasses.field(default_factory=set)
     attempt_log: list[str] = dataclasses.field(default_factory=list)
--- a/src/dogwoodgap/relay.py
+++ b/src/dogwoodgap/relay.py
@@ -190,6 +190,8 @@
         progress.events += 1
         new_events.append(event)
     version = connection.server.software_version
+    if new_events and progress.required_version is None:
+        progress.required_version = version
     if new_events and progress.stream_versions[-1:] != [version]:
         progress.stream_versions.append(version)
     return new_events
--- a/src/dogwoodgap/servers.py
+++ b/src/dogwoodgap/servers.py
@@ -60,6 +60,7 @@
         self.listed: tuple[BackendServer, ...] = ()
         self.servers: dict[str, BackendServer] = {}
         self.by_service: dict[str, list[BackendServer]] = {}
+        self.change_hooks: list[collections.abc.Callable[[], None]] = []
         self.removal_hooks: list[collections.abc.Callable[[BackendServer], None]] = []
 
     @property
@@ -115,6 +116,8 @@
             if current is None or current.started_ms != server.started_ms:
                 for hook in self.removal_hooks:
                     hook(server)
+        for change_hook in self.change_hooks:
+            change_hook()
         events.emit(
             events.Event.SERVERS_CHANGED,
             "the list of backend servers changed",
--- a/src/dogwoodgap_wire/ttypes.py
+++ b/src/dogwoodgap_wire/ttypes.py
@@ -3750,6 +3750,258 @@
         return not (self == other)
 
 
+class StreamRecord(object):
+    """
+    Attributes:
+     - attempt
+     - software_version
+
+    """
+
+    __slots__ = (
+        'attempt',
+        'software_version',
+    )
+
+
+    def __init__(self, attempt=None, software_version=None,):
+        self.attempt = attempt
+        self.software_version = software_version
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.attempt = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.software_version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StreamRecord')
+        if self.attempt is not None:
+            oprot.writeFieldBegin('attempt', TType.STRING, 1)
+            oprot.writeString(self.attempt.encode('utf-8') if sys.version_info[0] == 2 else self.attempt)
+            oprot.writeFieldEnd()
+        if self.software_version is not None:
+            oprot.writeFieldBegin('software_version', TType.STRING, 2)
+            oprot.writeString(self.software_version.encode('utf-8') if sys.version_info[0] == 2 else self.software_version)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StreamQuery(object):
+    """
+    Attributes:
+     - attempt
+     - service_name
+     - window
+
+    """
+
+    __slots__ = (
+        'attempt',
+        'service_name',
+        'window',
+    )
+
+
+    def __init__(self, attempt=None, service_name=None, window=None,):
+        self.attempt = attempt
+        self.service_name = service_name
+        self.window = window
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.attempt = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.window = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StreamQuery')
+        if self.attempt is not None:
+            oprot.writeFieldBegin('attempt', TType.STRING, 1)
+            oprot.writeString(self.attempt.encode('utf-8') if sys.version_info[0] == 2 else self.attempt)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 2)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.window is not None:
+            oprot.writeFieldBegin('window', TType.DOUBLE, 3)
+            oprot.writeDouble(self.window)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StreamQueryReply(object):
+    """
+    Attributes:
+     - software_version
+     - unrecorded_version
+
+    """
+
+    __slots__ = (
+        'software_version',
+        'unrecorded_version',
+    )
+
+
+    def __init__(self, software_version=None, unrecorded_version=None,):
+        self.software_version = software_version
+        self.unrecorded_version = unrecorded_version
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.software_version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.unrecorded_version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StreamQueryReply')
+        if self.software_version is not None:
+            oprot.writeFieldBegin('software_version', TType.STRING, 1)
+            oprot.writeString(self.software_version.encode('utf-8') if sys.version_info[0] == 2 else self.software_version)
+            oprot.writeFieldEnd()
+        if self.unrecorded_version is not None:
+            oprot.writeFieldBegin('unrecorded_version', TType.STRING, 2)
+            oprot.writeString(self.unrecorded_version.encode('utf-8') if sys.version_info[0] == 2 else self.unrecorded_version)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Message(object):
     """
     Attributes:
@@ -3783,6 +4035,9 @@
      - server_limit_fetch_reply
      - permit_request
      - permit_reply
+     - stream_record
+     - stream_query
+     - stream_query_reply
 
     """
 
@@ -3817,10 +4072,13 @@
         'server_limit_fetch_reply',
         'permit_request',
         'permit_reply',
+        'stream_record',
+        'stream_query',
+        'stream_query_reply',
     )
 
 
-    def __init__(self, hello=None, ping=None, ping_reply=None, probe_request=None, probe_reply=None, configuration_fetch=None, configuration_reply=None, share_request=None, share_reply=None, suspect_notice=None, runner_notice=None, ack=None, member_fetch=None, member_reply=None, heartbeat=None, token_reserve=None, token_reserve_reply=None, token_settle=None, token_transfer=None, server_listing=None, token_fetch=None, token_fetch_reply=None, fleet_fetch=None, fleet_fetch_reply=None, token_records=None, server_limit=None, server_limit_fetch=None, server_limit_fetch_reply=None, permit_request=None, permit_reply=None,):
+    def __init__(self, hello=None, ping=None, ping_reply=None, probe_request=None, probe_reply=None, configuration_fetch=None, configuration_reply=None, share_request=None, share_reply=None, suspect_notice=None, runner_notice=None, ack=None, member_fetch=None, member_reply=None, heartbeat=None, token_reserve=None, token_reserve_reply=None, token_settle=None, token_transfer=None, server_listing=None, token_fetch=None, token_fetch_reply=None, fleet_fetch=None, fleet_fetch_reply=None, token_records=None, server_limit=None, server_limit_fetch=None, server_limit_fetch_reply=None, permit_request=None, permit_reply=None, stream_record=None, stream_query=None, stream_query_reply=None,):
         self.hello = hello
         self.ping = ping
         self.ping_reply = ping_reply
@@ -3851,6 +4109,9 @@
         self.server_limit_fetch_reply = server_limit_fetch_reply
         self.permit_request = permit_request
         self.permit_reply = permit_reply
+        self.stream_record = stream_record
+        self.stream_query = stream_query
+        self.stream_query_reply = stream_query_reply
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4041,6 +4302,24 @@
                     self.permit_reply.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 31:
+                if ftype == TType.STRUCT:
+                    self.stream_record = StreamRecord()
+                    self.stream_record.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 32:
+                if ftype == TType.STRUCT:
+                    self.stream_query = StreamQuery()
+                    self.stream_query.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 33:
+                if ftype == TType.STRUCT:
+                    self.stream_query_reply = StreamQueryReply()
+                    self.stream_query_reply.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4171,6 +4450,18 @@
             oprot.writeFieldBegin('permit_reply', TType.STRUCT, 30)
             self.permit_reply.write(oprot)
             oprot.writeFieldEnd()
+        if self.stream_record is not None:
+            oprot.writeFieldBegin('stream_record', TType.STRUCT, 31)
+            self.stream_record.write(oprot)
+            oprot.writeFieldEnd()
+        if self.stream_query is not None:
+            oprot.writeFieldBegin('stream_query', TType.STRUCT, 32)
+            self.stream_query.write(oprot)
+            oprot.writeFieldEnd()
+        if self.stream_query_reply is not None:
+            oprot.writeFieldBegin('stream_query_reply', TType.STRUCT, 33)
+            self.stream_query_reply.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4557,6 +4848,25 @@
     (2, TType.DOUBLE, 'delay', None, None, ),  # 2
     (3, TType.STRUCT, 'limit', [ServerLimit, None], None, ),  # 3
 )
+all_structs.append(StreamRecord)
+StreamRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'attempt', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'software_version', 'UTF8', None, ),  # 2
+)
+all_structs.append(StreamQuery)
+StreamQuery.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'attempt', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
+    (3, TType.DOUBLE, 'window', None, None, ),  # 3
+)
+all_structs.append(StreamQueryReply)
+StreamQueryReply.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'software_version', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'unrecorded_version', 'UTF8', None, ),  # 2
+)
 all_structs.append(Message)
 Message.thrift_spec = (
     None,  # 0
@@ -4590,6 +4900,9 @@
     (28, TType.STRUCT, 'server_limit_fetch_reply', [ServerLimitFetchReply, None], None, ),  # 28
     (29, TType.STRUCT, 'permit_request', [PermitRequest, None], None, ),  # 29
     (30, TType.STRUCT, 'permit_reply', [PermitReply, None], None, ),  # 30
+    (31, TType.STRUCT, 'stream_record', [StreamRecord, None], None, ),  # 31
+    (32, TType.STRUCT, 'stream_query', [StreamQuery, None], None, ),  # 32
+    (33, TType.STRUCT, 'stream_query_reply', [StreamQueryReply, None], None, ),  # 33
 )
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -20,6 +20,7 @@
     routes,
     servers,
     source,
+    stream_owners,
 )
 
 NAMES = dialect.HeaderNames(reserved=(b"dogwoodgap-hold",))
@@ -271,6 +272,7 @@
             self.budget_coordinator,
             self.crash_tracker,
             self.permit_coordinator,
+            stream_owners.StreamRecorder(self.server_registry),
             "d1",
             MAX_RESPONSE_BYTES,
         )
--- a/thrift/dogwoodgap.thrift
+++ b/thrift/dogwoodgap.thrift
@@ -212,6 +212,19 @@
 // delay is the time in seconds until the request may be sent, or until it is worth asking again.
 struct PermitReply { 1: bool granted, 2: double delay, 3: ServerLimit limit }
 
+// The software version of the server that began the stream of a caller's attempt.
+struct StreamRecord { 1: string attempt, 2: string software_version }
+
+// window is the longest time in seconds between the start of a stream and its resumption.
+struct StreamQuery { 1: string attempt, 2: string service_name, 3: double window }
+
+// software_version is absent when the receiver of the query has no record; unrecorded_version is the
+// version of the streams that it knows not to have been recorded.
+struct StreamQueryReply {
+  1: optional string software_version,
+  2: optional string unrecorded_version,
+}
+
 union Message {
   1: Hello hello,
   2: Ping ping,
@@ -243,6 +256,9 @@
   28: ServerLimitFetchReply server_limit_fetch_reply,
   29: PermitRequest permit_request,
   30: PermitReply permit_reply,
+  31: StreamRecord stream_record,
+  32: StreamQuery stream_query,
+  33: StreamQueryReply stream_query_reply,
 }
 
 struct Envelope {
