Refuse a request in time while nobody grants permits

If no owner of a limit responds and all servers of a service are limited, a request asked again and again until its deadline without giving other tasks a turn. It now waits between two tries, and is refused once the longest wait for a permit is over. The test failed before (thousands of requests for permits in 0.55 s, five are allowed) and passes now. Found by reading.

--- a/src/dogwoodgap/forwarder.py
+++ b/src/dogwoodgap/forwarder.py
@@ -360,10 +360,11 @@
 
         A denied permit raises the expected delay of its server, so another one may be chosen next.
         """
+        give_up_at = clock.now() + self.max_permit_delay_s(progress)
         while True:
             server = self.server_selector.choose(call, progress, self.engine(progress.service))
             expected_s = self.expected_permit_delay_s(server)
-            longest_s = self.max_permit_delay_s(progress)
+            longest_s = give_up_at - clock.now()
             if expected_s > longest_s:
                 progress.attempt_log.append(f"{server.id}:limited")
                 self.raise_failure(
@@ -375,6 +376,8 @@
                 if delay_s:
                     await anyio.sleep(delay_s)
                 return server
+            if expected_s:
+                await anyio.sleep(min(expected_s, PERMIT_DELAY_SLACK_S))
 
     def expected_permit_delay_s(self, server: servers.BackendServer) -> float:
         """Return the expected delay of a permit for a server, in seconds."""
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -28,6 +28,29 @@
     return statuses
 
 
+def test_request_is_refused_in_time_while_nobody_grants_permits():
+    """Guards against a request that asks for permits without end, and keeps the node busy."""
+
+    requested_at = []
+
+    async def deny(key, max_delay_s):
+        requested_at.append(anyio.current_time())
+        return False, 0.05
+
+    async def main():
+        limited = gateways.Backend("limited", "plain", LIMITED)
+        async with gateways.running(limited) as harness:
+            first = await gateways.send_once(harness, "GET", "/read/x")
+            harness.permit_coordinator.request_permit = deny
+            with anyio.fail_after(gateways.TIMEOUT_S):
+                second = await gateways.send_once(harness, "GET", "/read/x")
+        assert (first.status, second.status) == (200, 503)
+        assert float(second.headers["retry-after"]) > 0.0
+        assert len(requested_at) <= 5
+
+    anyio.run(main)
+
+
 def tolerated(seconds):
     """Return the number of requests that a limited server may get."""
     return TOLERATED_FACTOR * LIMIT_PER_S * seconds + TOLERATED_REQUESTS
