Send only new and lifted rate limits to all nodes

A server that reports another rate with each response caused a message to every gateway each time. Rates now travel with requests for permits and their replies, which reach the node that shares the limit out.

--- a/src/dogwoodgap/permits.py
+++ b/src/dogwoodgap/permits.py
@@ -76,9 +76,14 @@
     def observe(
         self, server: servers.BackendServer, metadata: dialect.ResponseMetadata, sent_at: float
     ) -> None:
-        """Apply the head of a server's response, and pass a change of its limit on."""
+        """Apply the head of a server's response, and pass a new or lifted limit on.
+
+        Another rate travels with the requests for permits and their replies.
+        """
         key = rate_limits.server_key(server)
-        if self.limits.observe(key, metadata, sent_at) is not None:
+        was_limited = self.limits.per_second(key) is not None
+        report = self.limits.observe(key, metadata, sent_at)
+        if report is not None and was_limited != (report.per_second is not None):
             self.announce(key)
 
     def remove(self, server: servers.BackendServer) -> None:
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -8,6 +8,7 @@
 import virtual_time
 
 from dogwoodgap import broadcast, clock, dialect, members, permits, rate_limits, servers
+from dogwoodgap_wire import ttypes
 
 SERVER = servers.BackendServer("s1", "model", "10.1.0.1:80", "d", 16, started_ms=1)
 WINDOW_S = 4.0
@@ -48,6 +49,10 @@
         coordinator.join(joined, network, broadcast.Broadcaster(joined, network, self.tasks))
         self.nodes[member.node] = coordinator
 
+    def sent(self, message_type):
+        """Return how many messages of a type all nodes have sent."""
+        return sum(network.sent[message_type] for network in self.shared_network.nodes.values())
+
     def member(self, node):
         return next(member for member in self.all_members if member.node == node)
 
@@ -184,6 +189,21 @@
     run_fleet(body, count, 5.0, 0.01)
 
 
+def test_rate_that_changes_with_each_response_is_not_sent_to_all_nodes():
+    """Guards against a message to every node for each response of a limited server."""
+
+    async def body(fleet):
+        await anyio.sleep(3.0)
+        before = fleet.sent(ttypes.ServerLimit)
+        for step in range(40):
+            fleet.limit_per_s = 8.0 + step / 10
+            await anyio.sleep(0.1)
+        assert fleet.sent(ttypes.ServerLimit) == before
+        assert fleet.busiest_window(1.0, 7.0) <= tolerated(12.0)
+
+    run_fleet(body, 171, 8.0, 0.01)
+
+
 def test_lifted_limit_is_lifted_on_all_nodes():
     """Guards against a limit that outlives the need of its server."""
 
