--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -30,7 +30,6 @@
 
 def test_request_is_refused_in_time_while_nobody_grants_permits():
     """Guards against a request that asks for permits without end, and keeps the node busy."""
-
     requested_at = []
 
     async def deny(key, max_delay_s):
