Score all hashes, and report a passed deadline as such

The largest hashes gave a logarithm of 0 and an exception, one request in 10^16; a request whose deadline had almost passed was refused for the rate limits of its servers although they had none. Found by reading the change.

--- a/src/dogwoodgap/forwarder.py
+++ b/src/dogwoodgap/forwarder.py
@@ -364,7 +364,7 @@
         while True:
             server = self.server_selector.choose(call, progress, self.engine(progress.service))
             expected_s = self.expected_permit_delay_s(server)
-            longest_s = give_up_at - clock.now()
+            longest_s = max(0.0, give_up_at - clock.now())
             if expected_s > longest_s:
                 progress.attempt_log.append(f"{server.id}:limited")
                 self.raise_failure(
--- a/src/dogwoodgap/selection.py
+++ b/src/dogwoodgap/selection.py
@@ -60,7 +60,10 @@
 MIN_WEIGHT = 0.01
 """Least weight of a server as the home of programs; a server without a limit has 1."""
 
-HASH_RANGE = 2.0**64
+UNUSED_HASH_BITS = 12
+"""Low bits of a 64-bit hash that exceed the precision of a float."""
+
+HASH_RANGE = 2.0**52
 
 MAX_SESSIONS = 4_096
 """Sessions whose last engine is remembered."""
@@ -193,7 +196,7 @@
     """
 
     def score(server: servers.BackendServer) -> float:
-        digest = xxhash.xxh64_intdigest(f"{key}/{server.id}".encode())
+        digest = xxhash.xxh64_intdigest(f"{key}/{server.id}".encode()) >> UNUSED_HASH_BITS
         usable = usable_slots(table, server, DEFAULT_TURN_S) / max(1, server.slots)
         weight = max(usable, MIN_WEIGHT) if table.limit_per_s(server) is not None else 1.0
         return -weight / math.log((digest + 0.5) / HASH_RANGE)
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -35,6 +35,33 @@
     assert max(homes.values()) < 1.35 * 500 / len(ENGINES)
 
 
+def test_limited_engine_is_home_to_as_many_programs_as_its_limit_serves():
+    """Guards against programs that move to and fro between engines with each permit."""
+    limits = {"e0": 4.0, "e1": 0.0}
+    tables = [selection.LoadTable("d") for _ in range(3)]
+    homes = collections.Counter()
+    unlimited = selection.LoadTable("d")
+    for number in range(2_000):
+        previous = selection.choose(unlimited, ENGINES, ENGINE, call(f"p{number}"), 0.0).id
+        chosen = set()
+        for table in tables:
+            table.limit_per_s = lambda server: limits.get(server.id)
+            chosen.add(selection.choose(table, ENGINES, ENGINE, call(f"p{number}"), 0.0).id)
+        assert len(chosen) == 1
+        home = chosen.pop()
+        homes[home] += 1
+        assert home == previous or previous in limits
+    assert homes["e0"] < 0.1 * homes["e2"]
+    assert homes["e1"] < 0.02 * homes["e2"]
+
+
+def test_extreme_hashes_have_a_home(monkeypatch):
+    """Guards against an undefined score for the largest and the smallest hash."""
+    for digest in (0, 2**64 - 1):
+        monkeypatch.setattr(selection.xxhash, "xxh64_intdigest", lambda _, digest=digest: digest)
+        assert selection.choose(selection.LoadTable("d"), ENGINES, ENGINE, call("p"), 0.0)
+
+
 def test_full_home_engine_is_bypassed():
     """Guards against a queue at one engine while others are idle."""
     table = selection.LoadTable("d")
