--- a/tests/test_followers.py
+++ b/tests/test_followers.py
@@ -24,6 +24,12 @@
 """Maximum age of a server list, so that a draining server is known in time."""
 
 
+def test_entries_reach_other_nodes_complete():
+    """Guards against a field of an entry that only the node that read the list knows."""
+    entry = servers.BackendServer("a", "s", "10.9.0.1:80", "d", 4, True, 17, "v1.2")
+    assert followers.from_wire(followers.to_wire(entry)) == entry
+
+
 class FakeStore:
     """An in-memory store; ``down`` makes all calls fail, ``expired`` the next watch."""
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -89,7 +89,8 @@
     async def main():
         async with running_store() as (fake_store, client):
             fake_store.put("servers", "a", spec=SERVER)
-            fake_store.put("servers", "b", spec={**SERVER, "state": "draining", "born": 5})
+            draining = {**SERVER, "state": "draining", "born": 5, "version": "v1.2"}
+            fake_store.put("servers", "b", spec=draining)
             bad = [
                 None,
                 "text",
@@ -98,6 +99,7 @@
                 {**SERVER, "addr": "nowhere"},
                 {"service": "plain"},
                 {**SERVER, "slots": "many"},
+                {**SERVER, "version": 2},
             ]
             for number, spec in enumerate(bad):
                 fake_store.put("servers", f"x{number}", spec=spec)
@@ -105,10 +107,24 @@
         assert [server.id for server in listing.servers] == ["a", "b"]
         assert [server.draining for server in listing.servers] == [False, True]
         assert listing.servers[1].started_ms == 5
+        assert listing.servers[1].software_version == "v1.2"
 
     run(main)
 
 
+def test_limits_and_resumed_streams_are_decoded():
+    """Guards against headers that have no effect because their names are wrong."""
+    codec = dialect.HeaderCodec(names.HEADERS)
+    response = codec.decode_response([(b"server-seal", b"s"), (b"server-limit", b"5.8")])
+    assert response.rate_limit == 5.8
+    headers = [(b"attempt-id", b"a2"), (b"last-event-id", b"12"), (b"resumes", b"a1")]
+    call = codec.decode_call(b"POST", b"/", [*headers, (b"server-limit", b"1")], 0.0)
+    assert (call.last_event_id, call.resumed_attempt) == (b"12", "a1")
+    sent = dict(codec.encode_call(call, "s1", None, b"12"))
+    assert sent[b"resumes"] == b"a1"
+    assert b"server-limit" not in sent
+
+
 def test_watch_returns_changes_and_reports_expired_history():
     """Guards against a watch that misses a change or hides that its start revision expired."""
 
