Record no stream without an attempt id, and wait longer for records

A stream without an attempt id was recorded under an empty one, so that a caller that names none would have been taken for its owner; the test failed before. A record is sent in the background, and now has a second instead of 0.1 s, since a node of half a core that has to open a connection first may need longer.

--- a/src/dogwoodgap/stream_owners.py
+++ b/src/dogwoodgap/stream_owners.py
@@ -28,8 +28,11 @@
 OWNERS = COPIES + 1
 """Nodes that are asked for a record; one of them may be the serving node."""
 
-REQUEST_TIMEOUT_S = 0.1
-"""A reply takes one round trip between data centres, 1 to 3 ms."""
+RECORD_TIMEOUT_S = 1.0
+"""Nothing waits for a record, and a busy node may be slow to accept a connection."""
+
+QUERY_TIMEOUT_S = 0.2
+"""A caller waits for the reply, which takes one to three round trips of 1 to 3 ms."""
 
 MAX_RECORDS = 8_192
 """Streams whose start is remembered; about 200 bytes each."""
@@ -67,7 +70,7 @@
     ) -> None:
         """Record, in the background, that a server began a stream, if that may be needed."""
         window_s = version_history.resume_window_s(route)
-        if not self.history.must_record(server.service, window_s):
+        if not call.attempt_id or not self.history.must_record(server.service, window_s):
             return
         self.records[call.attempt_id] = server.software_version
         message = ttypes.StreamRecord(
@@ -80,7 +83,7 @@
         """Send a record to a node; without it, the stream may not be resumed after a failure."""
         try:
             await self.network.request(
-                member.peer_address, message, ttypes.Ack, timeout_s=REQUEST_TIMEOUT_S
+                member.peer_address, message, ttypes.Ack, timeout_s=RECORD_TIMEOUT_S
             )
         except exceptions.PeerError as error:
             log_peer_failure(member, message.attempt, error)
@@ -106,7 +109,7 @@
                     member.peer_address,
                     query,
                     ttypes.StreamQueryReply,
-                    timeout_s=REQUEST_TIMEOUT_S,
+                    timeout_s=QUERY_TIMEOUT_S,
                 )
             except exceptions.PeerError as error:
                 log_peer_failure(member, call.resumed_attempt, error)
--- a/tests/test_stream_owners.py
+++ b/tests/test_stream_owners.py
@@ -150,6 +150,18 @@
     assert await fleet.find("n003", 1) is None
 
 
+@with_fleet(7)
+async def test_caller_without_attempt_ids_resumes_no_other_stream(fleet):
+    """Guards against streams of different callers that are taken for the same one."""
+    await fleet.list_servers(OLD, NEW)
+    await anyio.sleep(WINDOW_S)
+    fleet.nodes["n000"].record(gateways.turn("", program_id="p1"), ROUTE, NEW)
+    await anyio.sleep(0.1)
+    call = gateways.turn("", program_id="p1", last_event_id=b"1")
+    for node in names(fleet):
+        assert await fleet.nodes[node].find_version(call, ROUTE, "model") is None
+
+
 @with_fleet(7)
 async def test_restarted_node_assumes_no_version(fleet):
     """Guards against a node that has not seen the version of a stream and takes the new one."""
