Log the server process whose crash a request is suspected of

The event of a crash named the request only, so a log could not tell a crash seen by two gateways from two crashes, nor a crash from a server that was alive. The gateway that concludes it now names the server and its start.

--- a/src/dogwoodgap/crashes.py
+++ b/src/dogwoodgap/crashes.py
@@ -11,7 +11,7 @@
 
 import xxhash
 
-from dogwoodgap import broadcast, clock, dialect, events, exceptions, members, peers
+from dogwoodgap import broadcast, clock, dialect, events, exceptions, members, peers, servers
 from dogwoodgap_wire import ttypes
 
 MAX_CRASHES = 2
@@ -47,15 +47,15 @@
             state.update(text.encode("latin-1"))
         return state.intdigest()
 
-    def record_crash(self, digest: int) -> None:
+    def record_crash(self, digest: int, server: servers.BackendServer) -> None:
         """Record that a server crashed while it ran a request, and notify other nodes."""
         record = self.records.get(digest)
         crashes = (record.crashes if record else 0) + 1
-        self.merge(digest, crashes)
+        self.merge(digest, crashes, server)
         for hook in self.crash_hooks:
             hook(digest, crashes)
 
-    def merge(self, digest: int, crashes: int) -> None:
+    def merge(self, digest: int, crashes: int, server: servers.BackendServer | None = None) -> None:
         """Merge a crash count of this or another node; the larger count wins."""
         record = self.records.pop(digest, None)
         crashes = max(crashes, record.crashes if record else 0)
@@ -68,6 +68,8 @@
             level=logging.WARNING,
             digest=f"{digest:016x}",
             crashes=crashes,
+            server=server.id if server else None,
+            started_ms=server.started_ms if server else None,
         )
 
     def start_sharing(self, network: peers.Network, broadcaster: broadcast.Broadcaster) -> None:
--- a/src/dogwoodgap/forwarder.py
+++ b/src/dogwoodgap/forwarder.py
@@ -475,7 +475,7 @@
             connection = await pool.open()
         except upstream.ServerUnreachableError:
             state.record_unreachable(clock.now())
-            self.crash_tracker.record_crash(digest)
+            self.crash_tracker.record_crash(digest, pool.server)
             return
         await connection.close()
 
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -4,7 +4,9 @@
 import fake_network
 import virtual_time
 
-from dogwoodgap import broadcast, crashes
+from dogwoodgap import broadcast, crashes, servers
+
+SERVER = servers.BackendServer("p1", "plain", "10.1.0.1:80", "d", 4)
 
 
 def test_crashes_are_counted_across_nodes():
@@ -20,10 +22,10 @@
                 network.hello = node.to_wire
                 joined = fake_network.StaticMembership(node, nodes)
                 tracker.start_sharing(network, broadcast.Broadcaster(joined, network, tasks))
-            trackers[0].record_crash(7)
+            trackers[0].record_crash(7, SERVER)
             await anyio.sleep(0.1)
             assert not trackers[1].is_refused(7)
-            trackers[1].record_crash(7)
+            trackers[1].record_crash(7, SERVER)
             await anyio.sleep(0.1)
             assert trackers[0].is_refused(7)
             assert trackers[1].is_refused(7)
@@ -38,9 +40,9 @@
 
     async def main():
         tracker = crashes.CrashTracker()
-        tracker.record_crash(7)
+        tracker.record_crash(7, SERVER)
         tracker.record_success(7)
-        tracker.record_crash(7)
+        tracker.record_crash(7, SERVER)
         assert not tracker.is_refused(7)
 
     virtual_time.run(main)
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -629,7 +629,7 @@
             )
             assert (await gateways.send_once(harness, "GET", "/read/bad")).status == 200
             for _ in range(2):
-                harness.crash_tracker.record_crash(digests[0])
+                harness.crash_tracker.record_crash(digests[0], backends[0].entry())
             response = await gateways.send_once(harness, "GET", "/read/bad")
             assert response.status == 503
             assert (await gateways.send_once(harness, "GET", "/read/good")).status == 200
