Count each crashed server process once over all nodes

A request that crashes servers was let through again: each node kept a number of crashes per request, and of two nodes the larger number won. Crashes seen by several nodes at once counted as one, so each node allowed its own, and a crash seen by two nodes one after the other counted as two. The class of fault: counts that are merged as if they were copies.

Nodes now merge the set of server processes that crashed, so that crashes add up and repeated reports do not. The rate limits' key of a process moves to servers, as both use it.

--- a/src/dogwoodgap/crashes.py
+++ b/src/dogwoodgap/crashes.py
@@ -26,9 +26,15 @@
 
 @dataclasses.dataclass(slots=True)
 class CrashRecord:
-    """Number of crashes during which a digest was in flight."""
+    """The server processes that crashed while they ran requests with one digest.
 
-    crashes: int
+    Attributes
+    ----------
+    processes : set of ProcessKey
+        Each process counts once, however many nodes saw it crash.
+    """
+
+    processes: set[servers.ProcessKey]
     last_crash_at: float
 
 
@@ -37,7 +43,7 @@
 
     def __init__(self) -> None:
         self.records: collections.OrderedDict[int, CrashRecord] = collections.OrderedDict()
-        self.crash_hooks: list[collections.abc.Callable[[int, int], None]] = []
+        self.crash_hooks: list[collections.abc.Callable[[int, servers.ProcessKey], None]] = []
 
     def digest(self, call: dialect.Call) -> int:
         """Return the digest of the parts of a request that stay the same when it is resent."""
@@ -49,17 +55,18 @@
 
     def record_crash(self, digest: int, server: servers.BackendServer) -> None:
         """Record that a server crashed while it ran a request, and notify other nodes."""
-        record = self.records.get(digest)
-        crashes = (record.crashes if record else 0) + 1
-        self.merge(digest, crashes, server)
-        for hook in self.crash_hooks:
-            hook(digest, crashes)
-
-    def merge(self, digest: int, crashes: int, server: servers.BackendServer | None = None) -> None:
-        """Merge a crash count of this or another node; the larger count wins."""
-        record = self.records.pop(digest, None)
-        crashes = max(crashes, record.crashes if record else 0)
-        self.records[digest] = CrashRecord(crashes, clock.now())
+        if self.merge(digest, server.process):
+            for hook in self.crash_hooks:
+                hook(digest, server.process)
+
+    def merge(self, digest: int, process: servers.ProcessKey) -> bool:
+        """Merge a crash seen by this or another node; return whether it is news."""
+        record = self.records.pop(digest, None) or CrashRecord(set(), clock.now())
+        self.records[digest] = record
+        if process in record.processes:
+            return False
+        record.processes.add(process)
+        record.last_crash_at = clock.now()
         while len(self.records) > MAX_DIGESTS:
             self.records.popitem(last=False)
         events.emit(
@@ -67,19 +74,21 @@
             "a request was in flight when a backend server crashed",
             level=logging.WARNING,
             digest=f"{digest:016x}",
-            crashes=crashes,
-            server=server.id if server else None,
-            started_ms=server.started_ms if server else None,
+            crashes=len(record.processes),
+            server=process[0],
+            started_ms=process[1],
         )
+        return True
 
     def start_sharing(self, network: peers.Network, broadcaster: broadcast.Broadcaster) -> None:
-        """Start to pass crash counts on to other nodes and to merge theirs."""
+        """Start to pass crashes on to other nodes and to merge theirs."""
 
-        def notify_others(digest: int, crashes: int, part_end: int | None = None) -> None:
+        def notify_others(
+            digest: int, process: servers.ProcessKey, part_end: int | None = None
+        ) -> None:
             async def deliver(member: members.Member, end: int) -> None:
-                message = ttypes.SuspectNotice(
-                    digest=f"{digest:016x}", crashes=crashes, part_end=end
-                )
+                message = to_wire(digest, process)
+                message.part_end = end
                 try:
                     await broadcaster.request(member, message)
                 except exceptions.PeerError as error:
@@ -88,17 +97,14 @@
 
             broadcaster.start(deliver, part_end)
 
-        async def on_notice(sender: ttypes.Member, message: ttypes.SuspectNotice) -> ttypes.Ack:
-            digest, crashes = int(message.digest, 16), message.crashes or 0
-            known = self.records.get(digest)
-            is_news = known is None or crashes > known.crashes
-            self.merge(digest, crashes)
-            if is_news and message.part_end is not None:
-                notify_others(digest, crashes, message.part_end)
+        async def on_crash(sender: ttypes.Member, message: ttypes.ServerCrash) -> ttypes.Ack:
+            digest, process = int(message.digest, 16), (message.server, message.started_ms or 0)
+            if self.merge(digest, process) and message.part_end is not None:
+                notify_others(digest, process, message.part_end)
             return ttypes.Ack(ok=True)
 
         self.crash_hooks.append(notify_others)
-        network.handlers.register(ttypes.SuspectNotice, on_notice)
+        network.handlers.register(ttypes.ServerCrash, on_crash)
 
     def record_success(self, digest: int) -> None:
         """Clear the crashes of a request that a server has completed."""
@@ -113,7 +119,13 @@
         if clock.now() - record.last_crash_at > REFUSAL_TTL_S:
             del self.records[digest]
             return False
-        return record.crashes >= MAX_CRASHES
+        return len(record.processes) >= MAX_CRASHES
+
+
+def to_wire(digest: int, process: servers.ProcessKey) -> ttypes.ServerCrash:
+    """Return a crash as a message."""
+    server_id, started_ms = process
+    return ttypes.ServerCrash(digest=f"{digest:016x}", server=server_id, started_ms=started_ms)
 
 
 def log_report_failure(member: members.Member, digest: int, error: exceptions.PeerError) -> None:
--- a/src/dogwoodgap/permits.py
+++ b/src/dogwoodgap/permits.py
@@ -45,11 +45,11 @@
 
     def __init__(self) -> None:
         self.limits = rate_limits.LimitTable()
-        self.allowances: cachetools.LRUCache[rate_limits.ServerKey, rate_limits.Allowance] = (
+        self.allowances: cachetools.LRUCache[servers.ProcessKey, rate_limits.Allowance] = (
             cachetools.LRUCache(rate_limits.MAX_SERVERS)
         )
-        self.exhausted_until: cachetools.LRUCache[rate_limits.ServerKey, float] = (
-            cachetools.LRUCache(rate_limits.MAX_SERVERS)
+        self.exhausted_until: cachetools.LRUCache[servers.ProcessKey, float] = cachetools.LRUCache(
+            rate_limits.MAX_SERVERS
         )
         self.ownership = ownership_order.OwnershipOrder(OWNERS)
         self.failed_at: dict[str, float] = {}
@@ -80,7 +80,7 @@
 
         Another rate travels with the requests for permits and their replies.
         """
-        key = rate_limits.server_key(server)
+        key = server.process
         was_limited = self.limits.per_second(key) is not None
         report = self.limits.observe(key, metadata, sent_at)
         if report is not None and was_limited != (report.per_second is not None):
@@ -88,18 +88,18 @@
 
     def remove(self, server: servers.BackendServer) -> None:
         """Forget an ended server."""
-        key = rate_limits.server_key(server)
+        key = server.process
         self.limits.remove(key)
         self.allowances.pop(key, None)
         self.exhausted_until.pop(key, None)
 
     def limit(self, server: servers.BackendServer) -> float | None:
         """Return the limit of a server in requests per second, or None without one."""
-        return self.limits.per_second(rate_limits.server_key(server))
+        return self.limits.per_second(server.process)
 
     def available_at(self, server: servers.BackendServer) -> float:
         """Return the monotonic time from which a permit for a server may be had."""
-        key = rate_limits.server_key(server)
+        key = server.process
         if self.limits.per_second(key) is None:
             return 0.0
         return self.exhausted_until.get(key, 0.0)
@@ -113,7 +113,7 @@
             Time to wait before the request is sent, in seconds; None if no permit is to be had
             within ``max_delay_s``.
         """
-        key = rate_limits.server_key(server)
+        key = server.process
         if self.limits.per_second(key) is None:
             return 0.0
         granted, delay_s = await self.request_permit(key, max_delay_s)
@@ -123,7 +123,7 @@
         return delay_s if granted else None
 
     async def request_permit(
-        self, key: rate_limits.ServerKey, max_delay_s: float
+        self, key: servers.ProcessKey, max_delay_s: float
     ) -> tuple[bool, float]:
         """Ask the owner of a server's limit, or the next one; return its decision and the delay."""
         for owner in self.owners(key):
@@ -148,7 +148,7 @@
             return bool(reply.message.granted), reply.message.delay or 0.0
         return False, NO_OWNER_DELAY_S
 
-    def owners(self, key: rate_limits.ServerKey) -> list[members.Member | None]:
+    def owners(self, key: servers.ProcessKey) -> list[members.Member | None]:
         """Return the nodes to ask for a permit in turn; None stands for this node."""
         if self.membership is None:
             return [None]
@@ -162,7 +162,7 @@
         ]
         return responsive if first else [None]
 
-    def announce(self, key: rate_limits.ServerKey, part_end: int | None = None) -> None:
+    def announce(self, key: servers.ProcessKey, part_end: int | None = None) -> None:
         """Pass the limit of a server on to the other nodes."""
         if self.broadcaster is None:
             return
@@ -192,7 +192,7 @@
                 self.merge(limit, member.node)
             return
 
-    def to_wire(self, key: rate_limits.ServerKey) -> ttypes.ServerLimit:
+    def to_wire(self, key: servers.ProcessKey) -> ttypes.ServerLimit:
         """Return the known limit of a server as a message."""
         server_id, started_ms = key
         report = self.limits.reports.get(key)
@@ -211,7 +211,7 @@
 
     # Called on the node that shares out a limit
 
-    def decide(self, key: rate_limits.ServerKey, max_delay_s: float) -> tuple[bool, float]:
+    def decide(self, key: servers.ProcessKey, max_delay_s: float) -> tuple[bool, float]:
         """Decide on one request to a server; return whether it may be sent, and the delay."""
         limit_per_s = self.limits.per_second(key)
         if limit_per_s is None:
--- a/src/dogwoodgap/rate_limits.py
+++ b/src/dogwoodgap/rate_limits.py
@@ -25,14 +25,6 @@
 SPLIT_WINDOW_S = 30.0
 """Time for which members that failed are assumed to use their share of a limit elsewhere."""
 
-ServerKey = tuple[str, int]
-"""Id and start time of a server process."""
-
-
-def server_key(server: servers.BackendServer) -> ServerKey:
-    """Return the key of a server process."""
-    return server.id, server.started_ms
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReportedLimit:
@@ -58,17 +50,17 @@
     """The limits of all servers that have reported one."""
 
     def __init__(self) -> None:
-        self.reports: cachetools.LRUCache[ServerKey, ReportedLimit] = cachetools.LRUCache(
+        self.reports: cachetools.LRUCache[servers.ProcessKey, ReportedLimit] = cachetools.LRUCache(
             MAX_SERVERS
         )
 
-    def per_second(self, key: ServerKey) -> float | None:
+    def per_second(self, key: servers.ProcessKey) -> float | None:
         """Return the limit of a server in requests per second, or None without one."""
         report = self.reports.get(key)
         return None if report is None else report.per_second
 
     def observe(
-        self, key: ServerKey, metadata: dialect.ResponseMetadata, sent_at: float
+        self, key: servers.ProcessKey, metadata: dialect.ResponseMetadata, sent_at: float
     ) -> ReportedLimit | None:
         """Apply the head of a response; return the new report if it changes the limit.
 
@@ -94,7 +86,7 @@
         return report
 
     def merge(
-        self, key: ServerKey, per_second: float | None, version: int, node: str
+        self, key: servers.ProcessKey, per_second: float | None, version: int, node: str
     ) -> ReportedLimit | None:
         """Merge a report known to another node; return the new report if it changes the limit."""
         known = self.reports.get(key)
@@ -107,7 +99,9 @@
         self.store(key, report, node)
         return report
 
-    def store(self, key: ServerKey, report: ReportedLimit, node: str | None = None) -> None:
+    def store(
+        self, key: servers.ProcessKey, report: ReportedLimit, node: str | None = None
+    ) -> None:
         """Replace the report of a server; ``node`` is the node that passed it on, if any."""
         self.reports[key] = report
         events.emit(
@@ -122,7 +116,7 @@
             node=node,
         )
 
-    def remove(self, key: ServerKey) -> None:
+    def remove(self, key: servers.ProcessKey) -> None:
         """Forget the limit of an ended server."""
         self.reports.pop(key, None)
 
--- a/src/dogwoodgap/servers.py
+++ b/src/dogwoodgap/servers.py
@@ -7,6 +7,9 @@
 
 from dogwoodgap import clock, events
 
+ProcessKey = tuple[str, int]
+"""Id and start of a server process; a server that restarts may keep its id."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BackendServer:
@@ -33,6 +36,11 @@
     started_ms: int = 0
     software_version: str = ""
 
+    @property
+    def process(self) -> ProcessKey:
+        """Return the key of this process of the server."""
+        return self.id, self.started_ms
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Listing:
--- a/src/dogwoodgap_wire/ttypes.py
+++ b/src/dogwoodgap_wire/ttypes.py
@@ -4002,6 +4002,110 @@
         return not (self == other)
 
 
+class ServerCrash(object):
+    """
+    Attributes:
+     - digest
+     - server
+     - started_ms
+     - part_end
+
+    """
+
+    __slots__ = (
+        'digest',
+        'server',
+        'started_ms',
+        'part_end',
+    )
+
+
+    def __init__(self, digest=None, server=None, started_ms=None, part_end=None,):
+        self.digest = digest
+        self.server = server
+        self.started_ms = started_ms
+        self.part_end = part_end
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.server = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.started_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.part_end = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServerCrash')
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.STRING, 1)
+            oprot.writeString(self.digest.encode('utf-8') if sys.version_info[0] == 2 else self.digest)
+            oprot.writeFieldEnd()
+        if self.server is not None:
+            oprot.writeFieldBegin('server', TType.STRING, 2)
+            oprot.writeString(self.server.encode('utf-8') if sys.version_info[0] == 2 else self.server)
+            oprot.writeFieldEnd()
+        if self.started_ms is not None:
+            oprot.writeFieldBegin('started_ms', TType.I64, 3)
+            oprot.writeI64(self.started_ms)
+            oprot.writeFieldEnd()
+        if self.part_end is not None:
+            oprot.writeFieldBegin('part_end', TType.I64, 4)
+            oprot.writeI64(self.part_end)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Message(object):
     """
     Attributes:
@@ -4038,6 +4142,7 @@
      - stream_record
      - stream_query
      - stream_query_reply
+     - server_crash
 
     """
 
@@ -4075,10 +4180,11 @@
         'stream_record',
         'stream_query',
         'stream_query_reply',
+        'server_crash',
     )
 
 
-    def __init__(self, hello=None, ping=None, ping_reply=None, probe_request=None, probe_reply=None, configuration_fetch=None, configuration_reply=None, share_request=None, share_reply=None, suspect_notice=None, runner_notice=None, ack=None, member_fetch=None, member_reply=None, heartbeat=None, token_reserve=None, token_reserve_reply=None, token_settle=None, token_transfer=None, server_listing=None, token_fetch=None, token_fetch_reply=None, fleet_fetch=None, fleet_fetch_reply=None, token_records=None, server_limit=None, server_limit_fetch=None, server_limit_fetch_reply=None, permit_request=None, permit_reply=None, stream_record=None, stream_query=None, stream_query_reply=None,):
+    def __init__(self, hello=None, ping=None, ping_reply=None, probe_request=None, probe_reply=None, configuration_fetch=None, configuration_reply=None, share_request=None, share_reply=None, suspect_notice=None, runner_notice=None, ack=None, member_fetch=None, member_reply=None, heartbeat=None, token_reserve=None, token_reserve_reply=None, token_settle=None, token_transfer=None, server_listing=None, token_fetch=None, token_fetch_reply=None, fleet_fetch=None, fleet_fetch_reply=None, token_records=None, server_limit=None, server_limit_fetch=None, server_limit_fetch_reply=None, permit_request=None, permit_reply=None, stream_record=None, stream_query=None, stream_query_reply=None, server_crash=None,):
         self.hello = hello
         self.ping = ping
         self.ping_reply = ping_reply
@@ -4112,6 +4218,7 @@
         self.stream_record = stream_record
         self.stream_query = stream_query
         self.stream_query_reply = stream_query_reply
+        self.server_crash = server_crash
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4320,6 +4427,12 @@
                     self.stream_query_reply.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 34:
+                if ftype == TType.STRUCT:
+                    self.server_crash = ServerCrash()
+                    self.server_crash.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4462,6 +4575,10 @@
             oprot.writeFieldBegin('stream_query_reply', TType.STRUCT, 33)
             self.stream_query_reply.write(oprot)
             oprot.writeFieldEnd()
+        if self.server_crash is not None:
+            oprot.writeFieldBegin('server_crash', TType.STRUCT, 34)
+            self.server_crash.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4867,6 +4984,14 @@
     (1, TType.STRING, 'software_version', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'unrecorded_version', 'UTF8', None, ),  # 2
 )
+all_structs.append(ServerCrash)
+ServerCrash.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'digest', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'server', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'started_ms', None, None, ),  # 3
+    (4, TType.I64, 'part_end', None, None, ),  # 4
+)
 all_structs.append(Message)
 Message.thrift_spec = (
     None,  # 0
@@ -4903,6 +5028,7 @@
     (31, TType.STRUCT, 'stream_record', [StreamRecord, None], None, ),  # 31
     (32, TType.STRUCT, 'stream_query', [StreamQuery, None], None, ),  # 32
     (33, TType.STRUCT, 'stream_query_reply', [StreamQueryReply, None], None, ),  # 33
+    (34, TType.STRUCT, 'server_crash', [ServerCrash, None], None, ),  # 34
 )
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
--- a/thrift/dogwoodgap.thrift
+++ b/thrift/dogwoodgap.thrift
@@ -225,6 +225,15 @@
   2: optional string unrecorded_version,
 }
 
+// A process of a backend server crashed while it ran the request with a digest.
+struct ServerCrash {
+  1: string digest,
+  2: string server,
+  3: i64 started_ms,
+  // End of the part of the hash ring that the receiver passes this on to; absent for one receiver.
+  4: optional i64 part_end,
+}
+
 union Message {
   1: Hello hello,
   2: Ping ping,
@@ -259,6 +268,7 @@
   31: StreamRecord stream_record,
   32: StreamQuery stream_query,
   33: StreamQueryReply stream_query_reply,
+  34: ServerCrash server_crash,
 }
 
 struct Envelope {
