Judge crashes of servers by the list of servers, not by one gateway's connections

Callers: a request that crashes servers kept reaching them when the crash was not visible as a connection that breaks and cannot be reopened (a server back at once, silent, behind a partition, or with a caller that had left).

The class of fault: a local observation taken for a fact about the server. A run without a response is now remembered for 10 s; it counts as a crash if the process leaves the list of servers in that time. A refused connection counts only until the list can tell, not once the server responds to this node again, and not while most servers refuse this node. Draining servers do not count.

test_request_is_refused_after_servers_that_restarted_at_once failed before (a third server got the request, 502).

--- a/src/dogwoodgap/events.py
+++ b/src/dogwoodgap/events.py
@@ -131,7 +131,7 @@
     RUNNER_CRASHED = 6005, "A runner crashed with requests in flight."
     DIGEST_SUSPECTED = (
         6006,
-        "A request was in flight when a runner crashed; it runs alone from now on.",
+        "A request was in flight when a server crashed; fields: server and what shows the crash.",
     )
     DIGEST_CLEARED = 6007, "A suspect request completed and is no longer suspect."
     DIGEST_QUARANTINED = 6008, "A request crashed two runners and is refused."
--- a/src/dogwoodgap/forwarder.py
+++ b/src/dogwoodgap/forwarder.py
@@ -94,6 +94,7 @@
         self.loads = selection.LoadTable(data_centre)
         self.loads.limit_per_s = permit_coordinator.limit
         self.loads.available_at = permit_coordinator.available_at
+        crash_tracker.evidence.is_isolated = self.loads.is_isolated
         self.pools: dict[str, upstream.ServerPool] = {}
         self.limiters: dict[str, gate.ConcurrencyLimiter] = {}
         self.server_selector = candidates.ServerSelector(active_routes, server_registry, self.loads)
@@ -338,7 +339,7 @@
             progress.attempt_log.append(f"{server.id}:{result.value}")
             exposition.exchanges.labels(progress.service, result.value).inc()
             if result is progress_module.AttemptResult.DONE:
-                self.crash_tracker.record_success(digest)
+                self.crash_tracker.evidence.clear(digest)
                 return
             if result in (
                 progress_module.AttemptResult.NOT_RUN,
@@ -424,11 +425,14 @@
         state.in_flight += 1
         started_at = clock.now()
         connection: upstream.Connection | None = None
+        is_run_lost = False
         try:
             connection = await pool.acquire(max_idle_s)
             if not self.server_registry.is_usable(server):
                 return progress_module.AttemptResult.NOT_RUN
+            is_run_lost = True
             result = await self.send_and_relay(call, progress, responder, connection)
+            is_run_lost = False
             if result is progress_module.AttemptResult.DONE:
                 state.record_response(clock.now() - started_at)
                 self.loads.record_session(call.session_id, server)
@@ -464,6 +468,8 @@
             return progress_module.AttemptResult.UNKNOWN
         finally:
             state.in_flight -= 1
+            if is_run_lost:
+                self.crash_tracker.evidence.record_lost_run(digest, server)
             if connection is not None:
                 await connection.close()
 
@@ -475,7 +481,7 @@
             connection = await pool.open()
         except upstream.ServerUnreachableError:
             state.record_unreachable(clock.now())
-            self.crash_tracker.record_crash(digest, pool.server)
+            self.crash_tracker.evidence.record_unreachable(digest, pool.server)
             return
         await connection.close()
 
@@ -506,6 +512,7 @@
 
         def on_head(head: upstream.ResponseHead) -> None:
             self.permit_coordinator.observe(connection.server, head.metadata, sent_at)
+            self.crash_tracker.evidence.record_contact(connection.server, sent_at)
             is_stream = progress.route.kind is routes.RouteKind.STREAMING
             if is_stream and head.metadata.signed and progress.required_version is None:
                 self.stream_recorder.record(call, progress.route, connection.server)
--- a/src/dogwoodgap/gateway.py
+++ b/src/dogwoodgap/gateway.py
@@ -101,7 +101,7 @@
         self.removal_follower = removals.RemovalFollower(
             removal_requests, lambda: self.server_follower.rank
         )
-        self.crash_tracker = crashes.CrashTracker()
+        self.crash_tracker = crashes.CrashTracker(self.server_registry)
         self.budget_coordinator = budget_owners.BudgetCoordinator(records)
         self.permit_coordinator = permits.PermitCoordinator()
         self.stream_recorder = stream_owners.StreamRecorder(self.server_registry)
--- a/src/dogwoodgap/selection.py
+++ b/src/dogwoodgap/selection.py
@@ -165,6 +165,11 @@
         """Drop the state of a removed server."""
         self.states.pop(server.id, None)
 
+    def is_isolated(self) -> bool:
+        """Return whether this node cannot connect to most of the servers that it used."""
+        unreachable = sum(state.connect_failures > 0 for state in self.states.values())
+        return 2 * unreachable > len(self.states)
+
     def record_failures(self, server_ids: list[str], now: float) -> None:
         """Record a failure for servers that did not complete a request that another one did."""
         for server_id in server_ids:
--- a/src/dogwoodgap_wire/ttypes.py
+++ b/src/dogwoodgap_wire/ttypes.py
@@ -4009,6 +4009,7 @@
      - server
      - started_ms
      - part_end
+     - ended
 
     """
 
@@ -4017,14 +4018,16 @@
         'server',
         'started_ms',
         'part_end',
+        'ended',
     )
 
 
-    def __init__(self, digest=None, server=None, started_ms=None, part_end=None,):
+    def __init__(self, digest=None, server=None, started_ms=None, part_end=None, ended=None,):
         self.digest = digest
         self.server = server
         self.started_ms = started_ms
         self.part_end = part_end
+        self.ended = ended
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4055,6 +4058,11 @@
                     self.part_end = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.ended = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4081,6 +4089,10 @@
             oprot.writeFieldBegin('part_end', TType.I64, 4)
             oprot.writeI64(self.part_end)
             oprot.writeFieldEnd()
+        if self.ended is not None:
+            oprot.writeFieldBegin('ended', TType.BOOL, 5)
+            oprot.writeBool(self.ended)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4991,6 +5003,7 @@
     (2, TType.STRING, 'server', 'UTF8', None, ),  # 2
     (3, TType.I64, 'started_ms', None, None, ),  # 3
     (4, TType.I64, 'part_end', None, None, ),  # 4
+    (5, TType.BOOL, 'ended', None, None, ),  # 5
 )
 all_structs.append(Message)
 Message.thrift_spec = (
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -263,7 +263,7 @@
         self.server_registry = servers.ServerRegistry(2.0)
         self.records = FakeBudgetRecords()
         self.budget_coordinator = budget_owners.BudgetCoordinator(self.records)
-        self.crash_tracker = crashes.CrashTracker()
+        self.crash_tracker = crashes.CrashTracker(self.server_registry)
         self.permit_coordinator = permits.PermitCoordinator()
         self.forwarder = forwarder.Forwarder(
             self.active_routes,
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -1,92 +1,191 @@
 """Refusal of requests that crash servers, across several nodes."""
 
+import dataclasses
+
 import anyio
 import fake_network
+import pytest
 import virtual_time
 
-from dogwoodgap import broadcast, crashes, servers
-
-SERVER = servers.BackendServer("p1", "plain", "10.1.0.1:80", "d", 4)
-OTHER_SERVER = servers.BackendServer("p2", "plain", "10.1.0.2:80", "d", 4)
-
-
-def test_crashes_are_counted_across_nodes():
+from dogwoodgap import broadcast, crash_evidence, crashes, servers
+
+FIRST, SECOND, THIRD = (
+    servers.BackendServer(f"p{number}", "plain", f"10.1.0.{number}:80", "d", 4, started_ms=1)
+    for number in range(3)
+)
+LISTING_INTERVAL_S = 0.6
+
+
+class Fleet:
+    """Nodes that share crashes and each read the same list of servers."""
+
+    def __init__(self, tasks, count):
+        self.tasks = tasks
+        self.shared_network = fake_network.SharedNetwork()
+        self.all_members = fake_network.static_members(count)
+        self.entries = (FIRST, SECOND, THIRD)
+        self.trackers = {}
+        for member in self.all_members:
+            self.start(member)
+        tasks.start_soon(self.follow)
+
+    def start(self, member):
+        """Start or restart a node."""
+        network = fake_network.FakeNetwork(self.shared_network, member.peer_address)
+        network.hello = member.to_wire
+        joined = fake_network.StaticMembership(member, self.all_members)
+        tracker = crashes.CrashTracker(servers.ServerRegistry(2.0))
+        tracker.start_sharing(network, broadcast.Broadcaster(joined, network, self.tasks))
+        self.trackers[member.node] = tracker
+
+    async def follow(self):
+        """Pass the list of servers to all nodes at intervals."""
+        revision = 0
+        while True:
+            revision += 1
+            for tracker in self.trackers.values():
+                registry = tracker.evidence.server_registry
+                registry.apply(servers.Listing(revision, self.entries))
+            await anyio.sleep(LISTING_INTERVAL_S)
+
+    async def list_servers(self, *entries):
+        """Replace the list of servers, and wait until all nodes have it."""
+        self.entries = entries
+        await anyio.sleep(2 * LISTING_INTERVAL_S)
+
+    def evidence(self, number):
+        """Return the evidence of a node."""
+        return self.trackers[self.all_members[number].node].evidence
+
+    def refusals(self, digest):
+        """Return whether each node refuses a request."""
+        return {tracker.is_refused(digest) for tracker in self.trackers.values()}
+
+
+def with_fleet(count):
+    """Return a decorator that runs a test on a fleet on virtual time."""
+
+    def decorate(body):
+        def wrapper():
+            async def main():
+                async with anyio.create_task_group() as tasks:
+                    fleet = Fleet(tasks, count)
+                    await anyio.sleep(LISTING_INTERVAL_S)
+                    await body(fleet)
+                    tasks.cancel_scope.cancel()
+
+            virtual_time.run(main)
+
+        wrapper.__name__, wrapper.__doc__ = body.__name__, body.__doc__
+        return wrapper
+
+    return decorate
+
+
+@with_fleet(2)
+async def test_crashes_are_counted_across_nodes(fleet):
     """Guards against counts kept per node, which let a request crash two servers per node."""
-
-    async def main():
-        shared_network = fake_network.SharedNetwork()
-        nodes = fake_network.static_members(2)
-        trackers = [crashes.CrashTracker(), crashes.CrashTracker()]
-        async with anyio.create_task_group() as tasks:
-            for node, tracker in zip(nodes, trackers, strict=True):
-                network = fake_network.FakeNetwork(shared_network, node.peer_address)
-                network.hello = node.to_wire
-                joined = fake_network.StaticMembership(node, nodes)
-                tracker.start_sharing(network, broadcast.Broadcaster(joined, network, tasks))
-            trackers[0].record_crash(7, SERVER)
-            await anyio.sleep(0.1)
-            assert not trackers[1].is_refused(7)
-            trackers[1].record_crash(7, OTHER_SERVER)
-            await anyio.sleep(0.1)
-            assert trackers[0].is_refused(7)
-            assert trackers[1].is_refused(7)
-            await anyio.sleep(crashes.REFUSAL_TTL_S + 1)
-            assert not trackers[0].is_refused(7)
-
-    virtual_time.run(main)
-
-
-def test_simultaneous_crashes_at_several_nodes_add_up():
+    fleet.evidence(0).record_unreachable(7, FIRST)
+    await anyio.sleep(0.1)
+    assert fleet.refusals(7) == {False}
+    fleet.evidence(1).record_unreachable(7, SECOND)
+    await anyio.sleep(0.1)
+    assert fleet.refusals(7) == {True}
+    await fleet.list_servers(THIRD)
+    assert fleet.refusals(7) == {True}
+    await anyio.sleep(crash_evidence.REFUSAL_TTL_S + 1)
+    assert fleet.refusals(7) == {False}
+
+
+@with_fleet(3)
+async def test_simultaneous_crashes_at_several_nodes_add_up(fleet):
     """Guards against counts that are merged to the largest one, so that each node allows more."""
+    fleet.evidence(0).record_unreachable(7, FIRST)
+    fleet.evidence(1).record_unreachable(7, SECOND)
+    await anyio.sleep(0.1)
+    assert fleet.refusals(7) == {True}
 
-    async def main():
-        shared_network = fake_network.SharedNetwork()
-        nodes = fake_network.static_members(3)
-        trackers = [crashes.CrashTracker() for _ in nodes]
-        async with anyio.create_task_group() as tasks:
-            for node, tracker in zip(nodes, trackers, strict=True):
-                network = fake_network.FakeNetwork(shared_network, node.peer_address)
-                network.hello = node.to_wire
-                joined = fake_network.StaticMembership(node, nodes)
-                tracker.start_sharing(network, broadcast.Broadcaster(joined, network, tasks))
-            trackers[0].record_crash(7, SERVER)
-            trackers[1].record_crash(7, OTHER_SERVER)
-            await anyio.sleep(0.1)
-            assert [tracker.is_refused(7) for tracker in trackers] == [True] * 3
-
-    virtual_time.run(main)
-
-
-def test_crash_seen_by_several_nodes_counts_once():
-    """Guards against refusing a request for one crash that two nodes report."""
 
-    async def main():
-        shared_network = fake_network.SharedNetwork()
-        nodes = fake_network.static_members(2)
-        trackers = [crashes.CrashTracker() for _ in nodes]
-        async with anyio.create_task_group() as tasks:
-            for node, tracker in zip(nodes, trackers, strict=True):
-                network = fake_network.FakeNetwork(shared_network, node.peer_address)
-                network.hello = node.to_wire
-                joined = fake_network.StaticMembership(node, nodes)
-                tracker.start_sharing(network, broadcast.Broadcaster(joined, network, tasks))
-            trackers[0].record_crash(7, SERVER)
-            await anyio.sleep(0.1)
-            trackers[1].record_crash(7, SERVER)
-            await anyio.sleep(0.1)
-            assert [tracker.is_refused(7) for tracker in trackers] == [False] * 2
-
-    virtual_time.run(main)
-
-
-def test_completed_request_is_cleared():
-    """Guards against refusing a request that was only in flight during the crashes of others."""
+@with_fleet(2)
+async def test_crash_seen_by_several_nodes_counts_once(fleet):
+    """Guards against refusing a request for one crash that two nodes report."""
+    for number in range(2):
+        fleet.evidence(number).record_unreachable(7, FIRST)
+        await anyio.sleep(0.1)
+    assert fleet.refusals(7) == {False}
 
-    async def main():
-        tracker = crashes.CrashTracker()
-        tracker.record_crash(7, SERVER)
-        tracker.record_success(7)
-        tracker.record_crash(7, OTHER_SERVER)
-        assert not tracker.is_refused(7)
 
-    virtual_time.run(main)
+@with_fleet(2)
+async def test_completed_request_is_cleared(fleet):
+    """Guards against refusing a request that was only in flight during the crashes of others."""
+    evidence = fleet.evidence(0)
+    evidence.record_unreachable(7, FIRST)
+    evidence.clear(7)
+    evidence.record_unreachable(7, SECOND)
+    assert not fleet.trackers[fleet.all_members[0].node].is_refused(7)
+
+
+@pytest.mark.parametrize("restarts", [False, True])
+def test_crash_of_a_server_that_is_silent_or_back_at_once_counts(restarts):
+    """Guards against crashes that go unnoticed since a new connection does not fail."""
+
+    @with_fleet(3)
+    async def play(fleet):
+        fleet.evidence(0).record_lost_run(7, FIRST)
+        fleet.evidence(1).record_lost_run(7, SECOND)
+        await anyio.sleep(1.0)
+        assert fleet.refusals(7) == {False}
+        restarted = [dataclasses.replace(server, started_ms=2) for server in (FIRST, SECOND)]
+        await fleet.list_servers(THIRD, *(restarted if restarts else []))
+        assert fleet.refusals(7) == {True}
+
+    play()
+
+
+@with_fleet(2)
+async def test_run_that_is_lost_after_the_end_of_its_server_counts(fleet):
+    """Guards against crashes that are missed since a silent connection is given up late."""
+    await fleet.list_servers(THIRD)
+    fleet.evidence(0).record_lost_run(7, FIRST)
+    fleet.evidence(0).record_lost_run(7, SECOND)
+    await anyio.sleep(0.1)
+    assert fleet.refusals(7) == {True}
+
+
+@with_fleet(2)
+async def test_lost_runs_at_living_or_draining_servers_are_no_crashes(fleet):
+    """Guards against refusing requests for lost responses and planned ends of servers."""
+    fleet.evidence(0).record_lost_run(7, FIRST)
+    draining = [dataclasses.replace(server, draining=True) for server in (SECOND, THIRD)]
+    await fleet.list_servers(FIRST, *draining)
+    for server in draining:
+        fleet.evidence(0).record_lost_run(8, server)
+    await fleet.list_servers(FIRST)
+    await anyio.sleep(crash_evidence.DETECTION_S)
+    await fleet.list_servers()
+    assert fleet.refusals(7) == fleet.refusals(8) == {False}
+
+
+@with_fleet(2)
+async def test_server_that_responds_again_did_not_crash(fleet):
+    """Guards against refusals fleet-wide after one node lost its path to living servers."""
+    for server in (FIRST, SECOND):
+        fleet.evidence(0).record_unreachable(7, server)
+    await anyio.sleep(0.1)
+    assert fleet.refusals(7) == {True}
+    fleet.evidence(1).record_contact(FIRST, anyio.current_time())
+    assert not fleet.trackers[fleet.all_members[1].node].is_refused(7)
+    await anyio.sleep(crash_evidence.DETECTION_S)
+    assert fleet.refusals(7) == {False}
+
+
+@with_fleet(2)
+async def test_isolated_node_reports_no_crashes(fleet):
+    """Guards against a node without a path to the servers that takes all of them for crashed."""
+    evidence = fleet.evidence(0)
+    evidence.record_unreachable(7, FIRST)
+    evidence.is_isolated = lambda: True
+    evidence.record_unreachable(7, SECOND)
+    evidence.record_unreachable(7, THIRD)
+    await anyio.sleep(0.1)
+    assert fleet.refusals(7) == {False}
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -630,7 +630,7 @@
             assert (await gateways.send_once(harness, "GET", "/read/bad")).status == 200
             for started_ms in (1, 2):
                 server = backends[0].entry(started_ms=started_ms)
-                harness.crash_tracker.record_crash(digests[0], server)
+                harness.crash_tracker.evidence.record_unreachable(digests[0], server)
             response = await gateways.send_once(harness, "GET", "/read/bad")
             assert response.status == 503
             assert (await gateways.send_once(harness, "GET", "/read/good")).status == 200
@@ -639,6 +639,43 @@
     run(main)
 
 
+def test_request_is_refused_after_servers_that_restarted_at_once():
+    """Guards against endless crashes of servers that accept connections again at once."""
+
+    async def main():
+        backend = plain("p1", close_without_response)
+        async with gateways.running(backend) as harness:
+            for started_ms in (1, 2, 3):
+                harness.list_servers(started_ms=started_ms)
+                response = await gateways.send_once(harness, "POST", "/act/bad", b"pay")
+            assert response.status == 503
+        assert len(backend.received) == 2
+
+    run(main)
+
+
+def test_lost_runs_are_recorded_for_crash_detection():
+    """Guards against crashes under requests whose callers leave or whose server stays silent."""
+
+    async def main():
+        backends = [plain("p1", never_respond), plain("p2", never_respond)]
+        async with gateways.running(*backends) as harness:
+            async with gateways.caller(harness) as connection:
+                await connection.send("POST", "/act/x", b"pay")
+                await anyio.sleep(0.1)
+            await gateways.send_once(harness, "GET", "/read/x")
+            for _ in range(100):
+                if harness.forwarder.active == 0:
+                    break
+                await anyio.sleep(0.01)
+            digests = {digest for digest, _ in harness.crash_tracker.evidence.lost_runs}
+            processes = [process for _, process in harness.crash_tracker.evidence.lost_runs]
+        assert len(digests) == 2
+        assert len(processes) == 3
+
+    run(main)
+
+
 @pytest.mark.parametrize(
     ("data", "status"),
     [
--- a/thrift/dogwoodgap.thrift
+++ b/thrift/dogwoodgap.thrift
@@ -225,13 +225,15 @@
   2: optional string unrecorded_version,
 }
 
-// A process of a backend server crashed while it ran the request with a digest.
+// A process of a backend server crashed while it ran the request with a digest. Unless it has ended,
+// the sender only failed to reach it.
 struct ServerCrash {
   1: string digest,
   2: string server,
   3: i64 started_ms,
   // End of the part of the hash ring that the receiver passes this on to; absent for one receiver.
   4: optional i64 part_end,
+  5: bool ended,
 }
 
 union Message {
