Let crashes of servers outlive the gateways that saw them

A restarted gateway knew of no crashes and was told of none, and merging the crashes that it saw itself gave it no others, so each restart let a request crash two more servers; a power loss of all gateways made everything forgotten.

A starting gateway fetches the confirmed crashes of one member, and reads those in the platform's store in the background until it responds. The nodes that found a crash store the request once two of its servers have ended, one write for a request of which there are few; records expire with the refusal and are deleted. Weighed: a write for each suspicion, which a partition would multiply, and reading the store only if no member responds, which is the case after a loss of all.

The restart tests need the new interface; before, a new tracker was empty.

--- a/src/dogwoodgap/crash_evidence.py
+++ b/src/dogwoodgap/crash_evidence.py
@@ -63,6 +63,8 @@
         does not show that a server crashed.
     on_crash : callable
         Called with the digest, the process and whether it ended, for each crash found here.
+    on_end : callable
+        Called with the digest of a request found here when another process is known to have ended.
     """
 
     def __init__(self, server_registry: servers.ServerRegistry):
@@ -80,6 +82,8 @@
         self.on_crash: collections.abc.Callable[[int, servers.ProcessKey, bool], None] = (
             lambda *args: None
         )
+        self.on_end: collections.abc.Callable[[int], None] = lambda digest: None
+        self.found: cachetools.LRUCache[int, bool] = cachetools.LRUCache(MAX_DIGESTS)
         server_registry.removal_hooks.append(self.record_end)
 
     def record_contact(self, server: servers.BackendServer, sent_at: float) -> None:
@@ -108,28 +112,39 @@
         for digest, process in lost:
             if self.lost_runs.pop((digest, process)) >= since:
                 self.report(digest, process, ended=True)
-        for suspicions in self.records.values():
+        for digest, suspicions in self.records.items():
             suspicion = suspicions.get(server.process)
-            if suspicion is not None and suspicion.at >= since:
+            if suspicion is not None and not suspicion.ended and suspicion.at >= since:
                 suspicion.ended = True
+                self.notify_end(digest)
 
     def report(self, digest: int, process: servers.ProcessKey, *, ended: bool) -> None:
         """Add a crash that was found here, and tell of it if it is news."""
+        self.found[digest] = True
         if self.add(digest, process, ended=ended):
             self.on_crash(digest, process, ended)
 
-    def add(self, digest: int, process: servers.ProcessKey, *, ended: bool) -> bool:
+    def add(
+        self, digest: int, process: servers.ProcessKey, *, ended: bool, age_s: float = 0.0
+    ) -> bool:
         """Add a crash found on this or another node; return whether it is news."""
         suspicions = self.records.pop(digest, None)
         self.records[digest] = suspicions = {} if suspicions is None else suspicions
         known = suspicions.get(process)
         if known is not None and (known.ended or not ended):
             return False
-        suspicions[process] = Suspicion(clock.now(), ended)
+        suspicions[process] = Suspicion(clock.now() - age_s, ended)
+        if ended:
+            self.notify_end(digest)
         while len(self.records) > MAX_DIGESTS:
             self.evict()
         return True
 
+    def notify_end(self, digest: int) -> None:
+        """Call the hook if the request was found here, so that few nodes act on it."""
+        if digest in self.found:
+            self.on_end(digest)
+
     def evict(self) -> None:
         """Drop the oldest record, preferably one of suspicions that were not confirmed."""
         unconfirmed = (
@@ -139,6 +154,11 @@
         )
         del self.records[next(unconfirmed, next(iter(self.records)))]
 
+    def ended_processes(self, digest: int) -> list[servers.ProcessKey]:
+        """Return the processes that crashed under a request and have left the list of servers."""
+        suspicions = self.records.get(digest, {})
+        return [process for process, suspicion in suspicions.items() if suspicion.ended]
+
     def clear(self, digest: int) -> None:
         """Drop the suspicions against a request that a server has completed."""
         self.records.pop(digest, None)
--- a/src/dogwoodgap/crashes.py
+++ b/src/dogwoodgap/crashes.py
@@ -4,7 +4,6 @@
 stays the same. Crashes are passed on to all nodes.
 """
 
-import collections.abc
 import logging
 
 import xxhash
@@ -12,16 +11,20 @@
 from dogwoodgap import (
     broadcast,
     crash_evidence,
+    crash_records,
     dialect,
     events,
     exceptions,
     members,
+    membership,
     peers,
     servers,
+    source,
 )
 from dogwoodgap_wire import ttypes
 
 RETRY_AFTER_S = 2.0
+FETCH_TIMEOUT_S = 0.3
 
 
 class CrashTracker:
@@ -31,12 +34,18 @@
     ----------
     server_registry : servers.ServerRegistry
         Registered backend servers.
+    records : source.CrashRecords
+        Records in the platform's store.
     """
 
-    def __init__(self, server_registry: servers.ServerRegistry):
+    def __init__(self, server_registry: servers.ServerRegistry, records: source.CrashRecords):
         self.evidence = crash_evidence.EvidenceTable(server_registry)
         self.evidence.on_crash = self.announce
-        self.crash_hooks: list[collections.abc.Callable[[int, servers.ProcessKey, bool], None]] = []
+        self.recorder = crash_records.CrashRecorder(records, self.evidence)
+        self.evidence.on_end = self.recorder.request_store
+        self.membership: membership.Membership | None = None
+        self.network: peers.Network | None = None
+        self.broadcaster: broadcast.Broadcaster | None = None
 
     def digest(self, call: dialect.Call) -> int:
         """Return the digest of the parts of a request that stay the same when it is resent."""
@@ -58,36 +67,85 @@
             started_ms=process[1],
             process_ended=ended,
         )
-        for hook in self.crash_hooks:
-            hook(digest, process, ended)
-
-    def start_sharing(self, network: peers.Network, broadcaster: broadcast.Broadcaster) -> None:
-        """Start to pass crashes on to other nodes and to merge theirs."""
-
-        def notify_others(
-            digest: int, process: servers.ProcessKey, ended: bool, part_end: int | None = None
-        ) -> None:
-            async def deliver(member: members.Member, end: int) -> None:
-                message = to_wire(digest, process, ended)
-                message.part_end = end
-                try:
-                    await broadcaster.request(member, message)
-                except exceptions.PeerError as error:
-                    log_report_failure(member, digest, error)
-                    raise
-
-            broadcaster.start(deliver, part_end)
-
-        async def on_crash(sender: ttypes.Member, message: ttypes.ServerCrash) -> ttypes.Ack:
-            digest, process = int(message.digest, 16), (message.server, message.started_ms or 0)
-            ended = bool(message.ended)
-            is_news = self.evidence.add(digest, process, ended=ended)
-            if is_news and message.part_end is not None:
-                notify_others(digest, process, ended, message.part_end)
-            return ttypes.Ack(ok=True)
-
-        self.crash_hooks.append(notify_others)
-        network.handlers.register(ttypes.ServerCrash, on_crash)
+        self.pass_on(digest, process, ended)
+
+    def join(
+        self,
+        joined: membership.Membership,
+        network: peers.Network,
+        broadcaster: broadcast.Broadcaster,
+    ) -> None:
+        """Start to exchange crashes with the members of a fleet."""
+        self.membership = joined
+        self.network = network
+        self.broadcaster = broadcaster
+        self.recorder.is_cleaner = lambda: joined.table.alive()[:1] == [joined.table.local]
+        network.handlers.register(ttypes.ServerCrash, self.on_server_crash)
+        network.handlers.register(ttypes.CrashFetch, self.on_fetch)
+
+    def pass_on(
+        self, digest: int, process: servers.ProcessKey, ended: bool, part_end: int | None = None
+    ) -> None:
+        """Pass a crash on to the members of a part of the ring."""
+        if self.broadcaster is None:
+            return
+
+        async def deliver(member: members.Member, end: int) -> None:
+            message = to_wire(digest, process, ended)
+            message.part_end = end
+            try:
+                await self.broadcaster.request(member, message)
+            except exceptions.PeerError as error:
+                log_report_failure(member, digest, error)
+                raise
+
+        self.broadcaster.start(deliver, part_end)
+
+    async def on_server_crash(
+        self, sender: ttypes.Member, message: ttypes.ServerCrash
+    ) -> ttypes.Ack:
+        """Handle a crash passed on by another node."""
+        if self.apply_message(message) and message.part_end is not None:
+            process = (message.server, message.started_ms or 0)
+            self.pass_on(int(message.digest, 16), process, bool(message.ended), message.part_end)
+        return ttypes.Ack(ok=True)
+
+    def apply_message(self, message: ttypes.ServerCrash) -> bool:
+        """Add a crash known to another node; return whether it is news."""
+        process = (message.server, message.started_ms or 0)
+        return self.evidence.add(int(message.digest, 16), process, ended=bool(message.ended))
+
+    async def on_fetch(
+        self, sender: ttypes.Member, message: ttypes.CrashFetch
+    ) -> ttypes.CrashFetchReply:
+        """Handle the request of a starting node."""
+        return ttypes.CrashFetchReply(
+            crashes=[
+                to_wire(digest, process, True)
+                for digest in self.evidence.records
+                for process in self.evidence.ended_processes(digest)
+            ]
+        )
+
+    async def load(self) -> None:
+        """Learn the crashes from before the start of this process, from a node and the store."""
+        for member in self.membership.table.alive():
+            if member is self.membership.table.local:
+                continue
+            try:
+                reply = await self.network.request(
+                    member.peer_address,
+                    ttypes.CrashFetch(),
+                    ttypes.CrashFetchReply,
+                    timeout_s=FETCH_TIMEOUT_S,
+                )
+            except exceptions.PeerError as error:
+                log_fetch_failure(member, error)
+                continue
+            for crash in reply.message.crashes or []:
+                self.apply_message(crash)
+            break
+        await self.recorder.load()
 
     def is_refused(self, digest: int) -> bool:
         """Return whether a request has to be refused."""
@@ -112,3 +170,13 @@
         digest=f"{digest:016x}",
         detail=error.detail,
     )
+
+
+def log_fetch_failure(member: members.Member, error: exceptions.PeerError) -> None:
+    """Log that the crashes known to a node could not be fetched; the next one is asked."""
+    events.emit(
+        events.Event.SUSPECT_REPORT_FAILED,
+        "failed to fetch the crashes known to another node",
+        node=member.node,
+        detail=error.detail,
+    )
--- a/src/dogwoodgap/events.py
+++ b/src/dogwoodgap/events.py
@@ -124,6 +124,7 @@
         "The software version of a stream could not be recorded at another node or fetched.",
     )
     STREAM_NOT_RESUMED = 5025, "A caller resumes a stream whose software version is not known."
+    CRASH_UNRECORDED = 5026, "A call to the store for the records of crashes failed."
     RUNNER_LEAVING = 6001, "A runner is leaving and gets no new work."
     RUNNER_RETURNED = 6002, "A runner accepts work again."
     RUNNER_DOWN = 6003, "A new connection to a runner failed; it gets no work until it answers."
--- a/src/dogwoodgap/file_source.py
+++ b/src/dogwoodgap/file_source.py
@@ -183,6 +183,27 @@
         self.records.pop(program, None)
 
 
+class InMemoryCrashRecords:
+    """Implements :class:`dogwoodgap.source.CrashRecords` in memory, for a single gateway."""
+
+    def __init__(self) -> None:
+        self.by_digest: dict[int, source.CrashRecord] = {}
+
+    async def create(self, record: source.CrashRecord) -> None:
+        """Store a record unless its digest is stored already."""
+        if record.digest in self.by_digest:
+            raise exceptions.VersionConflictError("the request is stored already")
+        self.by_digest[record.digest] = record
+
+    async def list(self) -> list[source.CrashRecord]:
+        """Return all records."""
+        return list(self.by_digest.values())
+
+    async def delete(self, digest: int) -> None:
+        """Delete a record; a missing record is not an error."""
+        self.by_digest.pop(digest, None)
+
+
 class NoRemovals:
     """Implements :class:`dogwoodgap.source.Removals` without any requests."""
 
--- a/src/dogwoodgap/gateway.py
+++ b/src/dogwoodgap/gateway.py
@@ -76,6 +76,8 @@
         Reads routes and backend servers.
     records : source.BudgetRecords
         Token budget records in the platform's store.
+    crash_records : source.CrashRecords
+        Records of requests that crash servers, in the platform's store.
     removal_requests : source.Removals
         Removal requests for storage VMs.
     header_codec : dialect.HeaderCodec
@@ -87,6 +89,7 @@
         gateway_settings: settings.GatewaySettings,
         store: source.FleetSource,
         records: source.BudgetRecords,
+        crash_records: source.CrashRecords,
         removal_requests: source.Removals,
         header_codec: dialect.HeaderCodec,
     ):
@@ -101,7 +104,7 @@
         self.removal_follower = removals.RemovalFollower(
             removal_requests, lambda: self.server_follower.rank
         )
-        self.crash_tracker = crashes.CrashTracker(self.server_registry)
+        self.crash_tracker = crashes.CrashTracker(self.server_registry, crash_records)
         self.budget_coordinator = budget_owners.BudgetCoordinator(records)
         self.permit_coordinator = permits.PermitCoordinator()
         self.stream_recorder = stream_owners.StreamRecorder(self.server_registry)
@@ -206,7 +209,7 @@
         self.budget_coordinator.join(joined, network, tasks)
         broadcaster = broadcast.Broadcaster(joined, network, tasks)
         self.server_follower.join(joined, network, broadcaster)
-        self.crash_tracker.start_sharing(network, broadcaster)
+        self.crash_tracker.join(joined, network, broadcaster)
         self.permit_coordinator.join(joined, network, broadcaster)
         self.stream_recorder.join(joined, network, tasks)
         if self.settings.gateway.first_start:
@@ -220,6 +223,9 @@
         await self.budget_coordinator.fetch_losses()
         await self.permit_coordinator.fetch_limits()
         self.membership = joined
+        tasks.start_soon(self.crash_tracker.recorder.run)
+        if not self.settings.gateway.first_start:
+            tasks.start_soon(self.crash_tracker.load)
         tasks.start_soon(self.budget_coordinator.run)
         tasks.start_soon(self.removal_follower.run)
 
--- a/src/dogwoodgap/gateway_cli.py
+++ b/src/dogwoodgap/gateway_cli.py
@@ -41,6 +41,7 @@
         loaded,
         file_source.FileSource(fleet),
         file_source.InMemoryBudgetRecords(),
+        file_source.InMemoryCrashRecords(),
         file_source.NoRemovals(),
         dialect.HeaderCodec(),
     )
--- a/src/dogwoodgap/source.py
+++ b/src/dogwoodgap/source.py
@@ -69,6 +69,36 @@
         """Delete the record of a program; a missing record is not an error."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashRecord:
+    """A request that crashed backend servers.
+
+    Attributes
+    ----------
+    processes : tuple of ProcessKey
+        The server processes that crashed.
+    crashed_at : float
+        Wall time of the last crash, in seconds since the Unix epoch.
+    """
+
+    digest: int
+    processes: tuple[servers.ProcessKey, ...]
+    crashed_at: float
+
+
+class CrashRecords(typing.Protocol):
+    """Stores requests that crash servers; methods may raise ``StoreError``."""
+
+    async def create(self, record: CrashRecord) -> None:
+        """Store a record; raises ``VersionConflictError`` if its digest is stored already."""
+
+    async def list(self) -> list[CrashRecord]:
+        """Return all records."""
+
+    async def delete(self, digest: int) -> None:
+        """Delete a record; a missing record is not an error."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RemovalRequest:
     """An operator's request to prepare a storage VM for removal."""
--- a/src/dogwoodgap_lab/gateway_demo.py
+++ b/src/dogwoodgap_lab/gateway_demo.py
@@ -72,6 +72,7 @@
             gateway_settings,
             file_source.FileSource(path),
             file_source.InMemoryBudgetRecords(),
+            file_source.InMemoryCrashRecords(),
             file_source.NoRemovals(),
             dialect.HeaderCodec(),
         )
--- a/src/dogwoodgap_lab/gateway_scale.py
+++ b/src/dogwoodgap_lab/gateway_scale.py
@@ -234,6 +234,7 @@
                     self.load_settings(),
                     self.fleet.store,
                     self.fleet.records,
+                    self.fleet.crash_records,
                     file_source.NoRemovals(),
                     dialect.HeaderCodec(),
                 )
@@ -332,6 +333,7 @@
         self.links = Links()
         self.store = SimulatedStore(ENGINES)
         self.records = file_source.InMemoryBudgetRecords()
+        self.crash_records = file_source.InMemoryCrashRecords()
         self.route = routes.Route(
             "turn",
             "h",
--- a/src/dogwoodgap_wire/ttypes.py
+++ b/src/dogwoodgap_wire/ttypes.py
@@ -4118,6 +4118,133 @@
         return not (self == other)
 
 
+class CrashFetch(object):
+
+    __slots__ = (
+    )
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CrashFetch')
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CrashFetchReply(object):
+    """
+    Attributes:
+     - crashes
+
+    """
+
+    __slots__ = (
+        'crashes',
+    )
+
+
+    def __init__(self, crashes=None,):
+        self.crashes = crashes
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.crashes = []
+                    (_etype103, _size100) = iprot.readListBegin()
+                    for _i104 in range(_size100):
+                        _elem105 = ServerCrash()
+                        _elem105.read(iprot)
+                        self.crashes.append(_elem105)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CrashFetchReply')
+        if self.crashes is not None:
+            oprot.writeFieldBegin('crashes', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.crashes))
+            for iter106 in self.crashes:
+                iter106.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Message(object):
     """
     Attributes:
@@ -4155,6 +4282,8 @@
      - stream_query
      - stream_query_reply
      - server_crash
+     - crash_fetch
+     - crash_fetch_reply
 
     """
 
@@ -4193,10 +4322,12 @@
         'stream_query',
         'stream_query_reply',
         'server_crash',
+        'crash_fetch',
+        'crash_fetch_reply',
     )
 
 
-    def __init__(self, hello=None, ping=None, ping_reply=None, probe_request=None, probe_reply=None, configuration_fetch=None, configuration_reply=None, share_request=None, share_reply=None, suspect_notice=None, runner_notice=None, ack=None, member_fetch=None, member_reply=None, heartbeat=None, token_reserve=None, token_reserve_reply=None, token_settle=None, token_transfer=None, server_listing=None, token_fetch=None, token_fetch_reply=None, fleet_fetch=None, fleet_fetch_reply=None, token_records=None, server_limit=None, server_limit_fetch=None, server_limit_fetch_reply=None, permit_request=None, permit_reply=None, stream_record=None, stream_query=None, stream_query_reply=None, server_crash=None,):
+    def __init__(self, hello=None, ping=None, ping_reply=None, probe_request=None, probe_reply=None, configuration_fetch=None, configuration_reply=None, share_request=None, share_reply=None, suspect_notice=None, runner_notice=None, ack=None, member_fetch=None, member_reply=None, heartbeat=None, token_reserve=None, token_reserve_reply=None, token_settle=None, token_transfer=None, server_listing=None, token_fetch=None, token_fetch_reply=None, fleet_fetch=None, fleet_fetch_reply=None, token_records=None, server_limit=None, server_limit_fetch=None, server_limit_fetch_reply=None, permit_request=None, permit_reply=None, stream_record=None, stream_query=None, stream_query_reply=None, server_crash=None, crash_fetch=None, crash_fetch_reply=None,):
         self.hello = hello
         self.ping = ping
         self.ping_reply = ping_reply
@@ -4231,6 +4362,8 @@
         self.stream_query = stream_query
         self.stream_query_reply = stream_query_reply
         self.server_crash = server_crash
+        self.crash_fetch = crash_fetch
+        self.crash_fetch_reply = crash_fetch_reply
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4445,6 +4578,18 @@
                     self.server_crash.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 35:
+                if ftype == TType.STRUCT:
+                    self.crash_fetch = CrashFetch()
+                    self.crash_fetch.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 36:
+                if ftype == TType.STRUCT:
+                    self.crash_fetch_reply = CrashFetchReply()
+                    self.crash_fetch_reply.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4591,6 +4736,14 @@
             oprot.writeFieldBegin('server_crash', TType.STRUCT, 34)
             self.server_crash.write(oprot)
             oprot.writeFieldEnd()
+        if self.crash_fetch is not None:
+            oprot.writeFieldBegin('crash_fetch', TType.STRUCT, 35)
+            self.crash_fetch.write(oprot)
+            oprot.writeFieldEnd()
+        if self.crash_fetch_reply is not None:
+            oprot.writeFieldBegin('crash_fetch_reply', TType.STRUCT, 36)
+            self.crash_fetch_reply.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5005,6 +5158,14 @@
     (4, TType.I64, 'part_end', None, None, ),  # 4
     (5, TType.BOOL, 'ended', None, None, ),  # 5
 )
+all_structs.append(CrashFetch)
+CrashFetch.thrift_spec = (
+)
+all_structs.append(CrashFetchReply)
+CrashFetchReply.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'crashes', (TType.STRUCT, [ServerCrash, None], False), None, ),  # 1
+)
 all_structs.append(Message)
 Message.thrift_spec = (
     None,  # 0
@@ -5042,6 +5203,8 @@
     (32, TType.STRUCT, 'stream_query', [StreamQuery, None], None, ),  # 32
     (33, TType.STRUCT, 'stream_query_reply', [StreamQueryReply, None], None, ),  # 33
     (34, TType.STRUCT, 'server_crash', [ServerCrash, None], None, ),  # 34
+    (35, TType.STRUCT, 'crash_fetch', [CrashFetch, None], None, ),  # 35
+    (36, TType.STRUCT, 'crash_fetch_reply', [CrashFetchReply, None], None, ),  # 36
 )
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -14,6 +14,7 @@
     crashes,
     dialect,
     exceptions,
+    file_source,
     forwarder,
     ingress,
     permits,
@@ -68,6 +69,34 @@
         self.by_program.pop(program, None)
 
 
+class FakeCrashRecords(file_source.InMemoryCrashRecords):
+    """Crash records in memory; while ``down`` is set, all calls fail."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.down = False
+
+    def check(self) -> None:
+        """Raise an error while the store is down."""
+        if self.down:
+            raise exceptions.StoreUnavailableError("the store is down")
+
+    async def create(self, record: source.CrashRecord) -> None:
+        """Store a record unless its digest is stored already."""
+        self.check()
+        await super().create(record)
+
+    async def list(self) -> list[source.CrashRecord]:
+        """Return all records."""
+        self.check()
+        return await super().list()
+
+    async def delete(self, digest: int) -> None:
+        """Delete a record."""
+        self.check()
+        await super().delete(digest)
+
+
 @dataclasses.dataclass(slots=True)
 class ReceivedRequest:
     """One request as received by a backend server."""
@@ -263,7 +292,7 @@
         self.server_registry = servers.ServerRegistry(2.0)
         self.records = FakeBudgetRecords()
         self.budget_coordinator = budget_owners.BudgetCoordinator(self.records)
-        self.crash_tracker = crashes.CrashTracker(self.server_registry)
+        self.crash_tracker = crashes.CrashTracker(self.server_registry, FakeCrashRecords())
         self.permit_coordinator = permits.PermitCoordinator()
         self.forwarder = forwarder.Forwarder(
             self.active_routes,
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -4,10 +4,11 @@
 
 import anyio
 import fake_network
+import gateways
 import pytest
 import virtual_time
 
-from dogwoodgap import broadcast, crash_evidence, crashes, servers
+from dogwoodgap import broadcast, crash_evidence, crash_records, crashes, servers
 
 FIRST, SECOND, THIRD = (
     servers.BackendServer(f"p{number}", "plain", f"10.1.0.{number}:80", "d", 4, started_ms=1)
@@ -22,6 +23,7 @@
     def __init__(self, tasks, count):
         self.tasks = tasks
         self.shared_network = fake_network.SharedNetwork()
+        self.records = gateways.FakeCrashRecords()
         self.all_members = fake_network.static_members(count)
         self.entries = (FIRST, SECOND, THIRD)
         self.trackers = {}
@@ -29,13 +31,23 @@
             self.start(member)
         tasks.start_soon(self.follow)
 
+    async def restart(self, *restarted):
+        """Restart nodes at the same moment, and wait until they know the servers."""
+        for member in restarted:
+            self.start(member)
+        await anyio.sleep(LISTING_INTERVAL_S)
+        for member in restarted:
+            self.tasks.start_soon(self.trackers[member.node].load)
+        await anyio.sleep(LISTING_INTERVAL_S)
+
     def start(self, member):
         """Start or restart a node."""
         network = fake_network.FakeNetwork(self.shared_network, member.peer_address)
         network.hello = member.to_wire
         joined = fake_network.StaticMembership(member, self.all_members)
-        tracker = crashes.CrashTracker(servers.ServerRegistry(2.0))
-        tracker.start_sharing(network, broadcast.Broadcaster(joined, network, self.tasks))
+        tracker = crashes.CrashTracker(servers.ServerRegistry(2.0), self.records)
+        tracker.join(joined, network, broadcast.Broadcaster(joined, network, self.tasks))
+        self.tasks.start_soon(tracker.recorder.run)
         self.trackers[member.node] = tracker
 
     async def follow(self):
@@ -57,6 +69,13 @@
         """Return the evidence of a node."""
         return self.trackers[self.all_members[number].node].evidence
 
+    async def crash(self, digest, *crashed):
+        """Let servers crash under a request, each at another node, and leave the list."""
+        for number, server in enumerate(crashed):
+            self.evidence(number).record_unreachable(digest, server)
+            self.evidence(number).record_lost_run(digest, server)
+        await self.list_servers(*(entry for entry in self.entries if entry not in crashed))
+
     def refusals(self, digest):
         """Return whether each node refuses a request."""
         return {tracker.is_refused(digest) for tracker in self.trackers.values()}
@@ -179,6 +198,50 @@
     assert fleet.refusals(7) == {False}
 
 
+@with_fleet(7)
+async def test_crashes_outlive_rolling_restarts(fleet):
+    """Guards against restarted nodes that let a request crash two more servers each."""
+    await fleet.crash(7, FIRST, SECOND)
+    for member in fleet.all_members:
+        await fleet.restart(member)
+        assert fleet.refusals(7) == {True}
+
+
+@with_fleet(7)
+async def test_crashes_outlive_a_restart_of_all_nodes(fleet):
+    """Guards against a power loss of all nodes after which a request crashes servers again."""
+    await fleet.crash(7, FIRST, SECOND)
+    await fleet.restart(*fleet.all_members)
+    assert fleet.refusals(7) == {True}
+    await anyio.sleep(crash_evidence.REFUSAL_TTL_S + 1)
+    assert fleet.refusals(7) == {False}
+    await anyio.sleep(crash_records.SWEEP_INTERVAL_S)
+    assert not fleet.records.by_digest
+
+
+@with_fleet(3)
+async def test_crashes_are_stored_and_loaded_after_an_outage_of_the_store(fleet):
+    """Guards against crashes that are forgotten because the store was away at the time."""
+    fleet.records.down = True
+    await fleet.crash(7, FIRST, SECOND)
+    fleet.records.down = False
+    await anyio.sleep(2 * crash_records.STORE_RETRY_S)
+    fleet.records.down = True
+    await fleet.restart(*fleet.all_members)
+    fleet.records.down = False
+    await anyio.sleep(2 * crash_records.STORE_RETRY_S)
+    assert fleet.refusals(7) == {True}
+
+
+@with_fleet(3)
+async def test_suspicions_alone_are_not_stored(fleet):
+    """Guards against writes to the store for each lost connection."""
+    for server in (FIRST, SECOND):
+        fleet.evidence(0).record_unreachable(7, server)
+    await anyio.sleep(crash_evidence.DETECTION_S)
+    assert not fleet.records.by_digest
+
+
 @with_fleet(2)
 async def test_isolated_node_reports_no_crashes(fleet):
     """Guards against a node without a path to the servers that takes all of them for crashed."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -195,6 +195,24 @@
     run(main)
 
 
+def test_crash_records_survive_in_the_store():
+    """Guards against crashes that all nodes forget when they lose power at once."""
+
+    async def main():
+        async with running_store() as (_, client):
+            adapter = records.PlatformCrashRecords(client)
+            record = source.CrashRecord(1 << 63, (("s1", 5), ("s2", 6)), 7.5)
+            await adapter.create(record)
+            with pytest.raises(exceptions.VersionConflictError):
+                await adapter.create(record)
+            assert await adapter.list() == [record]
+            await adapter.delete(record.digest)
+            await adapter.delete(record.digest)
+            assert await adapter.list() == []
+
+    run(main)
+
+
 def test_removal_requests_are_completed():
     """Guards against an operator waiting for the removal of a VM that stores nothing."""
 
@@ -239,6 +257,7 @@
             self.settings,
             fleet.PlatformSource(client),
             records.PlatformBudgetRecords(client),
+            records.PlatformCrashRecords(client),
             removals.PlatformRemovals(client),
             dialect.HeaderCodec(names.HEADERS),
         )
--- a/thrift/dogwoodgap.thrift
+++ b/thrift/dogwoodgap.thrift
@@ -236,6 +236,10 @@
   5: bool ended,
 }
 
+// Requests the crashes that the receiver knows to have ended processes.
+struct CrashFetch {}
+struct CrashFetchReply { 1: list<ServerCrash> crashes }
+
 union Message {
   1: Hello hello,
   2: Ping ping,
@@ -271,6 +275,8 @@
   32: StreamQuery stream_query,
   33: StreamQueryReply stream_query_reply,
   34: ServerCrash server_crash,
+  35: CrashFetch crash_fetch,
+  36: CrashFetchReply crash_fetch_reply,
 }
 
 struct Envelope {
