Check before each attempt whether a request crashes servers

A request was checked once, when it arrived. While it waited for admission or was retried, it reached servers although other gateways refused it already.

--- a/src/dogwoodgap/forwarder.py
+++ b/src/dogwoodgap/forwarder.py
@@ -202,11 +202,7 @@
         """Forward a request within its deadline and its program's token budget."""
         route = progress.route
         digest = self.crash_tracker.digest(call)
-        if self.crash_tracker.is_refused(digest):
-            raise exceptions.OverloadedError(
-                "this request crashed the servers that ran it; do not retry it",
-                retry_after_s=crashes.RETRY_AFTER_S,
-            )
+        self.refuse_crashing(digest, progress, responder)
         has_budget = route.kind is routes.RouteKind.STREAMING and call.token_budget is not None
         is_reserved = False
         try:
@@ -225,6 +221,18 @@
                 tokens_per_event = engine.tokens_per_event if engine else 1
                 self.budget_coordinator.settle(call, progress.events * tokens_per_event)
 
+    def refuse_crashing(
+        self, digest: int, progress: progress_module.Progress, responder: ingress.Responder
+    ) -> None:
+        """Raise the error for a request that has crashed too many servers, on any node."""
+        if self.crash_tracker.is_refused(digest):
+            self.raise_failure(
+                progress,
+                responder,
+                "this request crashed the servers that ran it",
+                crashes.RETRY_AFTER_S,
+            )
+
     async def require_version(self, call: dialect.Call, progress: progress_module.Progress) -> None:
         """Restrict a stream that a caller resumes to the software version that began it.
 
@@ -335,6 +343,7 @@
         budget.record_request()
         while True:
             server = await self.permitted_server(call, progress, responder)
+            self.refuse_crashing(digest, progress, responder)
             result = await self.try_server(call, progress, responder, server, digest)
             progress.attempt_log.append(f"{server.id}:{result.value}")
             exposition.exchanges.labels(progress.service, result.value).inc()
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -639,6 +639,29 @@
     run(main)
 
 
+def test_request_in_progress_is_not_retried_after_it_crashed_servers():
+    """Guards against retries of a request that other gateways already refuse."""
+
+    async def main():
+        digests = []
+
+        async def crash(backend, received, stream):
+            for server_id in ("gone1", "gone2"):
+                harness.crash_tracker.evidence.add(digests[0], (server_id, 1), ended=True)
+            return False
+
+        backends = [plain("p1", crash), plain("p2", crash)]
+        async with gateways.running(*backends) as harness:
+            original = harness.crash_tracker.digest
+            harness.crash_tracker.digest = lambda call: (
+                digests.append(original(call)) or digests[-1]
+            )
+            await gateways.send_once(harness, "GET", "/read/x")
+        assert sum(len(backend.received) for backend in backends) == 1
+
+    run(main)
+
+
 def test_request_is_refused_after_servers_that_restarted_at_once():
     """Guards against endless crashes of servers that accept connections again at once."""
 
