Send requests to other gateways while no server of their service can be reached

The cause is a design in which a gateway knows only its own way to a server: it tried four of them, 0.4 s each, and each backoff sent more requests into the partition.

Unreachable servers are now probed in the background, and if two cannot be reached, the others that have not responded recently too. If none of a service is left, the request goes to another gateway, which forwards it as its own, refuses it at once as not run if it is cut off itself or has too many, and never passes it on. The budget stays reserved at the first gateway.

--- a/src/dogwoodgap/dialect.py
+++ b/src/dogwoodgap/dialect.py
@@ -216,14 +216,15 @@
     def encode_call(
         self,
         call: Call,
-        server_id: str,
+        server_id: str | None,
         remaining_s: float | None,
         last_event_id: bytes | None,
     ) -> Headers:
-        """Return the headers of the request to a backend server."""
+        """Return the headers of the request to a backend server, or to a node without an id."""
         headers = list(call.headers)
         names = self.names
-        headers.append((names.expected_server, server_id.encode("latin-1")))
+        if server_id is not None:
+            headers.append((names.expected_server, server_id.encode("latin-1")))
         if remaining_s is not None:
             headers.append((names.deadline, str(max(1, int(remaining_s * 1000))).encode()))
         if last_event_id is not None:
--- a/src/dogwoodgap/events.py
+++ b/src/dogwoodgap/events.py
@@ -125,6 +125,9 @@
     )
     STREAM_NOT_RESUMED = 5025, "A caller resumes a stream whose software version is not known."
     CRASH_UNRECORDED = 5026, "A call to the store for the records of crashes failed."
+    SERVICE_CUT_OFF = 5027, "This gateway cannot connect to any server of a service."
+    SERVICE_REACHED = 5028, "A server of a service that was cut off can be reached again."
+    HELPER_FAILED = 5029, "Another gateway did not accept a request that was sent to it."
     RUNNER_LEAVING = 6001, "A runner is leaving and gets no new work."
     RUNNER_RETURNED = 6002, "A runner accepts work again."
     RUNNER_DOWN = 6003, "A new connection to a runner failed; it gets no work until it answers."
--- a/src/dogwoodgap/exposition.py
+++ b/src/dogwoodgap/exposition.py
@@ -35,6 +35,12 @@
     ["service", "result"],
     registry=registry,
 )
+relayed = prometheus_client.Counter(
+    "dogwoodgap_relayed",
+    "Requests sent to other gateways because no server could be reached, by service and result.",
+    ["service", "result"],
+    registry=registry,
+)
 limited_servers = prometheus_client.Gauge(
     "dogwoodgap_limited_servers",
     "Backend servers that report a limit on their requests per second.",
--- a/src/dogwoodgap/forwarder.py
+++ b/src/dogwoodgap/forwarder.py
@@ -22,7 +22,10 @@
     exposition,
     gate,
     ingress,
+    pacing,
+    peer_relay,
     permits,
+    reachability,
     relay,
     repeats,
     routes,
@@ -69,6 +72,8 @@
         Data centre of this node.
     max_response_bytes : int
         Largest body of a server's response that is not a stream.
+    max_relayed_requests : int
+        Requests of other gateways that are handled at a time.
     """
 
     def __init__(
@@ -82,6 +87,7 @@
         stream_recorder: stream_owners.StreamRecorder,
         data_centre: str,
         max_response_bytes: int,
+        max_relayed_requests: int,
     ):
         self.active_routes = active_routes
         self.server_registry = server_registry
@@ -101,6 +107,12 @@
         self.retry_budgets: dict[str, repeats.RetryBudget] = {}
         self.retired: list[upstream.ServerPool] = []
         self.has_retired = anyio.Event()
+        self.monitor = reachability.ReachabilityMonitor(
+            server_registry, self.loads, lambda server: self.pool(server).open()
+        )
+        self.peer_relay = peer_relay.PeerRelay(header_codec, max_response_bytes, self.retire_pool)
+        self.max_relayed_requests = max_relayed_requests
+        self.relayed = 0
         self.active = 0
         server_registry.removal_hooks.append(self.remove_server)
 
@@ -134,6 +146,30 @@
 
     async def handle(self, request: ingress.Request, responder: ingress.Responder) -> None:
         """Handle one request from a caller."""
+        await self.serve(request, responder)
+
+    async def handle_relayed(self, request: ingress.Request, responder: ingress.Responder) -> None:
+        """Handle one request of another gateway that cannot reach the servers."""
+        self.relayed += 1
+        try:
+            relayed = peer_relay.decode_relayed(request)
+            await self.serve(relayed.request, responder, relayed.turn_priority)
+        finally:
+            self.relayed -= 1
+
+    async def serve(
+        self,
+        request: ingress.Request,
+        responder: ingress.Responder,
+        relayed_priority: pacing.TurnPriority | None = None,
+    ) -> None:
+        """Forward a request and log how it ended.
+
+        Parameters
+        ----------
+        relayed_priority : pacing.TurnPriority, optional
+            Priority of a turn that another gateway has reserved tokens for.
+        """
         self.active += 1
         exposition.active_requests.inc()
         call: dialect.Call | None = None
@@ -145,11 +181,14 @@
             )
             call.body = request.body
             progress = self.match_route(call)
+            if relayed_priority is not None:
+                self.accept_relayed(progress, relayed_priority)
             await self.forward(call, progress, responder)
             outcome = "answered"
         except exceptions.DogwoodgapError as error:
             outcome = f"{error.code}: {error.detail}"
-            await send_error(responder, error, call, self.header_codec)
+            is_relayed = relayed_priority is not None
+            await send_error(responder, error, call, self.header_codec, is_relayed=is_relayed)
         except ingress.CallerDisconnectedError:
             raise
         except progress_module.StreamBrokenError as error:
@@ -169,6 +208,28 @@
             exposition.active_requests.dec()
             self.log_request(call, progress, outcome)
 
+    def accept_relayed(
+        self, progress: progress_module.Progress, turn_priority: pacing.TurnPriority
+    ) -> None:
+        """Mark a request as sent by another gateway.
+
+        Raises
+        ------
+        OverloadedError
+            If this gateway handles too many of them, or cannot reach the servers either.
+        """
+        progress.is_relayed = True
+        progress.turn_priority = turn_priority
+        if self.relayed > self.max_relayed_requests:
+            raise exceptions.OverloadedError(
+                "this gateway handles too many requests of others; use another one "
+                "(or raise gateway.max_relayed_requests)"
+            )
+        if self.monitor.is_cut_off(progress.service):
+            raise exceptions.OverloadedError(
+                "this gateway cannot reach the servers either; use another one"
+            )
+
     def match_route(self, call: dialect.Call) -> progress_module.Progress:
         """Match a request to a route and return its initial state.
 
@@ -203,7 +264,11 @@
         route = progress.route
         digest = self.crash_tracker.digest(call)
         self.refuse_crashing(digest, progress, responder)
-        has_budget = route.kind is routes.RouteKind.STREAMING and call.token_budget is not None
+        has_budget = (
+            route.kind is routes.RouteKind.STREAMING
+            and call.token_budget is not None
+            and not progress.is_relayed
+        )
         is_reserved = False
         try:
             with anyio.CancelScope(deadline=progress.deadline_at + DEADLINE_GRACE_S) as scope:
@@ -342,6 +407,11 @@
         budget = self.retry_budgets.setdefault(progress.service, repeats.RetryBudget())
         budget.record_request()
         while True:
+            if self.monitor.is_cut_off(progress.service):
+                self.refuse_crashing(digest, progress, responder)
+                if await self.try_helper(call, progress, responder):
+                    return
+                continue
             server = await self.permitted_server(call, progress, responder)
             self.refuse_crashing(digest, progress, responder)
             result = await self.try_server(call, progress, responder, server, digest)
@@ -363,6 +433,35 @@
             if not repeats.acquire_retry(progress, budget, remaining_s):
                 self.raise_failure(progress, responder, "the response was lost")
 
+    async def try_helper(
+        self, call: dialect.Call, progress: progress_module.Progress, responder: ingress.Responder
+    ) -> bool:
+        """Send a request to another gateway; return whether its response was relayed.
+
+        A lost response is not retried, since that gateway has used the retries of the request.
+        """
+        member = self.peer_relay.choose()
+        if (
+            member is None
+            or progress.is_relayed
+            or responder.started
+            or progress.helper_refusals >= peer_relay.MAX_HELPERS
+        ):
+            self.raise_failure(progress, responder, "no server can be reached from this gateway")
+        result = await self.peer_relay.send(call, progress, responder, member)
+        progress.attempt_log.append(f"{member.node}:{result.value}")
+        exposition.relayed.labels(progress.service, result.value).inc()
+        if result is progress_module.AttemptResult.DONE:
+            return True
+        if result in (
+            progress_module.AttemptResult.NOT_RUN,
+            progress_module.AttemptResult.UNREACHABLE,
+        ):
+            progress.helper_refusals += 1
+            return False
+        self.raise_failure(progress, responder, "the response was lost")
+        return False
+
     async def permitted_server(
         self, call: dialect.Call, progress: progress_module.Progress, responder: ingress.Responder
     ) -> servers.BackendServer:
@@ -436,7 +535,7 @@
         connection: upstream.Connection | None = None
         is_run_lost = False
         try:
-            connection = await pool.acquire(max_idle_s)
+            connection = await self.acquire_connection(pool, max_idle_s)
             if not self.server_registry.is_usable(server):
                 return progress_module.AttemptResult.NOT_RUN
             is_run_lost = True
@@ -460,11 +559,11 @@
                 )
             return result
         except upstream.ServerUnreachableError:
-            state.record_unreachable(clock.now())
             return progress_module.AttemptResult.UNREACHABLE
         except upstream.ResponseTimeoutError as error:
             progress.attempt_log.append(error.detail)
             progress.suspect_servers.append(server.id)
+            self.monitor.request_probe(server)
             await pool.close()
             return progress_module.AttemptResult.UNKNOWN
         except upstream.InvalidResponseError as error:
@@ -473,7 +572,7 @@
                 # Engines reset connections while their queue is long, which is overload rather
                 # than a failure; their reported load already accounts for it.
                 state.record_outcome(clock.now(), failed=True)
-            await self.check_for_crash(pool, state, digest)
+            await self.check_for_crash(pool, digest)
             return progress_module.AttemptResult.UNKNOWN
         finally:
             state.in_flight -= 1
@@ -482,14 +581,25 @@
             if connection is not None:
                 await connection.close()
 
-    async def check_for_crash(
-        self, pool: upstream.ServerPool, state: selection.ServerState, digest: int
-    ) -> None:
+    async def acquire_connection(
+        self, pool: upstream.ServerPool, max_idle_s: float
+    ) -> upstream.Connection:
+        """Return a connection to a server, and record whether a new one could be opened."""
+        try:
+            connection = await pool.acquire(max_idle_s)
+        except upstream.ServerUnreachableError:
+            self.monitor.record_failure(pool.server)
+            raise
+        if not connection.is_reused:
+            self.monitor.record_success(pool.server)
+        return connection
+
+    async def check_for_crash(self, pool: upstream.ServerPool, digest: int) -> None:
         """Open a new connection to find out whether a server that broke a response crashed."""
         try:
             connection = await pool.open()
         except upstream.ServerUnreachableError:
-            state.record_unreachable(clock.now())
+            self.monitor.record_failure(pool.server)
             self.crash_tracker.evidence.record_unreachable(digest, pool.server)
             return
         await connection.close()
@@ -522,6 +632,7 @@
         def on_head(head: upstream.ResponseHead) -> None:
             self.permit_coordinator.observe(connection.server, head.metadata, sent_at)
             self.crash_tracker.evidence.record_contact(connection.server, sent_at)
+            state.last_contact_at = clock.now()
             is_stream = progress.route.kind is routes.RouteKind.STREAMING
             if is_stream and head.metadata.signed and progress.required_version is None:
                 self.stream_recorder.record(call, progress.route, connection.server)
@@ -609,8 +720,10 @@
     error: exceptions.DogwoodgapError,
     call: dialect.Call | None,
     header_codec: dialect.HeaderCodec,
+    *,
+    is_relayed: bool = False,
 ) -> None:
-    """Send an error response of this node."""
+    """Send an error response of this node; another gateway is told whether the request ran."""
     if responder.started:
         raise ingress.CallerDisconnectedError from error
     headers: dialect.Headers = [(b"content-type", b"application/problem+json")]
@@ -618,5 +731,7 @@
         headers.append((b"retry-after", f"{error.retry_after_s:.3f}".encode()))
     if call is not None and call.attempt_id:
         headers.append((header_codec.names.attempt_id, call.attempt_id.encode("latin-1")))
+    if is_relayed and error.not_run == "true":
+        headers.append((header_codec.names.not_run, b"1"))
     body = exceptions.encode_problem(error)
     await responder.send(error.status, headers, body)
--- a/src/dogwoodgap/gateway.py
+++ b/src/dogwoodgap/gateway.py
@@ -23,6 +23,7 @@
     ingress,
     members,
     membership,
+    peer_relay,
     peers,
     permits,
     removals,
@@ -118,9 +119,11 @@
             self.stream_recorder,
             gateway_settings.node.data_centre,
             gateway_settings.gateway.max_response_bytes,
+            gateway_settings.gateway.max_relayed_requests,
         )
         self.forwarder.server_selector.node_count = self.node_count
         self.request_server = ingress.Server(self.forwarder.handle, self.limits)
+        self.relay_server = ingress.Server(self.forwarder.handle_relayed, self.limits)
         self.stopping = False
         self.membership: membership.Membership | None = None
         self.remote_loads: dict[str, dict[str, int]] = {}
@@ -157,12 +160,15 @@
             network = peers.PeerNetwork(self.settings.node.peer_bind, tasks)
             await self.start_following(network, tasks)
             tasks.start_soon(self.forwarder.close_retired)
+            tasks.start_soon(self.forwarder.monitor.run)
             ready_server = ingress.Server(endpoints.ready)
             await tasks.start(ready_server.serve, section.ready_bind)
             directory_server = ingress.Server(endpoints.directory)
             await tasks.start(directory_server.serve, section.directory_bind)
             if section.metrics_bind:
                 await tasks.start(ingress.Server(self.serve_metrics).serve, section.metrics_bind)
+            if section.relay_bind:
+                await tasks.start(self.relay_server.serve, section.relay_bind)
             await tasks.start(self.request_server.serve, self.settings.node.http_bind)
             tasks.start_soon(self.join, network, tasks)
             events.emit(
@@ -212,6 +218,9 @@
         self.crash_tracker.join(joined, network, broadcaster)
         self.permit_coordinator.join(joined, network, broadcaster)
         self.stream_recorder.join(joined, network, tasks)
+        if self.settings.gateway.relay_bind:
+            address = peer_relay.same_port_address(self.settings.gateway.relay_bind)
+            self.forwarder.peer_relay.join(joined, address)
         if self.settings.gateway.first_start:
             self.budget_coordinator.assume_no_losses()
         else:
@@ -273,6 +282,7 @@
             await self.membership.leave()
         await clock.sleep_until(started_at + section.directory_ttl_s * DIRECTORY_TTL_FACTOR)
         self.request_server.closing = True
+        self.relay_server.closing = True
         while clock.now() < end_at and (self.request_server.connections or self.forwarder.active):
             self.request_server.close_idle()
             await anyio.sleep(STOP_POLL_INTERVAL_S)
--- a/src/dogwoodgap/progress.py
+++ b/src/dogwoodgap/progress.py
@@ -38,6 +38,10 @@
         Number of times that each server may have run the request, by server id.
     retries : int
         Number of times that the request was retried after it may have run.
+    is_relayed : bool
+        Whether another gateway sent the request, so that it must not be sent to a third one.
+    helper_refusals : int
+        Number of other gateways that did not accept the request.
     refusals : int
         Number of servers that did not run the request: they refused it or were unreachable.
     events : int
@@ -67,6 +71,8 @@
     turn_priority: pacing.TurnPriority = pacing.TurnPriority.UNDER_WAY
     runs: collections.Counter[str] = dataclasses.field(default_factory=collections.Counter)
     retries: int = 0
+    is_relayed: bool = False
+    helper_refusals: int = 0
     refusals: int = 0
     events: int = 0
     last_event_id: bytes | None = None
--- a/src/dogwoodgap/selection.py
+++ b/src/dogwoodgap/selection.py
@@ -41,6 +41,7 @@
 """Backoff after a failed connection attempt; it doubles with each further one."""
 
 MAX_BACKOFF_S = 2.0
+MAX_BACKOFF_DOUBLINGS = 8
 FAILURE_RATE_WEIGHT = 0.15
 """Weight of a new request in the moving average of a server's failure rate."""
 
@@ -85,6 +86,8 @@
         Monotonic time until which the server gets no requests after a failed connection.
     connect_failures : int
         Failed connection attempts since the last response.
+    last_contact_at : float
+        Monotonic time of the last response.
     failure_rate : float
         Moving average of failed requests, 0 to 1, at the monotonic time ``failure_rate_at``.
     """
@@ -94,6 +97,7 @@
     response_time_s: float = 0.0
     backoff_until: float = 0.0
     connect_failures: int = 0
+    last_contact_at: float = -math.inf
     failure_rate: float = 0.0
     failure_rate_at: float = 0.0
 
@@ -129,10 +133,16 @@
 
     def record_unreachable(self, now: float) -> None:
         """Start a backoff after a failed connection attempt."""
-        backoff_s = min(INITIAL_BACKOFF_S * 2**self.connect_failures, MAX_BACKOFF_S)
+        doublings = min(self.connect_failures, MAX_BACKOFF_DOUBLINGS)
+        backoff_s = min(INITIAL_BACKOFF_S * 2**doublings, MAX_BACKOFF_S)
         self.connect_failures += 1
         self.backoff_until = now + backoff_s
 
+    def record_reachable(self) -> None:
+        """End the backoff after a new connection."""
+        self.connect_failures = 0
+        self.backoff_until = 0.0
+
 
 class LoadTable:
     """The state of each server, and the engine that each session used last.
--- a/src/dogwoodgap/settings.py
+++ b/src/dogwoodgap/settings.py
@@ -83,6 +83,11 @@
     ----------
     ready_bind, directory_bind : str
         ``host:port`` of the readiness check and of the directory of gateway addresses.
+    relay_bind : str
+        ``host:port`` at which other gateways send the requests of services that they cannot reach;
+        empty to disable. The port has to be the same on all gateways.
+    max_relayed_requests : int
+        Requests of other gateways that are handled at a time.
     stop_grace_s : float
         Time between the request to stop and the end of the process, in seconds.
     directory_ttl_s : float
@@ -100,6 +105,8 @@
     ready_bind: str = "127.0.0.1:8081"
     directory_bind: str = "127.0.0.1:8082"
     metrics_bind: str = ""
+    relay_bind: str = ""
+    max_relayed_requests: int = pydantic.Field(default=64, ge=0)
     stop_grace_s: float = pydantic.Field(default=8.0, gt=1.0)
     directory_ttl_s: float = pydantic.Field(default=1.0, gt=0)
     return_grace_s: float = pydantic.Field(default=2.0, ge=0)
--- a/src/dogwoodgap/settings_reference.py
+++ b/src/dogwoodgap/settings_reference.py
@@ -40,6 +40,10 @@
     "GatewaySection.directory_ttl_s": "How long callers cache gateway addresses, in seconds.",
     "GatewaySection.return_grace_s": "Time after an outage of the store in which backend servers "
     "whose entries expired may register again, in seconds.",
+    "GatewaySection.relay_bind": "Address at which other gateways send requests of services that "
+    "they cannot reach; the port has to be the same on all gateways; empty: none.",
+    "GatewaySection.max_relayed_requests": "Requests of other gateways handled at a time; more "
+    "are refused as not run.",
     "GatewaySection.max_response_bytes": "Largest body of a backend server's response, in "
     "bytes; it is held in memory until it is complete. Streams are passed on by event.",
     "GatewaySection.first_start": "Whether the whole fleet starts for the first time, so that no "
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -28,6 +28,7 @@
 SIGNATURE_HEADER = (b"dogwoodgap-seal", b"s1")
 TIMEOUT_S = 0.6
 MAX_RESPONSE_BYTES = 1024 * 1024
+MAX_RELAYED_REQUESTS = 4
 
 
 class FakeBudgetRecords:
@@ -304,6 +305,7 @@
             stream_owners.StreamRecorder(self.server_registry),
             "d1",
             MAX_RESPONSE_BYTES,
+            MAX_RELAYED_REQUESTS,
         )
         self.server = ingress.Server(self.forwarder.handle)
         self.address = listen_addresses.free_address()
