Assume no software version of a stream for as long as callers may wait

After a loss of all gateways a stream without a record was taken for one of the version that is left, once that had been alone for two timeouts of the route. An operator may have shortened that timeout, and a caller resumes until its own deadline: the stream could go on at another version than the one that began it (ORDER). The time is now 10 s at least.

The new test failed before (v2 instead of unknown). The test's list of servers is now waited for beyond one interval, since the start of the tests moved to a multiple of it.

--- a/src/dogwoodgap/version_history.py
+++ b/src/dogwoodgap/version_history.py
@@ -16,10 +16,13 @@
 WINDOW_TIMEOUTS = 2.0
 """Timeouts of a route within which a caller resumes a stream after its start."""
 
+MIN_WINDOW_S = 10.0
+"""Callers wait until their own deadline, which may exceed the timeout of a route."""
+
 
 def resume_window_s(route: routes.Route) -> float:
     """Return the longest time between the start of a stream and its resumption, in seconds."""
-    return WINDOW_TIMEOUTS * route.timeout_s
+    return max(MIN_WINDOW_S, WINDOW_TIMEOUTS * route.timeout_s)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_stream_owners.py
+++ b/tests/test_stream_owners.py
@@ -15,6 +15,8 @@
 ROUTE = gateways.route("turn", gateways.routes.RouteKind.STREAMING, "model", resumable=True)
 WINDOW_S = version_history.resume_window_s(ROUTE)
 LISTING_INTERVAL_S = 0.5
+CALLER_DEADLINE_S = 4.0
+"""Longer than the timeout of the test's route, which an operator may have just shortened."""
 
 
 class Fleet:
@@ -57,7 +59,7 @@
     async def list_servers(self, *entries):
         """Replace the list of servers, and wait until all nodes have it."""
         self.entries = entries
-        await anyio.sleep(LISTING_INTERVAL_S)
+        await anyio.sleep(1.5 * LISTING_INTERVAL_S)
 
     def begin(self, node, number, server):
         """Begin a stream at a node."""
@@ -176,6 +178,23 @@
     assert await fleet.find("n003", 1) is None
 
 
+@with_fleet(7)
+async def test_no_version_is_assumed_for_as_long_as_callers_wait(fleet):
+    """Guards against streams of two versions after a loss of all nodes and a shorter timeout."""
+    await fleet.list_servers(OLD, NEW)
+    fleet.begin("n000", 1, OLD)
+    await anyio.sleep(0.1)
+    await fleet.list_servers(NEW)
+    for member in list(fleet.all_members):
+        fleet.kill(member.node)
+        fleet.start(member)
+    for _ in range(int(CALLER_DEADLINE_S / LISTING_INTERVAL_S)):
+        await anyio.sleep(LISTING_INTERVAL_S)
+        assert await fleet.find("n003", 1) is None
+    await anyio.sleep(WINDOW_S)
+    assert await fleet.find("n003", 1) == "v2"
+
+
 @with_fleet(7)
 async def test_restarted_node_learns_the_sole_version_from_others(fleet):
     """Guards against streams that cannot be resumed at nodes that have just started."""
