Probe a sample of servers instead of all, and keep crashes of some from causing more

With two servers unreachable, each gateway probed all servers without a recent response, every second. A service counts as cut off once six of its servers, or all, fail without a new connection in between, so six probes suffice, and one success ends them. A node with a cut-off service reports no crashes.

--- a/src/dogwoodgap/forwarder.py
+++ b/src/dogwoodgap/forwarder.py
@@ -100,7 +100,6 @@
         self.loads = selection.LoadTable(data_centre)
         self.loads.limit_per_s = permit_coordinator.limit
         self.loads.available_at = permit_coordinator.available_at
-        crash_tracker.evidence.is_isolated = self.loads.is_isolated
         self.pools: dict[str, upstream.ServerPool] = {}
         self.limiters: dict[str, gate.ConcurrencyLimiter] = {}
         self.server_selector = candidates.ServerSelector(active_routes, server_registry, self.loads)
@@ -110,6 +109,7 @@
         self.monitor = reachability.ReachabilityMonitor(
             server_registry, self.loads, lambda server: self.pool(server).open()
         )
+        crash_tracker.evidence.is_isolated = self.monitor.is_isolated
         self.peer_relay = peer_relay.PeerRelay(header_codec, max_response_bytes, self.retire_pool)
         self.max_relayed_requests = max_relayed_requests
         self.relayed = 0
@@ -294,7 +294,7 @@
             self.raise_failure(
                 progress,
                 responder,
-                "this request crashed the servers that ran it",
+                "this request crashed the servers that ran it and is refused for some minutes",
                 crashes.RETRY_AFTER_S,
             )
 
@@ -632,7 +632,6 @@
         def on_head(head: upstream.ResponseHead) -> None:
             self.permit_coordinator.observe(connection.server, head.metadata, sent_at)
             self.crash_tracker.evidence.record_contact(connection.server, sent_at)
-            state.last_contact_at = clock.now()
             is_stream = progress.route.kind is routes.RouteKind.STREAMING
             if is_stream and head.metadata.signed and progress.required_version is None:
                 self.stream_recorder.record(call, progress.route, connection.server)
--- a/src/dogwoodgap/reachability.py
+++ b/src/dogwoodgap/reachability.py
@@ -2,10 +2,12 @@
 
 A node may lose its path to some or all servers while other nodes still reach them. Requests would
 find out one by one, each after a timeout. A server that could not be reached is probed in the
-background with new connections, and gets requests again once one succeeds. If several servers
-cannot be reached, the others are probed too, since they may be lost as well.
+background with new connections, and gets requests again once one succeeds. If several servers of a
+service fail without a new connection to any other in between, a few others are probed too. Only a
+sample is, since a large fleet would otherwise flood its servers whenever some of them crash.
 """
 
+import collections
 import collections.abc
 import random
 
@@ -24,12 +26,13 @@
 """Probes of unreachable servers in a round. A node that has lost all servers needs no more to find
 out that it reaches them again."""
 
+CUT_OFF_SAMPLE = 6
+"""Failing servers of a service that suffice to conclude that none of it can be reached."""
+
 SWEEP_FAILURES = 2
-"""Unreachable servers from which on the others are probed as well."""
+"""Failing servers of a service from which on others of it are probed."""
 
 SWEEP_INTERVAL_S = 1.0
-RECENT_CONTACT_S = 0.5
-"""A server that responded within this time is not probed."""
 
 OpenConnection = collections.abc.Callable[
     [servers.BackendServer], collections.abc.Awaitable[upstream.Connection]
@@ -58,35 +61,49 @@
         self.server_registry = server_registry
         self.loads = loads
         self.open_connection = open_connection
-        self.failed = anyio.Event()
+        self.wakeup = anyio.Event()
         self.suspected: dict[str, servers.BackendServer] = {}
-        self.swept_at = -SWEEP_INTERVAL_S
+        self.failing: dict[str, set[str]] = collections.defaultdict(set)
+        self.swept_at: dict[str, float] = {}
         self.cut_off: set[str] = set()
 
     def is_cut_off(self, service: str) -> bool:
         """Return whether this node cannot connect to any ready server of a service."""
+        if not self.failing.get(service):
+            return False
         ready = self.server_registry.ready(service)
-        return bool(ready) and all(
-            self.loads.state(server).connect_failures > 0 for server in ready
+        newly_failing = sum(server.id in self.failing[service] for server in ready)
+        return newly_failing >= CUT_OFF_SAMPLE or (
+            bool(ready) and all(self.loads.state(server).connect_failures > 0 for server in ready)
         )
 
+    def is_isolated(self) -> bool:
+        """Return whether a failed connection is likely to be this node's own problem."""
+        return bool(self.cut_off) or self.loads.is_isolated()
+
     def record_failure(self, server: servers.BackendServer) -> None:
         """Record a failed connection attempt, and start probing the server."""
-        self.loads.state(server).record_unreachable(clock.now())
-        self.failed.set()
+        state = self.loads.state(server)
+        if state.connect_failures == 0:
+            self.failing[server.service].add(server.id)
+        state.record_unreachable(clock.now())
+        self.wakeup.set()
         if server.service not in self.cut_off and self.is_cut_off(server.service):
             self.cut_off.add(server.service)
             events.emit(
                 events.Event.SERVICE_CUT_OFF,
                 "cannot connect to any server of a service; sending its requests to other nodes",
                 service=server.service,
+                failing=sorted(self.failing[server.service]),
             )
 
     def record_success(self, server: servers.BackendServer) -> None:
         """Record a new connection; if the service was cut off, probe its other servers at once."""
-        if self.loads.state(server).connect_failures == 0:
+        state = self.loads.state(server)
+        if state.connect_failures == 0 and not self.failing.get(server.service):
             return
-        self.loads.state(server).record_reachable()
+        state.record_reachable()
+        self.failing.pop(server.service, None)
         if server.service in self.cut_off:
             self.cut_off.discard(server.service)
             events.emit(
@@ -96,22 +113,22 @@
                 server=server.id,
             )
             for other in self.unreachable():
-                self.loads.state(other).backoff_until = 0.0
+                self.request_probe(other)
 
     def request_probe(self, server: servers.BackendServer) -> None:
         """Probe a server that did not respond in time on an open connection."""
         self.suspected[server.id] = server
-        self.failed.set()
+        self.wakeup.set()
 
     async def run(self) -> None:
         """Probe unreachable servers until cancelled."""
         async with anyio.create_task_group() as tasks:
             while True:
-                await self.failed.wait()
+                await self.wakeup.wait()
                 self.probe_due(tasks)
                 await anyio.sleep(PROBE_INTERVAL_S)
                 if not self.suspected and not self.unreachable():
-                    self.failed = anyio.Event()
+                    self.wakeup = anyio.Event()
 
     def unreachable(self) -> list[servers.BackendServer]:
         """Return the registered servers to which the last connection attempt failed."""
@@ -124,33 +141,36 @@
     def probe_due(self, tasks: anyio.abc.TaskGroup) -> None:
         """Start the probes of one round."""
         now = clock.now()
-        unreachable = self.unreachable()
         due = [
             server
-            for server in unreachable
+            for server in self.unreachable()
             if self.loads.state(server).backoff_until - PROBE_LEAD_S <= now
         ]
-        is_regained = any(self.loads.state(server).backoff_until == 0.0 for server in due)
-        probed = due if is_regained else random.sample(due, min(len(due), PROBES_PER_ROUND))
-        if len(unreachable) >= SWEEP_FAILURES and now - self.swept_at >= SWEEP_INTERVAL_S:
-            self.swept_at = now
-            probed = probed + self.unconfirmed(now)
-        probed = {server.id: server for server in probed} | self.suspected
+        drawn = random.sample(due, min(len(due), PROBES_PER_ROUND))
+        probed = {server.id: server for server in drawn + self.sweep(now)} | self.suspected
         self.suspected = {}
         for server in probed.values():
-            if self.loads.state(server).connect_failures:
+            state = self.loads.state(server)
+            if state.connect_failures:
                 # Neither a request nor another probe tries to connect meanwhile.
-                self.loads.state(server).backoff_until = now + PROBE_LEAD_S + PROBE_INTERVAL_S
+                state.backoff_until = now + PROBE_LEAD_S + PROBE_INTERVAL_S
             tasks.start_soon(self.probe, server)
 
-    def unconfirmed(self, now: float) -> list[servers.BackendServer]:
-        """Return the servers that are taken for reachable without a recent response."""
-        return [
-            server
-            for server in self.server_registry.servers.values()
-            if self.loads.state(server).connect_failures == 0
-            and now - self.loads.state(server).last_contact_at > RECENT_CONTACT_S
-        ]
+    def sweep(self, now: float) -> list[servers.BackendServer]:
+        """Return servers to probe because several others of their service fail."""
+        chosen: list[servers.BackendServer] = []
+        for service, failing in self.failing.items():
+            swept_at = self.swept_at.get(service, now - SWEEP_INTERVAL_S)
+            if len(failing) < SWEEP_FAILURES or now - swept_at < SWEEP_INTERVAL_S:
+                continue
+            self.swept_at[service] = now
+            others = [
+                server
+                for server in self.server_registry.ready(service)
+                if self.loads.state(server).connect_failures == 0
+            ]
+            chosen += random.sample(others, min(len(others), CUT_OFF_SAMPLE))
+        return chosen
 
     async def probe(self, server: servers.BackendServer) -> None:
         """Open a connection to a server and close it."""
--- a/src/dogwoodgap/selection.py
+++ b/src/dogwoodgap/selection.py
@@ -86,8 +86,6 @@
         Monotonic time until which the server gets no requests after a failed connection.
     connect_failures : int
         Failed connection attempts since the last response.
-    last_contact_at : float
-        Monotonic time of the last response.
     failure_rate : float
         Moving average of failed requests, 0 to 1, at the monotonic time ``failure_rate_at``.
     """
@@ -97,7 +95,6 @@
     response_time_s: float = 0.0
     backoff_until: float = 0.0
     connect_failures: int = 0
-    last_contact_at: float = -math.inf
     failure_rate: float = 0.0
     failure_rate_at: float = 0.0
 
