Take a node for isolated only while it is cut off from a service

After the failed servers of a service had left the list, the node still counted as cut off until it next opened a connection, and reported no crashes. The test failed before.

--- a/src/dogwoodgap/reachability.py
+++ b/src/dogwoodgap/reachability.py
@@ -79,7 +79,7 @@
 
     def is_isolated(self) -> bool:
         """Return whether a failed connection is likely to be this node's own problem."""
-        return bool(self.cut_off) or self.loads.is_isolated()
+        return any(map(self.is_cut_off, self.cut_off)) or self.loads.is_isolated()
 
     def record_failure(self, server: servers.BackendServer) -> None:
         """Record a failed connection attempt, and start probing the server."""
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -105,6 +105,20 @@
     assert fabric.probes <= expected_retries + 2 * reachability.CUT_OFF_SAMPLE
 
 
+@with_fabric(8)
+async def test_node_is_not_isolated_once_the_failed_servers_are_gone(fabric):
+    """Guards against crashes that are ignored for long after one that many servers shared."""
+    fabric.down = {server.id for server in fabric.entries[:6]}
+    for server in fabric.entries[:6]:
+        fabric.monitor.record_failure(server)
+    assert fabric.monitor.is_isolated()
+    for server in fabric.entries[:6]:
+        fabric.loads.remove(server)
+    fabric.registry.apply(servers.Listing(2, tuple(fabric.entries[6:])))
+    assert not fabric.monitor.is_cut_off("plain")
+    assert not fabric.monitor.is_isolated()
+
+
 @with_fabric(5)
 async def test_server_that_is_silent_on_an_open_connection_is_probed(fabric):
     """Guards against partitions that leave connections open and only swallow what is sent."""
