Start to probe other servers after the first failed connection

Two others are now probed for each server that begins to fail, until one can be reached, so that a crash of one server costs each gateway two probes.

The test of a loss of all servers now begins with one failure; it failed before.

--- a/src/dogwoodgap/reachability.py
+++ b/src/dogwoodgap/reachability.py
@@ -2,8 +2,8 @@
 
 A node may lose its path to some or all servers while other nodes still reach them. Requests would
 find out one by one, each after a timeout. A server that could not be reached is probed in the
-background with new connections, and gets requests again once one succeeds. If several servers of a
-service fail without a new connection to any other in between, a few others are probed too. Only a
+background with new connections, and gets requests again once one succeeds. Others of its service
+are probed too, two for each one that fails until a new connection to any of them succeeds. Only a
 sample is, since a large fleet would otherwise flood its servers whenever some of them crash.
 """
 
@@ -29,10 +29,8 @@
 CUT_OFF_SAMPLE = 6
 """Failing servers of a service that suffice to conclude that none of it can be reached."""
 
-SWEEP_FAILURES = 2
-"""Failing servers of a service from which on others of it are probed."""
-
-SWEEP_INTERVAL_S = 1.0
+SWEEP_FACTOR = 2
+"""Servers of a service that are probed for each one that fails."""
 
 OpenConnection = collections.abc.Callable[
     [servers.BackendServer], collections.abc.Awaitable[upstream.Connection]
@@ -64,7 +62,7 @@
         self.wakeup = anyio.Event()
         self.suspected: dict[str, servers.BackendServer] = {}
         self.failing: dict[str, set[str]] = collections.defaultdict(set)
-        self.swept_at: dict[str, float] = {}
+        self.swept: collections.Counter[str] = collections.Counter()
         self.cut_off: set[str] = set()
 
     def is_cut_off(self, service: str) -> bool:
@@ -104,6 +102,7 @@
             return
         state.record_reachable()
         self.failing.pop(server.service, None)
+        self.swept.pop(server.service, None)
         if server.service in self.cut_off:
             self.cut_off.discard(server.service)
             events.emit(
@@ -147,7 +146,7 @@
             if self.loads.state(server).backoff_until - PROBE_LEAD_S <= now
         ]
         drawn = random.sample(due, min(len(due), PROBES_PER_ROUND))
-        probed = {server.id: server for server in drawn + self.sweep(now)} | self.suspected
+        probed = {server.id: server for server in drawn + self.sweep()} | self.suspected
         self.suspected = {}
         for server in probed.values():
             state = self.loads.state(server)
@@ -156,20 +155,20 @@
                 state.backoff_until = now + PROBE_LEAD_S + PROBE_INTERVAL_S
             tasks.start_soon(self.probe, server)
 
-    def sweep(self, now: float) -> list[servers.BackendServer]:
-        """Return servers to probe because several others of their service fail."""
+    def sweep(self) -> list[servers.BackendServer]:
+        """Return servers to probe because others of their service began to fail."""
         chosen: list[servers.BackendServer] = []
         for service, failing in self.failing.items():
-            swept_at = self.swept_at.get(service, now - SWEEP_INTERVAL_S)
-            if len(failing) < SWEEP_FAILURES or now - swept_at < SWEEP_INTERVAL_S:
+            if len(failing) <= self.swept[service]:
                 continue
-            self.swept_at[service] = now
+            self.swept[service] = len(failing)
             others = [
                 server
                 for server in self.server_registry.ready(service)
                 if self.loads.state(server).connect_failures == 0
             ]
-            chosen += random.sample(others, min(len(others), CUT_OFF_SAMPLE))
+            sample = min(SWEEP_FACTOR * len(failing), CUT_OFF_SAMPLE)
+            chosen += random.sample(others, min(len(others), sample))
         return chosen
 
     async def probe(self, server: servers.BackendServer) -> None:
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -59,14 +59,13 @@
 
 
 @pytest.mark.parametrize("count", [1, 5, 60])
-def test_loss_of_all_servers_is_noticed_within_two_seconds(count):
+def test_loss_of_all_servers_is_noticed_after_one_failed_connection(count):
     """Guards against requests that are sent into a partition one by one."""
 
     @with_fabric(count)
     async def play(fabric):
         fabric.down = {server.id for server in fabric.entries}
-        for server in fabric.entries[: reachability.SWEEP_FAILURES]:
-            fabric.monitor.record_failure(server)
+        fabric.monitor.record_failure(fabric.entries[0])
         await anyio.sleep(2.0)
         assert fabric.monitor.is_cut_off("plain")
         assert fabric.monitor.is_isolated()
@@ -81,8 +80,7 @@
     @with_fabric(count)
     async def play(fabric):
         fabric.down = {server.id for server in fabric.entries}
-        for server in fabric.entries[: reachability.SWEEP_FAILURES]:
-            fabric.monitor.record_failure(server)
+        fabric.monitor.record_failure(fabric.entries[0])
         await anyio.sleep(60.0)
         fabric.down = set()
         await anyio.sleep(selection.MAX_BACKOFF_S + 1.0)
