Refuse a request once a gateway has let it wait in vain

A request of a cut-off gateway asked up to three others, each of which may let a turn wait 1.5 s for the same engines. Others are now asked only within 0.2 s of the first.

--- a/src/dogwoodgap/forwarder.py
+++ b/src/dogwoodgap/forwarder.py
@@ -441,12 +441,7 @@
         A lost response is not retried, since that gateway has used the retries of the request.
         """
         member = self.peer_relay.choose()
-        if (
-            member is None
-            or progress.is_relayed
-            or responder.started
-            or progress.helper_refusals >= peer_relay.MAX_HELPERS
-        ):
+        if member is None or responder.started or not peer_relay.may_ask_another(progress):
             self.raise_failure(progress, responder, "no server can be reached from this gateway")
         result = await self.peer_relay.send(call, progress, responder, member)
         progress.attempt_log.append(f"{member.node}:{result.value}")
--- a/src/dogwoodgap/peer_relay.py
+++ b/src/dogwoodgap/peer_relay.py
@@ -32,6 +32,10 @@
 MAX_HELPERS = 3
 """Gateways that may refuse a request without running it before its caller gets a 503."""
 
+MAX_HELPER_SEARCH_S = 0.2
+"""Time after which no other gateway is asked. One that refuses later had the request waiting for
+engines that the others share."""
+
 POOLED_CONNECTIONS = 8
 """Idle connections kept to one gateway."""
 
@@ -175,6 +179,15 @@
         )
 
 
+def may_ask_another(progress: progress_module.Progress) -> bool:
+    """Return whether a request that was refused by gateways may be sent to another one."""
+    if progress.is_relayed or progress.helper_refusals >= MAX_HELPERS:
+        return False
+    if progress.helper_search_ends_at is None:
+        progress.helper_search_ends_at = clock.now() + MAX_HELPER_SEARCH_S
+    return clock.now() < progress.helper_search_ends_at
+
+
 def same_port_address(bind: str) -> collections.abc.Callable[[members.Member], str]:
     """Return a function that returns a member's host with the port of an address."""
     _, port = peer_connections.split_address(bind)
--- a/src/dogwoodgap/progress.py
+++ b/src/dogwoodgap/progress.py
@@ -42,6 +42,8 @@
         Whether another gateway sent the request, so that it must not be sent to a third one.
     helper_refusals : int
         Number of other gateways that did not accept the request.
+    helper_search_ends_at : float or None
+        Monotonic time until which other gateways are asked.
     refusals : int
         Number of servers that did not run the request: they refused it or were unreachable.
     events : int
@@ -75,6 +77,7 @@
     retries: int = 0
     is_relayed: bool = False
     helper_refusals: int = 0
+    helper_search_ends_at: float | None = None
     refusals: int = 0
     events: int = 0
     last_event_id: bytes | None = None
--- a/tests/test_peer_relay.py
+++ b/tests/test_peer_relay.py
@@ -8,7 +8,8 @@
 import listen_addresses
 import pytest
 
-from dogwoodgap import helpers, ingress, pacing, servers
+from dogwoodgap import helpers, ingress, pacing, peer_relay, servers
+from dogwoodgap import progress as progress_module
 
 
 def plain(script):
@@ -147,6 +148,30 @@
     run(main)
 
 
+def test_request_is_refused_after_a_gateway_let_it_wait():
+    """Guards against a request that waits for the same engines at one gateway after the other."""
+
+    async def main():
+        backend = plain(gateways.complete_response())
+        async with running_pair(backend) as pair:
+            relay = pair.cut_off.forwarder.peer_relay
+            member = relay.choose()
+            relay.choose = lambda: member
+            sent = []
+
+            async def send(call, progress, responder, member):
+                sent.append(member)
+                await anyio.sleep(peer_relay.MAX_HELPER_SEARCH_S)
+                return progress_module.AttemptResult.NOT_RUN
+
+            relay.send = send
+            response = await gateways.send_once(pair.cut_off, "POST", "/act/x", b"pay")
+        assert response.status == 503
+        assert len(sent) == 1
+
+    run(main)
+
+
 def test_number_of_relayed_requests_is_limited():
     """Guards against a gateway that is overloaded with the requests of all others."""
 
