--- a/src/dogwoodgap/gateway.py
+++ b/src/dogwoodgap/gateway.py
@@ -123,7 +123,9 @@
         )
         self.forwarder.server_selector.node_count = self.node_count
         self.request_server = ingress.Server(self.forwarder.handle, self.limits)
-        self.relay_server = ingress.Server(self.forwarder.handle_relayed, self.limits)
+        self.relay_server = ingress.Server(
+            self.forwarder.handle_relayed, lambda: peer_relay.relay_limits(self.limits())
+        )
         self.stopping = False
         self.membership: membership.Membership | None = None
         self.remote_loads: dict[str, dict[str, int]] = {}
--- a/src/dogwoodgap/peer_relay.py
+++ b/src/dogwoodgap/peer_relay.py
@@ -21,6 +21,7 @@
     pacing,
     peer_connections,
     relay,
+    routes,
     servers,
     upstream,
 )
@@ -36,6 +37,9 @@
 """Time after which no other gateway is asked. One that refuses later had the request waiting for
 engines that the others share."""
 
+ADDED_HEADER_BYTES = 1_024
+"""Room for the headers that a gateway adds to a request of a caller."""
+
 POOLED_CONNECTIONS = 8
 """Idle connections kept to one gateway."""
 
@@ -199,6 +203,11 @@
     return address
 
 
+def relay_limits(limits: routes.Limits) -> routes.Limits:
+    """Return the limits of requests from other gateways, given those of callers."""
+    return dataclasses.replace(limits, header_bytes=limits.header_bytes + ADDED_HEADER_BYTES)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RelayedRequest:
     """A request of another gateway, without what that gateway added, and its turn's priority."""
--- a/tests/test_peer_relay.py
+++ b/tests/test_peer_relay.py
@@ -8,7 +8,7 @@
 import listen_addresses
 import pytest
 
-from dogwoodgap import helpers, ingress, pacing, peer_relay, servers
+from dogwoodgap import helpers, ingress, pacing, peer_relay, routes, servers
 from dogwoodgap import progress as progress_module
 
 
@@ -44,7 +44,9 @@
         anyio.create_task_group() as tasks,
     ):
         address = listen_addresses.free_address()
-        relay_server = ingress.Server(helper.forwarder.handle_relayed)
+        relay_server = ingress.Server(
+            helper.forwarder.handle_relayed, lambda: peer_relay.relay_limits(routes.Limits())
+        )
         await tasks.start(relay_server.serve, address)
         first, second = fake_network.static_members(2)
         joined = fake_network.StaticMembership(first, [first, second])
@@ -99,6 +101,19 @@
     run(main)
 
 
+def test_request_with_the_largest_head_is_relayed():
+    """Guards against proper requests that exceed a limit by what a gateway adds to them."""
+
+    async def main():
+        backend = plain(gateways.complete_response(b"body"))
+        async with running_pair(backend) as pair:
+            size = routes.Limits().header_bytes - 70
+            response = await gateways.send_once(pair.cut_off, "GET", "/read/x", x_mine="x" * size)
+        assert (response.status, response.body) == (200, b"body")
+
+    run(main)
+
+
 def test_stream_is_relayed_as_it_arrives_and_its_tokens_count_once():
     """Guards against streams that are held back, and budgets charged at both gateways."""
 
