--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -199,8 +199,9 @@
     """Guards against crashes that all nodes forget when they lose power at once."""
 
     async def main():
-        async with running_store() as (_, client):
+        async with running_store() as (fake_store, client):
             adapter = records.PlatformCrashRecords(client)
+            fake_store.put("dogwoodgap-crashes", "unreadable", spec={"processes": 1})
             record = source.CrashRecord(1 << 63, (("s1", 5), ("s2", 6)), 7.5)
             await adapter.create(record)
             with pytest.raises(exceptions.VersionConflictError):
