--- a/review/1/case.py
+++ b/review/1/case.py
@@ -31,7 +31,8 @@
     await asyncio.sleep(HUP_AFTER_S)
     if scene.has_trouble():
         gateway.signal(signal.SIGHUP)
-    while gateway.process.poll() is None and time.time() < stopped_at + GRACE_S:
+    # The process is not a child that the event loop could wait for.
+    while gateway.process.poll() is None and time.time() < stopped_at + GRACE_S:  # noqa: ASYNC110
         await asyncio.sleep(0.02)
     print(
         f"{gateway.name} ended {time.time() - stopped_at:.1f} s after SIGTERM "
