Weigh lost runs against the list of servers, however late it is read

Callers saw requests sent on that had crashed servers while the store was away. The age now counts up to the last listing that still had the process. test_crash_of_a_run_lost_long_before_the_list_is_read_again_counts failed before; test_server_that_leaves_long_after_a_lost_run_did_not_crash held and holds.

--- a/src/dogwoodgap/crash_evidence.py
+++ b/src/dogwoodgap/crash_evidence.py
@@ -107,7 +107,7 @@
 
     def record_end(self, server: servers.BackendServer) -> None:
         """Confirm the suspicions against a process that left the list of servers."""
-        since = clock.now() - DETECTION_S
+        since = self.server_registry.last_listed_at(server.process) - DETECTION_S
         lost = [key for key in self.lost_runs if key[1] == server.process]
         for digest, process in lost:
             if self.lost_runs.pop((digest, process)) >= since:
@@ -181,5 +181,9 @@
             return True
         if self.contacts.get(process, -math.inf) > suspicion.at or self.is_isolated():
             return False
-        is_pending = clock.now() - suspicion.at <= DETECTION_S
-        return is_pending or self.server_registry.age_s > MAX_LISTING_AGE_S
+        if clock.now() - suspicion.at <= DETECTION_S:
+            return True
+        is_list_old = self.server_registry.age_s > MAX_LISTING_AGE_S
+        return is_list_old and (
+            self.server_registry.last_listed_at(process) - suspicion.at <= DETECTION_S
+        )
--- a/src/dogwoodgap/servers.py
+++ b/src/dogwoodgap/servers.py
@@ -66,6 +66,7 @@
         self.confirmed_at = -math.inf
         self.grace_until = -math.inf
         self.listed: tuple[BackendServer, ...] = ()
+        self.absent_since: dict[ProcessKey, float] = {}
         self.servers: dict[str, BackendServer] = {}
         self.by_service: dict[str, list[BackendServer]] = {}
         self.change_hooks: list[collections.abc.Callable[[], None]] = []
@@ -85,6 +86,10 @@
         """Start the grace period of a store outage, in which missing entries are kept."""
         self.grace_until = clock.now() + self.return_grace_s
 
+    def last_listed_at(self, process: ProcessKey) -> float:
+        """Return the monotonic time of the last listing that had a process in use."""
+        return self.absent_since.get(process, self.confirmed_at)
+
     def listing_at(self, revision: int) -> Listing:
         """Return the last listed entries as a listing of the given revision."""
         return Listing(revision, self.listed)
@@ -100,6 +105,8 @@
         if listing.revision < self.revision:
             return False
         self.revision = listing.revision
+        if listing.servers is not self.listed:
+            self.record_absences(listing.servers)
         self.listed = listing.servers
         self.confirmed_at = max(self.confirmed_at, clock.now() if read_at is None else read_at)
         updated = {server.id: server for server in listing.servers}
@@ -111,6 +118,15 @@
         self.replace(updated)
         return True
 
+    def record_absences(self, entries: tuple[BackendServer, ...]) -> None:
+        """Record since when the processes in use that a new listing lacks have not been listed."""
+        listed = {server.process for server in entries}
+        self.absent_since = {
+            server.process: self.last_listed_at(server.process)
+            for server in self.servers.values()
+            if server.process not in listed
+        }
+
     def replace(self, updated: dict[str, BackendServer]) -> None:
         """Replace the servers in use, and call the removal hooks for ended processes."""
         previous = self.servers
--- a/tests/crash_search.py
+++ b/tests/crash_search.py
@@ -36,7 +36,7 @@
 CRASHES = 3
 ALLOWED_RETRIES = 3
 LAPSE_S = runners.LEAVE_BEATS * runners.BEAT_S
-SERVERS_PER_SERVICE = 5
+SERVERS_PER_SERVICE = (5, 10)
 CRASHING_REQUESTS = 4
 """Requests of a run that crash servers; the rule counts each by itself."""
 
@@ -171,7 +171,7 @@
         self.log: list[str] = []
         self.begin = time.time()
         self.tasks: set[asyncio.Task] = set()
-        self.dark_share = self.random.choice([0.0, 0.3, 0.8])
+        self.dark_share = self.random.choice([0.0, 0.3, 1.0])
         self.kinds = [
             self.strand_gateways,
             self.crash_servers,
@@ -432,7 +432,7 @@
         """Send one crashing request again and again to gateways drawn at random."""
         service = self.random.choice(sorted(CRASHING_PREFIXES))
         start_s = self.random.uniform(FIRST_DISRUPTION_S, LAST_START_S)
-        gap_s = self.random.uniform(0.1, 0.6)
+        gap_s = self.random.uniform(0.05, 0.5)
         client = self.scene.client(f"c0{number:02x}-")
         path = f"{CRASHING_PREFIXES[service]}-{number}"
         headers = {"Deadline-Ms": "4000" if service == "model" else "1200"}
@@ -479,8 +479,9 @@
         """Play the run; return how often a request reached servers against the rule."""
         self.write_cuts()
         await self.scene.start()
+        count = self.random.choice(SERVERS_PER_SERVICE)
         for service in sorted(CRASHING_PREFIXES):
-            for _ in range(SERVERS_PER_SERVICE):
+            for _ in range(count):
                 await self.add_server(service)
         try:
             await self.scene.start_gateways()
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -26,6 +26,7 @@
         self.records = gateways.FakeCrashRecords()
         self.all_members = fake_network.static_members(count)
         self.entries = (FIRST, SECOND, THIRD)
+        self.is_store_down = False
         self.trackers = {}
         for member in self.all_members:
             self.start(member)
@@ -55,7 +56,7 @@
         revision = 0
         while True:
             revision += 1
-            for tracker in self.trackers.values():
+            for tracker in () if self.is_store_down else self.trackers.values():
                 registry = tracker.evidence.server_registry
                 registry.apply(servers.Listing(revision, self.entries))
             await anyio.sleep(LISTING_INTERVAL_S)
@@ -252,3 +253,25 @@
     evidence.record_unreachable(7, THIRD)
     await anyio.sleep(0.1)
     assert fleet.refusals(7) == {False}
+
+
+@with_fleet(3)
+async def test_crash_of_a_run_lost_long_before_the_list_is_read_again_counts(fleet):
+    """Guards against evidence that expires while the store is away or slow."""
+    fleet.is_store_down = True
+    fleet.evidence(0).record_lost_run(7, FIRST)
+    fleet.evidence(1).record_lost_run(7, SECOND)
+    await anyio.sleep(2 * crash_evidence.DETECTION_S)
+    fleet.is_store_down = False
+    await fleet.list_servers(THIRD)
+    assert fleet.refusals(7) == {True}
+
+
+@with_fleet(3)
+async def test_server_that_leaves_long_after_a_lost_run_did_not_crash(fleet):
+    """Guards against refusing requests for planned ends that follow lost responses."""
+    for server in (FIRST, SECOND):
+        fleet.evidence(0).record_lost_run(7, server)
+    await anyio.sleep(crash_evidence.DETECTION_S + 2 * LISTING_INTERVAL_S)
+    await fleet.list_servers(THIRD)
+    assert fleet.refusals(7) == {False}
