--- a/src/dogwoodgap/crash_evidence.py
+++ b/src/dogwoodgap/crash_evidence.py
@@ -3,7 +3,7 @@
 A lost response alone proves nothing: a connection may break, and a node may lose its path to a
 server that others still reach. The list of servers is what all nodes agree on. A server that is
 gone from it after it lost a response has crashed; one that stays listed has not. Until the list
-can tell, a server that also refuses a new connection counts as crashed, unless it responds again.
+can tell, a server that also accepts no new connection counts as crashed, unless it responds again.
 """
 
 import collections
@@ -83,6 +83,7 @@
             lambda *args: None
         )
         self.on_end: collections.abc.Callable[[int], None] = lambda digest: None
+        self.unreachable: set[servers.ProcessKey] = set()
         self.found: cachetools.LRUCache[int, bool] = cachetools.LRUCache(MAX_DIGESTS)
         server_registry.removal_hooks.append(self.record_end)
 
@@ -99,14 +100,31 @@
             self.lost_runs[digest, server.process] = clock.now()
             while len(self.lost_runs) > MAX_LOST_RUNS:
                 self.lost_runs.popitem(last=False)
+            if server.process in self.unreachable:
+                self.record_unreachable(digest, server)
 
     def record_unreachable(self, digest: int, server: servers.BackendServer) -> None:
         """Record that a process lost a response and then accepted no new connection."""
         if not self.is_isolated():
             self.report(digest, server.process, ended=False)
 
+    def record_unreachable_server(self, server: servers.BackendServer) -> None:
+        """Record that a process accepts no new connection, whatever request needed one."""
+        if server.process in self.unreachable:
+            return
+        self.unreachable.add(server.process)
+        since = clock.now() - DETECTION_S
+        for (digest, process), lost_at in self.lost_runs.items():
+            if process == server.process and lost_at >= since:
+                self.record_unreachable(digest, server)
+
+    def record_reachable_server(self, server: servers.BackendServer) -> None:
+        """Record that a process accepted a new connection."""
+        self.unreachable.discard(server.process)
+
     def record_end(self, server: servers.BackendServer) -> None:
         """Confirm the suspicions against a process that left the list of servers."""
+        self.unreachable.discard(server.process)
         since = self.server_registry.last_listed_at(server.process) - DETECTION_S
         lost = [key for key in self.lost_runs if key[1] == server.process]
         for digest, process in lost:
--- a/src/dogwoodgap/forwarder.py
+++ b/src/dogwoodgap/forwarder.py
@@ -110,6 +110,8 @@
             server_registry, self.loads, lambda server: self.pool(server).open()
         )
         crash_tracker.evidence.is_isolated = self.monitor.is_isolated
+        self.monitor.on_failure = crash_tracker.evidence.record_unreachable_server
+        self.monitor.on_success = crash_tracker.evidence.record_reachable_server
         self.peer_relay = peer_relay.PeerRelay(header_codec, max_response_bytes, self.retire_pool)
         self.max_relayed_requests = max_relayed_requests
         self.relayed = 0
--- a/src/dogwoodgap/reachability.py
+++ b/src/dogwoodgap/reachability.py
@@ -48,6 +48,11 @@
         State of the servers; probes update it.
     open_connection : callable
         Opens a connection to a server, or raises ``ServerUnreachableError``.
+
+    Attributes
+    ----------
+    on_failure, on_success : callable
+        Called with a server after each failed and each successful connection attempt.
     """
 
     def __init__(
@@ -59,6 +64,12 @@
         self.server_registry = server_registry
         self.loads = loads
         self.open_connection = open_connection
+        self.on_failure: collections.abc.Callable[[servers.BackendServer], None] = lambda server: (
+            None
+        )
+        self.on_success: collections.abc.Callable[[servers.BackendServer], None] = lambda server: (
+            None
+        )
         self.wakeup = anyio.Event()
         self.suspected: dict[str, servers.BackendServer] = {}
         self.failing: dict[str, set[str]] = collections.defaultdict(set)
@@ -94,9 +105,11 @@
                 service=server.service,
                 failing=sorted(self.failing[server.service]),
             )
+        self.on_failure(server)
 
     def record_success(self, server: servers.BackendServer) -> None:
         """Record a new connection; if the service was cut off, probe its other servers at once."""
+        self.on_success(server)
         state = self.loads.state(server)
         if state.connect_failures == 0 and not self.failing.get(server.service):
             return
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -275,3 +275,25 @@
     await anyio.sleep(crash_evidence.DETECTION_S + 2 * LISTING_INTERVAL_S)
     await fleet.list_servers(THIRD)
     assert fleet.refusals(7) == {False}
+
+
+@with_fleet(3)
+async def test_silent_end_of_a_server_counts_once_it_accepts_no_connection(fleet):
+    """Guards against sending a request to further servers until the list shows silent ends."""
+    fleet.evidence(0).record_lost_run(7, FIRST)
+    fleet.evidence(0).record_unreachable_server(FIRST)
+    fleet.evidence(1).record_unreachable_server(SECOND)
+    fleet.evidence(1).record_lost_run(7, SECOND)
+    await anyio.sleep(0.1)
+    assert fleet.refusals(7) == {True}
+
+
+@with_fleet(2)
+async def test_silent_server_that_accepts_connections_is_no_crash(fleet):
+    """Guards against refusing requests whose servers are slow or fall silent for a moment."""
+    for server in (FIRST, SECOND):
+        fleet.evidence(0).record_unreachable_server(server)
+        fleet.evidence(0).record_reachable_server(server)
+        fleet.evidence(0).record_lost_run(7, server)
+    await anyio.sleep(0.1)
+    assert fleet.refusals(7) == {False}
