Keep the evidence of a gateway that believes to be cut off

Where a request crashes all servers of a service, or most of all, a gateway took itself for isolated and dropped what it saw. The evidence is now kept on that gateway, counts for nothing while it is isolated, and is passed on only by gateways that are not. test_evidence_of_an_isolated_node_counts_once_it_reaches_servers failed before.

--- a/src/dogwoodgap/crash_evidence.py
+++ b/src/dogwoodgap/crash_evidence.py
@@ -105,7 +105,9 @@
 
     def record_unreachable(self, digest: int, server: servers.BackendServer) -> None:
         """Record that a process lost a response and then accepted no new connection."""
-        if not self.is_isolated():
+        if self.is_isolated():
+            self.add(digest, server.process, ended=False)
+        else:
             self.report(digest, server.process, ended=False)
 
     def record_unreachable_server(self, server: servers.BackendServer) -> None:
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -297,3 +297,17 @@
         fleet.evidence(0).record_lost_run(7, server)
     await anyio.sleep(0.1)
     assert fleet.refusals(7) == {False}
+
+
+@with_fleet(2)
+async def test_evidence_of_an_isolated_node_counts_once_it_reaches_servers(fleet):
+    """Guards against crashes that are ignored since they leave a node no servers to reach."""
+    evidence = fleet.evidence(0)
+    evidence.is_isolated = lambda: True
+    for server in (FIRST, SECOND):
+        evidence.record_lost_run(7, server)
+        evidence.record_unreachable_server(server)
+    await anyio.sleep(0.1)
+    assert fleet.refusals(7) == {False}
+    evidence.is_isolated = lambda: False
+    assert fleet.trackers[fleet.all_members[0].node].is_refused(7)
