Let only the process itself refute a crash, and only a success clear a request

A 421 comes from another process at the address, so that the expected one has ended; it counted as a sign of life. A 4xx is no completed run, and cleared the request on that gateway. Three tests of test_crash_observation.py failed before with these statuses; 200 was right and stays so.

--- a/src/dogwoodgap/forwarder.py
+++ b/src/dogwoodgap/forwarder.py
@@ -420,7 +420,8 @@
             progress.attempt_log.append(f"{server.id}:{result.value}")
             exposition.exchanges.labels(progress.service, result.value).inc()
             if result is progress_module.AttemptResult.DONE:
-                self.crash_tracker.evidence.clear(digest)
+                if progress.status < relay.SUCCESS_END:
+                    self.crash_tracker.evidence.clear(digest)
                 return
             if result in (
                 progress_module.AttemptResult.NOT_RUN,
@@ -628,7 +629,11 @@
 
         def on_head(head: upstream.ResponseHead) -> None:
             self.permit_coordinator.observe(connection.server, head.metadata, sent_at)
-            self.crash_tracker.evidence.record_contact(connection.server, sent_at)
+            if head.status == relay.MISDIRECTED_REQUEST:
+                # Another process has the address of this one.
+                self.crash_tracker.evidence.record_unreachable_server(connection.server)
+            else:
+                self.crash_tracker.evidence.record_contact(connection.server, sent_at)
             is_stream = progress.route.kind is routes.RouteKind.STREAMING
             if is_stream and head.metadata.signed and progress.required_version is None:
                 self.stream_recorder.record(call, progress.route, connection.server)
