Let gateways that missed crashes of servers fetch them from their partners

A crash was told once. Pings now carry a digest of the confirmed crashes; a gateway whose digest stays different for 0.5 s fetches what the other one knows, once per digest. Ages travel along, so that all forget at the same time, and a request that was completed is not suspected again for older crashes. The fields are optional: a gateway of an older version ignores them. test_node_that_was_cut_off_learns_of_crashes and test_nodes_that_restart_together_learn_from_any_other fail without the comparison; test_nodes_with_equal_knowledge_fetch_nothing bounds the messages.

--- a/src/dogwoodgap/crash_evidence.py
+++ b/src/dogwoodgap/crash_evidence.py
@@ -12,6 +12,7 @@
 import math
 
 import cachetools
+import xxhash
 
 from dogwoodgap import clock, servers
 
@@ -84,6 +85,9 @@
         )
         self.on_end: collections.abc.Callable[[int], None] = lambda digest: None
         self.unreachable: set[servers.ProcessKey] = set()
+        self.cleared_at: cachetools.LRUCache[int, float] = cachetools.LRUCache(MAX_DIGESTS)
+        self.cached_digest: int | None = None
+        self.digest_valid_until = -math.inf
         self.found: cachetools.LRUCache[int, bool] = cachetools.LRUCache(MAX_DIGESTS)
         server_registry.removal_hooks.append(self.record_end)
 
@@ -136,6 +140,7 @@
             suspicion = suspicions.get(server.process)
             if suspicion is not None and not suspicion.ended and suspicion.at >= since:
                 suspicion.ended = True
+                self.invalidate_digest()
                 self.notify_end(digest)
 
     def report(self, digest: int, process: servers.ProcessKey, *, ended: bool) -> None:
@@ -148,12 +153,16 @@
         self, digest: int, process: servers.ProcessKey, *, ended: bool, age_s: float = 0.0
     ) -> bool:
         """Add a crash found on this or another node; return whether it is news."""
+        at = clock.now() - age_s
+        if age_s > REFUSAL_TTL_S or at < self.cleared_at.get(digest, -math.inf):
+            return False
         suspicions = self.records.pop(digest, None)
         self.records[digest] = suspicions = {} if suspicions is None else suspicions
         known = suspicions.get(process)
         if known is not None and (known.ended or not ended):
             return False
-        suspicions[process] = Suspicion(clock.now() - age_s, ended)
+        suspicions[process] = Suspicion(at, ended)
+        self.invalidate_digest()
         if ended:
             self.notify_end(digest)
         while len(self.records) > MAX_DIGESTS:
@@ -174,6 +183,34 @@
         )
         del self.records[next(unconfirmed, next(iter(self.records)))]
 
+    def invalidate_digest(self) -> None:
+        """Compute the digest again when it is needed next."""
+        self.digest_valid_until = -math.inf
+
+    def digest(self) -> int | None:
+        """Return a signed 64-bit hash of the confirmed crashes, or None without any."""
+        now = clock.now()
+        if now >= self.digest_valid_until:
+            value = 0
+            self.digest_valid_until = math.inf
+            for digest, ended in self.confirmed():
+                expires_at = max(suspicion.at for suspicion in ended.values()) + REFUSAL_TTL_S
+                self.digest_valid_until = min(self.digest_valid_until, expires_at)
+                for process in ended:
+                    value ^= xxhash.xxh64_intdigest(repr((digest, process)).encode())
+            self.cached_digest = value - (1 << 64) if value >> 63 else value
+        return self.cached_digest or None
+
+    def confirmed(
+        self,
+    ) -> collections.abc.Iterator[tuple[int, dict[servers.ProcessKey, Suspicion]]]:
+        """Yield each request with its confirmed crashes, unless they have expired."""
+        since = clock.now() - REFUSAL_TTL_S
+        for digest, suspicions in self.records.items():
+            ended = {process: found for process, found in suspicions.items() if found.ended}
+            if any(suspicion.at > since for suspicion in ended.values()):
+                yield digest, ended
+
     def ended_processes(self, digest: int) -> list[servers.ProcessKey]:
         """Return the processes that crashed under a request and have left the list of servers."""
         suspicions = self.records.get(digest, {})
@@ -181,7 +218,9 @@
 
     def clear(self, digest: int) -> None:
         """Drop the suspicions against a request that a server has completed."""
-        self.records.pop(digest, None)
+        if self.records.pop(digest, None) is not None:
+            self.cleared_at[digest] = clock.now()
+            self.invalidate_digest()
 
     def crashes(self, digest: int) -> int:
         """Return how many processes count as crashed by a request."""
--- a/src/dogwoodgap/crashes.py
+++ b/src/dogwoodgap/crashes.py
@@ -1,7 +1,8 @@
 """Refuses forwarded requests that crash backend servers, on all nodes.
 
 A request that crashes servers is sent again with the same path, caller and body, so its digest
-stays the same. Crashes are passed on to all nodes.
+stays the same. Crashes are passed on to all nodes. A node that missed some, because it was cut off,
+suspended or starting, finds out when it compares digests with its partners, and fetches them.
 """
 
 import logging
@@ -10,6 +11,7 @@
 
 from dogwoodgap import (
     broadcast,
+    clock,
     crash_evidence,
     crash_records,
     dialect,
@@ -26,6 +28,9 @@
 RETRY_AFTER_S = 2.0
 FETCH_TIMEOUT_S = 0.3
 
+SYNC_DELAY_S = 0.5
+"""Time for which digests of crashes differ before they are fetched; a broadcast takes less."""
+
 
 class CrashTracker:
     """Tracks the requests that were in flight when servers crashed.
@@ -46,6 +51,8 @@
         self.membership: membership.Membership | None = None
         self.network: peers.Network | None = None
         self.broadcaster: broadcast.Broadcaster | None = None
+        self.differs_since: dict[str, float] = {}
+        self.fetched_digests: dict[str, int] = {}
 
     def digest(self, call: dialect.Call) -> int:
         """Return the digest of the parts of a request that stay the same when it is resent."""
@@ -113,7 +120,34 @@
     def apply_message(self, message: ttypes.ServerCrash) -> bool:
         """Add a crash known to another node; return whether it is news."""
         process = (message.server, message.started_ms or 0)
-        return self.evidence.add(int(message.digest, 16), process, ended=bool(message.ended))
+        return self.evidence.add(
+            int(message.digest, 16),
+            process,
+            ended=bool(message.ended),
+            age_s=(message.age_ms or 0) / 1000,
+        )
+
+    def compare_digest(self, member: members.Member, digest: int) -> None:
+        """Fetch the crashes of a member in the background if its digest stays different.
+
+        Parameters
+        ----------
+        digest : int
+            The member's digest of the crashes that it knows; it fetches those of this node itself.
+        """
+        node = member.node
+        if digest in (self.evidence.digest(), self.fetched_digests.get(node)):
+            self.differs_since.pop(node, None)
+            return
+        since = self.differs_since.setdefault(node, clock.now())
+        if clock.now() - since >= SYNC_DELAY_S and self.broadcaster is not None:
+            self.differs_since[node] = clock.now()
+            self.broadcaster.tasks.start_soon(self.synchronize, member, digest)
+
+    async def synchronize(self, member: members.Member, digest: int) -> None:
+        """Fetch the crashes of a member, and remember its digest if that succeeded."""
+        if await self.fetch(member):
+            self.fetched_digests[member.node] = digest
 
     async def on_fetch(
         self, sender: ttypes.Member, message: ttypes.CrashFetch
@@ -121,9 +155,9 @@
         """Handle the request of a starting node."""
         return ttypes.CrashFetchReply(
             crashes=[
-                to_wire(digest, process, True)
-                for digest in self.evidence.records
-                for process in self.evidence.ended_processes(digest)
+                to_wire(digest, process, True, clock.now() - suspicion.at)
+                for digest, ended in self.evidence.confirmed()
+                for process, suspicion in ended.items()
             ]
         )
 
@@ -132,31 +166,42 @@
         for member in self.membership.table.alive():
             if member is self.membership.table.local:
                 continue
-            try:
-                reply = await self.network.request(
-                    member.peer_address,
-                    ttypes.CrashFetch(),
-                    ttypes.CrashFetchReply,
-                    timeout_s=FETCH_TIMEOUT_S,
-                )
-            except exceptions.PeerError as error:
-                log_fetch_failure(member, error)
-                continue
-            for crash in reply.message.crashes or []:
-                self.apply_message(crash)
-            break
+            if await self.fetch(member):
+                break
         await self.recorder.load()
 
+    async def fetch(self, member: members.Member) -> bool:
+        """Fetch the crashes that a member knows; return whether it replied."""
+        try:
+            reply = await self.network.request(
+                member.peer_address,
+                ttypes.CrashFetch(),
+                ttypes.CrashFetchReply,
+                timeout_s=FETCH_TIMEOUT_S,
+            )
+        except exceptions.PeerError as error:
+            log_fetch_failure(member, error)
+            return False
+        for crash in reply.message.crashes or []:
+            self.apply_message(crash)
+        return True
+
     def is_refused(self, digest: int) -> bool:
         """Return whether a request has to be refused."""
         return self.evidence.crashes(digest) >= crash_evidence.MAX_CRASHES
 
 
-def to_wire(digest: int, process: servers.ProcessKey, ended: bool) -> ttypes.ServerCrash:
+def to_wire(
+    digest: int, process: servers.ProcessKey, ended: bool, age_s: float = 0.0
+) -> ttypes.ServerCrash:
     """Return a crash as a message."""
     server_id, started_ms = process
     return ttypes.ServerCrash(
-        digest=f"{digest:016x}", server=server_id, started_ms=started_ms, ended=ended
+        digest=f"{digest:016x}",
+        server=server_id,
+        started_ms=started_ms,
+        ended=ended,
+        age_ms=round(age_s * 1000),
     )
 
 
--- a/src/dogwoodgap/gateway.py
+++ b/src/dogwoodgap/gateway.py
@@ -212,6 +212,8 @@
             ),
             runners=self.local_loads,
             on_load=self.update_remote_loads,
+            crash_digest=self.crash_tracker.evidence.digest,
+            on_crash_digest=self.crash_tracker.compare_digest,
         )
         joined = membership.Membership(self.settings, self.boot, network, None, hooks)
         self.budget_coordinator.join(joined, network, tasks)
--- a/src/dogwoodgap/membership.py
+++ b/src/dogwoodgap/membership.py
@@ -59,6 +59,10 @@
         Return the loads to send; those of runners depend on the receiving node.
     on_load : callable
         Called with the member, its service loads and its runner loads.
+    crash_digest : callable
+        Returns the digest of the crashes of servers known to this node, or None without any.
+    on_crash_digest : callable
+        Called with a member and its digest of crashes.
     """
 
     generation: collections.abc.Callable[[], int] = lambda: -1
@@ -68,6 +72,8 @@
     services: collections.abc.Callable[[], list[ttypes.ServiceLoad]] = list
     runners: collections.abc.Callable[[str], list[ttypes.RunnerLoad]] = lambda node: []
     on_load: collections.abc.Callable[[members.Member, list, list], None] = lambda *args: None
+    crash_digest: collections.abc.Callable[[], int | None] = lambda: None
+    on_crash_digest: collections.abc.Callable[[members.Member, int], None] = lambda *args: None
 
 
 class Membership:
@@ -329,6 +335,7 @@
             "incarnation": self.local.incarnation,
             "leaving": self.local.status is not members.Status.ALIVE,
             "table_digest": self.table.digest(),
+            "crash_digest": self.hooks.crash_digest(),
         }
 
     async def process_ping(
@@ -350,6 +357,8 @@
         if version > self.hooks.assignment_version():
             self.hooks.on_assignment(member, version)
         self.hooks.on_load(member, message.services or [], message.runners or [])
+        if message.crash_digest is not None:
+            self.hooks.on_crash_digest(member, message.crash_digest)
         await self.compare_digest(member, message.table_digest)
 
     async def compare_digest(self, member: members.Member, digest: int) -> None:
--- a/src/dogwoodgap_wire/ttypes.py
+++ b/src/dogwoodgap_wire/ttypes.py
@@ -546,6 +546,7 @@
      - incarnation
      - leaving
      - table_digest
+     - crash_digest
 
     """
 
@@ -558,10 +559,11 @@
         'incarnation',
         'leaving',
         'table_digest',
+        'crash_digest',
     )
 
 
-    def __init__(self, changes=None, configuration_generation=None, assignment_version=None, services=None, runners=None, incarnation=None, leaving=None, table_digest=None,):
+    def __init__(self, changes=None, configuration_generation=None, assignment_version=None, services=None, runners=None, incarnation=None, leaving=None, table_digest=None, crash_digest=None,):
         self.changes = changes
         self.configuration_generation = configuration_generation
         self.assignment_version = assignment_version
@@ -570,6 +572,7 @@
         self.incarnation = incarnation
         self.leaving = leaving
         self.table_digest = table_digest
+        self.crash_digest = crash_digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -638,6 +641,11 @@
                     self.table_digest = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.crash_digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -689,6 +697,10 @@
             oprot.writeFieldBegin('table_digest', TType.I64, 8)
             oprot.writeI64(self.table_digest)
             oprot.writeFieldEnd()
+        if self.crash_digest is not None:
+            oprot.writeFieldBegin('crash_digest', TType.I64, 9)
+            oprot.writeI64(self.crash_digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -725,6 +737,7 @@
      - services
      - runners
      - table_digest
+     - crash_digest
 
     """
 
@@ -737,10 +750,11 @@
         'services',
         'runners',
         'table_digest',
+        'crash_digest',
     )
 
 
-    def __init__(self, changes=None, configuration_generation=None, assignment_version=None, incarnation=None, leaving=None, services=None, runners=None, table_digest=None,):
+    def __init__(self, changes=None, configuration_generation=None, assignment_version=None, incarnation=None, leaving=None, services=None, runners=None, table_digest=None, crash_digest=None,):
         self.changes = changes
         self.configuration_generation = configuration_generation
         self.assignment_version = assignment_version
@@ -749,6 +763,7 @@
         self.services = services
         self.runners = runners
         self.table_digest = table_digest
+        self.crash_digest = crash_digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -817,6 +832,11 @@
                     self.table_digest = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.crash_digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -868,6 +888,10 @@
             oprot.writeFieldBegin('table_digest', TType.I64, 8)
             oprot.writeI64(self.table_digest)
             oprot.writeFieldEnd()
+        if self.crash_digest is not None:
+            oprot.writeFieldBegin('crash_digest', TType.I64, 9)
+            oprot.writeI64(self.crash_digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4010,6 +4034,7 @@
      - started_ms
      - part_end
      - ended
+     - age_ms
 
     """
 
@@ -4019,15 +4044,17 @@
         'started_ms',
         'part_end',
         'ended',
+        'age_ms',
     )
 
 
-    def __init__(self, digest=None, server=None, started_ms=None, part_end=None, ended=None,):
+    def __init__(self, digest=None, server=None, started_ms=None, part_end=None, ended=None, age_ms=None,):
         self.digest = digest
         self.server = server
         self.started_ms = started_ms
         self.part_end = part_end
         self.ended = ended
+        self.age_ms = age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4063,6 +4090,11 @@
                     self.ended = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4093,6 +4125,10 @@
             oprot.writeFieldBegin('ended', TType.BOOL, 5)
             oprot.writeBool(self.ended)
             oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 6)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4908,6 +4944,7 @@
     (6, TType.I64, 'incarnation', None, None, ),  # 6
     (7, TType.BOOL, 'leaving', None, None, ),  # 7
     (8, TType.I64, 'table_digest', None, None, ),  # 8
+    (9, TType.I64, 'crash_digest', None, None, ),  # 9
 )
 all_structs.append(PingReply)
 PingReply.thrift_spec = (
@@ -4920,6 +4957,7 @@
     (6, TType.LIST, 'services', (TType.STRUCT, [ServiceLoad, None], False), None, ),  # 6
     (7, TType.LIST, 'runners', (TType.STRUCT, [RunnerLoad, None], False), None, ),  # 7
     (8, TType.I64, 'table_digest', None, None, ),  # 8
+    (9, TType.I64, 'crash_digest', None, None, ),  # 9
 )
 all_structs.append(MemberFetch)
 MemberFetch.thrift_spec = (
@@ -5157,6 +5195,7 @@
     (3, TType.I64, 'started_ms', None, None, ),  # 3
     (4, TType.I64, 'part_end', None, None, ),  # 4
     (5, TType.BOOL, 'ended', None, None, ),  # 5
+    (6, TType.I32, 'age_ms', None, None, ),  # 6
 )
 all_structs.append(CrashFetch)
 CrashFetch.thrift_spec = (
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -9,12 +9,14 @@
 import virtual_time
 
 from dogwoodgap import broadcast, crash_evidence, crash_records, crashes, servers
+from dogwoodgap_wire import ttypes
 
 FIRST, SECOND, THIRD = (
     servers.BackendServer(f"p{number}", "plain", f"10.1.0.{number}:80", "d", 4, started_ms=1)
     for number in range(3)
 )
 LISTING_INTERVAL_S = 0.6
+PING_INTERVAL_S = 0.5
 
 
 class Fleet:
@@ -31,6 +33,7 @@
         for member in self.all_members:
             self.start(member)
         tasks.start_soon(self.follow)
+        tasks.start_soon(self.ping)
 
     async def restart(self, *restarted):
         """Restart nodes at the same moment, and wait until they know the servers."""
@@ -61,6 +64,17 @@
                 registry.apply(servers.Listing(revision, self.entries))
             await anyio.sleep(LISTING_INTERVAL_S)
 
+    async def ping(self):
+        """Let all nodes compare digests at intervals, as far as they reach each other."""
+        while True:
+            for member in self.all_members:
+                for other in self.all_members:
+                    pair = (member.peer_address, other.peer_address)
+                    digest = self.trackers[other.node].evidence.digest()
+                    if self.shared_network.is_reachable(*pair) and digest is not None:
+                        self.trackers[member.node].compare_digest(other, digest)
+            await anyio.sleep(PING_INTERVAL_S)
+
     async def list_servers(self, *entries):
         """Replace the list of servers, and wait until all nodes have it."""
         self.entries = entries
@@ -77,6 +91,12 @@
             self.evidence(number).record_lost_run(digest, server)
         await self.list_servers(*(entry for entry in self.entries if entry not in crashed))
 
+    async def crash_at(self, number, digest, *crashed):
+        """Let servers crash under a request at one node, and leave the list."""
+        for server in crashed:
+            self.evidence(number).record_unreachable(digest, server)
+        await self.list_servers(*(entry for entry in self.entries if entry not in crashed))
+
     def refusals(self, digest):
         """Return whether each node refuses a request."""
         return {tracker.is_refused(digest) for tracker in self.trackers.values()}
@@ -311,3 +331,39 @@
     assert fleet.refusals(7) == {False}
     evidence.is_isolated = lambda: False
     assert fleet.trackers[fleet.all_members[0].node].is_refused(7)
+
+
+@with_fleet(3)
+async def test_node_that_was_cut_off_learns_of_crashes(fleet):
+    """Guards against nodes that miss a message and let a request crash two more servers."""
+    first, *others = (member.peer_address for member in fleet.all_members)
+    fleet.shared_network.partition([first], others)
+    await fleet.crash_at(1, 7, FIRST, SECOND)
+    await anyio.sleep(1.0)
+    assert not fleet.trackers[fleet.all_members[0].node].is_refused(7)
+    fleet.shared_network.broken_links.clear()
+    await anyio.sleep(3 * crashes.SYNC_DELAY_S)
+    assert fleet.refusals(7) == {True}
+
+
+@with_fleet(3)
+async def test_nodes_that_restart_together_learn_from_any_other(fleet):
+    """Guards against restarted nodes that take the ignorance of another one for the truth."""
+    await fleet.crash_at(2, 7, FIRST, SECOND)
+    fleet.records.down = True
+    await fleet.restart(*fleet.all_members[:2])
+    await anyio.sleep(3 * crashes.SYNC_DELAY_S)
+    assert fleet.refusals(7) == {True}
+
+
+@with_fleet(3)
+async def test_nodes_with_equal_knowledge_fetch_nothing(fleet):
+    """Guards against fetches without end when a request was cleared or has expired."""
+    await fleet.crash(7, FIRST, SECOND)
+    fleet.evidence(0).clear(7)
+    await anyio.sleep(5 * crashes.SYNC_DELAY_S)
+    networks = fleet.shared_network.nodes.values()
+    sent = sum(network.sent[ttypes.CrashFetch] for network in networks)
+    await anyio.sleep(crash_evidence.REFUSAL_TTL_S + 10.0)
+    assert sum(network.sent[ttypes.CrashFetch] for network in networks) == sent
+    assert not fleet.trackers[fleet.all_members[0].node].is_refused(7)
--- a/thrift/dogwoodgap.thrift
+++ b/thrift/dogwoodgap.thrift
@@ -48,6 +48,8 @@
   7: bool leaving,
   // Hash of the sender's members that are not dead; a persistent difference triggers a MemberFetch.
   8: i64 table_digest,
+  // Hash of the crashes of servers that the sender knows; a persistent difference triggers a CrashFetch.
+  9: optional i64 crash_digest,
 }
 
 struct PingReply {
@@ -59,6 +61,8 @@
   6: list<ServiceLoad> services,
   7: list<RunnerLoad> runners,
   8: i64 table_digest,
+  // Hash of the crashes of servers that the sender knows; a persistent difference triggers a CrashFetch.
+  9: optional i64 crash_digest,
 }
 
 struct MemberFetch {}
@@ -234,6 +238,8 @@
   // End of the part of the hash ring that the receiver passes this on to; absent for one receiver.
   4: optional i64 part_end,
   5: bool ended,
+  // Time since the crash; absent for a crash that was just found.
+  6: optional i32 age_ms,
 }
 
 // Requests the crashes that the receiver knows to have ended processes.
