Store crashes also after the loss of the gateway that saw them

Only a gateway that saw a crash itself stored it. The first member now stores what others have found. test_crashes_are_stored_after_the_loss_of_the_node_that_saw_them failed before.

--- a/src/dogwoodgap/crash_evidence.py
+++ b/src/dogwoodgap/crash_evidence.py
@@ -65,7 +65,7 @@
     on_crash : callable
         Called with the digest, the process and whether it ended, for each crash found here.
     on_end : callable
-        Called with the digest of a request found here when another process is known to have ended.
+        Called with the digest of a request when another process is known to have ended.
     """
 
     def __init__(self, server_registry: servers.ServerRegistry):
@@ -141,7 +141,7 @@
             if suspicion is not None and not suspicion.ended and suspicion.at >= since:
                 suspicion.ended = True
                 self.invalidate_digest()
-                self.notify_end(digest)
+                self.on_end(digest)
 
     def report(self, digest: int, process: servers.ProcessKey, *, ended: bool) -> None:
         """Add a crash that was found here, and tell of it if it is news."""
@@ -164,16 +164,11 @@
         suspicions[process] = Suspicion(at, ended)
         self.invalidate_digest()
         if ended:
-            self.notify_end(digest)
+            self.on_end(digest)
         while len(self.records) > MAX_DIGESTS:
             self.evict()
         return True
 
-    def notify_end(self, digest: int) -> None:
-        """Call the hook if the request was found here, so that few nodes act on it."""
-        if digest in self.found:
-            self.on_end(digest)
-
     def evict(self) -> None:
         """Drop the oldest record, preferably one of suspicions that were not confirmed."""
         unconfirmed = (
--- a/src/dogwoodgap/crash_records.py
+++ b/src/dogwoodgap/crash_records.py
@@ -27,7 +27,8 @@
     Attributes
     ----------
     is_cleaner : callable
-        Returns whether this node deletes the expired records of nodes that have ended.
+        Returns whether this node acts for nodes that have ended: it stores what they found, and
+        deletes their expired records.
     """
 
     def __init__(self, records: source.CrashRecords, evidence: crash_evidence.EvidenceTable):
@@ -40,9 +41,14 @@
         self.is_cleaner: collections.abc.Callable[[], bool] = lambda: True
 
     def request_store(self, digest: int) -> None:
-        """Store a request in the background once it has crashed enough servers to be refused."""
+        """Store a request in the background once it has crashed enough servers to be refused.
+
+        The nodes that saw a crash do so, and one more in case these have ended.
+        """
         if digest in self.expiries or digest in self.pending:
             return
+        if digest not in self.evidence.found and not self.is_cleaner():
+            return
         if len(self.evidence.ended_processes(digest)) >= crash_evidence.MAX_CRASHES:
             self.pending.add(digest)
             self.has_pending.set()
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -367,3 +367,15 @@
     await anyio.sleep(crash_evidence.REFUSAL_TTL_S + 10.0)
     assert sum(network.sent[ttypes.CrashFetch] for network in networks) == sent
     assert not fleet.trackers[fleet.all_members[0].node].is_refused(7)
+
+
+@with_fleet(3)
+async def test_crashes_are_stored_after_the_loss_of_the_node_that_saw_them(fleet):
+    """Guards against crashes that no node stores since the one that saw them has ended."""
+    for server in (FIRST, SECOND):
+        fleet.evidence(1).record_unreachable(7, server)
+    await anyio.sleep(0.1)
+    await fleet.restart(fleet.all_members[1])
+    await fleet.list_servers(THIRD)
+    await fleet.restart(*fleet.all_members)
+    assert fleet.refusals(7) == {True}
