--- a/src/dogwoodgap/gateway.py
+++ b/src/dogwoodgap/gateway.py
@@ -44,6 +44,9 @@
 JOIN_TIMEOUT_S = 1.5
 """Time to wait for contact with another gateway before starting as the only member."""
 
+CRASH_LOAD_TIMEOUT_S = 0.5
+"""Time after which a starting gateway gets requests although it could not load all crashes."""
+
 STOP_POLL_INTERVAL_S = 0.05
 """Interval at which a stop checks whether the last requests have finished."""
 
@@ -235,13 +238,20 @@
                 await joined.wakeup.wait()
         await self.budget_coordinator.fetch_losses()
         await self.permit_coordinator.fetch_limits()
+        if not self.settings.gateway.first_start:
+            await self.load_crashes(tasks)
         self.membership = joined
         tasks.start_soon(self.crash_tracker.recorder.run)
-        if not self.settings.gateway.first_start:
-            tasks.start_soon(self.crash_tracker.load)
         tasks.start_soon(self.budget_coordinator.run)
         tasks.start_soon(self.removal_follower.run)
 
+    async def load_crashes(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Load the crashes of servers before this gateway gets requests, unless that takes long."""
+        with anyio.move_on_after(CRASH_LOAD_TIMEOUT_S) as scope:
+            await self.crash_tracker.load()
+        if scope.cancelled_caught:
+            tasks.start_soon(self.crash_tracker.load)
+
     def local_loads(self, node: str) -> list[ttypes.RunnerLoad]:
         """Return this node's in-flight requests per backend server."""
         return [
