--- a/tests/crash_search.py
+++ b/tests/crash_search.py
@@ -82,7 +82,7 @@
     async def start(self):
         """Listen and register as a new process, mostly under a new id."""
         self.starts += 1
-        if self.starts > 1 and self.search.random.random() < 0.5:
+        if self.starts > 1 and self.search.timed_random.random() < 0.5:
             self.name = f"{self.base_name}-{self.starts}"
         self.is_alive = True
         self.responsive.set()
@@ -108,7 +108,7 @@
             await asyncio.Event().wait()
         await self.responsive.wait()
         if arrival is not None:
-            await asyncio.sleep(self.search.random.choice([0.0, 0.01, 0.1, 0.5]))
+            await asyncio.sleep(self.search.timed_random.choice([0.0, 0.01, 0.1, 0.5]))
             if self.is_alive:
                 arrival.crashed = True
                 self.search.crashes[path].append(time.time())
@@ -155,10 +155,12 @@
 
     def __init__(self, seed: int, folder: pathlib.Path):
         self.random = random.Random(seed)
-        random.seed(seed)
-        self.seed = seed
+        # Draws that depend on timing do not change the disruptions of a seed.
+        self.timed_random = random.Random(seed)
         self.folder = folder
+        random.seed()
         net = scene.free_net(scene.GATEWAYS)
+        random.seed(seed)
         self.scene = scene.Scene(net, folder)
         for gateway in self.scene.gateways:
             gateway.__class__ = Gateway
@@ -383,13 +385,13 @@
 
     def restart_later(self, server: Server) -> None:
         """End a server's process, and start it again after some time."""
-        dark = self.random.random() < self.dark_share
+        dark = self.timed_random.random() < self.dark_share
         server.fail(dark=dark)
         if dark:
             for gateway in self.scene.gateways:
                 self.cuts[gateway.ip][server.host] = "hang"
             self.write_cuts()
-        self.spawn(self.restart(server, self.random.uniform(0.5, 5.0), dark=dark))
+        self.spawn(self.restart(server, self.timed_random.uniform(0.5, 5.0), dark=dark))
 
     async def restart(self, server: Server, after_s: float, *, dark: bool) -> None:
         """Start a server as a new process."""
