Assume no version of a stream at a gateway that may be out of step

An operator saw streams of a new software version go on at the old one: a gateway that was cut off or suspended for a moment while the first servers of the version joined took streams without a record for ones of the version it knew, as its list was younger than 2 s. All owners are now asked at the same time; a reply from one that knows a version that this gateway does not decides, and without any reply the caller is told to begin again.

--- a/src/dogwoodgap/stream_owners.py
+++ b/src/dogwoodgap/stream_owners.py
@@ -5,6 +5,9 @@
 nodes in the order of ownership of its program, the same ones that own its token budget.
 """
 
+import random
+
+import anyio
 import anyio.abc
 import cachetools
 
@@ -32,7 +35,7 @@
 """Nothing waits for a record, and a busy node may be slow to accept a connection."""
 
 QUERY_TIMEOUT_S = 0.2
-"""A caller waits for the reply, which takes one to three round trips of 1 to 3 ms."""
+"""A caller waits for the reply, which takes a round trip of 1 to 3 ms."""
 
 MAX_RECORDS = 8_192
 """Streams whose start is remembered; about 200 bytes each."""
@@ -94,7 +97,8 @@
         """Return the software version that began the stream that a call resumes; None if unknown.
 
         Other nodes are asked even if this one can infer the version, since they may have a record,
-        and a node that has just started can infer nothing.
+        a node that has just started can infer nothing, and one that was cut off or suspended may
+        not know of a new version yet.
         """
         if (version := self.records.get(call.resumed_attempt)) is not None:
             return version
@@ -102,8 +106,25 @@
         query = ttypes.StreamQuery(
             attempt=call.resumed_attempt, service_name=service, window=window_s
         )
-        inferred = self.history.unrecorded_version(service, window_s)
-        for member in self.owners(call):
+        replies = await self.query(self.owners(call), query)
+        if not replies:
+            others = self.other_members()
+            if others:
+                replies = await self.query(random.sample(others, min(OWNERS, len(others))), query)
+            if others and not replies:
+                return None  # this node may be cut off, and not know of a new version
+        recorded = [reply.software_version for reply in replies]
+        if version := next((version for version in recorded if version is not None), None):
+            return version
+        return self.infer_version(service, window_s, replies)
+
+    async def query(
+        self, members_asked: list[members.Member], query: ttypes.StreamQuery
+    ) -> list[ttypes.StreamQueryReply]:
+        """Ask nodes for a stream at the same time, and return the replies that arrive."""
+        replies: list[ttypes.StreamQueryReply] = []
+
+        async def ask(member: members.Member) -> None:
             try:
                 reply = await self.network.request(
                     member.peer_address,
@@ -112,13 +133,37 @@
                     timeout_s=QUERY_TIMEOUT_S,
                 )
             except exceptions.PeerError as error:
-                log_peer_failure(member, call.resumed_attempt, error)
-                continue
-            if (version := reply.message.software_version) is not None:
-                return version
-            if inferred is None:
-                inferred = reply.message.unrecorded_version
-        return inferred
+                log_peer_failure(member, query.attempt, error)
+            else:
+                replies.append(reply.message)
+
+        async with anyio.create_task_group() as tasks:
+            for member in members_asked:
+                tasks.start_soon(ask, member)
+        return replies
+
+    def infer_version(
+        self, service: str, window_s: float, replies: list[ttypes.StreamQueryReply]
+    ) -> str | None:
+        """Return the version that began a stream without a record; None if it is not certain.
+
+        A node that knows a version that this one does not is ahead of it, and its reply decides.
+        """
+        known = self.history.known_versions(service)
+        ahead = [reply for reply in replies if not known.issuperset(reply.versions or [])]
+        if ahead:
+            versions = {reply.unrecorded_version for reply in ahead}
+            return versions.pop() if len(versions) == 1 else None
+        inferred = [self.history.unrecorded_version(service, window_s)]
+        inferred += [reply.unrecorded_version for reply in replies]
+        return next((version for version in inferred if version is not None), None)
+
+    def other_members(self) -> list[members.Member]:
+        """Return the members other than this node that are alive."""
+        if self.membership is None:
+            return []
+        table = self.membership.table
+        return [member for member in table.alive() if member is not table.local]
 
     def owners(self, call: dialect.Call) -> list[members.Member]:
         """Return the other nodes among the first ones in the order of ownership of a stream."""
@@ -143,6 +188,7 @@
             unrecorded_version=self.history.unrecorded_version(
                 message.service_name, message.window or 0.0
             ),
+            versions=sorted(self.history.known_versions(message.service_name)),
         )
 
 
--- a/src/dogwoodgap/version_history.py
+++ b/src/dogwoodgap/version_history.py
@@ -73,6 +73,12 @@
         elif period is not None and math.isinf(period.until):
             self.sole_periods[service] = dataclasses.replace(period, until=now)
 
+    def known_versions(self, service: str) -> frozenset[str]:
+        """Return the versions of a service, including the sole one that ended last."""
+        period = self.sole_periods.get(service)
+        ended = set() if period is None else {period.version}
+        return frozenset(self.versions.get(service, set()) | ended)
+
     def must_record(self, service: str, window_s: float) -> bool:
         """Return whether a stream that begins now has to be recorded.
 
--- a/src/dogwoodgap_wire/ttypes.py
+++ b/src/dogwoodgap_wire/ttypes.py
@@ -3951,18 +3951,21 @@
     Attributes:
      - software_version
      - unrecorded_version
+     - versions
 
     """
 
     __slots__ = (
         'software_version',
         'unrecorded_version',
+        'versions',
     )
 
 
-    def __init__(self, software_version=None, unrecorded_version=None,):
+    def __init__(self, software_version=None, unrecorded_version=None, versions=None,):
         self.software_version = software_version
         self.unrecorded_version = unrecorded_version
+        self.versions = versions
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3983,6 +3986,16 @@
                     self.unrecorded_version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.versions = []
+                    (_etype133, _size130) = iprot.readListBegin()
+                    for _i134 in range(_size130):
+                        _elem135 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.versions.append(_elem135)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4001,6 +4014,13 @@
             oprot.writeFieldBegin('unrecorded_version', TType.STRING, 2)
             oprot.writeString(self.unrecorded_version.encode('utf-8') if sys.version_info[0] == 2 else self.unrecorded_version)
             oprot.writeFieldEnd()
+        if self.versions is not None:
+            oprot.writeFieldBegin('versions', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.versions))
+            for iter136 in self.versions:
+                oprot.writeString(iter136.encode('utf-8') if sys.version_info[0] == 2 else iter136)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5186,6 +5206,7 @@
     None,  # 0
     (1, TType.STRING, 'software_version', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'unrecorded_version', 'UTF8', None, ),  # 2
+    (3, TType.LIST, 'versions', (TType.STRING, 'UTF8', False), None, ),  # 3
 )
 all_structs.append(ServerCrash)
 ServerCrash.thrift_spec = (
--- a/tests/test_stream_owners.py
+++ b/tests/test_stream_owners.py
@@ -217,6 +217,42 @@
     assert recorder.history.must_record("model", WINDOW_S)
 
 
+@pytest.mark.parametrize("is_healed", [False, True])
+def test_node_out_of_step_assumes_no_version_that_others_have_left(is_healed):
+    """Guards against streams of a new version that a node cut off for a moment takes for old."""
+
+    @with_fleet(7)
+    async def play(fleet):
+        recorder = fleet.nodes.pop("n003")
+        addresses = [member.peer_address for member in fleet.all_members]
+        fleet.shared_network.partition([addresses[3]], addresses[:3] + addresses[4:])
+        await fleet.list_servers(OLD, NEW)
+        for number in range(20):
+            fleet.begin("n000", number, NEW)
+        await anyio.sleep(0.1)
+        if is_healed:
+            fleet.shared_network.broken_links.clear()
+        fleet.nodes["n003"] = recorder
+        assert recorder.history.server_registry.age_s < version_history.MAX_LISTING_AGE_S
+        found = {await fleet.find("n003", number) for number in range(20)}
+        assert found == ({"v2"} if is_healed else {None})
+
+    play()
+
+
+@with_fleet(7)
+async def test_node_out_of_step_trusts_another_that_has_no_record(fleet):
+    """Guards against streams whose records are lost and that a node out of step takes for old."""
+    recorder = fleet.nodes.pop("n003")
+    for member in fleet.all_members:
+        if member.node != "n003":
+            fleet.start(member)
+    await fleet.list_servers(OLD, NEW)
+    fleet.nodes["n003"] = recorder
+    assert recorder.history.server_registry.age_s < version_history.MAX_LISTING_AGE_S
+    assert await fleet.find("n003", 1) is None
+
+
 @with_fleet(7)
 async def test_sole_version_is_trusted_only_after_the_last_stream_of_another_ended(fleet):
     """Guards against an unrecorded stream that is taken for one of the remaining version."""
--- a/thrift/dogwoodgap.thrift
+++ b/thrift/dogwoodgap.thrift
@@ -227,6 +227,8 @@
 struct StreamQueryReply {
   1: optional string software_version,
   2: optional string unrecorded_version,
+  // Software versions of the service that the receiver of the query knows.
+  3: optional list<string> versions,
 }
 
 // A process of a backend server crashed while it ran the request with a digest. Unless it has ended,
