--- a/src/dogwoodgap/events.py
+++ b/src/dogwoodgap/events.py
@@ -87,7 +87,7 @@
     ROUTES_INSTALLED = 5001, "A version of the configured routes is in force on this node."
     ROUTES_INVALID = 5002, "A stored version of the routes is invalid; the old one stays in force."
     SERVERS_CHANGED = 5003, "The list of backend servers changed."
-    ENTRY_IGNORED = 5004, "An entry of a backend server is malformed and is ignored."
+    ENTRY_IGNORED = 5004, "An object in the platform's store is malformed and is ignored."
     STORE_LOST = 5005, "The platform's store does not answer; data read earlier stays in use."
     STORE_REGAINED = 5006, "The platform's store answers again."
     REQUEST_FORWARDED = 5007, "A forwarded request ended; fields: inputs, tries and outcome."
