Show that an answer that ends inside its head is no success

An operator saw a 200 with an empty or short body, framed as whole, after a server stopped in the middle of the head of its answer. It does not happen here: with every cut of heads with a length, chunks or neither, both kinds of line ends, closed and reset connections, plain requests and streams, no caller got a success (24 cases, all cuts each). No code was changed.

--- a/tests/test_faulty_servers.py
+++ b/tests/test_faulty_servers.py
@@ -228,3 +228,39 @@
         assert response.status == 502
 
     run(main)
+
+
+@pytest.mark.parametrize("framing", ["length", "chunks", "none"])
+@pytest.mark.parametrize("path", ["/act/x", "/talk/x"])
+@pytest.mark.parametrize("line_end", ["\r\n", "\n"])
+@pytest.mark.parametrize("aborts", [True, False])
+def test_answer_that_ends_inside_its_head_is_no_success(framing, path, line_end, aborts):
+    """Guards against a head cut short that is relayed as a success with an empty body."""
+    extra = {"length": ["content-length: 9"], "chunks": ["transfer-encoding: chunked"], "none": []}
+    cuts = []
+
+    async def script(backend, received, stream):
+        # The framing comes last, so that a cut leaves a head that has everything else.
+        head = gateways.response_head(received, 200, "content-type: text/event-stream")
+        head = head.removesuffix(b"\r\n") + "".join(f"{x}\r\n" for x in extra[framing]).encode()
+        head = (head + b"\r\n").replace(b"\r\n", line_end.encode())
+        if not cuts:
+            cuts.extend(range(len(head)))
+        cut = cuts.pop()
+        await stream.send(head[:cut])
+        if aborts:
+            raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        return False
+
+    async def main():
+        backend = gateways.Backend("p1", "model" if "talk" in path else "plain", script)
+        async with gateways.running(backend) as harness:
+            successes = []
+            while not backend.received or cuts:
+                response = await gateways.send_once(harness, "POST", path, b"pay", **TURN)
+                if response.status == 200:
+                    successes.append((cuts, response))
+        assert not successes
+
+    run(main)
