--- a/tests/test_odd_objects.py
+++ b/tests/test_odd_objects.py
@@ -81,6 +81,12 @@
     assert [server.id for server in found] == ["sound"]
 
 
+@pytest.mark.parametrize("name", ["\u2603", "a\\n", "a b", ""])
+def test_entry_whose_name_fits_no_header_is_ignored(name):
+    """Guards against a server that every request fails for, since no header can name it."""
+    assert [server.id for server in read_servers(page(entry(name), entry("sound")))] == ["sound"]
+
+
 def test_unreadable_change_does_not_stop_a_watch():
     """Guards against a watch that fails again and again for one change of another writer."""
     change = b'{"object":%s,"tombstone":false}' % stored("odd", ODD_VALUES["deep-array"])
