Send nothing more to a server that names its departure in a response

A departure belongs to one process and lasts until its end, whatever a list says. It travels in the list of servers, as a draining entry, which gateways of older versions understand; a gateway that gets a list without it sends it back. An answer by way of another gateway tells both.

--- a/src/dogwoodgap/dialect.py
+++ b/src/dogwoodgap/dialect.py
@@ -49,6 +49,8 @@
         A backend server's running and waiting requests and its slots.
     rate_limit : bytes
         Requests per second that a backend server accepts from all nodes together.
+    leaving : bytes
+        Set to 1 by a backend server that is leaving.
     resumed_attempt : bytes
         Id of the attempt that received the first event of a stream that a caller resumes.
     finish : bytes
@@ -66,6 +68,7 @@
     not_run: bytes = b"dogwoodgap-not-run"
     load: bytes = b"dogwoodgap-load"
     rate_limit: bytes = b"dogwoodgap-rate-limit"
+    leaving: bytes = b"dogwoodgap-leaving"
     urgency: bytes = b"dogwoodgap-urgency"
     last_event_id: bytes = b"last-event-id"
     resumed_attempt: bytes = b"dogwoodgap-resumes"
@@ -145,6 +148,8 @@
     ----------
     rate_limit : float or None
         Requests per second that the server accepts from all nodes together; None without a limit.
+    leaving : bool
+        Whether the server is leaving and must get no new requests.
     has_content_encoding : bool
         Whether the body has a content encoding.
     """
@@ -154,6 +159,7 @@
     not_run: bool
     load: ServerLoad | None
     rate_limit: float | None
+    leaving: bool
     has_content_encoding: bool
 
 
@@ -246,6 +252,7 @@
             not_run=names.not_run in values,
             load=parse_load(values.get(names.load)),
             rate_limit=parse_rate(values.get(names.rate_limit)),
+            leaving=values.get(names.leaving) == b"1",
             has_content_encoding=b"content-encoding" in values,
         )
 
--- a/src/dogwoodgap/events.py
+++ b/src/dogwoodgap/events.py
@@ -128,6 +128,7 @@
     SERVICE_CUT_OFF = 5027, "This gateway cannot connect to any server of a service."
     SERVICE_REACHED = 5028, "A server of a service that was cut off can be reached again."
     HELPER_FAILED = 5029, "Another gateway did not accept a request that was sent to it."
+    SERVER_LEAVING = 5030, "A backend server named its departure in a response."
     RUNNER_LEAVING = 6001, "A runner is leaving and gets no new work."
     RUNNER_RETURNED = 6002, "A runner accepts work again."
     RUNNER_DOWN = 6003, "A new connection to a runner failed; it gets no work until it answers."
--- a/src/dogwoodgap/exposition.py
+++ b/src/dogwoodgap/exposition.py
@@ -55,6 +55,11 @@
 active_requests = prometheus_client.Gauge(
     "dogwoodgap_active_requests", "Requests that are being answered.", registry=registry
 )
+departures = prometheus_client.Counter(
+    "dogwoodgap_departures",
+    "Backend servers that named their departure to this gateway in a response.",
+    registry=registry,
+)
 ignored_objects = prometheus_client.Counter(
     "dogwoodgap_ignored_objects",
     "Malformed objects in lists of the platform's store, each time that a list is read.",
--- a/src/dogwoodgap/followers.py
+++ b/src/dogwoodgap/followers.py
@@ -6,6 +6,7 @@
 """
 
 import collections.abc
+import contextlib
 import logging
 import random
 
@@ -266,13 +267,17 @@
         """Pass the known listing on to the members of a part of the ring."""
         if self.broadcaster is None:
             return
+        self.broadcaster.start(self.delivery(routes_version), part_end)
+
+    def delivery(self, routes_version: int = -1) -> broadcast.Deliver:
+        """Return a function that sends the known listing, with its age at that time."""
         listing = self.server_registry.listing_at(self.server_registry.revision)
         read_at = self.server_registry.confirmed_at
         reader = self.reader
         digest = self.known_digest()
         known_version = max(routes_version, self.route_follower.active_routes.version)
 
-        async def deliver(member: members.Member, end: int) -> None:
+        async def deliver(member: members.Member, end: int | None) -> None:
             message = ttypes.ServerListing(
                 revision=listing.revision,
                 age_ms=round((clock.now() - read_at) * 1000),
@@ -283,7 +288,7 @@
             )
             await self.send_to(member, message, listing)
 
-        self.broadcaster.start(deliver, part_end)
+        return deliver
 
     async def send_to(
         self, member: members.Member, message: ttypes.ServerListing, listing: servers.Listing
@@ -308,6 +313,8 @@
         is_news = self.is_news(message, reader)
         if message.servers is not None:
             self.apply_message(message)
+            if message.revision == self.server_registry.revision:
+                self.correct_sender(sender, message)
         else:
             if self.known_digest() != message.digest:
                 return ttypes.Ack(ok=False)
@@ -319,6 +326,19 @@
                 self.pass_on(message.part_end, routes_version)
         return ttypes.Ack(ok=True)
 
+    def correct_sender(self, sender: ttypes.Member, message: ttypes.ServerListing) -> None:
+        """Send the known listing back if the sender lacks departures that this node knows."""
+        member = None if self.membership is None else self.membership.find(sender.node)
+        if member is None or message.digest == self.known_digest():
+            return
+        deliver = self.delivery()
+
+        async def correct() -> None:
+            with contextlib.suppress(exceptions.PeerError):
+                await deliver(member, None)
+
+        self.broadcaster.tasks.start_soon(correct)
+
     def known_digest(self) -> int:
         """Return the digest of the known entries, which is computed once for each change."""
         if self.digested is not self.server_registry.listed:
--- a/src/dogwoodgap/forwarder.py
+++ b/src/dogwoodgap/forwarder.py
@@ -5,6 +5,7 @@
 has run the request.
 """
 
+import collections.abc
 import logging
 import math
 
@@ -74,6 +75,11 @@
         Largest body of a server's response that is not a stream.
     max_relayed_requests : int
         Requests of other gateways that are handled at a time.
+
+    Attributes
+    ----------
+    on_departure : callable
+        Called when a response has named a departure that was not known.
     """
 
     def __init__(
@@ -112,7 +118,10 @@
         crash_tracker.evidence.is_isolated = self.monitor.is_isolated
         self.monitor.on_failure = crash_tracker.evidence.record_unreachable_server
         self.monitor.on_success = crash_tracker.evidence.record_reachable_server
-        self.peer_relay = peer_relay.PeerRelay(header_codec, max_response_bytes, self.retire_pool)
+        self.peer_relay = peer_relay.PeerRelay(
+            header_codec, max_response_bytes, self.retire_pool, self.record_departure
+        )
+        self.on_departure: collections.abc.Callable[[], None] = lambda: None
         self.max_relayed_requests = max_relayed_requests
         self.relayed = 0
         self.active = 0
@@ -138,6 +147,19 @@
             while self.retired:
                 await self.retired.pop().close()
 
+    def record_departure(self, process: servers.ProcessKey) -> None:
+        """Send no more requests to a process that named its departure in a response."""
+        if self.server_registry.record_departure(process):
+            exposition.departures.inc()
+            events.emit(
+                events.Event.SERVER_LEAVING,
+                "a backend server is leaving, as a response says",
+                server=process[0],
+                started_ms=process[1],
+                servers_revision=self.server_registry.revision,
+            )
+            self.on_departure()
+
     def pool(self, server: servers.BackendServer) -> upstream.ServerPool:
         """Return the connection pool of a server; a changed address gets a new pool."""
         pool = self.pools.get(server.id)
@@ -634,6 +656,10 @@
                 self.crash_tracker.evidence.record_unreachable_server(connection.server)
             else:
                 self.crash_tracker.evidence.record_contact(connection.server, sent_at)
+                if head.metadata.leaving:
+                    self.record_departure(connection.server.process)
+                    if progress.is_relayed:
+                        peer_relay.add_departure(head, connection.server.process)
             is_stream = progress.route.kind is routes.RouteKind.STREAMING
             if is_stream and head.metadata.signed and progress.required_version is None:
                 self.stream_recorder.record(call, progress.route, connection.server)
--- a/src/dogwoodgap/gateway.py
+++ b/src/dogwoodgap/gateway.py
@@ -125,6 +125,7 @@
             gateway_settings.gateway.max_relayed_requests,
         )
         self.forwarder.server_selector.node_count = self.node_count
+        self.forwarder.on_departure = lambda: self.server_follower.pass_on(None)
         self.request_server = ingress.Server(self.forwarder.handle, self.limits)
         self.relay_server = ingress.Server(
             self.forwarder.handle_relayed, lambda: peer_relay.relay_limits(self.limits())
--- a/src/dogwoodgap/peer_relay.py
+++ b/src/dogwoodgap/peer_relay.py
@@ -30,6 +30,9 @@
 PRIORITY_HEADER = b"dogwoodgap-turn-priority"
 """Priority of a turn among those that wait for engines, as told by the owner of its program."""
 
+DEPARTURE_HEADER = b"dogwoodgap-leaving-process"
+"""Start in Unix ms and id of a server process that named its departure in the response."""
+
 MAX_HELPERS = 3
 """Gateways that may refuse a request without running it before its caller gets a 503."""
 
@@ -55,6 +58,8 @@
         Largest body of a response that is not a stream.
     retire_pool : callable
         Closes the idle connections of a pool in the background.
+    record_departure : callable
+        Called with a server process that named its departure in a response.
 
     Attributes
     ----------
@@ -67,9 +72,11 @@
         header_codec: dialect.HeaderCodec,
         max_response_bytes: int,
         retire_pool: collections.abc.Callable[[upstream.ServerPool], None],
+        record_departure: collections.abc.Callable[[servers.ProcessKey], None],
     ):
         self.header_codec = header_codec
         self.retire_pool = retire_pool
+        self.record_departure = record_departure
         self.max_response_bytes = max_response_bytes
         self.table = helpers.HelperTable()
         self.pools: dict[str, upstream.ServerPool] = {}
@@ -179,9 +186,31 @@
             self.header_codec,
             math.inf,
             self.max_response_bytes,
-            lambda head: None,
+            self.on_head,
         )
 
+    def on_head(self, head: upstream.ResponseHead) -> None:
+        """Take a departure that the other gateway has named out of a response."""
+        process = remove_departure(head)
+        if process is not None:
+            self.record_departure(process)
+
+
+def add_departure(head: upstream.ResponseHead, process: servers.ProcessKey) -> None:
+    """Name a process that is leaving in the response for another gateway."""
+    server_id, started_ms = process
+    head.headers.append((DEPARTURE_HEADER, f"{started_ms} {server_id}".encode("latin-1")))
+
+
+def remove_departure(head: upstream.ResponseHead) -> servers.ProcessKey | None:
+    """Remove the process that another gateway has named from a response, and return it."""
+    values = [value for name, value in head.headers if name == DEPARTURE_HEADER]
+    if not values:
+        return None
+    head.headers[:] = [pair for pair in head.headers if pair[0] != DEPARTURE_HEADER]
+    started_ms, _, server_id = values[0].decode("latin-1").partition(" ")
+    return (server_id, int(started_ms)) if started_ms.isdecimal() else None
+
 
 def may_ask_another(progress: progress_module.Progress) -> bool:
     """Return whether a request that was refused by gateways may be sent to another one."""
--- a/src/dogwoodgap/servers.py
+++ b/src/dogwoodgap/servers.py
@@ -5,12 +5,18 @@
 import dataclasses
 import math
 
+import cachetools
+
 from dogwoodgap import clock, events
 
 ProcessKey = tuple[str, int]
 """Id and start of a server process; a server that restarts may keep its id."""
 
 
+MAX_DEPARTURES = 4_096
+"""Processes that are remembered as leaving."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class BackendServer:
     """A backend server as registered in the store.
@@ -53,6 +59,8 @@
 class ServerRegistry:
     """The servers in use, indexed by id and by service.
 
+    A process that drains does so until it ends, whatever an older list or another node says.
+
     Parameters
     ----------
     return_grace_s : float
@@ -66,6 +74,7 @@
         self.confirmed_at = -math.inf
         self.grace_until = -math.inf
         self.listed: tuple[BackendServer, ...] = ()
+        self.departures: cachetools.LRUCache[ProcessKey, bool] = cachetools.LRUCache(MAX_DEPARTURES)
         self.absent_since: dict[ProcessKey, float] = {}
         self.servers: dict[str, BackendServer] = {}
         self.by_service: dict[str, list[BackendServer]] = {}
@@ -102,14 +111,19 @@
         read_at : float, optional
             Monotonic time at which the listing was requested; now by default.
         """
+        for server in listing.servers:
+            if server.draining:
+                self.record_departure(server.process)
         if listing.revision < self.revision:
             return False
+        entries = listing.servers
+        if entries is not self.listed:
+            self.record_absences(entries)
+            entries = self.with_departures(entries)
         self.revision = listing.revision
-        if listing.servers is not self.listed:
-            self.record_absences(listing.servers)
-        self.listed = listing.servers
+        self.listed = entries
         self.confirmed_at = max(self.confirmed_at, clock.now() if read_at is None else read_at)
-        updated = {server.id: server for server in listing.servers}
+        updated = {server.id: server for server in entries}
         if clock.now() < self.grace_until:
             for server in self.servers.values():
                 updated.setdefault(server.id, server)
@@ -118,6 +132,28 @@
         self.replace(updated)
         return True
 
+    def record_departure(self, process: ProcessKey) -> bool:
+        """Record that a process is leaving; return whether that is news."""
+        if process in self.departures:
+            return False
+        self.departures[process] = True
+        current = self.servers.get(process[0])
+        if current is not None and current.process == process and not current.draining:
+            self.listed = self.with_departures(self.listed)
+            self.replace(self.servers | {current.id: dataclasses.replace(current, draining=True)})
+        return True
+
+    def with_departures(self, entries: tuple[BackendServer, ...]) -> tuple[BackendServer, ...]:
+        """Return entries in which the processes that are known to leave drain."""
+        if not any(server.process in self.departures for server in entries):
+            return entries
+        return tuple(
+            dataclasses.replace(server, draining=True)
+            if server.process in self.departures
+            else server
+            for server in entries
+        )
+
     def record_absences(self, entries: tuple[BackendServer, ...]) -> None:
         """Record since when the processes in use that a new listing lacks have not been listed."""
         listed = {server.process for server in entries}
--- a/tests/test_followers.py
+++ b/tests/test_followers.py
@@ -270,6 +270,37 @@
     virtual_time.run(main)
 
 
+@pytest.mark.parametrize("is_missed", [False, True])
+@pytest.mark.parametrize("knows", [0, 3])
+def test_departure_known_to_one_node_is_known_to_all(is_missed, knows):
+    """Guards against nodes that learn one by one, from failed requests, that a server leaves."""
+
+    async def main():
+        async with anyio.create_task_group() as tasks:
+            fleet = Fleet(tasks, 7)
+            await anyio.sleep(5)
+            assert fleet.server_registries[knows].record_departure(ENTRY.process)
+            if not is_missed:
+                fleet.followers[knows].pass_on(None)
+                await anyio.sleep(0.1)
+            else:
+                await anyio.sleep(3 * followers.SERVERS_INTERVAL_S)
+            assert not any(registry.ready("s") for registry in fleet.server_registries)
+            sent = sum(
+                network.sent[ttypes.ServerListing]
+                for network in fleet.shared_network.nodes.values()
+            )
+            await anyio.sleep(10 * followers.SERVERS_INTERVAL_S)
+            sent -= sum(
+                network.sent[ttypes.ServerListing]
+                for network in fleet.shared_network.nodes.values()
+            )
+            assert -sent <= 11 * len(fleet.followers)
+            tasks.cancel_scope.cancel()
+
+    virtual_time.run(main)
+
+
 async def wait_and_check_ages(fleet, seconds):
     """Wait while no listing of any node gets too old."""
     for _ in range(int(seconds / 0.1)):
--- a/tests/test_peer_relay.py
+++ b/tests/test_peer_relay.py
@@ -288,3 +288,18 @@
         assert max(helped.values()) < 0.75 * sum(helped.values())
 
     anyio.run(main)
+
+
+def test_departure_in_an_answer_by_way_of_another_gateway_is_known_to_both():
+    """Guards against a gateway that regains its path and sends requests to a leaving server."""
+
+    async def main():
+        backend = plain(gateways.complete_response(b"x", 200, "dogwoodgap-leaving: 1"))
+        async with running_pair(backend) as pair:
+            response = await gateways.send_once(pair.cut_off, "GET", "/read/x")
+            assert response.status == 200
+            assert "dogwoodgap-leaving-process" not in response.headers
+            for harness in (pair.cut_off, pair.helper):
+                assert not harness.server_registry.ready("plain")
+
+    run(main)
