--- a/tests/crash_search.py
+++ b/tests/crash_search.py
@@ -127,7 +127,9 @@
 
 
 class Gateway(gateways.Gateway):
-    """A gateway of this checkout with injected network faults."""
+    """A gateway with injected network faults, of this checkout unless ``build`` names another."""
+
+    build = ROOT
 
     def start(self, *, bootstrap: bool) -> None:
         """Start the process."""
@@ -136,7 +138,7 @@
         def popen(command, *, env, **options):
             env |= {
                 "PYTHONPATH": os.pathsep.join(
-                    map(str, (FAULT_INJECTION, ROOT / "src", ROOT / "platform"))
+                    map(str, (FAULT_INJECTION, self.build / "src", self.build / "platform"))
                 ),
                 "FAULT_INJECTION_ADDRESS": self.ip,
                 "FAULT_INJECTION_CUTS": str(self.folder / "cuts.json"),
@@ -340,7 +342,8 @@
 
     async def release_servers(self) -> None:
         """Replace some servers; the old ones drain and leave."""
-        old = self.random.sample([s for s in self.servers if s.is_alive], 3)
+        alive = [server for server in self.servers if server.is_alive]
+        old = self.random.sample(alive, min(3, len(alive)))
         self.note(f"release {[server.name for server in old]}")
         for server in old:
             if not server.is_alive:
