--- a/src/dogwoodgap/budget_owners.py
+++ b/src/dogwoodgap/budget_owners.py
@@ -407,16 +407,24 @@
         self.lost_until = {node: until for node, until in self.lost_until.items() if until > now}
         return set(self.lost_until)
 
+    def missing_nodes(self) -> frozenset[str]:
+        """Return the nodes that own no programs now and whose accounts this node may not have.
+
+        Suspect members are among them: others decide in their place, like for the lost ones. Once
+        such a member responds again, its accounts replace what was assumed.
+        """
+        return self.membership.table.suspect_nodes() | self.recently_lost_nodes()
+
     def may_have_lost_account(self, program: str) -> bool:
-        """Return whether a recently lost node may have owned a program."""
+        """Return whether a recently lost or suspect node may have owned a program."""
         if not self.knows_losses():
             return True
-        lost = self.recently_lost_nodes()
-        return bool(lost) and self.owners_before_losses(program)[0] in lost
+        missing = self.missing_nodes()
+        return bool(missing) and self.owners_before_losses(program)[0] in missing
 
     def owners_before_losses(self, program: str) -> list[str]:
-        """Return the first nodes in the order of ownership, including the recently lost ones."""
-        nodes = self.membership.table.alive_nodes() | self.recently_lost_nodes()
+        """Return the first nodes in the order of ownership, including the missing ones."""
+        nodes = self.membership.table.alive_nodes() | self.missing_nodes()
         if nodes != self.nodes_with_lost:
             self.nodes_with_lost = nodes
         return self.previous_ownership.first(program, self.nodes_with_lost)
--- a/src/dogwoodgap/members.py
+++ b/src/dogwoodgap/members.py
@@ -155,6 +155,8 @@
         self.cached_alive: list[Member] = []
         self.cached_nodes_version = -1
         self.cached_nodes: frozenset[str] = frozenset()
+        self.cached_suspects_version = -1
+        self.cached_suspects: frozenset[str] = frozenset()
         self.cached_others_version = -1
         self.cached_others: list[Member] = []
         self.cached_digest_version = -1
@@ -180,6 +182,17 @@
             self.cached_nodes_version = self.version
         return self.cached_nodes
 
+    def suspect_nodes(self) -> frozenset[str]:
+        """Return the names of the members that may have failed; the same object until a change."""
+        if self.cached_suspects_version != self.version:
+            suspects = frozenset(
+                member.node for member in self.members.values() if member.status is Status.SUSPECT
+            )
+            if suspects != self.cached_suspects:
+                self.cached_suspects = suspects
+            self.cached_suspects_version = self.version
+        return self.cached_suspects
+
     def others(self) -> list[Member]:
         """Return all members except the local one and the dead ones, sorted by name."""
         if self.cached_others_version != self.version:
--- a/tests/test_budget_owners.py
+++ b/tests/test_budget_owners.py
@@ -333,3 +333,44 @@
     await anyio.sleep(3)
     spent = await fleet.spend(program, budget, limit=30)
     assert spent == 15 * TURN
+
+
+@pytest.mark.parametrize("pause_s", [0.5, 1.6, 2.0, 2.5, 3.0, 3.5, 6.0])
+def test_budget_survives_a_lost_owner_whatever_its_state(pause_s):
+    """Guards against a fresh budget while the lost owner is suspect and not yet dead."""
+
+    @with_fleet(7)
+    async def body(fleet):
+        budget = 8 * TURN
+        for number in range(30):
+            await fleet.spend(f"p{number}", budget, limit=2, pause_s=0.0)
+        fleet.kill(fleet.owner("p0"))
+        await anyio.sleep(pause_s)
+        for number in range(30):
+            await fleet.spend(f"p{number}", budget, pause_s=0.0)
+        assert max(fleet.spent.values()) <= budget + TURN
+
+    body()
+
+
+@pytest.mark.parametrize("silent_s", [1.0, 1.8, 2.5])
+def test_silent_owner_costs_no_program_its_budget(silent_s):
+    """Guards against programs that are refused since their owner was silent for a moment."""
+
+    @with_fleet(7)
+    async def body(fleet):
+        budget = 8 * TURN
+        for number in range(30):
+            await fleet.spend(f"p{number}", budget, limit=2, pause_s=0.0)
+        silent = fleet.address(fleet.owner("p0"))
+        fleet.shared_network.paused[silent] = anyio.Event()
+        await anyio.sleep(silent_s)
+        for number in range(30):
+            await fleet.spend(f"p{number}", budget, limit=1, pause_s=0.0)
+        fleet.shared_network.paused.pop(silent).set()
+        await anyio.sleep(SETTLE_S)
+        for number in range(30):
+            await fleet.spend(f"p{number}", budget, pause_s=0.0)
+        assert set(fleet.spent.values()) <= {budget, budget + TURN}
+
+    body()
