Let a restarted gateway trust only members that knew its earlier process

It now asks up to eight members, and trusts one that knew its earlier process, that has run for the takeover window, or since the first start of all; a member that is asked by a new process marks the earlier one as lost before it replies.

--- a/src/dogwoodgap/budget_owners.py
+++ b/src/dogwoodgap/budget_owners.py
@@ -5,6 +5,7 @@
 """
 
 import math
+import random
 
 import anyio
 import anyio.abc
@@ -45,6 +46,9 @@
 FETCH_WINDOW_S = 3.0
 """Time after a membership change during which an account may still be at its previous owner."""
 
+LOSS_SOURCES = 8
+"""Members that a starting node asks for the lost nodes."""
+
 FLUSH_INTERVAL_S = 1.0
 SWEEP_INTERVAL_S = 10.0
 WIRE_VERDICTS = {
@@ -78,7 +82,10 @@
         self.lost_until: dict[str, float] = {}
         self.boot_ids: dict[str, str] = {}
         self.left_boots: set[str] = set()
+        self.successors: set[str] = set()
         self.losses_known_at = math.inf
+        self.joined_at = math.inf
+        self.is_first_start = False
         self.members_changed_at = -math.inf
         self.turn_estimator = pacing.TurnEstimator()
         self.membership: membership.Membership | None = None
@@ -97,6 +104,7 @@
         network.handlers.register(ttypes.TokenFetch, self.on_fetch)
         self.transfers.join(joined.local, network, tasks)
         joined.subscribe(self.on_member)
+        self.joined_at = clock.now()
         self.losses_known_at = min(self.losses_known_at, clock.now() + TAKEOVER_WINDOW_S)
 
     # Called on the node that forwards a turn
@@ -370,31 +378,66 @@
         self, sender: ttypes.Member, message: ttypes.TokenFetch
     ) -> ttypes.TokenFetchReply:
         """Hand over an account to its new owner, and report the recently lost nodes."""
+        can_vouch = self.can_vouch(sender)
+        self.mark_replaced(sender)
         account = self.ledger.accounts.pop(message.program, None)
         entry = self.record_client.cached_records.get(message.program)
         return ttypes.TokenFetchReply(
             account=None if account is None else budget_wire.to_wire(message.program, account),
-            vouched=self.knows_losses(),
+            vouched=can_vouch,
             lost=list(self.recently_lost_nodes()),
             complete=self.record_client.is_complete,
             record=None if entry is None else budget_wire.record_to_wire(entry),
         )
 
     async def fetch_losses(self) -> None:
-        """Fetch the recently lost nodes from a member, since this process may have replaced one."""
-        for member in self.membership.alive():
-            if member is self.membership.local:
-                continue
-            reply = await self.fetch_from(member, "")
-            if reply is not None and reply.vouched:
-                for node in reply.lost or []:
-                    self.mark_lost(node)
-                self.losses_known_at = clock.now()
-                return
+        """Fetch the recently lost nodes, since this process may have replaced one.
+
+        Before this node may take a program for a new one, it has to know whether its own earlier
+        process was lost, and which other nodes were. Only a member that knew that process, or has
+        run for longer than programs pause, can tell. Several are asked, as some may have started
+        themselves. Until one of them has told, usage is assumed for all unknown programs.
+        """
+        local = self.membership.local
+        others = [member for member in self.membership.alive() if member is not local]
+        asked = random.sample(others, min(LOSS_SOURCES, len(others)))
+        replies: list[ttypes.TokenFetchReply] = []
+
+        async def ask(member: members.Member) -> None:
+            if (reply := await self.fetch_from(member, "")) is not None:
+                replies.append(reply)
+
+        async with anyio.create_task_group() as tasks:
+            for member in asked:
+                tasks.start_soon(ask, member)
+        for reply in replies:
+            for node in reply.lost or []:
+                self.mark_lost(node)
+        if any(reply.vouched for reply in replies):
+            self.losses_known_at = clock.now()
+
+    def can_vouch(self, sender: ttypes.Member) -> bool:
+        """Return whether this node knows if an earlier process of a node was lost."""
+        if not self.knows_losses():
+            return False
+        knows_earlier_boot = self.boot_ids.get(sender.node) not in (None, sender.boot)
+        return (
+            knows_earlier_boot
+            or f"{sender.node}/{sender.boot}" in self.successors
+            or self.is_first_start
+            or clock.now() - self.joined_at >= TAKEOVER_WINDOW_S
+        )
+
+    def mark_replaced(self, sender: ttypes.Member) -> None:
+        """Mark the earlier process of a node as lost, unless it left as planned."""
+        boot = self.boot_ids.get(sender.node)
+        if boot not in (None, sender.boot) and f"{sender.node}/{boot}" not in self.left_boots:
+            self.mark_lost(sender.node)
 
     def assume_no_losses(self) -> None:
         """Assume that no programs existed before this process started."""
         self.losses_known_at = clock.now()
+        self.is_first_start = True
         self.record_client.is_complete = True
 
     def knows_losses(self) -> bool:
@@ -448,6 +491,8 @@
             self.left_boots.add(f"{member.node}/{member.boot}")
         is_dead = member.status is members.Status.DEAD and not member.departed
         is_replaced = previous_boot is not None and previous_boot != member.boot
+        if is_replaced:
+            self.successors.add(f"{member.node}/{member.boot}")
         if is_replaced or is_dead:
             ended_boot = f"{member.node}/{previous_boot if is_replaced else member.boot}"
             if ended_boot not in self.left_boots:
@@ -461,6 +506,8 @@
         swept_at = clock.now()
         while True:
             await anyio.sleep(FLUSH_INTERVAL_S)
+            if not self.knows_losses():
+                await self.fetch_losses()
             if not self.record_client.is_complete:
                 await self.record_client.load()
             await self.record_client.flush()
--- a/tests/test_budget_owners.py
+++ b/tests/test_budget_owners.py
@@ -1,6 +1,7 @@
 """Budgets across nodes: owners that fail, leave or join, and store outages."""
 
 import collections
+import random
 
 import anyio
 import fake_network
@@ -374,3 +375,36 @@
         assert set(fleet.spent.values()) <= {budget, budget + TURN}
 
     body()
+
+
+@pytest.mark.parametrize("killed", [4, 6])
+@pytest.mark.parametrize("seed", range(5))
+def test_budget_survives_owners_that_are_killed_together_and_back_at_once(killed, seed):
+    """Guards against restarted nodes that trust one that does not know all losses."""
+
+    @with_fleet(7)
+    async def body(fleet):
+        budget = 8 * TURN
+        for number in range(40):
+            await fleet.spend(f"p{number}", budget, limit=2, pause_s=0.0)
+        chosen = random.Random(seed).sample(range(7), killed)
+        for name in chosen:
+            fleet.kill(name)
+        for name in chosen:
+            await anyio.sleep(0.05)
+            fleet.start(name, boot="b2")
+        await anyio.sleep(0.05)
+        for name in chosen:
+            fleet.tasks.start_soon(fleet.nodes[name].fetch_losses)
+        await anyio.sleep(0.1)
+        for number in range(40):
+            with anyio.move_on_after(5):
+                while True:
+                    try:
+                        await fleet.spend(f"p{number}", budget, pause_s=0.0)
+                        break
+                    except exceptions.DogwoodgapError:
+                        await anyio.sleep(0.1)
+        assert max(fleet.spent.values()) <= budget + TURN
+
+    body()
