Keep the signal handling of a gateway until its process ends

The receiver now lives as long as the process; a SIGHUP, a second SIGTERM or a SIGINT during a stop changes nothing.

--- a/src/dogwoodgap/gateway.py
+++ b/src/dogwoodgap/gateway.py
@@ -131,6 +131,7 @@
             self.forwarder.handle_relayed, lambda: peer_relay.relay_limits(self.limits())
         )
         self.stopping = False
+        self.stop_requested = anyio.Event()
         self.membership: membership.Membership | None = None
         self.remote_loads: dict[str, dict[str, int]] = {}
 
@@ -160,9 +161,10 @@
         return DirectoryResponse(tuple(addresses), self.settings.gateway.directory_ttl_s)
 
     async def run(self, endpoints: DiscoveryEndpoints) -> None:
-        """Serve until SIGTERM."""
+        """Serve until SIGTERM or SIGINT."""
         section = self.settings.gateway
         async with anyio.create_task_group() as tasks:
+            await tasks.start(self.watch_signals)
             network = peers.PeerNetwork(self.settings.node.peer_bind, tasks)
             await self.start_following(network, tasks)
             tasks.start_soon(self.forwarder.close_retired)
@@ -276,13 +278,23 @@
         for server_id, state in self.forwarder.loads.states.items():
             state.remote_in_flight = totals.get(server_id, 0)
 
-    async def wait_for_stop(self) -> None:
-        """Wait for SIGTERM or SIGINT; SIGHUP is only logged."""
+    async def watch_signals(self, *, task_status: anyio.abc.TaskStatus) -> None:
+        """Request a stop at the first SIGTERM or SIGINT; no other signal changes anything.
+
+        Signals are received until the process ends, since their default action would end it at
+        once.
+        """
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as received:
+            task_status.started()
             async for signum in received:
-                if signum != signal.SIGHUP:
-                    return
-                events.emit(events.Event.GATEWAY_RELOADED, "SIGHUP received")
+                if signum == signal.SIGHUP:
+                    events.emit(events.Event.GATEWAY_RELOADED, "SIGHUP received")
+                else:
+                    self.stop_requested.set()
+
+    async def wait_for_stop(self) -> None:
+        """Wait until a stop is requested."""
+        await self.stop_requested.wait()
 
     async def stop(self) -> None:
         """Leave the directory, handle requests that still arrive, then close all connections."""
--- a/src/dogwoodgap/node_cli.py
+++ b/src/dogwoodgap/node_cli.py
@@ -2,6 +2,7 @@
 
 import os
 import pathlib
+import signal
 import typing
 
 import anyio
@@ -55,4 +56,6 @@
 
 def main() -> None:
     """Run the command line."""
+    # The default action of SIGHUP would end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     cli()
