Guess no version of a stream whose records may be lost

While a service has several versions, nothing is inferred once two nodes that may have had records are missing, have failed, or have run for less than the time in which streams are resumed; replies tell how long a node has run. If owners may have lost records, up to eight further members are asked, since the gateway that began the stream has one too. test_streams_whose_records_are_lost_are_not_taken_for_old_ones failed before in all four cases; test_unrecorded_stream_goes_on_after_the_loss_of_one_node held and holds.

--- a/src/dogwoodgap/stream_owners.py
+++ b/src/dogwoodgap/stream_owners.py
@@ -5,6 +5,7 @@
 nodes in the order of ownership of its program, the same ones that own its token budget.
 """
 
+import math
 import random
 
 import anyio
@@ -12,6 +13,7 @@
 import cachetools
 
 from dogwoodgap import (
+    clock,
     dialect,
     events,
     exceptions,
@@ -37,6 +39,9 @@
 QUERY_TIMEOUT_S = 0.2
 """A caller waits for the reply, which takes a round trip of 1 to 3 ms."""
 
+FURTHER_MEMBERS = 8
+"""Other nodes that are asked for a record when owners may have lost it."""
+
 MAX_RECORDS = 8_192
 """Streams whose start is remembered; about 200 bytes each."""
 
@@ -57,6 +62,9 @@
         self.membership: membership.Membership | None = None
         self.network: peers.Network | None = None
         self.tasks: anyio.abc.TaskGroup | None = None
+        self.joined_at = 0.0
+        self.boots: dict[str, str] = {}
+        self.lost_at: dict[str, float] = {}
 
     def join(
         self, joined: membership.Membership, network: peers.Network, tasks: anyio.abc.TaskGroup
@@ -65,6 +73,8 @@
         self.membership = joined
         self.network = network
         self.tasks = tasks
+        self.joined_at = clock.now()
+        joined.subscribe(self.on_member)
         network.handlers.register(ttypes.StreamRecord, self.on_record)
         network.handlers.register(ttypes.StreamQuery, self.on_query)
 
@@ -106,23 +116,22 @@
         query = ttypes.StreamQuery(
             attempt=call.resumed_attempt, service_name=service, window=window_s
         )
-        replies = await self.query(self.owners(call), query)
-        if not replies:
-            others = self.other_members()
-            if others:
-                replies = await self.query(random.sample(others, min(OWNERS, len(others))), query)
-            if others and not replies:
-                return None  # this node may be cut off, and not know of a new version
-        recorded = [reply.software_version for reply in replies]
+        owners = self.owners(call)
+        replies = await self.query(owners, query)
+        if not any(reply.software_version for reply in replies.values()):
+            replies |= await self.query(self.further_members(owners, replies), query)
+        if owners and not replies:
+            return None  # this node may be cut off, and not know of a new version
+        recorded = [reply.software_version for reply in replies.values()]
         if version := next((version for version in recorded if version is not None), None):
             return version
-        return self.infer_version(service, window_s, replies)
+        return self.infer_version(service, window_s, owners, replies)
 
     async def query(
         self, members_asked: list[members.Member], query: ttypes.StreamQuery
-    ) -> list[ttypes.StreamQueryReply]:
-        """Ask nodes for a stream at the same time, and return the replies that arrive."""
-        replies: list[ttypes.StreamQueryReply] = []
+    ) -> dict[str, ttypes.StreamQueryReply]:
+        """Ask nodes for a stream at the same time; return the replies that arrive, by node."""
+        replies: dict[str, ttypes.StreamQueryReply] = {}
 
         async def ask(member: members.Member) -> None:
             try:
@@ -135,35 +144,72 @@
             except exceptions.PeerError as error:
                 log_peer_failure(member, query.attempt, error)
             else:
-                replies.append(reply.message)
+                replies[member.node] = reply.message
 
         async with anyio.create_task_group() as tasks:
             for member in members_asked:
                 tasks.start_soon(ask, member)
         return replies
 
+    def further_members(
+        self, owners: list[members.Member], replies: dict[str, ttypes.StreamQueryReply]
+    ) -> list[members.Member]:
+        """Return the members to ask when no owner has a record but some may have lost it.
+
+        The node that began the stream has one too.
+        """
+        if self.membership is None or len(self.lost_owners(owners, replies)) == 0:
+            return []
+        table = self.membership.table
+        others = [
+            member for member in table.alive() if member is not table.local and member not in owners
+        ]
+        return random.sample(others, min(FURTHER_MEMBERS, len(others)))
+
+    def lost_owners(
+        self, owners: list[members.Member], replies: dict[str, ttypes.StreamQueryReply]
+    ) -> set[str]:
+        """Return the nodes whose records may have been lost while a stream may be resumed."""
+        since = clock.now() - version_history.MIN_WINDOW_S
+        lost = {node for node, lost_at in self.lost_at.items() if lost_at >= since}
+        for member in owners:
+            reply = replies.get(member.node)
+            if reply is None or (reply.age or math.inf) < version_history.MIN_WINDOW_S:
+                lost.add(member.node)
+        return lost
+
     def infer_version(
-        self, service: str, window_s: float, replies: list[ttypes.StreamQueryReply]
+        self,
+        service: str,
+        window_s: float,
+        owners: list[members.Member],
+        replies: dict[str, ttypes.StreamQueryReply],
     ) -> str | None:
         """Return the version that began a stream without a record; None if it is not certain.
 
         A node that knows a version that this one does not is ahead of it, and its reply decides.
+        While a service has several versions, a stream without a record began before that only if
+        records cannot have been lost with all the nodes that had them.
         """
         known = self.history.known_versions(service)
-        ahead = [reply for reply in replies if not known.issuperset(reply.versions or [])]
+        ahead = [reply for reply in replies.values() if not known.issuperset(reply.versions or [])]
+        is_mixed = bool(ahead) or self.history.is_mixed(service)
+        if is_mixed and len(self.lost_owners(owners, replies)) >= COPIES:
+            return None
         if ahead:
             versions = {reply.unrecorded_version for reply in ahead}
             return versions.pop() if len(versions) == 1 else None
         inferred = [self.history.unrecorded_version(service, window_s)]
-        inferred += [reply.unrecorded_version for reply in replies]
+        inferred += [reply.unrecorded_version for reply in replies.values()]
         return next((version for version in inferred if version is not None), None)
 
-    def other_members(self) -> list[members.Member]:
-        """Return the members other than this node that are alive."""
-        if self.membership is None:
-            return []
-        table = self.membership.table
-        return [member for member in table.alive() if member is not table.local]
+    def on_member(self, member: members.Member) -> None:
+        """Note the nodes that failed, left or were replaced, as their records are lost."""
+        previous_boot = self.boots.get(member.node)
+        self.boots[member.node] = member.boot
+        is_replaced = previous_boot not in (None, member.boot)
+        if is_replaced or member.status in (members.Status.SUSPECT, members.Status.DEAD):
+            self.lost_at[member.node] = clock.now()
 
     def owners(self, call: dialect.Call) -> list[members.Member]:
         """Return the other nodes among the first ones in the order of ownership of a stream."""
@@ -189,6 +235,7 @@
                 message.service_name, message.window or 0.0
             ),
             versions=sorted(self.history.known_versions(message.service_name)),
+            age=clock.now() - self.joined_at,
         )
 
 
--- a/src/dogwoodgap/version_history.py
+++ b/src/dogwoodgap/version_history.py
@@ -79,6 +79,11 @@
         ended = set() if period is None else {period.version}
         return frozenset(self.versions.get(service, set()) | ended)
 
+    def is_mixed(self, service: str) -> bool:
+        """Return whether a service has no sole version now, so that its streams are recorded."""
+        period = self.sole_periods.get(service)
+        return period is None or not math.isinf(period.until)
+
     def must_record(self, service: str, window_s: float) -> bool:
         """Return whether a stream that begins now has to be recorded.
 
--- a/src/dogwoodgap_wire/ttypes.py
+++ b/src/dogwoodgap_wire/ttypes.py
@@ -3952,6 +3952,7 @@
      - software_version
      - unrecorded_version
      - versions
+     - age
 
     """
 
@@ -3959,13 +3960,15 @@
         'software_version',
         'unrecorded_version',
         'versions',
+        'age',
     )
 
 
-    def __init__(self, software_version=None, unrecorded_version=None, versions=None,):
+    def __init__(self, software_version=None, unrecorded_version=None, versions=None, age=None,):
         self.software_version = software_version
         self.unrecorded_version = unrecorded_version
         self.versions = versions
+        self.age = age
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3996,6 +3999,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.age = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4021,6 +4029,10 @@
                 oprot.writeString(iter136.encode('utf-8') if sys.version_info[0] == 2 else iter136)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.age is not None:
+            oprot.writeFieldBegin('age', TType.DOUBLE, 4)
+            oprot.writeDouble(self.age)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5207,6 +5219,7 @@
     (1, TType.STRING, 'software_version', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'unrecorded_version', 'UTF8', None, ),  # 2
     (3, TType.LIST, 'versions', (TType.STRING, 'UTF8', False), None, ),  # 3
+    (4, TType.DOUBLE, 'age', None, None, ),  # 4
 )
 all_structs.append(ServerCrash)
 ServerCrash.thrift_spec = (
--- a/tests/fake_network.py
+++ b/tests/fake_network.py
@@ -99,6 +99,9 @@
         self.detector = self
         self.partners = ring.Ring(member.node for member in all_members).partners(local.node)
 
+    def subscribe(self, callback):
+        """Ignore the callback, since no member changes."""
+
     def find(self, node):
         """Return a member by name."""
         return self.table.members.get(node)
--- a/tests/test_stream_owners.py
+++ b/tests/test_stream_owners.py
@@ -253,6 +253,40 @@
     assert await fleet.find("n003", 1) is None
 
 
+@pytest.mark.parametrize("restarts", [False, True])
+@pytest.mark.parametrize("killed", [2, 4])
+def test_streams_whose_records_are_lost_are_not_taken_for_old_ones(killed, restarts):
+    """Guards against streams of two versions after several nodes are killed in a release."""
+
+    @with_fleet(7)
+    async def play(fleet):
+        fleet.begin("n006", 100, OLD)
+        await fleet.list_servers(OLD, NEW)
+        for number in range(60):
+            fleet.begin(names(fleet)[number % 7], number, (OLD, NEW)[number % 2])
+        await anyio.sleep(0.1)
+        for member in fleet.all_members[:killed]:
+            fleet.kill(member.node)
+            if restarts:
+                fleet.start(member)
+        await anyio.sleep(LISTING_INTERVAL_S)
+        found = [await fleet.find("n006", number) for number in range(60)]
+        for number, version in enumerate(found):
+            assert version in (None, ("v1", "v2")[number % 2])
+        assert sum(version is not None for version in found) >= (60 if killed == 2 else 45)
+
+    play()
+
+
+@with_fleet(7)
+async def test_unrecorded_stream_goes_on_after_the_loss_of_one_node(fleet):
+    """Guards against streams from before a release that one lost node keeps from going on."""
+    fleet.begin("n000", 1, OLD)
+    await fleet.list_servers(OLD, NEW)
+    fleet.kill("n000")
+    assert await fleet.find("n003", 1) == "v1"
+
+
 @with_fleet(7)
 async def test_sole_version_is_trusted_only_after_the_last_stream_of_another_ended(fleet):
     """Guards against an unrecorded stream that is taken for one of the remaining version."""
--- a/thrift/dogwoodgap.thrift
+++ b/thrift/dogwoodgap.thrift
@@ -229,6 +229,8 @@
   2: optional string unrecorded_version,
   // Software versions of the service that the receiver of the query knows.
   3: optional list<string> versions,
+  // Time in seconds since the receiver of the query joined the fleet.
+  4: optional double age,
 }
 
 // A process of a backend server crashed while it ran the request with a digest. Unless it has ended,
