--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -230,7 +230,9 @@
 
             for number in range(8):
                 tasks.start_soon(send_request, number)
-            await anyio.sleep(0.2)
+            with anyio.fail_after(5):
+                while len(statuses) + len(backend.received) < 8:
+                    await anyio.sleep(0.01)
             released.set()
         assert backend.opened == 4
         assert sorted(statuses) == [200] * 4 + [503] * 4
