Recognize a crashing request in any session of its program

The digest also took the session, so that a request that a program sends again in another session was new to all gateways. test_request_sent_again_in_another_session_is_the_same failed before (another digest).

--- a/src/dogwoodgap/crashes.py
+++ b/src/dogwoodgap/crashes.py
@@ -55,10 +55,13 @@
         self.fetched_digests: dict[str, int] = {}
 
     def digest(self, call: dialect.Call) -> int:
-        """Return the digest of the parts of a request that stay the same when it is resent."""
+        """Return the digest of the parts of a request that stay the same when it is resent.
+
+        The program names the caller. A turn that is sent again may belong to another session.
+        """
         state = xxhash.xxh64(call.target)
         state.update(call.body)
-        for text in (call.host, call.program_id, call.session_id):
+        for text in (call.host, call.program_id):
             state.update(text.encode("latin-1"))
         return state.intdigest()
 
--- a/tests/test_crash_observation.py
+++ b/tests/test_crash_observation.py
@@ -53,3 +53,22 @@
             assert evidence.crashes(7) == 1
 
     anyio.run(main)
+
+
+def test_request_sent_again_in_another_session_is_the_same():
+    """Guards against a program whose request crashes servers anew in each of its sessions."""
+
+    async def main():
+        async with gateways.running() as harness:
+            first, again, other = (
+                harness.crash_tracker.digest(gateways.turn("a1", program_id=program, **options))
+                for program, options in (
+                    ("p1", {"session_id": "s1"}),
+                    ("p1", {"session_id": "s2"}),
+                    ("p2", {"session_id": "s1"}),
+                )
+            )
+            assert first == again
+            assert first != other
+
+    anyio.run(main)
