--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -211,6 +211,14 @@
     run(main)
 
 
+async def wait_for_requests(backend, statuses, count):
+    """Wait until each of some requests has reached a server or has been answered."""
+    while True:
+        if len(statuses) + len(backend.received) == count:
+            return
+        await anyio.sleep(0.01)
+
+
 def test_connections_to_a_server_are_limited():
     """Guards against exceeding the connection limit, above which a server resets connections."""
 
@@ -231,8 +239,7 @@
             for number in range(8):
                 tasks.start_soon(send_request, number)
             with anyio.fail_after(5):
-                while len(statuses) + len(backend.received) < 8:
-                    await anyio.sleep(0.01)
+                await wait_for_requests(backend, statuses, 8)
             released.set()
         assert backend.opened == 4
         assert sorted(statuses) == [200] * 4 + [503] * 4
