--- a/src/dogwoodgap/broadcast.py
+++ b/src/dogwoodgap/broadcast.py
@@ -12,7 +12,7 @@
 import anyio
 import anyio.abc
 
-from dogwoodgap import clock, exceptions, hashing, members, membership, peers, ring
+from dogwoodgap import background, clock, exceptions, hashing, members, membership, peers, ring
 from dogwoodgap_wire import ttypes
 
 DELIVERY_TIMEOUT_S = 0.5
@@ -75,7 +75,7 @@
         end = hashing.stable_hash(local) if part_end is None else part_end % ring.RING_SIZE
         partners = {member.node for member in self.membership.detector.partner_members()}
         for node, node_end in self.current_ring().delegates(local, partners, end):
-            self.tasks.start_soon(self.delegate, deliver, node, node_end)
+            background.start(self.tasks, self.delegate, deliver, node, node_end)
 
     async def delegate(self, deliver: Deliver, node: str | None, end: int) -> None:
         """Pass a message to a node for its part, or to the first one behind it that responds."""
--- a/src/dogwoodgap/budget_owners.py
+++ b/src/dogwoodgap/budget_owners.py
@@ -11,6 +11,7 @@
 import anyio.abc
 
 from dogwoodgap import (
+    background,
     budget_records,
     budget_transfers,
     budget_wire,
@@ -166,7 +167,7 @@
     def cancel_reservation(self, owner: members.Member, request: ttypes.TokenReserve) -> None:
         """Cancel a reservation that an owner may still grant after the request timed out."""
         message = ttypes.TokenSettle(program=request.program, attempt=request.attempt, tokens=0)
-        self.tasks.start_soon(self.send_settlement, message, [owner])
+        background.start(self.tasks, self.send_settlement, message, [owner])
 
     def raise_if_refused(self, call: dialect.Call, verdict: int) -> None:
         """Raise the error that belongs to a verdict, if any."""
@@ -213,7 +214,7 @@
         )
         if self.tasks is not None:
             owners = self.owners(call.program_id)[:2]
-            self.tasks.start_soon(self.send_settlement, message, owners)
+            background.start(self.tasks, self.send_settlement, message, owners)
 
     async def send_settlement(
         self, message: ttypes.TokenSettle, owners: list[members.Member]
--- a/src/dogwoodgap/budget_transfers.py
+++ b/src/dogwoodgap/budget_transfers.py
@@ -14,6 +14,7 @@
 import anyio.abc
 
 from dogwoodgap import (
+    background,
     budget_records,
     budget_wire,
     budgets,
@@ -90,7 +91,7 @@
         self.is_move_requested = True
         if self.tasks is not None and not self.is_moving:
             self.is_moving = True
-            self.tasks.start_soon(self.move_until_settled)
+            background.start(self.tasks, self.move_until_settled)
 
     async def move_until_settled(self) -> None:
         """Move accounts until no further move was requested for ``MOVE_INTERVAL_S``."""
@@ -175,7 +176,7 @@
         for node, messages in by_replica.items():
             for start in range(0, len(messages), MAX_ENTRIES_PER_MESSAGE):
                 batch = messages[start : start + MAX_ENTRIES_PER_MESSAGE]
-                self.tasks.start_soon(self.send_records, members_by_node[node], batch)
+                background.start(self.tasks, self.send_records, members_by_node[node], batch)
 
     def missing_replicas(self, entry: budget_records.CachedRecord) -> list[members.Member]:
         """Return the replicas that were not sent this version of a record, and mark them."""
--- a/src/dogwoodgap/crashes.py
+++ b/src/dogwoodgap/crashes.py
@@ -10,6 +10,7 @@
 import xxhash
 
 from dogwoodgap import (
+    background,
     broadcast,
     clock,
     crash_evidence,
@@ -145,7 +146,7 @@
         since = self.differs_since.setdefault(node, clock.now())
         if clock.now() - since >= SYNC_DELAY_S and self.broadcaster is not None:
             self.differs_since[node] = clock.now()
-            self.broadcaster.tasks.start_soon(self.synchronize, member, digest)
+            background.start(self.broadcaster.tasks, self.synchronize, member, digest)
 
     async def synchronize(self, member: members.Member, digest: int) -> None:
         """Fetch the crashes of a member, and remember its digest if that succeeded."""
--- a/src/dogwoodgap/events.py
+++ b/src/dogwoodgap/events.py
@@ -129,6 +129,7 @@
     SERVICE_REACHED = 5028, "A server of a service that was cut off can be reached again."
     HELPER_FAILED = 5029, "Another gateway did not accept a request that was sent to it."
     SERVER_LEAVING = 5030, "A backend server named its departure in a response."
+    BACKGROUND_FAILED = 5031, "A background task failed unexpectedly; a service is started again."
     RUNNER_LEAVING = 6001, "A runner is leaving and gets no new work."
     RUNNER_RETURNED = 6002, "A runner accepts work again."
     RUNNER_DOWN = 6003, "A new connection to a runner failed; it gets no work until it answers."
--- a/src/dogwoodgap/exposition.py
+++ b/src/dogwoodgap/exposition.py
@@ -60,6 +60,11 @@
     "Backend servers that named their departure to this gateway in a response.",
     registry=registry,
 )
+background_failures = prometheus_client.Counter(
+    "dogwoodgap_background_failures",
+    "Background tasks that ended with an unexpected error.",
+    registry=registry,
+)
 ignored_objects = prometheus_client.Counter(
     "dogwoodgap_ignored_objects",
     "Malformed objects in lists of the platform's store, each time that a list is read.",
--- a/src/dogwoodgap/followers.py
+++ b/src/dogwoodgap/followers.py
@@ -15,6 +15,7 @@
 import xxhash
 
 from dogwoodgap import (
+    background,
     broadcast,
     clock,
     events,
@@ -337,7 +338,7 @@
             with contextlib.suppress(exceptions.PeerError):
                 await deliver(member, None)
 
-        self.broadcaster.tasks.start_soon(correct)
+        background.start(self.broadcaster.tasks, correct)
 
     def known_digest(self) -> int:
         """Return the digest of the known entries, which is computed once for each change."""
--- a/src/dogwoodgap/gateway.py
+++ b/src/dogwoodgap/gateway.py
@@ -10,6 +10,7 @@
 import anyio.abc
 
 from dogwoodgap import (
+    background,
     bootstrap,
     broadcast,
     budget_owners,
@@ -167,8 +168,8 @@
             await tasks.start(self.watch_signals)
             network = peers.PeerNetwork(self.settings.node.peer_bind, tasks)
             await self.start_following(network, tasks)
-            tasks.start_soon(self.forwarder.close_retired)
-            tasks.start_soon(self.forwarder.monitor.run)
+            background.start_service(tasks, self.forwarder.close_retired)
+            background.start_service(tasks, self.forwarder.monitor.run)
             ready_server = ingress.Server(endpoints.ready)
             await tasks.start(ready_server.serve, section.ready_bind)
             directory_server = ingress.Server(endpoints.directory)
@@ -196,9 +197,9 @@
         bootstrapper = bootstrap.Bootstrap(
             network, self.settings.node.seeds, self.route_follower, self.server_follower
         )
-        tasks.start_soon(bootstrapper.run)
-        tasks.start_soon(self.route_follower.run)
-        tasks.start_soon(self.server_follower.run)
+        background.start_service(tasks, bootstrapper.run)
+        background.start_service(tasks, self.route_follower.run)
+        background.start_service(tasks, self.server_follower.run)
 
     async def serve_metrics(self, request: ingress.Request, responder: ingress.Responder) -> None:
         """Respond to a metrics scrape."""
@@ -235,7 +236,7 @@
             self.budget_coordinator.assume_no_losses()
         else:
             await self.budget_coordinator.record_client.load()
-        tasks.start_soon(joined.run)
+        background.start_service(tasks, joined.run)
         with anyio.move_on_after(JOIN_TIMEOUT_S):
             while not joined.table.others():
                 await joined.wakeup.wait()
@@ -244,16 +245,16 @@
         if not self.settings.gateway.first_start:
             await self.load_crashes(tasks)
         self.membership = joined
-        tasks.start_soon(self.crash_tracker.recorder.run)
-        tasks.start_soon(self.budget_coordinator.run)
-        tasks.start_soon(self.removal_follower.run)
+        background.start_service(tasks, self.crash_tracker.recorder.run)
+        background.start_service(tasks, self.budget_coordinator.run)
+        background.start_service(tasks, self.removal_follower.run)
 
     async def load_crashes(self, tasks: anyio.abc.TaskGroup) -> None:
         """Load the crashes of servers before this gateway gets requests, unless that takes long."""
         with anyio.move_on_after(CRASH_LOAD_TIMEOUT_S) as scope:
             await self.crash_tracker.load()
         if scope.cancelled_caught:
-            tasks.start_soon(self.crash_tracker.load)
+            background.start(tasks, self.crash_tracker.load)
 
     def local_loads(self, node: str) -> list[ttypes.RunnerLoad]:
         """Return this node's in-flight requests per backend server."""
--- a/src/dogwoodgap/stream_owners.py
+++ b/src/dogwoodgap/stream_owners.py
@@ -13,6 +13,7 @@
 import cachetools
 
 from dogwoodgap import (
+    background,
     clock,
     dialect,
     events,
@@ -90,7 +91,7 @@
             attempt=call.attempt_id, software_version=server.software_version
         )
         for member in self.owners(call)[:COPIES]:
-            self.tasks.start_soon(self.send_record, member, message)
+            background.start(self.tasks, self.send_record, member, message)
 
     async def send_record(self, member: members.Member, message: ttypes.StreamRecord) -> None:
         """Send a record to a node; without it, the stream may not be resumed after a failure."""
