--- a/src/dogwoodgap/crash_evidence.py
+++ b/src/dogwoodgap/crash_evidence.py
@@ -116,7 +116,9 @@
 
     def record_unreachable_server(self, server: servers.BackendServer) -> None:
         """Record that a process accepts no new connection, whatever request needed one."""
-        if server.process in self.unreachable:
+        current = self.server_registry.servers.get(server.id)
+        is_listed = current is not None and current.process == server.process
+        if not is_listed or server.process in self.unreachable:
             return
         self.unreachable.add(server.process)
         since = clock.now() - DETECTION_S
