--- a/src/dogwoodgap/dialect.py
+++ b/src/dogwoodgap/dialect.py
@@ -148,10 +148,10 @@
     ----------
     rate_limit : float or None
         Requests per second that the server accepts from all nodes together; None without a limit.
-    leaving : bool
-        Whether the server is leaving and must get no new requests.
     has_content_encoding : bool
         Whether the body has a content encoding.
+    leaving : bool
+        Whether the server is leaving and must get no new requests.
     """
 
     attempt_id: str | None
@@ -159,8 +159,8 @@
     not_run: bool
     load: ServerLoad | None
     rate_limit: float | None
-    leaving: bool
     has_content_encoding: bool
+    leaving: bool = False
 
 
 class HeaderCodec:
