--- a/tests/crash_search.py
+++ b/tests/crash_search.py
@@ -199,6 +199,14 @@
         task = asyncio.create_task(coroutine)
         self.tasks.add(task)
 
+    async def end_tasks(self) -> None:
+        """Cancel the background tasks; ``asyncio.wait_for`` may lose a cancellation."""
+        pending = self.tasks
+        while pending:
+            for task in pending:
+                task.cancel()
+            _, pending = await asyncio.wait(pending, timeout=1.0)
+
     def note(self, text: str) -> None:
         """Add a line to the timeline."""
         self.log.append(f"{time.time() - self.begin:7.3f} {text}")
@@ -503,9 +511,7 @@
                 self.spawn(self.send_crashing(number))
             await asyncio.sleep(self.seconds)
         finally:
-            for task in self.tasks:
-                task.cancel()
-            await asyncio.gather(*self.tasks, return_exceptions=True)
+            await self.end_tasks()
             for gateway in self.scene.gateways:
                 gateway.signal(signal.SIGCONT)
             self.scene.end()
--- a/tests/upgrade_search.py
+++ b/tests/upgrade_search.py
@@ -135,9 +135,7 @@
             self.spawn(self.release_servers())
             await self.replace_all(self.old)
         finally:
-            for task in self.tasks:
-                task.cancel()
-            await asyncio.gather(*self.tasks, return_exceptions=True)
+            await self.end_tasks()
             self.scene.end()
 
     def failures(self) -> dict[str, int]:
