Ask the registry whether a process is listed, in one place

Three rules of crash evidence and the departures compared the registered process by hand. No behaviour changes; the tests of crashes, servers, departures and lists of servers pass.

--- a/src/dogwoodgap/crash_evidence.py
+++ b/src/dogwoodgap/crash_evidence.py
@@ -97,10 +97,9 @@
 
     def record_lost_run(self, digest: int, server: servers.BackendServer) -> None:
         """Record that a process was sent a request and that its response was not received."""
-        current = self.server_registry.servers.get(server.id)
-        if current is None or current.process != server.process:
+        if not self.server_registry.is_listed(server.process):
             self.report(digest, server.process, ended=True)
-        elif not current.draining:
+        elif not self.server_registry.servers[server.id].draining:
             self.lost_runs[digest, server.process] = clock.now()
             while len(self.lost_runs) > MAX_LOST_RUNS:
                 self.lost_runs.popitem(last=False)
@@ -116,9 +115,7 @@
 
     def record_unreachable_server(self, server: servers.BackendServer) -> None:
         """Record that a process accepts no new connection, whatever request needed one."""
-        current = self.server_registry.servers.get(server.id)
-        is_listed = current is not None and current.process == server.process
-        if not is_listed or server.process in self.unreachable:
+        if server.process in self.unreachable or not self.server_registry.is_listed(server.process):
             return
         self.unreachable.add(server.process)
         since = clock.now() - DETECTION_S
@@ -231,9 +228,7 @@
 
     def is_crash(self, process: servers.ProcessKey, suspicion: Suspicion) -> bool:
         """Return whether a suspicion counts as a crash now."""
-        current = self.server_registry.servers.get(process[0])
-        is_listed = current is not None and current.process == process
-        if suspicion.ended and not is_listed:
+        if suspicion.ended and not self.server_registry.is_listed(process):
             return True
         if self.contacts.get(process, -math.inf) > suspicion.at or self.is_isolated():
             return False
--- a/src/dogwoodgap/servers.py
+++ b/src/dogwoodgap/servers.py
@@ -95,6 +95,11 @@
         """Start the grace period of a store outage, in which missing entries are kept."""
         self.grace_until = clock.now() + self.return_grace_s
 
+    def is_listed(self, process: ProcessKey) -> bool:
+        """Return whether a process is in use, also if it drains."""
+        current = self.servers.get(process[0])
+        return current is not None and current.process == process
+
     def last_listed_at(self, process: ProcessKey) -> float:
         """Return the monotonic time of the last listing that had a process in use."""
         return self.absent_since.get(process, self.confirmed_at)
@@ -137,8 +142,7 @@
         if process in self.departures:
             return False
         self.departures[process] = True
-        current = self.servers.get(process[0])
-        if current is not None and current.process == process and not current.draining:
+        if self.is_listed(process) and not (current := self.servers[process[0]]).draining:
             self.listed = self.with_departures(self.listed)
             self.replace(self.servers | {current.id: dataclasses.replace(current, draining=True)})
         return True
