Convert hashes to signed integers in one place

The digests of members, of lists of servers and, new, of crashes, and the parts of broadcasts each had the expression.

--- a/src/dogwoodgap/broadcast.py
+++ b/src/dogwoodgap/broadcast.py
@@ -83,7 +83,7 @@
             member = self.membership.find(node)
             if member is not None and not self.is_unreachable(member):
                 try:
-                    await deliver(member, to_signed(end))
+                    await deliver(member, hashing.to_signed(end))
                 except exceptions.PeerError:
                     self.failed_at[node] = clock.now()
                 else:
@@ -103,8 +103,3 @@
             member.peer_address, message, ttypes.Ack, timeout_s=DELIVERY_TIMEOUT_S
         )
         return reply.message
-
-
-def to_signed(point: int) -> int:
-    """Return a point of the ring as a signed 64-bit integer for a message."""
-    return point - ring.RING_SIZE if point >> 63 else point
--- a/src/dogwoodgap/crash_evidence.py
+++ b/src/dogwoodgap/crash_evidence.py
@@ -14,7 +14,7 @@
 import cachetools
 import xxhash
 
-from dogwoodgap import clock, servers
+from dogwoodgap import clock, hashing, servers
 
 MAX_CRASHES = 2
 """Crashes after which a request is refused; operators tolerate three."""
@@ -192,7 +192,7 @@
                 self.digest_valid_until = min(self.digest_valid_until, expires_at)
                 for process in ended:
                     value ^= xxhash.xxh64_intdigest(repr((digest, process)).encode())
-            self.cached_digest = value - (1 << 64) if value >> 63 else value
+            self.cached_digest = hashing.to_signed(value)
         return self.cached_digest or None
 
     def confirmed(
--- a/src/dogwoodgap/followers.py
+++ b/src/dogwoodgap/followers.py
@@ -20,6 +20,7 @@
     clock,
     events,
     exceptions,
+    hashing,
     members,
     membership,
     peers,
@@ -376,7 +377,7 @@
     """Return a signed 64-bit hash of the entries of a listing."""
     parts: collections.abc.Iterable[str] = sorted(repr(server) for server in entries)
     value = xxhash.xxh64_intdigest("\n".join(parts).encode())
-    return value - (1 << 64) if value >> 63 else value
+    return hashing.to_signed(value)
 
 
 def to_wire(server: servers.BackendServer) -> ttypes.ServerEntry:
--- a/src/dogwoodgap/hashing.py
+++ b/src/dogwoodgap/hashing.py
@@ -4,6 +4,13 @@
 
 import xxhash
 
+HASH_BITS = 64
+
+
+def to_signed(value: int) -> int:
+    """Return a 64-bit hash as the signed integer that messages hold."""
+    return value - (1 << HASH_BITS) if value >> (HASH_BITS - 1) else value
+
 
 def stable_hash(text: str) -> int:
     """Return a 64-bit hash that is the same on all nodes."""
--- a/src/dogwoodgap/members.py
+++ b/src/dogwoodgap/members.py
@@ -388,7 +388,7 @@
             for member in [self.local, *self.others()]:
                 text = f"{member.node}/{member.boot}/{member.incarnation}"
                 value ^= hashing.stable_hash(text)
-            self.cached_digest = value - (1 << 64) if value >> 63 else value
+            self.cached_digest = hashing.to_signed(value)
             self.cached_digest_version = self.version
         return self.cached_digest
 
