Refuse requests that cannot finish before a planned stop

What callers saw: a gateway that stops as planned took and passed on whatever came until its end, and closed the connections of all that was unfinished, 0.6 s before the grace period ends. Callers got no response, among them for requests that must not run twice (LOST).

Cause: Gateway.stop() waits until its end for requests and connections and then cancels all tasks. No request was ever compared with the time that is left.

Now the forwarder knows when it stops. The durations of recent requests of each service and kind (lower bounds for those that were given up or still run) say whether a request can finish; if not, it is refused as not run before a server gets it, with a short Retry-After, since other gateways accept it. This is checked on arrival and before each attempt. What is unfinished at the end gets a complete error response (503 not run, or 502 unknown) instead of a closed connection; only streams that have begun are still cut, for resuming elsewhere.

Ruled out: refusing all requests whose deadline lies behind the end. It refuses requests of 0.1 s with a deadline of 3 s for 3 s before the end.

Evidence: tests/stop_search.py, seven gateways as processes.

--- /dev/null
+++ b/src/dogwoodgap/durations.py
@@ -0,0 +1,133 @@
+"""Estimates how long requests take from recent ones of their kind; no I/O, callers pass the time.
+
+Handles planned stops: what would outlast the process has to be refused before a server runs it, and
+what can finish has to be served. The estimate follows services that turn slow, since requests that
+are still running count with the time that they have taken so far.
+"""
+
+import collections
+import collections.abc
+import contextlib
+import dataclasses
+
+import cachetools
+import sortedcontainers
+
+from dogwoodgap import clock, progress, routes
+
+WINDOW = 64
+"""Recent requests of a kind that an estimate is based on."""
+
+MIN_SAMPLES = 8
+"""Requests of a kind from which on their duration is estimated."""
+
+MAX_KINDS = 256
+"""Kinds of requests whose durations are kept, the most recently used ones."""
+
+Kind = tuple[str, routes.RouteKind]
+"""Service and kind of route."""
+
+
+def kind(state: progress.Progress) -> Kind:
+    """Return the kind of a request."""
+    return state.service, state.route.kind
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Measurement:
+    """An attempt whose duration is being measured.
+
+    Attributes
+    ----------
+    started_at : float
+        Monotonic time at which the request was sent.
+    is_run : bool
+        Whether a server may have run the request; the duration of a refusal does not count.
+    """
+
+    started_at: float
+    is_run: bool = True
+
+
+@dataclasses.dataclass(slots=True)
+class DurationWindow:
+    """Durations of the recent requests of one kind, in seconds.
+
+    Attributes
+    ----------
+    recent : collections.deque
+        Durations in order of completion.
+    sorted : sortedcontainers.SortedList
+        The same durations in order of size.
+    running : dict
+        Unfinished requests in order of their start; the values are not used.
+    """
+
+    recent: collections.deque[float] = dataclasses.field(default_factory=collections.deque)
+    sorted: sortedcontainers.SortedList = dataclasses.field(
+        default_factory=sortedcontainers.SortedList
+    )
+    running: dict[Measurement, None] = dataclasses.field(default_factory=dict)
+
+    def add(self, seconds: float) -> None:
+        """Record a duration; an attempt that was given up counts with the time it has taken."""
+        self.recent.append(seconds)
+        self.sorted.add(seconds)
+        if len(self.recent) > WINDOW:
+            self.sorted.remove(self.recent.popleft())
+
+    def bound_s(self, now: float) -> float | None:
+        """Return a time within which a new request most likely ends, or None if that is unknown.
+
+        It lies as far above the longest duration as that one lies above the median.
+        """
+        if len(self.recent) < MIN_SAMPLES:
+            return None
+        longest_s = self.sorted[-1]
+        if self.running:
+            longest_s = max(longest_s, now - next(iter(self.running)).started_at)
+        median_s = self.sorted[len(self.sorted) // 2]
+        return longest_s + (longest_s - median_s)
+
+
+class DurationEstimator:
+    """Durations of the requests that this node sends, by kind."""
+
+    def __init__(self) -> None:
+        self.windows: cachetools.LRUCache[Kind, DurationWindow] = cachetools.LRUCache(MAX_KINDS)
+
+    @contextlib.contextmanager
+    def measure(self, request_kind: Kind) -> collections.abc.Iterator[Measurement]:
+        """Record how long an attempt takes, also if it fails or is cancelled."""
+        window = self.windows.get(request_kind)
+        if window is None:
+            window = self.windows[request_kind] = DurationWindow()
+        measurement = Measurement(clock.now())
+        window.running[measurement] = None
+        try:
+            yield measurement
+        finally:
+            del window.running[measurement]
+            if measurement.is_run:
+                window.add(clock.now() - measurement.started_at)
+
+    def bound_s(self, request_kind: Kind) -> float | None:
+        """Return a time within which a new request of a kind most likely ends."""
+        window = self.windows.get(request_kind)
+        return None if window is None else window.bound_s(clock.now())
+
+
+def can_finish(now: float, deadline_at: float, stops_at: float, bound_s: float | None) -> bool:
+    """Return whether a request can finish before this node stops.
+
+    Parameters
+    ----------
+    now, deadline_at, stops_at : float
+        Monotonic times: now, the deadline of the request, and the end of this node's service.
+    bound_s : float or None
+        Time within which the request most likely ends, in seconds. If that is unknown, it may take
+        until its deadline.
+    """
+    if deadline_at <= stops_at:
+        return True
+    return bound_s is not None and now + bound_s <= stops_at
--- a/src/dogwoodgap/forwarder.py
+++ b/src/dogwoodgap/forwarder.py
@@ -6,6 +6,7 @@
 """
 
 import collections.abc
+import contextlib
 import logging
 import math
 
@@ -18,6 +19,7 @@
     clock,
     crashes,
     dialect,
+    durations,
     events,
     exceptions,
     exposition,
@@ -49,6 +51,9 @@
 DEADLINE_GRACE_S = 0.05
 """Extra time for the response of a server that stops working exactly at the deadline."""
 
+STOPPING_RETRY_AFTER_S = 0.01
+"""Retry delay of a caller that a stopping gateway refuses; other gateways accept its request."""
+
 
 class Forwarder:
     """Forwards requests on one node: routing, admission, retries and relaying.
@@ -80,6 +85,10 @@
     ----------
     on_departure : callable
         Called when a response has named a departure that was not known.
+    stops_at : float
+        Monotonic time at which unfinished requests are ended, because this node stops.
+    refused_at_stop : int
+        Requests that were refused because they would have outlasted this node.
     """
 
     def __init__(
@@ -125,6 +134,10 @@
         self.max_relayed_requests = max_relayed_requests
         self.relayed = 0
         self.active = 0
+        self.durations = durations.DurationEstimator()
+        self.stops_at = math.inf
+        self.refused_at_stop = 0
+        self.request_scopes: set[anyio.CancelScope] = set()
         server_registry.removal_hooks.append(self.remove_server)
 
     def remove_server(self, server: servers.BackendServer) -> None:
@@ -232,6 +245,16 @@
             exposition.active_requests.dec()
             self.log_request(call, progress, outcome)
 
+    def end_requests_at(self, stops_at: float) -> None:
+        """End all requests at a monotonic time, and refuse those that would take longer.
+
+        A request that is still unfinished at that time gets an error response, unless its stream
+        has begun.
+        """
+        self.stops_at = stops_at
+        for scope in self.request_scopes:
+            scope.deadline = min(scope.deadline, stops_at)
+
     def accept_relayed(
         self, progress: progress_module.Progress, turn_priority: pacing.TurnPriority
     ) -> None:
@@ -287,7 +310,7 @@
         """Forward a request within its deadline and its program's token budget."""
         route = progress.route
         digest = self.crash_tracker.digest(call)
-        self.refuse_crashing(digest, progress, responder)
+        self.refuse_futile(digest, progress, responder)
         has_budget = (
             route.kind is routes.RouteKind.STREAMING
             and call.token_budget is not None
@@ -295,7 +318,7 @@
         )
         is_reserved = False
         try:
-            with anyio.CancelScope(deadline=progress.deadline_at + DEADLINE_GRACE_S) as scope:
+            with self.request_scope(progress) as scope:
                 if call.last_event_id is not None and route.kind is routes.RouteKind.STREAMING:
                     await self.require_version(call, progress)
                 if has_budget:
@@ -303,6 +326,10 @@
                     is_reserved = True
                 await self.run_admitted(call, progress, responder, digest)
             if scope.cancelled_caught:
+                if clock.now() < progress.deadline_at:
+                    self.raise_failure(
+                        progress, responder, "this gateway stops", STOPPING_RETRY_AFTER_S
+                    )
                 await self.raise_timeout(progress, responder)
         finally:
             if is_reserved:
@@ -310,6 +337,34 @@
                 tokens_per_event = engine.tokens_per_event if engine else 1
                 self.budget_coordinator.settle(call, progress.events * tokens_per_event)
 
+    @contextlib.contextmanager
+    def request_scope(
+        self, progress: progress_module.Progress
+    ) -> collections.abc.Iterator[anyio.CancelScope]:
+        """Return a scope that ends at the deadline of a request, or when this node stops."""
+        deadline_at = min(progress.deadline_at + DEADLINE_GRACE_S, self.stops_at)
+        with anyio.CancelScope(deadline=deadline_at) as scope:
+            self.request_scopes.add(scope)
+            try:
+                yield scope
+            finally:
+                self.request_scopes.discard(scope)
+
+    def refuse_futile(
+        self, digest: int, progress: progress_module.Progress, responder: ingress.Responder
+    ) -> None:
+        """Raise the error for a request that no attempt can complete."""
+        self.refuse_crashing(digest, progress, responder)
+        bound_s = self.durations.bound_s(durations.kind(progress))
+        if not durations.can_finish(clock.now(), progress.deadline_at, self.stops_at, bound_s):
+            self.refused_at_stop += 1
+            self.raise_failure(
+                progress,
+                responder,
+                "this gateway stops before the request could finish; use another one",
+                STOPPING_RETRY_AFTER_S,
+            )
+
     def refuse_crashing(
         self, digest: int, progress: progress_module.Progress, responder: ingress.Responder
     ) -> None:
@@ -432,12 +487,12 @@
         budget.record_request()
         while True:
             if self.monitor.is_cut_off(progress.service):
-                self.refuse_crashing(digest, progress, responder)
+                self.refuse_futile(digest, progress, responder)
                 if await self.try_helper(call, progress, responder):
                     return
                 continue
             server = await self.permitted_server(call, progress, responder)
-            self.refuse_crashing(digest, progress, responder)
+            self.refuse_futile(digest, progress, responder)
             result = await self.try_server(call, progress, responder, server, digest)
             progress.attempt_log.append(f"{server.id}:{result.value}")
             exposition.exchanges.labels(progress.service, result.value).inc()
@@ -468,7 +523,9 @@
         member = self.peer_relay.choose()
         if member is None or responder.started or not peer_relay.may_ask_another(progress):
             self.raise_failure(progress, responder, "no server can be reached from this gateway")
-        result = await self.peer_relay.send(call, progress, responder, member)
+        with self.durations.measure(durations.kind(progress)) as measurement:
+            result = await self.peer_relay.send(call, progress, responder, member)
+            measurement.is_run = progress.may_have_run
         progress.attempt_log.append(f"{member.node}:{result.value}")
         exposition.relayed.labels(progress.service, result.value).inc()
         if result is progress_module.AttemptResult.DONE:
@@ -559,7 +616,9 @@
             if not self.server_registry.is_usable(server):
                 return progress_module.AttemptResult.NOT_RUN
             is_run_lost = True
-            result = await self.send_and_relay(call, progress, responder, connection)
+            with self.durations.measure(durations.kind(progress)) as measurement:
+                result = await self.send_and_relay(call, progress, responder, connection)
+                measurement.is_run = result is not progress_module.AttemptResult.NOT_RUN
             is_run_lost = False
             if result is progress_module.AttemptResult.DONE:
                 state.record_response(clock.now() - started_at)
--- a/src/dogwoodgap/gateway.py
+++ b/src/dogwoodgap/gateway.py
@@ -51,6 +51,9 @@
 STOP_POLL_INTERVAL_S = 0.05
 """Interval at which a stop checks whether the last requests have finished."""
 
+LAST_RESPONSES_TIMEOUT_S = 0.15
+"""Time to send the error responses of requests that were still unfinished at the end of a stop."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DirectoryResponse:
@@ -297,12 +300,24 @@
         """Wait until a stop is requested."""
         await self.stop_requested.wait()
 
+    def has_unfinished(self, end_at: float) -> bool:
+        """Return whether a stop has to wait for callers; all requests are ended at ``end_at``."""
+        now = clock.now()
+        if now < end_at:
+            return bool(self.request_server.connections or self.forwarder.active)
+        return self.forwarder.active > 0 and now < end_at + LAST_RESPONSES_TIMEOUT_S
+
     async def stop(self) -> None:
-        """Leave the directory, handle requests that still arrive, then close all connections."""
+        """Leave the directory, handle requests that still arrive, then close all connections.
+
+        Callers may use cached addresses until the process has ended. What they send late is handled
+        if it can finish in time, and refused as not run otherwise.
+        """
         section = self.settings.gateway
         started_at = clock.now()
         end_at = started_at + section.stop_grace_s - STOP_MARGIN_S
         self.stopping = True
+        self.forwarder.end_requests_at(end_at)
         events.emit(
             events.Event.GATEWAY_STOPPING, "graceful stop started", active=self.forwarder.active
         )
@@ -311,7 +326,7 @@
         await clock.sleep_until(started_at + section.directory_ttl_s * DIRECTORY_TTL_FACTOR)
         self.request_server.closing = True
         self.relay_server.closing = True
-        while clock.now() < end_at and (self.request_server.connections or self.forwarder.active):
+        while self.has_unfinished(end_at):
             self.request_server.close_idle()
             await anyio.sleep(STOP_POLL_INTERVAL_S)
         if self.membership is not None:
@@ -322,5 +337,6 @@
             "gateway stopped",
             level=logging.INFO,
             active=self.forwarder.active,
+            refused=self.forwarder.refused_at_stop,
             took_s=round(clock.now() - started_at, 3),
         )
--- /dev/null
+++ b/tests/stop_search.py
@@ -0,0 +1,300 @@
+"""Stops gateways as planned under load, and looks for requests that are cut.
+
+    python tests/stop_search.py --seed 1 --count 50
+
+Seven gateways run as separate processes between stand-ins of servers, callers and the store. Some
+get SIGTERM, close together, and other signals while they stop. Callers that have cached their
+addresses go on sending requests there, on kept and on new connections, until the process is gone.
+Each seed draws the gateways, the signals and the requests. A request that a server began and whose
+caller got no whole answer is a failure, unless it was sent early and a server was still at work on
+it at the end of the grace period.
+"""
+
+import argparse
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import json
+import pathlib
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+import crash_search
+from stand_ins import clients, gateways, http, scene
+
+GRACE_S = 8.0
+LATE_S = 3.0
+"""Time after the SIGTERM up to which a request may be cut that takes too long."""
+
+LAST_SHARE = 1 / 6
+"""Last part of the grace period, in which a server has to be at work on such a request."""
+
+WARM_UP_S = 4.0
+SPREAD_S = 4.0
+"""Time in which all stops of a run begin."""
+
+END_S = 1.5
+CALLERS = 40
+RESET_S = 0.02
+SERVERS = 6
+SLOTS = 24
+
+
+@dataclasses.dataclass(frozen=True)
+class Kind:
+    """A kind of request: what it is sent as, and how long a server works on it."""
+
+    prefix: str
+    service: str
+    route_kind: str
+    timeout_ms: int
+    work_s: float
+    attempts: int = 1
+    options: tuple[tuple[str, object], ...] = ()
+
+
+STREAM_OPTIONS = (("sticky", True), ("resumable", True), ("retain", False), ("gapAimMs", 200))
+KINDS = [
+    Kind("/acts/", "acts", "non_idempotent", 3000, 0.087),
+    Kind("/pays/", "pays", "non_idempotent", 3000, 1.2),
+    Kind("/reads/", "plain", "idempotent", 1200, 0.03, attempts=2),
+    Kind("/looks/", "looks", "idempotent", 3000, 0.35, attempts=2),
+    Kind("/turns/", "model", "streaming", 4000, 0.5, options=STREAM_OPTIONS),
+    Kind("/talks/", "talks", "streaming", 4000, 3.0, options=STREAM_OPTIONS),
+]
+ENGINE = {"slots": SLOTS, "kvTokens": 125987, "eventTokens": scene.EVENT_TOKENS}
+EVENTS = 10
+
+
+def configuration() -> dict:
+    """Return one route and one service for each kind of request."""
+    routes, services = [], []
+    for kind in KINDS:
+        route = {
+            "name": kind.service,
+            "host": clients.HOST,
+            "pathPrefix": kind.prefix,
+            "kind": kind.route_kind,
+            "timeoutMs": kind.timeout_ms,
+            "sloMs": 200,
+            "priority": 1,
+            "service": kind.service,
+            "attempts": kind.attempts,
+            **dict(kind.options),
+        }
+        service = {"name": kind.service, "maxConns": 170}
+        if kind.route_kind == "streaming":
+            service["engine"] = ENGINE
+        routes.append(route)
+        services.append(service)
+    return {**scene.CONFIGURATION, "routes": routes, "services": services}
+
+
+class Search:
+    """One run: its gateways, its planned stops, and what callers got."""
+
+    def __init__(self, seed: int, folder: pathlib.Path, build: pathlib.Path):
+        self.random = random.Random(seed)
+        random.seed()
+        self.scene = scene.Scene(scene.free_net(scene.GATEWAYS), folder)
+        random.seed(seed)
+        for gateway in self.scene.gateways:
+            gateway.__class__ = crash_search.Gateway
+            gateway.build = build
+        self.folder = folder
+        self.stops: dict[str, list[float]] = {}
+        self.codes: dict[str, int | None] = {}
+        self.kept_share = self.random.choice([0.2, 0.5, 0.8])
+        self.tasks: list[asyncio.Task] = []
+
+    async def stop(self, gateway: gateways.Gateway, after_s: float) -> None:
+        """Stop one gateway as planned, with other signals while it stops."""
+        signals = self.random.sample(
+            [signal.SIGHUP, signal.SIGTERM, signal.SIGINT], self.random.randrange(3)
+        )
+        pauses = [self.random.uniform(0.05, 3.0) for _ in signals]
+        await asyncio.sleep(after_s)
+        begin = time.time()
+        self.stops[gateway.ip] = [begin, begin + GRACE_S]
+        gateway.signal(signal.SIGTERM)
+        for pause_s, number in zip(pauses, signals, strict=True):
+            await asyncio.sleep(pause_s)
+            gateway.signal(number)
+        left_s = begin + GRACE_S - time.time()
+        with contextlib.suppress(subprocess.TimeoutExpired):
+            await asyncio.to_thread(gateway.process.wait, left_s)
+        self.codes[gateway.name] = gateway.process.poll()
+        self.stops[gateway.ip][1] = time.time()
+        gateway.end()
+
+    async def call(self, number: int) -> None:
+        """Send requests to the gateways that stop, until the last one is gone."""
+        draws = random.Random(self.random.random())
+        connection = None
+        count = 0
+        while True:
+            ip = draws.choice(self.stopping).ip
+            is_kept = draws.random() < self.kept_share
+            if connection is None or not is_kept or connection[0] != ip:
+                if connection is not None:
+                    connection[2].close()
+                connection = None
+            count += 1
+            attempt = clients.Attempt(
+                time.time(), f"s{number:03x}-{count:05x}", "", draws.choice(KINDS).prefix
+            )
+            attempt.gateway = ip
+            with contextlib.suppress(OSError, http.ClosedError, TimeoutError):
+                async with asyncio.timeout(6.0):
+                    if connection is None:
+                        connection = (ip, *await asyncio.open_connection(ip, gateways.FRONT))
+                    attempt.at = time.time()
+                    self.scene.attempts.append(attempt)
+                    await self.send(attempt, draws, *connection[1:])
+            attempt.took_s = time.time() - attempt.at
+            if connection is not None and (not attempt.whole or connection[2].is_closing()):
+                connection[2].close()
+                connection = None
+            await asyncio.sleep(RESET_S if attempt.status in (0, 503) else draws.uniform(0.0, 0.1))
+
+    async def send(
+        self,
+        attempt: clients.Attempt,
+        draws: random.Random,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Send one request and read its answer."""
+        kind = next(kind for kind in KINDS if kind.prefix == attempt.path)
+        fields = {
+            "Host": clients.HOST,
+            "Attempt-Id": attempt.attempt,
+            "Deadline-Ms": str(kind.timeout_ms),
+        }
+        if kind.route_kind == "streaming":
+            part = f"{draws.getrandbits(32):08x}:654"
+            fields |= {"Token-Count": "1166,100", "Model": "m"}
+            fields |= {"Prompt-Prefix": f"5c1e07a2:512,{part}", "Session-Id": attempt.attempt}
+        writer.write(http.encode(f"POST {attempt.path}1 HTTP/1.1", fields, b"prompt"))
+        head = await http.read_head(reader)
+        attempt.status = int(head.first[1])
+        await http.read_body(reader, head)
+        attempt.body = head.body
+        attempt.whole = True
+        if head.headers.get("connection", "").lower() == "close":
+            writer.close()
+
+    async def play(self) -> None:
+        """Stop some gateways under load."""
+        (self.folder / "cuts.json").write_text(json.dumps({}))
+        await self.scene.start()
+        self.scene.platform.put("config", "main", spec=configuration())
+        for kind in KINDS:
+            for _ in range(SERVERS):
+                await self.scene.add_runner(
+                    kind.service,
+                    slots=SLOTS,
+                    work_s=kind.work_s,
+                    events=EVENTS,
+                    gap_s=kind.work_s / EVENTS,
+                )
+        await self.scene.start_gateways()
+        await asyncio.sleep(1.0)
+        self.stopping = self.random.sample(self.scene.gateways, self.random.randint(1, 4))
+        self.tasks = [asyncio.create_task(self.call(number)) for number in range(CALLERS)]
+        begins = [WARM_UP_S + self.random.uniform(0.0, SPREAD_S) for _ in self.stopping]
+        try:
+            async with asyncio.TaskGroup() as tasks:
+                for gateway, after_s in zip(self.stopping, begins, strict=True):
+                    tasks.create_task(self.stop(gateway, after_s))
+            await asyncio.sleep(END_S)
+        finally:
+            for task in self.tasks:
+                task.cancel()
+            await asyncio.gather(*self.tasks, return_exceptions=True)
+            self.scene.end()
+
+    def cut(self) -> list[clients.Attempt]:
+        """Return the requests that a server began and whose caller got no whole answer."""
+        runs = {run.attempt: run for run in self.scene.runs}
+        cut: list[clients.Attempt] = []
+        for attempt in self.scene.attempts:
+            if attempt.whole or attempt.attempt not in runs or not attempt.took_s:
+                continue
+            begin, end = self.stops[attempt.gateway]
+            ended_at = attempt.at + attempt.took_s
+            is_early = attempt.at <= begin + LATE_S
+            if is_early and ended_at >= begin + GRACE_S * (1 - LAST_SHARE):
+                continue
+            if begin <= ended_at <= end + 1.0:
+                cut.append(attempt)
+        return cut
+
+    def refused_in_vain(self) -> int:
+        """Return how many refused requests a server would have finished before the end."""
+        work_s = {kind.prefix: kind.work_s for kind in KINDS}
+        return sum(
+            attempt.status == 503
+            and attempt.at + work_s[attempt.path] * 1.1 + 0.05 < self.stops[attempt.gateway][1]
+            for attempt in self.scene.attempts
+        )
+
+    def report(self) -> str:
+        """Return how requests ended, by kind and by time after the SIGTERM."""
+        table: dict[tuple[str, int], collections.Counter] = collections.defaultdict(
+            collections.Counter
+        )
+        cut = {attempt.attempt for attempt in self.cut()}
+        for attempt in self.scene.attempts:
+            after_s = attempt.at - self.stops[attempt.gateway][0]
+            outcome = "cut" if attempt.attempt in cut else str(attempt.status)
+            table[attempt.path, int(after_s // 0.5)][outcome] += 1
+        return "\n".join(
+            f"{path} {half / 2:5.1f} {dict(counts)}"
+            for (path, half), counts in sorted(table.items())
+        )
+
+
+async def play(seed: int, build: pathlib.Path, keep: pathlib.Path | None) -> bool:
+    """Play one seed, print what came of it, and return whether no request was cut."""
+    with tempfile.TemporaryDirectory() as temporary:
+        folder = pathlib.Path(temporary) if keep is None else keep / f"stop-{seed}"
+        folder.mkdir(parents=True, exist_ok=True)
+        search = Search(seed, folder, build)
+        await search.play()
+        (folder / "report.txt").write_text(search.report() + "\n")
+    cut = search.cut()
+    kinds = collections.Counter(attempt.path for attempt in cut)
+    ended_badly = {name: code for name, code in search.codes.items() if code}
+    statuses = collections.Counter(attempt.status for attempt in search.scene.attempts)
+    print(
+        f"seed {seed}: {len(search.stops)} stops, {len(search.scene.attempts)} requests, "
+        f"{len(cut)} cut {dict(kinds)}, {search.refused_in_vain()} refused in vain, "
+        f"answers {dict(sorted(statuses.items()))}, exit codes {ended_badly or 'all 0'}",
+        flush=True,
+    )
+    return not cut and not ended_badly
+
+
+def main() -> int:
+    """Play seeds one after the other; return 1 if a request was cut on any."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--build", type=pathlib.Path, default=crash_search.ROOT)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--count", type=int, default=1)
+    parser.add_argument("--keep", type=pathlib.Path, help="folder for reports and logs")
+    arguments = parser.parse_args()
+    seeds = range(arguments.seed, arguments.seed + arguments.count)
+    build = arguments.build.resolve()
+    held = [asyncio.run(play(seed, build, arguments.keep)) for seed in seeds]
+    print(f"{sum(held)} of {len(held)} seeds held")
+    return 0 if all(held) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
