Outlive failures to accept a connection

Reproduced: a gateway that has no file descriptor left when a connection arrives exits with code 1 and a nested traceback (OSError 24 in accept), on landed code in each of two plays, 128 descriptors and 300 connections. The listeners run in the task group of the process, and one error of accept() ends it; so does an unexpected error in one accepted connection between gateways.

That this is what the users saw is not shown.

All listeners now count and log a failure to accept and try again after 0.1 s; connections wait meanwhile. An unexpected error of one connection is logged and ends that connection only.

Ruled out: connections that are reset before or while they are accepted (230,000 on all six ports of a gateway in 15 s, trial: the process went on).

--- a/src/dogwoodgap/events.py
+++ b/src/dogwoodgap/events.py
@@ -130,6 +130,8 @@
     HELPER_FAILED = 5029, "Another gateway did not accept a request that was sent to it."
     SERVER_LEAVING = 5030, "A backend server named its departure in a response."
     BACKGROUND_FAILED = 5031, "A background task failed unexpectedly; a service is started again."
+    ACCEPT_FAILED = 5032, "Connections cannot be accepted; they wait, and accepting is tried again."
+    ADDRESS_UNAVAILABLE = 5033, "An address to listen on is still in use; the start waits for it."
     RUNNER_LEAVING = 6001, "A runner is leaving and gets no new work."
     RUNNER_RETURNED = 6002, "A runner accepts work again."
     RUNNER_DOWN = 6003, "A new connection to a runner failed; it gets no work until it answers."
--- a/src/dogwoodgap/exceptions.py
+++ b/src/dogwoodgap/exceptions.py
@@ -389,6 +389,12 @@
     code, status, title, not_run = "settings-invalid", 422, "Invalid settings", "true"
 
 
+class AddressUnavailableError(DogwoodgapError):
+    """An address to listen on is in use, or does not belong to this VM."""
+
+    code, status, title, not_run = "address-unavailable", 500, "Address unavailable", "true"
+
+
 NOT_RUN_VALUES: dict[str, bool | str] = {"true": True, "false": False, "unknown": "unknown"}
 
 
--- a/src/dogwoodgap/exposition.py
+++ b/src/dogwoodgap/exposition.py
@@ -65,6 +65,11 @@
     "Background tasks that ended with an unexpected error.",
     registry=registry,
 )
+accept_failures = prometheus_client.Counter(
+    "dogwoodgap_accept_failures",
+    "Connections that could not be accepted, for example without a free file descriptor.",
+    registry=registry,
+)
 ignored_objects = prometheus_client.Counter(
     "dogwoodgap_ignored_objects",
     "Malformed objects in lists of the platform's store, each time that a list is read.",
--- a/src/dogwoodgap/ingress.py
+++ b/src/dogwoodgap/ingress.py
@@ -9,7 +9,7 @@
 import anyio.abc
 import h11
 
-from dogwoodgap import clock, dialect, events, exceptions, http_pool, peer_connections, routes
+from dogwoodgap import clock, dialect, events, exceptions, http_pool, listeners, routes
 
 CLOSE_TIMEOUT_S = 0.5
 """Time for a caller to read the last response before the connection is closed."""
@@ -271,11 +271,14 @@
         self.connections: set[CallerConnection] = set()
 
     async def serve(
-        self, address: str, *, task_status: anyio.abc.TaskStatus[int] = anyio.TASK_STATUS_IGNORED
+        self,
+        address: str,
+        bind_timeout_s: float = 0.0,
+        *,
+        task_status: anyio.abc.TaskStatus[int] = anyio.TASK_STATUS_IGNORED,
     ) -> None:
         """Accept connections until cancelled; reports the port through ``task_status``."""
-        host, port = peer_connections.split_address(address)
-        listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
+        listener = await listeners.open_listener(address, bind_timeout_s)
         async with listener:
             task_status.started(listener.extra(anyio.abc.SocketAttribute.local_port))
             await listener.serve(self.serve_stream)
--- /dev/null
+++ b/src/dogwoodgap/listeners.py
@@ -0,0 +1,154 @@
+"""TCP listeners that wait for their address, and outlive failures to accept a connection.
+
+Handles processes that start while their predecessor still ends, and processes that have no file
+descriptor left: they go on with the connections that they have.
+"""
+
+import collections.abc
+import contextlib
+import errno
+import logging
+import typing
+
+import anyio
+import anyio.abc
+import anyio.streams.stapled
+
+from dogwoodgap import background, clock, events, exceptions, exposition, peer_connections
+
+BIND_RETRY_INTERVAL_S = 0.1
+ACCEPT_RETRY_DELAY_S = 0.1
+"""Time after which accepting is tried again; running requests free descriptors meanwhile."""
+
+UNAVAILABLE = (errno.EADDRINUSE, errno.EADDRNOTAVAIL)
+"""Errors of an address that another process or network interface may still release or bring."""
+
+StreamHandler = collections.abc.Callable[
+    [anyio.abc.SocketStream], collections.abc.Awaitable[typing.Any]
+]
+
+
+class Listener(anyio.abc.Listener[anyio.abc.SocketStream]):
+    """A TCP listener.
+
+    Parameters
+    ----------
+    listener : anyio.streams.stapled.MultiListener
+        Listens on all IP addresses that the host part of the address stands for.
+    address : str
+        Its address, for log lines.
+    before_accept : callable, optional
+        Awaited before each connection is accepted.
+    """
+
+    def __init__(
+        self,
+        listener: anyio.streams.stapled.MultiListener[anyio.abc.SocketStream],
+        address: str,
+        before_accept: collections.abc.Callable[[], collections.abc.Awaitable[None]] | None = None,
+    ):
+        self.listener = listener
+        self.address = address
+        self.before_accept = before_accept
+        self.is_failing = False
+
+    @property
+    def extra_attributes(self) -> typing.Any:
+        """Attributes of the listener."""
+        return self.listener.extra_attributes
+
+    async def aclose(self) -> None:
+        """Stop to listen."""
+        await self.listener.aclose()
+
+    async def serve(
+        self, handler: StreamHandler, task_group: anyio.abc.TaskGroup | None = None
+    ) -> None:
+        """Accept connections until cancelled; a failed connection ends no other one."""
+        async with contextlib.AsyncExitStack() as stack:
+            if task_group is None:
+                task_group = await stack.enter_async_context(anyio.create_task_group())
+            async with anyio.create_task_group() as tasks:
+                for listener in self.listener.listeners:
+                    tasks.start_soon(self.accept_all, listener, handler, task_group)
+
+    async def accept_all(
+        self,
+        listener: anyio.abc.Listener[anyio.abc.SocketStream],
+        handler: StreamHandler,
+        task_group: anyio.abc.TaskGroup,
+    ) -> None:
+        """Accept the connections to one IP address."""
+        while True:
+            if self.before_accept is not None:
+                await self.before_accept()
+            try:
+                stream = await listener.accept()
+            except OSError as error:
+                self.record_failure(error)
+                await anyio.sleep(ACCEPT_RETRY_DELAY_S)
+                continue
+            self.is_failing = False
+            background.start(task_group, handler, stream)
+
+    def record_failure(self, error: OSError) -> None:
+        """Count a failure to accept; a series of failures is logged once."""
+        exposition.accept_failures.inc()
+        if not self.is_failing:
+            events.emit(
+                events.Event.ACCEPT_FAILED,
+                "connections cannot be accepted and wait; if descriptors ran out, raise the limit "
+                "of open files (LimitNOFILE)",
+                level=logging.ERROR,
+                address=self.address,
+                detail=str(error),
+            )
+        self.is_failing = True
+
+
+async def open_listener(
+    address: str,
+    timeout_s: float = 0.0,
+    before_accept: collections.abc.Callable[[], collections.abc.Awaitable[None]] | None = None,
+) -> Listener:
+    """Listen on an address; while it is in use, wait for it.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port``.
+    timeout_s : float
+        Longest wait in seconds.
+    before_accept : callable, optional
+        Awaited before each connection is accepted.
+
+    Raises
+    ------
+    AddressUnavailableError
+        If the address is still in use after that time, or does not belong to this VM.
+    """
+    host, port = peer_connections.split_address(address)
+    give_up_at = clock.now() + timeout_s
+    is_waiting = False
+    while True:
+        try:
+            listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
+        except OSError as error:
+            if error.errno not in UNAVAILABLE or clock.now() >= give_up_at:
+                raise exceptions.AddressUnavailableError(
+                    f"cannot listen on {address}: {error.strerror}; stop the process that uses it "
+                    "or change the address in the settings"
+                ) from error
+            if not is_waiting:
+                is_waiting = True
+                events.emit(
+                    events.Event.ADDRESS_UNAVAILABLE,
+                    "an address to listen on is not available yet; waiting for it",
+                    level=logging.WARNING,
+                    address=address,
+                    timeout_s=timeout_s,
+                    detail=str(error),
+                )
+        else:
+            return Listener(listener, address, before_accept)
+        await anyio.sleep(BIND_RETRY_INTERVAL_S)
--- a/src/dogwoodgap/peers.py
+++ b/src/dogwoodgap/peers.py
@@ -12,7 +12,7 @@
 import anyio.abc
 import anyio.streams.tls
 
-from dogwoodgap import clock, events, exceptions, frames, peer_connections
+from dogwoodgap import clock, events, exceptions, frames, listeners, peer_connections
 from dogwoodgap_wire import ttypes
 
 SERVER_IDLE_TIMEOUT_S = 10.0
@@ -252,6 +252,7 @@
         self.tasks = tasks
         self.server_tls = server_tls
         self.client_tls = client_tls
+        self.bind_timeout_s = 0.0
         self.handlers = Handlers()
         self.hello = lambda: ttypes.Member(node="", boot="")
         self.peers: dict[str, Peer] = {}
@@ -332,8 +333,7 @@
 
     async def serve(self, *, task_status: anyio.abc.TaskStatus[int]) -> None:
         """Accept connections until cancelled; reports the bound port as the start value."""
-        host, port = peer_connections.split_address(self.bind)
-        tcp_listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
+        tcp_listener = await listeners.open_listener(self.bind, self.bind_timeout_s)
         listener: anyio.abc.Listener = tcp_listener
         if self.server_tls is not None:
             listener = anyio.streams.tls.TLSListener(
