Stop in order on a signal that comes while a process starts

What operators saw (FAULT): a gateway that gets SIGTERM in the first half second after its start ends by the signal, without a log line.

Cause: the handlers are installed only once the event loop runs; until then the default action ends the process. And a gateway that waits for the store or joins the others could not be told to stop in order.

The signals are now held from the first line of a program until the receiver exists, which then gets them. A stop ends the start at any point; a gateway that nobody was told of leaves no directory and stops at once, and one that others know already announces that it leaves. Steps of joining that fail unexpectedly are logged and do not end the process.

--- a/src/dogwoodgap/gateway.py
+++ b/src/dogwoodgap/gateway.py
@@ -27,6 +27,7 @@
     peer_relay,
     peers,
     permits,
+    process_signals,
     removals,
     routes,
     servers,
@@ -136,6 +137,7 @@
         )
         self.stopping = False
         self.stop_requested = anyio.Event()
+        self.announced: membership.Membership | None = None
         self.membership: membership.Membership | None = None
         self.remote_loads: dict[str, dict[str, int]] = {}
 
@@ -166,33 +168,39 @@
 
     async def run(self, endpoints: DiscoveryEndpoints) -> None:
         """Serve until SIGTERM or SIGINT."""
-        section = self.settings.gateway
         async with anyio.create_task_group() as tasks:
-            await tasks.start(self.watch_signals)
-            network = peers.PeerNetwork(self.settings.node.peer_bind, tasks)
-            await self.start_following(network, tasks)
-            background.start_service(tasks, self.forwarder.close_retired)
-            background.start_service(tasks, self.forwarder.monitor.run)
-            ready_server = ingress.Server(endpoints.ready)
-            await tasks.start(ready_server.serve, section.ready_bind)
-            directory_server = ingress.Server(endpoints.directory)
-            await tasks.start(directory_server.serve, section.directory_bind)
-            if section.metrics_bind:
-                await tasks.start(ingress.Server(self.serve_metrics).serve, section.metrics_bind)
-            if section.relay_bind:
-                await tasks.start(self.relay_server.serve, section.relay_bind)
-            await tasks.start(self.request_server.serve, self.settings.node.http_bind)
-            tasks.start_soon(self.join, network, tasks)
-            events.emit(
-                events.Event.GATEWAY_STARTED,
-                "gateway listening",
-                node=self.settings.node.name,
-                boot=self.boot,
-            )
+            start_scope = anyio.CancelScope()
+            await tasks.start(self.watch_signals, start_scope)
+            with start_scope:
+                await self.start(endpoints, tasks)
             await self.wait_for_stop()
             await self.stop()
             tasks.cancel_scope.cancel()
 
+    async def start(self, endpoints: DiscoveryEndpoints, tasks: anyio.abc.TaskGroup) -> None:
+        """Start to listen, then join the other gateways."""
+        section = self.settings.gateway
+        network = peers.PeerNetwork(self.settings.node.peer_bind, tasks)
+        await self.start_following(network, tasks)
+        background.start_service(tasks, self.forwarder.close_retired)
+        background.start_service(tasks, self.forwarder.monitor.run)
+        for server, address in (
+            (ingress.Server(endpoints.ready), section.ready_bind),
+            (ingress.Server(endpoints.directory), section.directory_bind),
+            (ingress.Server(self.serve_metrics), section.metrics_bind),
+            (self.relay_server, section.relay_bind),
+            (self.request_server, self.settings.node.http_bind),
+        ):
+            if address:
+                await tasks.start(server.serve, address)
+        events.emit(
+            events.Event.GATEWAY_STARTED,
+            "gateway listening",
+            node=self.settings.node.name,
+            boot=self.boot,
+        )
+        await self.join(network, tasks)
+
     async def start_following(self, network: peers.PeerNetwork, tasks: anyio.abc.TaskGroup) -> None:
         """Start to exchange messages with other gateways, and to follow routes and servers."""
         network.hello = lambda: ttypes.Member(node=self.settings.node.name, boot=self.boot)
@@ -238,13 +246,15 @@
         if self.settings.gateway.first_start:
             self.budget_coordinator.assume_no_losses()
         else:
-            await self.budget_coordinator.record_client.load()
+            await background.run_once(self.budget_coordinator.record_client.load)
+        self.announced = joined
         background.start_service(tasks, joined.run)
         with anyio.move_on_after(JOIN_TIMEOUT_S):
             while not joined.table.others():
                 await joined.wakeup.wait()
-        await self.budget_coordinator.fetch_losses()
-        await self.permit_coordinator.fetch_limits()
+        # A gateway that could not learn what others know starts all the same.
+        await background.run_once(self.budget_coordinator.fetch_losses)
+        await background.run_once(self.permit_coordinator.fetch_limits)
         if not self.settings.gateway.first_start:
             await self.load_crashes(tasks)
         self.membership = joined
@@ -255,7 +265,7 @@
     async def load_crashes(self, tasks: anyio.abc.TaskGroup) -> None:
         """Load the crashes of servers before this gateway gets requests, unless that takes long."""
         with anyio.move_on_after(CRASH_LOAD_TIMEOUT_S) as scope:
-            await self.crash_tracker.load()
+            await background.run_once(self.crash_tracker.load)
         if scope.cancelled_caught:
             background.start(tasks, self.crash_tracker.load)
 
@@ -282,19 +292,22 @@
         for server_id, state in self.forwarder.loads.states.items():
             state.remote_in_flight = totals.get(server_id, 0)
 
-    async def watch_signals(self, *, task_status: anyio.abc.TaskStatus) -> None:
-        """Request a stop at the first SIGTERM or SIGINT; no other signal changes anything.
+    async def watch_signals(
+        self, start_scope: anyio.CancelScope, *, task_status: anyio.abc.TaskStatus
+    ) -> None:
+        """Request a stop at the first SIGTERM or SIGINT, also while the gateway starts.
 
-        Signals are received until the process ends, since their default action would end it at
-        once.
+        No other signal changes anything. Signals are received until the process ends, since their
+        default action would end it at once.
         """
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as received:
+        with process_signals.receive() as received:
             task_status.started()
             async for signum in received:
                 if signum == signal.SIGHUP:
                     events.emit(events.Event.GATEWAY_RELOADED, "SIGHUP received")
                 else:
                     self.stop_requested.set()
+                    start_scope.cancel()
 
     async def wait_for_stop(self) -> None:
         """Wait until a stop is requested."""
@@ -321,17 +334,17 @@
         events.emit(
             events.Event.GATEWAY_STOPPING, "graceful stop started", active=self.forwarder.active
         )
-        if self.membership is not None:
-            await self.membership.leave()
-        await clock.sleep_until(started_at + section.directory_ttl_s * DIRECTORY_TTL_FACTOR)
+        if self.announced is not None:
+            await self.announced.leave()
+            await clock.sleep_until(started_at + section.directory_ttl_s * DIRECTORY_TTL_FACTOR)
         self.request_server.closing = True
         self.relay_server.closing = True
         while self.has_unfinished(end_at):
             self.request_server.close_idle()
             await anyio.sleep(STOP_POLL_INTERVAL_S)
-        if self.membership is not None:
+        if self.announced is not None:
             with anyio.move_on_after(STOP_MARGIN_S / 2):
-                await self.membership.depart()
+                await self.announced.depart()
         events.emit(
             events.Event.GATEWAY_STOPPED,
             "gateway stopped",
--- a/src/dogwoodgap/gateway_cli.py
+++ b/src/dogwoodgap/gateway_cli.py
@@ -2,13 +2,12 @@
 
 import os
 import pathlib
-import signal
 import typing
 
 import anyio
 import typer
 
-from dogwoodgap import events, exceptions, lean, settings
+from dogwoodgap import events, exceptions, lean, process_signals, settings
 
 EXIT_INVALID = 2
 
@@ -33,6 +32,7 @@
 @cli.command()
 def run(path: SettingsPath, fleet: FleetPath) -> None:
     """Run a gateway in the foreground until SIGTERM."""
+    process_signals.hold()
     loaded = read_configuration(path, fleet)
     lean.block_optional_modules()
     from dogwoodgap import dialect, entrance, file_source, gateway
@@ -68,6 +68,4 @@
 
 def main() -> None:
     """Run the command line."""
-    # The default action of SIGHUP would end the process.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     cli()
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -1,75 +1,19 @@
 """Signals to gateways and storage roles as separate processes."""
 
-import os
-import pathlib
 import signal
-import subprocess
-import sys
 import time
 
 import anyio
 import anyio.to_thread
+import gateway_process
 import gateways
-import listen_addresses
 import platform_stand_in
 
-from dogwoodgap import ingress
-
-ROOT = pathlib.Path(__file__).resolve().parents[1]
-START_LIMIT_S = 20.0
 RESPONSE_S = 2.0
-SETTINGS = """\
-[node]
-name = "front-1"
-data_centre = "d1"
-region = "r1"
-http_bind = "{http}"
-peer_bind = "{peer}"
-seeds = ["{peer}"]
-data_folder = ""
-
-[gateway]
-ready_bind = "{ready}"
-directory_bind = "{directory}"
-stop_grace_s = 8
-return_grace_s = 2
-first_start = true
-
-[platform]
-url = "http://{store}"
-writes_per_s = 400
-reads_per_s = 2000
-"""
-
-
-def start(module, **environment):
-    """Start a program of the platform's adapter."""
-    path = os.pathsep.join([str(ROOT / "src"), str(ROOT / "platform")])
-    return subprocess.Popen(
-        [sys.executable, "-m", module],
-        env={**os.environ, "PYTHONPATH": path, **environment},
-        stdout=subprocess.DEVNULL,
-        stderr=subprocess.DEVNULL,
-    )
-
-
-async def wait_until_ready(address):
-    """Wait until a gateway accepts connections."""
-    host, _, port = address.rpartition(":")
-    with anyio.fail_after(START_LIMIT_S):
-        while True:
-            try:
-                async with await anyio.connect_tcp(host, int(port)):
-                    return
-            except OSError:
-                await anyio.sleep(0.05)
 
 
 def test_signals_during_a_planned_stop_cut_no_request(tmp_path):
     """Guards against a gateway that is ended by a SIGHUP while it finishes its requests."""
-    addresses = {
-        name: listen_addresses.free_address() for name in ("http", "peer", "ready", "directory")
-    }
 
     async def slow(backend, received, stream):
         await anyio.sleep(RESPONSE_S)
@@ -79,24 +23,11 @@
         return True
 
     async def main():
-        store = platform_stand_in.Store()
-        backend = gateways.Backend("p1", "plain", slow)
-        store.put("config", "main", spec=configuration())
-        entry = {"service": "plain", "addr": backend.address, "zone": "d1", "slots": 4}
-        store.put("servers", "p1", spec={**entry, "state": "ready", "seq": 1, "born": 1})
-        async with anyio.create_task_group() as tasks:
-            await tasks.start(ingress.Server(store.handle).serve, store.address)
-            await tasks.start(backend.serve)
-            settings = tmp_path / "settings.toml"
-            settings.write_text(SETTINGS.format(store=store.address, **addresses))
-            process = start("dogwoodgap_platform", DOGWOODGAP_SETTINGS=str(settings))
-            try:
-                await wait_until_ready(addresses["http"])
-                response = await send_during_stop(process, addresses["http"], backend)
-                code = await anyio.to_thread.run_sync(process.wait, 20)
-            finally:
-                process.kill()
-            tasks.cancel_scope.cancel()
+        async with gateway_process.deployment(tmp_path, slow, configuration()) as deployed:
+            process = deployed.start_gateway()
+            await gateway_process.wait_until_ready(deployed.addresses["http"])
+            response = await send_during_stop(process, deployed.addresses["http"], deployed.backend)
+            code = await anyio.to_thread.run_sync(process.wait, 20)
         assert (response.status, response.body, response.complete) == (200, b"whole", True)
         assert code == 0
 
@@ -118,7 +49,7 @@
     async with await anyio.connect_tcp(host, int(port)) as stream:
         caller = gateways.Caller(stream)
         await caller.send("POST", "/read/x", b"pay", attempt_id="a1")
-        with anyio.fail_after(START_LIMIT_S):
+        with anyio.fail_after(gateway_process.START_LIMIT_S):
             await backend.request_received.wait()
         for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
             process.send_signal(number)
@@ -129,7 +60,7 @@
 
 def test_storage_role_outlives_sighup_at_any_time():
     """Guards against a storage role that a SIGHUP ends while it starts."""
-    process = start("dogwoodgap_platform.storage")
+    process = gateway_process.start("dogwoodgap_platform.storage")
     try:
         until = time.monotonic() + 1.5
         while time.monotonic() < until:
@@ -142,3 +73,35 @@
         assert process.wait(10) == 0
     finally:
         process.kill()
+
+
+def test_signal_during_the_start_leads_to_an_orderly_stop(tmp_path):
+    """Guards against a gateway that a SIGTERM ends without a log line before it listens."""
+
+    async def main():
+        deploy = gateway_process.deployment(
+            tmp_path, gateways.complete_response(), platform_stand_in.CONFIGURATION
+        )
+        async with deploy as deployed:
+            for after_s in (0.0, 0.2, 0.5, 0.8):
+                process = deployed.start_gateway()
+                gateway_process.wait_until_signals_are_held(process)
+                await anyio.sleep(after_s)
+                process.send_signal(signal.SIGTERM)
+                code = await anyio.to_thread.run_sync(process.wait, 20)
+                assert (after_s, code) == (after_s, 0)
+                assert "GATEWAY_STOPPED" in deployed.log()
+                assert "Traceback" not in deployed.log()
+
+    anyio.run(main)
+
+
+def test_storage_role_stops_in_order_while_it_starts():
+    """Guards against a storage role that a SIGTERM ends by its default action."""
+    process = gateway_process.start("dogwoodgap_platform.storage")
+    try:
+        gateway_process.wait_until_signals_are_held(process)
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(10) == 0
+    finally:
+        process.kill()
