Wait at the start for an address that is in use

Reproduced on the landed code with each of four addresses: a gateway that finds one of them in use exits at once with code 1 and a nested traceback, also when the process that uses it, such as its predecessor, is about to end.

The gateway now waits up to gateway.bind_timeout_s (10 s, longer than the grace period of a stop) with one log line, and then ends with one line that names the address and the remedy.

test_gateway_waits_for_an_address_in_use (four addresses) and test_gateway_whose_address_stays_in_use_names_it_and_the_remedy fail on the landed code.

--- a/src/dogwoodgap/events.py
+++ b/src/dogwoodgap/events.py
@@ -132,6 +132,7 @@
     BACKGROUND_FAILED = 5031, "A background task failed unexpectedly; a service is started again."
     ACCEPT_FAILED = 5032, "Connections cannot be accepted; they wait, and accepting is tried again."
     ADDRESS_UNAVAILABLE = 5033, "An address to listen on is still in use; the start waits for it."
+    GATEWAY_START_FAILED = 5034, "The gateway could not start; the line names the remedy."
     RUNNER_LEAVING = 6001, "A runner is leaving and gets no new work."
     RUNNER_RETURNED = 6002, "A runner accepts work again."
     RUNNER_DOWN = 6003, "A new connection to a runner failed; it gets no work until it answers."
--- a/src/dogwoodgap/gateway.py
+++ b/src/dogwoodgap/gateway.py
@@ -3,6 +3,7 @@
 import dataclasses
 import logging
 import signal
+import sys
 import typing
 import uuid
 
@@ -18,6 +19,7 @@
     crashes,
     dialect,
     events,
+    exceptions,
     exposition,
     followers,
     forwarder,
@@ -56,6 +58,10 @@
 """Time to send the error responses of requests that were still unfinished at the end of a stop."""
 
 
+EXIT_UNAVAILABLE = 1
+"""Exit status of a gateway that cannot listen on its addresses."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class DirectoryResponse:
     """Gateway addresses for callers, and how long they may be cached."""
@@ -178,9 +184,16 @@
             tasks.cancel_scope.cancel()
 
     async def start(self, endpoints: DiscoveryEndpoints, tasks: anyio.abc.TaskGroup) -> None:
-        """Start to listen, then join the other gateways."""
+        """Start to listen, then join the other gateways.
+
+        Raises
+        ------
+        AddressUnavailableError
+            If an address stays in use.
+        """
         section = self.settings.gateway
         network = peers.PeerNetwork(self.settings.node.peer_bind, tasks)
+        network.bind_timeout_s = section.bind_timeout_s
         await self.start_following(network, tasks)
         background.start_service(tasks, self.forwarder.close_retired)
         background.start_service(tasks, self.forwarder.monitor.run)
@@ -192,7 +205,7 @@
             (self.request_server, self.settings.node.http_bind),
         ):
             if address:
-                await tasks.start(server.serve, address)
+                await tasks.start(server.serve, address, section.bind_timeout_s)
         events.emit(
             events.Event.GATEWAY_STARTED,
             "gateway listening",
@@ -353,3 +366,20 @@
             refused=self.forwarder.refused_at_stop,
             took_s=round(clock.now() - started_at, 3),
         )
+
+
+def run_process(served_gateway: Gateway, endpoints: DiscoveryEndpoints) -> None:
+    """Run a gateway until it has stopped; exits with 1 if it cannot listen on an address."""
+    try:
+        anyio.run(served_gateway.run, endpoints, backend_options={"use_uvloop": True})
+    except* exceptions.AddressUnavailableError as group:
+        error: BaseException = group
+        while isinstance(error, BaseExceptionGroup):
+            error = error.exceptions[0]
+        events.emit(
+            events.Event.GATEWAY_START_FAILED,
+            "the gateway cannot start",
+            level=logging.ERROR,
+            detail=str(error),
+        )
+        sys.exit(EXIT_UNAVAILABLE)
--- a/src/dogwoodgap/gateway_cli.py
+++ b/src/dogwoodgap/gateway_cli.py
@@ -4,7 +4,6 @@
 import pathlib
 import typing
 
-import anyio
 import typer
 
 from dogwoodgap import events, exceptions, lean, process_signals, settings
@@ -46,11 +45,7 @@
         file_source.NoRemovals(),
         dialect.HeaderCodec(),
     )
-    anyio.run(
-        served_gateway.run,
-        entrance.DiscoveryEndpoints(served_gateway),
-        backend_options={"use_uvloop": True},
-    )
+    gateway.run_process(served_gateway, entrance.DiscoveryEndpoints(served_gateway))
 
 
 def read_configuration(path: pathlib.Path, fleet: pathlib.Path) -> settings.GatewaySettings:
--- a/src/dogwoodgap/settings.py
+++ b/src/dogwoodgap/settings.py
@@ -88,6 +88,8 @@
         empty to disable. The port has to be the same on all gateways.
     max_relayed_requests : int
         Requests of other gateways that are handled at a time.
+    bind_timeout_s : float
+        Longest time to wait at the start for an address that is still in use, in seconds.
     stop_grace_s : float
         Time between the request to stop and the end of the process, in seconds.
     directory_ttl_s : float
@@ -107,6 +109,7 @@
     metrics_bind: str = ""
     relay_bind: str = ""
     max_relayed_requests: int = pydantic.Field(default=64, ge=0)
+    bind_timeout_s: float = pydantic.Field(default=10.0, ge=0)
     stop_grace_s: float = pydantic.Field(default=8.0, gt=1.0)
     directory_ttl_s: float = pydantic.Field(default=1.0, gt=0)
     return_grace_s: float = pydantic.Field(default=2.0, ge=0)
--- a/src/dogwoodgap/settings_reference.py
+++ b/src/dogwoodgap/settings_reference.py
@@ -36,6 +36,9 @@
     "GatewaySection.ready_bind": "Address on which the readiness check listens.",
     "GatewaySection.directory_bind": "Address on which the directory of gateway addresses listens.",
     "GatewaySection.metrics_bind": "Address on which the gateway exposes its metrics; empty: none.",
+    "GatewaySection.bind_timeout_s": (
+        "Longest time to wait at the start for an address that is still in use, in seconds."
+    ),
     "GatewaySection.stop_grace_s": "Time in seconds from a stop request to the process exit.",
     "GatewaySection.directory_ttl_s": "How long callers cache gateway addresses, in seconds.",
     "GatewaySection.return_grace_s": "Time after an outage of the store in which backend servers "
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -1,8 +1,10 @@
 """Processes that cannot accept a connection, or cannot listen on an address yet."""
 
 import resource
+import socket
 
 import anyio
+import anyio.to_thread
 import gateway_process
 import platform_stand_in
 import pytest
@@ -22,6 +24,15 @@
     return True
 
 
+def occupy(address):
+    """Listen on an address."""
+    host, _, port = address.rpartition(":")
+    occupant = socket.socket()
+    occupant.bind((host, int(port)))
+    occupant.listen()
+    return occupant
+
+
 def test_gateway_without_free_descriptors_goes_on(tmp_path):
     """Guards against a process that ends because it cannot accept one more connection."""
 
@@ -43,6 +54,45 @@
     anyio.run(main)
 
 
+@pytest.mark.parametrize("name", ["http", "peer", "ready", "directory"])
+def test_gateway_waits_for_an_address_in_use(tmp_path, name):
+    """Guards against a gateway that ends because its predecessor has not ended yet."""
+
+    async def main():
+        async with gateway_process.deployment(tmp_path, respond, CONFIGURATION) as deployed:
+            occupant = occupy(deployed.addresses[name])
+            process = deployed.start_gateway()
+            await anyio.sleep(2 * HELD_S)
+            assert process.poll() is None
+            occupant.close()
+            await gateway_process.wait_until_ready(deployed.addresses["http"])
+            with anyio.fail_after(5):
+                while (await deployed.call()).status != 200:  # noqa: ASYNC110 - another process
+                    await anyio.sleep(0.05)
+            assert deployed.log().count("ADDRESS_UNAVAILABLE") == 1
+
+    anyio.run(main)
+
+
+def test_gateway_whose_address_stays_in_use_names_it_and_the_remedy(tmp_path):
+    """Guards against nested tracebacks in place of a message that an operator can act on."""
+
+    async def main():
+        async with gateway_process.deployment(tmp_path, respond, CONFIGURATION) as deployed:
+            address = deployed.addresses["ready"]
+            with occupy(address):
+                process = deployed.start_gateway("bind_timeout_s = 0.5")
+                code = await anyio.to_thread.run_sync(process.wait, 20)
+            assert code == 1
+            assert "Traceback" not in deployed.log()
+            last = deployed.log().splitlines()[-1]
+            assert "GATEWAY_START_FAILED" in last
+            assert address in last
+            assert "stop the process that uses it" in last
+
+    anyio.run(main)
+
+
 def test_listener_ends_with_its_own_error_when_it_may_not_wait():
     """Guards against errors of the operating system that name neither address nor remedy."""
 
