Leave file descriptors for servers when callers open many connections

Connections of callers are limited to half of the process's limit of open files, or to gateway.max_connections. A new one is accepted after the one that has been idle for longest is closed; without an idle one it waits. The limit of the operating system itself is left as the operator set it.

--- a/src/dogwoodgap/gateway.py
+++ b/src/dogwoodgap/gateway.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 import logging
+import math
+import resource
 import signal
 import sys
 import typing
@@ -137,7 +139,11 @@
         )
         self.forwarder.server_selector.node_count = self.node_count
         self.forwarder.on_departure = lambda: self.server_follower.pass_on(None)
-        self.request_server = ingress.Server(self.forwarder.handle, self.limits)
+        self.request_server = ingress.Server(
+            self.forwarder.handle,
+            self.limits,
+            max_connections(gateway_settings.gateway.max_connections),
+        )
         self.relay_server = ingress.Server(
             self.forwarder.handle_relayed, lambda: peer_relay.relay_limits(self.limits())
         )
@@ -368,6 +374,18 @@
         )
 
 
+def max_connections(configured: int) -> float:
+    """Return how many connections of callers may be open at a time.
+
+    Each may need another one to a server, so that they get half of the file descriptors unless a
+    number is configured.
+    """
+    if configured:
+        return configured
+    soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return math.inf if soft_limit == resource.RLIM_INFINITY else max(1, soft_limit // 2)
+
+
 def run_process(served_gateway: Gateway, endpoints: DiscoveryEndpoints) -> None:
     """Run a gateway until it has stopped; exits with 1 if it cannot listen on an address."""
     try:
--- a/src/dogwoodgap/ingress.py
+++ b/src/dogwoodgap/ingress.py
@@ -3,6 +3,7 @@
 import collections.abc
 import dataclasses
 import logging
+import math
 import typing
 
 import anyio
@@ -17,6 +18,9 @@
 RESPONSE_TIMEOUT_S = 2.0
 """Timeout for writing a complete response to a caller."""
 
+ROOM_POLL_INTERVAL_S = 0.02
+"""Interval at which a full server checks whether a connection has ended."""
+
 BODY_TIMEOUT_S = 10.0
 """Timeout for receiving a request body; bodies are at most a few MB."""
 
@@ -88,6 +92,7 @@
         self.write_buffer = b""
         self.eof = False
         self.idle = True
+        self.idle_since = clock.now()
         self.scope = anyio.CancelScope()
 
     async def run(self) -> None:
@@ -99,6 +104,7 @@
             self.idle = False
             is_complete = await self.handle_request(request)
             self.idle = True
+            self.idle_since = clock.now()
             if not is_complete or self.state.our_state is not h11.DONE:
                 return
             if self.state.their_state is not h11.DONE:
@@ -258,15 +264,19 @@
         Called with each request and the responder for it.
     limits : callable
         Returns the limits that apply to a new connection.
+    max_connections : float
+        Connections open at a time; more wait to be accepted.
     """
 
     def __init__(
         self,
         handler: Handler,
         limits: collections.abc.Callable[[], routes.Limits] = routes.Limits,
+        max_connections: float = math.inf,
     ):
         self.handler = handler
         self.limits = limits
+        self.max_connections = max_connections
         self.closing = False
         self.connections: set[CallerConnection] = set()
 
@@ -278,7 +288,7 @@
         task_status: anyio.abc.TaskStatus[int] = anyio.TASK_STATUS_IGNORED,
     ) -> None:
         """Accept connections until cancelled; reports the port through ``task_status``."""
-        listener = await listeners.open_listener(address, bind_timeout_s)
+        listener = await listeners.open_listener(address, bind_timeout_s, self.make_room)
         async with listener:
             task_status.started(listener.extra(anyio.abc.SocketAttribute.local_port))
             await listener.serve(self.serve_stream)
@@ -302,11 +312,26 @@
             with anyio.CancelScope(shield=True):
                 await close_gracefully(stream)
 
+    def idle_connections(self) -> list[CallerConnection]:
+        """Return the connections on which no request is being received or handled."""
+        return [
+            connection
+            for connection in self.connections
+            if connection.idle and connection.state.their_state is h11.IDLE
+        ]
+
     def close_idle(self) -> None:
-        """Close the connections on which no request is being received or handled."""
-        for connection in list(self.connections):
-            if connection.idle and connection.state.their_state is h11.IDLE:
-                connection.scope.cancel()
+        """Close all idle connections."""
+        for connection in self.idle_connections():
+            connection.scope.cancel()
+
+    async def make_room(self) -> None:
+        """Wait until a connection may be accepted; the one idle for longest is closed for it."""
+        while len(self.connections) >= self.max_connections:
+            idle = self.idle_connections()
+            if idle:
+                min(idle, key=lambda connection: connection.idle_since).scope.cancel()
+            await anyio.sleep(ROOM_POLL_INTERVAL_S)
 
 
 async def close_gracefully(stream: anyio.abc.SocketStream) -> None:
--- a/src/dogwoodgap/settings.py
+++ b/src/dogwoodgap/settings.py
@@ -86,6 +86,9 @@
     relay_bind : str
         ``host:port`` at which other gateways send the requests of services that they cannot reach;
         empty to disable. The port has to be the same on all gateways.
+    max_connections : int
+        Connections of callers that are open at a time; 0 for half of the process's limit of open
+        files, so that descriptors are left for servers, other gateways and the store.
     max_relayed_requests : int
         Requests of other gateways that are handled at a time.
     bind_timeout_s : float
@@ -108,6 +111,7 @@
     directory_bind: str = "127.0.0.1:8082"
     metrics_bind: str = ""
     relay_bind: str = ""
+    max_connections: int = pydantic.Field(default=0, ge=0)
     max_relayed_requests: int = pydantic.Field(default=64, ge=0)
     bind_timeout_s: float = pydantic.Field(default=10.0, ge=0)
     stop_grace_s: float = pydantic.Field(default=8.0, gt=1.0)
--- a/src/dogwoodgap/settings_reference.py
+++ b/src/dogwoodgap/settings_reference.py
@@ -36,6 +36,10 @@
     "GatewaySection.ready_bind": "Address on which the readiness check listens.",
     "GatewaySection.directory_bind": "Address on which the directory of gateway addresses listens.",
     "GatewaySection.metrics_bind": "Address on which the gateway exposes its metrics; empty: none.",
+    "GatewaySection.max_connections": (
+        "Connections of callers open at a time; more wait, and idle ones are closed for them. "
+        "0: half of the process's limit of open files."
+    ),
     "GatewaySection.bind_timeout_s": (
         "Longest time to wait at the start for an address that is still in use, in seconds."
     ),
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -54,6 +54,30 @@
     anyio.run(main)
 
 
+@pytest.mark.parametrize("is_idle", [True, False])
+def test_callers_leave_descriptors_for_servers(tmp_path, is_idle):
+    """Guards against connections of callers that take the descriptors of those to servers."""
+
+    async def main():
+        async with gateway_process.deployment(tmp_path, respond, CONFIGURATION) as deployed:
+            process = deployed.start_gateway(f"max_connections = {DESCRIPTORS // 2}")
+            host, _, port = deployed.addresses["http"].rpartition(":")
+            await gateway_process.wait_until_ready(deployed.addresses["http"])
+            resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS))
+            held = [await anyio.connect_tcp(host, int(port)) for _ in range(2 * DESCRIPTORS)]
+            if not is_idle:
+                for stream in held:
+                    await stream.send(b"POST /read/x HTTP/1.1\r\n")
+            await anyio.sleep(HELD_S)
+            with anyio.fail_after(10):
+                response = await deployed.call()
+            assert (response.status, response.complete) == (200, True)
+            assert "ACCEPT_FAILED" not in deployed.log()
+            assert deployed.backend.opened >= 1
+
+    anyio.run(main)
+
+
 @pytest.mark.parametrize("name", ["http", "peer", "ready", "directory"])
 def test_gateway_waits_for_an_address_in_use(tmp_path, name):
     """Guards against a gateway that ends because its predecessor has not ended yet."""
