Bound the memory of all bodies together

What operators would see (FAULT): a gateway that is ended for its memory. Each body is bounded by 16 MiB, but not their sum: with 60 callers at a time and a server that sends bodies without end, a gateway of the landed code reached 779 MB (machines have 128 to 552 MB).

The bodies of requests and responses are counted together, and beyond a sixteenth of the memory that the settings name the largest one that is being received is given up: a response as any broken one, a request with 503. Small requests go on.

Ruled out: an eighth, with which the same play reached 136 MB of 128, since both sockets and h11 buffer up to half a MB for each request.

--- a/src/dogwoodgap/events.py
+++ b/src/dogwoodgap/events.py
@@ -130,6 +130,7 @@
     HELPER_FAILED = 5029, "Another gateway did not accept a request that was sent to it."
     SERVER_LEAVING = 5030, "A backend server named its departure in a response."
     BACKGROUND_FAILED = 5031, "A background task failed unexpectedly; a service is started again."
+    BODY_EVICTED = 5035, "A body was given up, since all bodies together exceed their memory."
     ACCEPT_FAILED = 5032, "Connections cannot be accepted; they wait, and accepting is tried again."
     ADDRESS_UNAVAILABLE = 5033, "An address to listen on is still in use; the start waits for it."
     GATEWAY_START_FAILED = 5034, "The gateway could not start; the line names the remedy."
--- a/src/dogwoodgap/exposition.py
+++ b/src/dogwoodgap/exposition.py
@@ -70,6 +70,11 @@
     "Connections that could not be accepted, for example without a free file descriptor.",
     registry=registry,
 )
+evicted_bodies = prometheus_client.Counter(
+    "dogwoodgap_evicted_bodies",
+    "Bodies that were given up, since all bodies together exceeded their memory.",
+    registry=registry,
+)
 ignored_objects = prometheus_client.Counter(
     "dogwoodgap_ignored_objects",
     "Malformed objects in lists of the platform's store, each time that a list is read.",
--- a/src/dogwoodgap/forwarder.py
+++ b/src/dogwoodgap/forwarder.py
@@ -218,6 +218,7 @@
             )
             call.body = request.body
             progress = self.match_route(call)
+            progress.body_holding = request.holding
             if relayed_priority is not None:
                 self.accept_relayed(progress, relayed_priority)
             await self.forward(call, progress, responder)
--- a/src/dogwoodgap/gateway.py
+++ b/src/dogwoodgap/gateway.py
@@ -14,6 +14,7 @@
 
 from dogwoodgap import (
     background,
+    body_memory,
     bootstrap,
     broadcast,
     budget_owners,
@@ -60,6 +61,8 @@
 """Time to send the error responses of requests that were still unfinished at the end of a stop."""
 
 
+BYTES_PER_MB = 1_000_000
+
 EXIT_UNAVAILABLE = 1
 """Exit status of a gateway that cannot listen on its addresses."""
 
@@ -139,13 +142,20 @@
         )
         self.forwarder.server_selector.node_count = self.node_count
         self.forwarder.on_departure = lambda: self.server_follower.pass_on(None)
+        memory_bytes = gateway_settings.gateway.memory_limit_mb * BYTES_PER_MB or math.inf
+        self.body_memory = body_memory.BodyMemory(
+            memory_bytes / body_memory.MEMORY_SHARE, log_evicted_body
+        )
         self.request_server = ingress.Server(
             self.forwarder.handle,
             self.limits,
             max_connections(gateway_settings.gateway.max_connections),
+            self.body_memory,
         )
         self.relay_server = ingress.Server(
-            self.forwarder.handle_relayed, lambda: peer_relay.relay_limits(self.limits())
+            self.forwarder.handle_relayed,
+            lambda: peer_relay.relay_limits(self.limits()),
+            memory=self.body_memory,
         )
         self.stopping = False
         self.stop_requested = anyio.Event()
@@ -374,6 +384,18 @@
         )
 
 
+def log_evicted_body(size: int, total: int) -> None:
+    """Log and count a body that was given up."""
+    exposition.evicted_bodies.inc()
+    events.emit(
+        events.Event.BODY_EVICTED,
+        "a body was given up, since all bodies together exceed their memory",
+        level=logging.WARNING,
+        bytes=size,
+        total_bytes=total,
+    )
+
+
 def max_connections(configured: int) -> float:
     """Return how many connections of callers may be open at a time.
 
--- a/src/dogwoodgap/ingress.py
+++ b/src/dogwoodgap/ingress.py
@@ -10,7 +10,16 @@
 import anyio.abc
 import h11
 
-from dogwoodgap import clock, dialect, events, exceptions, http_pool, listeners, routes
+from dogwoodgap import (
+    body_memory,
+    clock,
+    dialect,
+    events,
+    exceptions,
+    http_pool,
+    listeners,
+    routes,
+)
 
 CLOSE_TIMEOUT_S = 0.5
 """Time for a caller to read the last response before the connection is closed."""
@@ -34,6 +43,7 @@
     headers: dialect.Headers
     body: bytes
     arrived_at: float
+    holding: body_memory.BodyHolding
 
 
 class CallerDisconnectedError(Exception):
@@ -102,7 +112,10 @@
             if request is None:
                 return
             self.idle = False
-            is_complete = await self.handle_request(request)
+            try:
+                is_complete = await self.handle_request(request)
+            finally:
+                request.holding.release()
             self.idle = True
             self.idle_since = clock.now()
             if not is_complete or self.state.our_state is not h11.DONE:
@@ -133,24 +146,42 @@
             return None
         arrived_at = clock.now()
         self.check_header_size(request)
+        holding = self.server.body_memory.hold()
+        body: bytes | None = None
+        try:
+            with anyio.fail_after(BODY_TIMEOUT_S), holding.receiving():
+                body = await self.receive_body(holding)
+        except body_memory.BodyEvictedError as error:
+            raise exceptions.OverloadedError(
+                "the gateway receives too many large bodies at a time; retry later"
+            ) from error
+        finally:
+            if body is None:
+                holding.release()
+        if body is None:
+            return None
+        headers = [(name.lower(), value) for name, value in request.headers.raw_items()]
+        return Request(request.method, request.target, headers, body, arrived_at, holding)
+
+    async def receive_body(self, holding: body_memory.BodyHolding) -> bytes | None:
+        """Receive a request body, or return None if the caller closes the connection."""
         parts: list[bytes] = []
         size = 0
-        with anyio.fail_after(BODY_TIMEOUT_S):
-            if self.state.they_are_waiting_for_100_continue:
-                await self.write(
-                    self.state.send(h11.InformationalResponse(status_code=100, headers=[]))
+        if self.state.they_are_waiting_for_100_continue:
+            await self.write(
+                self.state.send(h11.InformationalResponse(status_code=100, headers=[]))
+            )
+        while not isinstance(event := await self.next_event(), h11.EndOfMessage):
+            if not isinstance(event, h11.Data):
+                return None
+            parts.append(bytes(event.data))
+            size += len(event.data)
+            holding.add(len(event.data))
+            if size > self.limits.body_bytes:
+                raise exceptions.BodyTooLargeError(
+                    f"the body exceeds {self.limits.body_bytes} bytes; send a smaller one"
                 )
-            while not isinstance(event := await self.next_event(), h11.EndOfMessage):
-                if not isinstance(event, h11.Data):
-                    return None
-                parts.append(bytes(event.data))
-                size += len(event.data)
-                if size > self.limits.body_bytes:
-                    raise exceptions.BodyTooLargeError(
-                        f"the body exceeds {self.limits.body_bytes} bytes; send a smaller one"
-                    )
-        headers = [(name.lower(), value) for name, value in request.headers.raw_items()]
-        return Request(request.method, request.target, headers, b"".join(parts), arrived_at)
+        return b"".join(parts)
 
     def check_header_size(self, request: h11.Request) -> None:
         """Reject a head that exceeds the limit.
@@ -266,6 +297,8 @@
         Returns the limits that apply to a new connection.
     max_connections : float
         Connections open at a time; more wait to be accepted.
+    memory : body_memory.BodyMemory, optional
+        Counts the bodies of requests.
     """
 
     def __init__(
@@ -273,10 +306,12 @@
         handler: Handler,
         limits: collections.abc.Callable[[], routes.Limits] = routes.Limits,
         max_connections: float = math.inf,
+        memory: body_memory.BodyMemory | None = None,
     ):
         self.handler = handler
         self.limits = limits
         self.max_connections = max_connections
+        self.body_memory = memory or body_memory.BodyMemory(math.inf)
         self.closing = False
         self.connections: set[CallerConnection] = set()
 
--- a/src/dogwoodgap/progress.py
+++ b/src/dogwoodgap/progress.py
@@ -3,8 +3,9 @@
 import collections
 import dataclasses
 import enum
+import math
 
-from dogwoodgap import dialect, pacing, routes
+from dogwoodgap import body_memory, dialect, pacing, routes
 
 
 class AttemptResult(enum.Enum):
@@ -67,6 +68,8 @@
         fault if another server responds; otherwise the request itself may be the cause.
     failure : BufferedResponse or None
         The last server error; it is sent to the caller if no further attempt is made.
+    body_holding : body_memory.BodyHolding
+        Counts the bodies of the request that are held in memory.
     """
 
     route: routes.Route
@@ -90,6 +93,9 @@
     status: int = 0
     suspect_servers: list[str] = dataclasses.field(default_factory=list)
     failure: BufferedResponse | None = None
+    body_holding: body_memory.BodyHolding = dataclasses.field(
+        default_factory=lambda: body_memory.BodyMemory(math.inf).hold()
+    )
 
     @property
     def may_have_run(self) -> bool:
--- a/src/dogwoodgap/relay.py
+++ b/src/dogwoodgap/relay.py
@@ -5,7 +5,7 @@
 import anyio
 import h11
 
-from dogwoodgap import dialect, event_stream, events, ingress, routes, upstream
+from dogwoodgap import body_memory, dialect, event_stream, events, ingress, routes, upstream
 from dogwoodgap import progress as progress_module
 
 MISDIRECTED_REQUEST = 421
@@ -91,7 +91,7 @@
     elif responder.started:
         raise connection.invalid_response(f"status {head.status} instead of the rest of the stream")
     else:
-        response = await read_response(connection, head, max_response_bytes)
+        response = await read_response(progress, connection, head, max_response_bytes)
         if head.status >= SERVER_ERROR:
             progress.failure = response
             return progress_module.AttemptResult.FAILED
@@ -100,26 +100,41 @@
 
 
 async def read_response(
-    connection: upstream.Connection, head: upstream.ResponseHead, max_bytes: int
+    progress: progress_module.Progress,
+    connection: upstream.Connection,
+    head: upstream.ResponseHead,
+    max_bytes: int,
 ) -> progress_module.BufferedResponse:
     """Read the body and return the complete response.
 
     Raises
     ------
     InvalidResponseError
-        If the body is incomplete or larger than ``max_bytes``; a faulty server may send without
-        end, and the body is held in memory.
+        If the body is incomplete or larger than ``max_bytes``, or if all bodies together are too
+        large; a faulty server may send without end, and the body is held in memory.
     """
     parts: list[bytes] = []
+    holding = progress.body_holding
     size = 0
-    while isinstance(event := await connection.next_event(), h11.Data):
-        parts.append(bytes(event.data))
-        size += len(event.data)
-        if size > max_bytes:
-            raise connection.invalid_response(
-                f"the body exceeds {max_bytes} bytes (raise gateway.max_response_bytes if "
-                "responses are that large)"
-            )
+    try:
+        with holding.receiving():
+            while isinstance(event := await connection.next_event(), h11.Data):
+                parts.append(bytes(event.data))
+                size += len(event.data)
+                holding.add(len(event.data))
+                if size > max_bytes:
+                    raise connection.invalid_response(
+                        f"the body exceeds {max_bytes} bytes (raise gateway.max_response_bytes if "
+                        "responses are that large)"
+                    )
+    except body_memory.BodyEvictedError as error:
+        raise connection.invalid_response(
+            "all bodies together exceed their memory (raise gateway.memory_limit_mb if the "
+            "process may use more)"
+        ) from error
+    except BaseException:
+        holding.remove(size)
+        raise
     if not isinstance(event, h11.EndOfMessage):
         raise connection.invalid_response("the connection closed before the end of the body")
     return progress_module.BufferedResponse(
--- a/src/dogwoodgap/settings_reference.py
+++ b/src/dogwoodgap/settings_reference.py
@@ -40,6 +40,10 @@
         "Connections of callers open at a time; more wait, and idle ones are closed for them. "
         "0: half of the process's limit of open files."
     ),
+    "GatewaySection.memory_limit_mb": (
+        "Memory that the process may use, in MB; 0: not limited. A sixteenth is for bodies of "
+        "requests and responses; beyond that, the largest one that is being received is given up."
+    ),
     "GatewaySection.bind_timeout_s": (
         "Longest time to wait at the start for an address that is still in use, in seconds."
     ),
