Repeat a failed transfer of accounts

What callers saw (BUDGET): programs of a gateway that leaves get their whole budget again. Cause: if the transfer of its accounts fails, the accounts stay there until the next change of members, which need not come; the new owner takes the programs for new ones, as a leaving node does not count as lost.

A failed move now requests itself again.

--- a/src/dogwoodgap/budget_transfers.py
+++ b/src/dogwoodgap/budget_transfers.py
@@ -94,7 +94,10 @@
             background.start(self.tasks, self.move_until_settled)
 
     async def move_until_settled(self) -> None:
-        """Move accounts until no further move was requested for ``MOVE_INTERVAL_S``."""
+        """Move accounts until no further move was requested for ``MOVE_INTERVAL_S``.
+
+        A failed move counts as requested again.
+        """
         try:
             while self.is_move_requested:
                 self.is_move_requested = False
@@ -141,6 +144,8 @@
         except exceptions.PeerError as error:
             for program, account in sent_accounts.items():
                 self.ledger.merge(program, account)
+            # Requested again, since a change of members need not follow.
+            self.is_move_requested = True
             log_peer_unreachable(
                 "failed to transfer accounts to their new owner; keeping them",
                 owner,
--- a/tests/test_budget_owners.py
+++ b/tests/test_budget_owners.py
@@ -228,6 +228,23 @@
     assert spent == budget
 
 
+@with_fleet(4)
+async def test_failed_transfer_of_a_leaving_node_is_repeated(fleet):
+    """Guards against a fresh budget because accounts stayed at a node that has left."""
+    budget = 20 * TURN
+    spent = await fleet.spend("p", budget, limit=5)
+    leaving = fleet.owner("p")
+    others = [fleet.address(name) for name in fleet.nodes if name != leaving]
+    fleet.shared_network.partition([fleet.address(leaving)], others)
+    fleet.tasks.start_soon(fleet.memberships[leaving].leave)
+    await anyio.sleep(0.6)
+    fleet.shared_network.broken_links.clear()
+    await anyio.sleep(2.5)
+    del fleet.nodes[leaving]
+    spent += await fleet.spend("p", budget)
+    assert spent <= budget + TURN
+
+
 @with_fleet(3)
 async def test_unused_reservation_is_released(fleet):
     """Guards against a reservation that stays in place after its turn used no tokens."""
