Learn how long services take, and give an attempt up only for a retry

What callers saw: sound servers of services that take 0.4 s or more were cut after a fixed 0.40 s. The request was repeated elsewhere, or answered 502 "outcome unknown" once the retry budget was empty, although its server was at work and time was left.

Cause: the wait for a response was bounded by a constant of one site, learnt only from responses that came in time, and an attempt was cancelled before anything asked whether a retry is left.

Now the wait follows the typical duration of that service and kind of request, in which attempts that were given up count with their time. It leaves time for the retry, and an attempt is given up only when a retry has been acquired and another server, or a new connection, is there for it.

Worse: the first requests of a gateway that knows no duration yet wait for half their time at a server that hangs.

--- a/src/dogwoodgap/durations.py
+++ b/src/dogwoodgap/durations.py
@@ -1,8 +1,9 @@
 """Estimates how long requests take from recent ones of their kind; no I/O, callers pass the time.
 
-Handles planned stops: what would outlast the process has to be refused before a server runs it, and
-what can finish has to be served. The estimate follows services that turn slow, since requests that
-are still running count with the time that they have taken so far.
+Handles planned stops: what would outlast the process has to be refused before a server runs it,
+and what can finish has to be served. Handles slow services too: a request is only repeated
+elsewhere if its server takes much longer than is typical. The estimate follows services that turn
+slow, since requests that are still running count with the time that they have taken so far.
 """
 
 import collections
@@ -19,7 +20,13 @@
 """Recent requests of a kind that an estimate is based on."""
 
 MIN_SAMPLES = 8
-"""Requests of a kind from which on their duration is estimated."""
+"""Requests of a kind from which on the longest duration is estimated."""
+
+MIN_TYPICAL_SAMPLES = 3
+"""Requests of a kind from which on a typical duration is known."""
+
+TYPICAL_QUANTILE = 0.6
+"""Quantile that is taken for typical; attempts given up at one of three servers do not raise it."""
 
 MAX_KINDS = 256
 """Kinds of requests whose durations are kept, the most recently used ones."""
@@ -89,6 +96,12 @@
         median_s = self.sorted[len(self.sorted) // 2]
         return longest_s + (longest_s - median_s)
 
+    def typical_s(self) -> float | None:
+        """Return a typical duration, or None if it is unknown."""
+        if len(self.recent) < MIN_TYPICAL_SAMPLES:
+            return None
+        return self.sorted[int(TYPICAL_QUANTILE * len(self.sorted))]
+
 
 class DurationEstimator:
     """Durations of the requests that this node sends, by kind."""
@@ -116,6 +129,11 @@
         window = self.windows.get(request_kind)
         return None if window is None else window.bound_s(clock.now())
 
+    def typical_s(self, request_kind: Kind) -> float | None:
+        """Return a typical duration of the requests of a kind."""
+        window = self.windows.get(request_kind)
+        return None if window is None else window.typical_s()
+
 
 def can_finish(now: float, deadline_at: float, stops_at: float, bound_s: float | None) -> bool:
     """Return whether a request can finish before this node stops.
--- a/src/dogwoodgap/forwarder.py
+++ b/src/dogwoodgap/forwarder.py
@@ -484,8 +484,7 @@
         digest: int,
     ) -> None:
         """Try servers in turn until one responds or no further attempt is allowed."""
-        budget = self.retry_budgets.setdefault(progress.service, repeats.RetryBudget())
-        budget.record_request()
+        self.retry_budget(progress.service).record_request()
         while True:
             if self.monitor.is_cut_off(progress.service):
                 self.refuse_futile(digest, progress, responder)
@@ -510,9 +509,56 @@
                 if progress.refusals >= MAX_REFUSALS:
                     self.raise_failure(progress, responder, "several servers refused the request")
                 continue
-            remaining_s = progress.deadline_at - clock.now()
-            if not repeats.acquire_retry(progress, budget, remaining_s):
+            if not self.acquire_retry(progress):
                 self.raise_failure(progress, responder, "the response was lost")
+            progress.has_retry = False
+
+    def retry_budget(self, service: str) -> repeats.RetryBudget:
+        """Return the retry budget of a service."""
+        return self.retry_budgets.setdefault(service, repeats.RetryBudget())
+
+    def acquire_retry(self, progress: progress_module.Progress) -> bool:
+        """Return whether a request that may have run may be retried, now or as acquired before."""
+        if not progress.has_retry:
+            remaining_s = progress.deadline_at - clock.now()
+            budget = self.retry_budget(progress.service)
+            progress.has_retry = repeats.acquire_retry(progress, budget, remaining_s)
+        return progress.has_retry
+
+    def patience(
+        self, progress: progress_module.Progress, connection: upstream.Connection
+    ) -> upstream.Patience:
+        """Return how long an attempt waits for a response; it is given up only for a retry."""
+        sent_at = clock.now()
+        remaining_s = progress.deadline_at - sent_at
+
+        def timeout_s() -> float:
+            return repeats.response_timeout_s(
+                progress,
+                self.durations.typical_s(durations.kind(progress)),
+                remaining_s,
+                is_reused=connection.is_reused,
+            )
+
+        def may_give_up() -> bool:
+            # Other requests may have shown meanwhile that the service is slow.
+            waited_s = clock.now() - sent_at
+            return (
+                waited_s >= timeout_s()
+                and self.has_alternative(progress, connection)
+                and self.acquire_retry(progress)
+            )
+
+        return upstream.Patience(timeout_s(), may_give_up)
+
+    def has_alternative(
+        self, progress: progress_module.Progress, connection: upstream.Connection
+    ) -> bool:
+        """Return whether a request may go to another server, or on a connection that is new."""
+        if connection.is_reused:
+            return True
+        eligible = self.server_selector.eligible_servers(progress)
+        return any(server.id != connection.server.id for server in eligible)
 
     async def try_helper(
         self, call: dialect.Call, progress: progress_module.Progress, responder: ingress.Responder
@@ -617,7 +663,7 @@
             if not self.server_registry.is_usable(server):
                 return progress_module.AttemptResult.NOT_RUN
             is_run_lost = True
-            with self.durations.measure(durations.kind(progress)) as measurement:
+            with self.measure_attempt(progress, state) as measurement:
                 result = await self.send_and_relay(call, progress, responder, connection)
                 measurement.is_run = result is not progress_module.AttemptResult.NOT_RUN
             is_run_lost = False
@@ -661,6 +707,29 @@
             if connection is not None:
                 await connection.close()
 
+    def record_silence(
+        self, progress: progress_module.Progress, state: selection.ServerState, waited_s: float
+    ) -> None:
+        """Record a failure of a plain server that an attempt has left without a response."""
+        typical_s = self.durations.typical_s(durations.kind(progress))
+        if self.engine(progress.service) is None and repeats.is_silent(waited_s, typical_s):
+            state.record_outcome(clock.now(), failed=True)
+
+    @contextlib.contextmanager
+    def measure_attempt(
+        self, progress: progress_module.Progress, state: selection.ServerState
+    ) -> collections.abc.Iterator[durations.Measurement]:
+        """Measure an attempt, for its kind of request and for its server."""
+        with self.durations.measure(durations.kind(progress)) as measurement:
+            state.unanswered[measurement] = measurement.started_at
+            try:
+                yield measurement
+            except anyio.get_cancelled_exc_class():
+                self.record_silence(progress, state, clock.now() - measurement.started_at)
+                raise
+            finally:
+                del state.unanswered[measurement]
+
     async def acquire_connection(
         self, pool: upstream.ServerPool, max_idle_s: float
     ) -> upstream.Connection:
@@ -703,10 +772,7 @@
         )
         progress.offered_at = progress.offered_at or clock.now()
         progress.runs[connection.server.id] += 1
-        state = self.loads.state(connection.server)
-        response_timeout_s = repeats.response_timeout_s(
-            progress, state, is_reused=connection.is_reused
-        )
+        patience = self.patience(progress, connection)
         sent_at = clock.now()
 
         def on_head(head: upstream.ResponseHead) -> None:
@@ -733,7 +799,7 @@
                 connection,
                 request,
                 self.header_codec,
-                response_timeout_s,
+                patience,
                 self.max_response_bytes,
                 on_head,
             )
@@ -750,7 +816,7 @@
                     connection,
                     request,
                     self.header_codec,
-                    response_timeout_s,
+                    patience,
                     self.max_response_bytes,
                     on_head,
                 )
--- a/src/dogwoodgap/peer_relay.py
+++ b/src/dogwoodgap/peer_relay.py
@@ -184,7 +184,7 @@
             connection,
             request,
             self.header_codec,
-            math.inf,
+            upstream.UNLIMITED_PATIENCE,
             self.max_response_bytes,
             self.on_head,
         )
--- a/src/dogwoodgap/progress.py
+++ b/src/dogwoodgap/progress.py
@@ -39,6 +39,8 @@
         Number of times that each server may have run the request, by server id.
     retries : int
         Number of times that the request was retried after it may have run.
+    has_retry : bool
+        Whether a retry was acquired for which the last attempt was given up.
     is_relayed : bool
         Whether another gateway sent the request, so that it must not be sent to a third one.
     helper_refusals : int
@@ -78,6 +80,7 @@
     turn_priority: pacing.TurnPriority = pacing.TurnPriority.UNDER_WAY
     runs: collections.Counter[str] = dataclasses.field(default_factory=collections.Counter)
     retries: int = 0
+    has_retry: bool = False
     is_relayed: bool = False
     helper_refusals: int = 0
     helper_search_ends_at: float | None = None
--- a/src/dogwoodgap/relay.py
+++ b/src/dogwoodgap/relay.py
@@ -2,7 +2,6 @@
 
 import collections.abc
 
-import anyio
 import h11
 
 from dogwoodgap import body_memory, dialect, event_stream, events, ingress, routes, upstream
@@ -44,7 +43,7 @@
     connection: upstream.Connection,
     request: h11.Request,
     header_codec: dialect.HeaderCodec,
-    response_timeout_s: float,
+    patience: upstream.Patience,
     max_response_bytes: int,
     on_head: collections.abc.Callable[[upstream.ResponseHead], None],
 ) -> progress_module.AttemptResult:
@@ -52,8 +51,8 @@
 
     Parameters
     ----------
-    response_timeout_s : float
-        Timeout for the status line and headers, in seconds.
+    patience : upstream.Patience
+        How long to wait for the status line and headers.
     max_response_bytes : int
         Largest body of a response that is not a stream.
     on_head : callable
@@ -62,17 +61,13 @@
     Raises
     ------
     ResponseTimeoutError
-        If no response headers arrive within the timeout.
+        If no response headers arrive in time, and something better can be done than to wait.
     InvalidResponseError
         If the response is malformed, incomplete or unsigned.
     """
-    with anyio.move_on_after(response_timeout_s) as scope:
-        head = await connection.read_head(request, call, header_codec)
-    if scope.cancelled_caught:
-        raise upstream.ResponseTimeoutError(
-            f"server {connection.server.id} sent no response within {response_timeout_s:.2f} s; "
-            "the request is retried on another connection"
-        )
+    connection.patience = patience
+    head = await connection.read_head(request, call, header_codec)
+    connection.patience = None
     connection.update_keep_alive(head.headers)
     on_head(head)
     if head.metadata.not_run or head.status == MISDIRECTED_REQUEST:
--- a/src/dogwoodgap/repeats.py
+++ b/src/dogwoodgap/repeats.py
@@ -6,7 +6,7 @@
 
 import math
 
-from dogwoodgap import progress, routes, selection
+from dogwoodgap import progress, routes
 
 MAX_RETRIES = 2
 """Maximum number of retries of an idempotent or resumable request whose response was lost."""
@@ -21,13 +21,13 @@
 """Remaining time below which a request is not retried: plain requests take 20 to 30 ms."""
 
 RESPONSE_TIMEOUT_FACTOR = 4.0
-"""Multiple of a server's average response time after which an idempotent request is retried."""
+"""Multiple of a typical response time after which an idempotent request is retried."""
 
 MIN_RESPONSE_TIMEOUT_S = 0.15
-"""Five times the usual 20 to 30 ms of an idempotent request, so a busy server does not time out."""
+"""Processes and networks pause for this long; no response time is learnt below it."""
 
-MAX_RESPONSE_TIMEOUT_S = 0.4
-"""A third of the shortest deadline, so two retries still fit."""
+LEAST_RESPONSE_TIMEOUT_FACTOR = 1.5
+"""Least multiple of a typical response time after which a request is retried, if time is short."""
 
 STREAM_RESPONSE_TIMEOUT_S = 1.2
 """Wait for the first event of a stream on a reused connection. Callers abandon a stream that is
@@ -53,36 +53,57 @@
 
 
 def acquire_retry(state: progress.Progress, budget: RetryBudget, remaining_s: float) -> bool:
-    """Return whether to retry a request that may have run, and count the retry.
+    """Return whether to retry a request that may have run; a retry that is granted is counted.
 
     Parameters
     ----------
     remaining_s : float
         Time until the deadline of the request in seconds.
     """
+    if (
+        not state.route.retryable
+        or state.retries >= MAX_RETRIES
+        or remaining_s <= MIN_REMAINING_S
+        or not budget.try_acquire()
+    ):
+        return False
     state.retries += 1
-    return (
-        state.route.retryable
-        and state.retries <= MAX_RETRIES
-        and remaining_s > MIN_REMAINING_S
-        and budget.try_acquire()
-    )
+    return True
 
 
 def response_timeout_s(
-    state: progress.Progress, server: selection.ServerState, *, is_reused: bool
+    state: progress.Progress, typical_s: float | None, remaining_s: float, *, is_reused: bool
 ) -> float:
-    """Return how long to wait for the response head, in seconds.
+    """Return how long to wait for the response head before a retry is worth it, in seconds.
+
+    The wait is unlimited when no retry is left or could still finish, or when another server
+    already failed to respond, since the request itself may be slow. A stream only times out on a
+    reused connection: in a burst its first event is often late.
 
-    The wait is unlimited when no retry is left, or when another server already failed to respond,
-    since the request itself may be slow. A stream only times out on a reused connection: in a burst
-    its first event is often late.
+    Parameters
+    ----------
+    typical_s : float or None
+        Typical duration of such requests, in seconds, if it is known.
+    remaining_s : float
+        Time until the deadline of the request, in seconds.
     """
     if not state.route.retryable or state.retries >= MAX_RETRIES or state.suspect_servers:
         return math.inf
-    if state.route.kind is routes.RouteKind.IDEMPOTENT:
-        return min(
-            MAX_RESPONSE_TIMEOUT_S,
-            max(MIN_RESPONSE_TIMEOUT_S, RESPONSE_TIMEOUT_FACTOR * server.response_time_s),
-        )
-    return STREAM_RESPONSE_TIMEOUT_S if is_reused else math.inf
+    if state.route.kind is not routes.RouteKind.IDEMPOTENT:
+        return STREAM_RESPONSE_TIMEOUT_S if is_reused else math.inf
+    if typical_s is None:
+        return max(MIN_RESPONSE_TIMEOUT_S, remaining_s / 2)
+    fair_share_s = remaining_s / (1 + MAX_RETRIES - state.retries)
+    timeout_s = max(
+        MIN_RESPONSE_TIMEOUT_S,
+        LEAST_RESPONSE_TIMEOUT_FACTOR * typical_s,
+        min(RESPONSE_TIMEOUT_FACTOR * typical_s, fair_share_s),
+    )
+    return timeout_s if remaining_s - timeout_s >= typical_s else math.inf
+
+
+def is_silent(waited_s: float, typical_s: float | None) -> bool:
+    """Return whether a server that has not responded takes longer than its service usually does."""
+    return typical_s is not None and waited_s > max(
+        MIN_RESPONSE_TIMEOUT_S, LEAST_RESPONSE_TIMEOUT_FACTOR * typical_s
+    )
--- a/src/dogwoodgap/selection.py
+++ b/src/dogwoodgap/selection.py
@@ -53,7 +53,13 @@
 """Time in which the failure rate halves without requests, so that the server is used again."""
 
 FAILURE_COST_S = 0.5
-"""Delay that a failed request causes: its own time and a retry by the caller."""
+"""Least delay that a failed request causes: its own time and a retry by the caller."""
+
+FAILURE_COST_FACTOR = 4.0
+"""Delay that a failed request causes, as a multiple of the typical response time."""
+
+HANGING_FACTOR = 4.0
+"""Multiple of its response time, or that of its peers, after which a silent server may hang."""
 
 REMOTE_DATA_CENTRE_S = 0.001
 """Cost of a server in another data centre: about the one-way network delay."""
@@ -88,6 +94,9 @@
         Failed connection attempts since the last response.
     failure_rate : float
         Moving average of failed requests, 0 to 1, at the monotonic time ``failure_rate_at``.
+    unanswered : dict
+        Monotonic times at which this node sent requests that have no response yet, by a key of
+        each attempt; the oldest first.
     """
 
     in_flight: int = 0
@@ -97,6 +106,7 @@
     connect_failures: int = 0
     failure_rate: float = 0.0
     failure_rate_at: float = 0.0
+    unanswered: dict[object, float] = dataclasses.field(default_factory=dict)
 
     @property
     def total_in_flight(self) -> int:
@@ -110,16 +120,28 @@
             self.response_time_s = seconds
         self.response_time_s += RESPONSE_TIME_WEIGHT * (seconds - self.response_time_s)
 
+    def silent_s(self, now: float) -> float:
+        """Return for how long the oldest request without a response has been running."""
+        return now - next(iter(self.unanswered.values())) if self.unanswered else 0.0
+
     def decayed_failure_rate(self, now: float) -> float:
         """Return the failure rate, decayed since the last update."""
         return self.failure_rate * 0.5 ** ((now - self.failure_rate_at) / FAILURE_HALF_LIFE_S)
 
-    def failure_cost_s(self, now: float) -> float:
-        """Return the expected delay caused by failures, in seconds."""
+    def failure_cost_s(self, now: float, typical_s: float = 0.0) -> float:
+        """Return the expected delay caused by failures, in seconds.
+
+        Parameters
+        ----------
+        typical_s : float
+            Typical response time of the service, in seconds.
+        """
         if self.failure_rate <= TOLERATED_FAILURE_RATE:
             return 0.0
         rate = self.decayed_failure_rate(now)
-        return rate * FAILURE_COST_S if rate > TOLERATED_FAILURE_RATE else 0.0
+        if rate <= TOLERATED_FAILURE_RATE:
+            return 0.0
+        return rate * max(FAILURE_COST_S, FAILURE_COST_FACTOR * typical_s)
 
     def record_outcome(self, now: float, *, failed: bool) -> None:
         """Update the failure rate with a request that the server accepted."""
@@ -241,14 +263,36 @@
     )
 
 
-def plain_cost_s(table: LoadTable, server: servers.BackendServer, now: float) -> float:
-    """Return the expected time of a request at a plain server in seconds."""
+def typical_response_s(table: LoadTable, candidates: list[servers.BackendServer]) -> float:
+    """Return the expected response time of a plain server that has not responded yet.
+
+    It is the average of those that have, and not below the default.
+    """
+    known = [
+        response_time_s
+        for server in candidates
+        if (response_time_s := table.state(server).response_time_s)
+    ]
+    return max(DEFAULT_PLAIN_S, sum(known) / len(known)) if known else DEFAULT_PLAIN_S
+
+
+def plain_cost_s(
+    table: LoadTable, server: servers.BackendServer, now: float, typical_s: float
+) -> float:
+    """Return the expected time of a request at a plain server in seconds.
+
+    A server is taken to be as fast as its peers until it responds. One that has been silent for
+    long, against its own past and its peers, is expected to stay silent for as long again.
+    """
     state = table.state(server)
-    response_time_s = state.response_time_s or DEFAULT_PLAIN_S
+    response_time_s = state.response_time_s or typical_s
+    silent_s = state.silent_s(now)
+    if silent_s > HANGING_FACTOR * max(response_time_s, typical_s):
+        response_time_s = silent_s
     slots = max(1, server.slots)
     queued = max(0, state.total_in_flight + 1 - slots)
     data_centre_cost_s = 0.0 if server.data_centre == table.data_centre else REMOTE_DATA_CENTRE_S
-    failure_cost_s = state.failure_cost_s(now)
+    failure_cost_s = state.failure_cost_s(now, typical_s)
     return (
         data_centre_cost_s
         + failure_cost_s
@@ -272,10 +316,11 @@
         return None
     if engine is None:
         salt = call.attempt_id
+        typical_s = typical_response_s(table, usable)
         return min(
             usable,
             key=lambda server: (
-                plain_cost_s(table, server, now),
+                plain_cost_s(table, server, now, typical_s),
                 xxhash.xxh32_intdigest((salt + server.id).encode()),
             ),
         )
--- a/src/dogwoodgap/upstream.py
+++ b/src/dogwoodgap/upstream.py
@@ -5,7 +5,9 @@
 """
 
 import collections
+import collections.abc
 import dataclasses
+import math
 import typing
 
 import anyio
@@ -59,6 +61,25 @@
     metadata: dialect.ResponseMetadata
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Patience:
+    """How long to wait for a response that has not begun.
+
+    Attributes
+    ----------
+    timeout_s : float
+        Time after which ``may_give_up`` is asked, again and again, in seconds.
+    may_give_up : callable
+        Returns whether something better than to wait can be done.
+    """
+
+    timeout_s: float
+    may_give_up: collections.abc.Callable[[], bool]
+
+
+UNLIMITED_PATIENCE = Patience(math.inf, lambda: False)
+
+
 class Connection:
     """A connection to a backend server, used by one request at a time."""
 
@@ -71,6 +92,7 @@
         self.keep_alive_s = IDLE_TIMEOUT_S
         self.is_reused = False
         self.request_sent = False
+        self.patience: Patience | None = None
 
     async def send(self, head: h11.Request, body: bytes) -> None:
         """Send a request.
@@ -110,13 +132,25 @@
             if event is not h11.NEED_DATA:
                 return event
             try:
-                data = await self.stream.receive(READ_BYTES)
+                data = await self.receive()
             except anyio.EndOfStream:
                 data = b""
             except http_pool.CONNECTION_ERRORS as error:
                 raise self.invalid_response("the connection was reset") from error
             self.state.receive_data(data)
 
+    async def receive(self) -> bytes:
+        """Return the next data; raises ResponseTimeoutError once patience is exhausted."""
+        while self.patience is not None:
+            with anyio.move_on_after(self.patience.timeout_s) as scope:
+                return await self.stream.receive(READ_BYTES)
+            if scope.cancelled_caught and self.patience.may_give_up():
+                raise ResponseTimeoutError(
+                    f"server {self.server.id} sent no response within "
+                    f"{self.patience.timeout_s:.2f} s; the request is retried"
+                )
+        return await self.stream.receive(READ_BYTES)
+
     async def read_head(
         self, request: h11.Request, call: dialect.Call, header_codec: dialect.HeaderCodec
     ):
