--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -84,15 +84,29 @@
     run(main)
 
 
-def test_keeps_connections_on_both_sides():
-    """Guards against opening a new connection for every request."""
+@pytest.mark.parametrize("pause_s", [0.0, 1.5 * repeats.MIN_RESPONSE_TIMEOUT_S])
+def test_keeps_connections_on_both_sides(pause_s):
+    """Guards against opening a new connection for every request.
+
+    Only a retry opens another one: on a reused connection, silence may mean that it is dead.
+    """
+
+    async def pause(backend, received, stream):
+        if len(backend.received) == 5:
+            await anyio.sleep(pause_s)
+        return await gateways.complete_response()(backend, received, stream)
 
     async def main():
-        backend = plain("p1", gateways.complete_response())
+        backend = plain("p1", pause)
         async with gateways.running(backend) as harness, gateways.caller(harness) as connection:
+            slow = 0
             for _ in range(5):
+                sent_at = anyio.current_time()
                 assert (await connection.call("GET", "/read/x")).complete
-        assert backend.opened == 1
+                slow += anyio.current_time() - sent_at >= repeats.MIN_RESPONSE_TIMEOUT_S
+        retries = len(backend.received) - 5
+        assert backend.opened == 1 + retries
+        assert retries <= slow
 
     run(main)
 
