Ignore SIGHUP from the start of dogwoodgap-gateway, and accept a memory limit with a fraction

The former had been lost when the holding of signals moved into its run command; the latter keeps a gateway from ending at its start over a limit such as 127.5 MB.

--- a/src/dogwoodgap/gateway_cli.py
+++ b/src/dogwoodgap/gateway_cli.py
@@ -2,6 +2,7 @@
 
 import os
 import pathlib
+import signal
 import typing
 
 import typer
@@ -63,4 +64,6 @@
 
 def main() -> None:
     """Run the command line."""
+    # The default action of SIGHUP would end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     cli()
--- a/src/dogwoodgap/settings.py
+++ b/src/dogwoodgap/settings.py
@@ -102,7 +102,7 @@
         register again, in seconds.
     first_start : bool
         Whether the whole fleet starts for the first time, so that no program can have run before.
-    memory_limit_mb : int
+    memory_limit_mb : float
         Memory that the process may use, in MB; 0 if it is not limited. A part is for bodies of
         requests and responses; beyond that, the largest one that is being received is given up.
     max_response_bytes : int
@@ -121,7 +121,7 @@
     directory_ttl_s: float = pydantic.Field(default=1.0, gt=0)
     return_grace_s: float = pydantic.Field(default=2.0, ge=0)
     first_start: bool = False
-    memory_limit_mb: int = pydantic.Field(default=0, ge=0)
+    memory_limit_mb: float = pydantic.Field(default=0, ge=0)
     max_response_bytes: int = pydantic.Field(default=16 * 1024 * 1024, ge=1024)
 
 
