Give up a server that trickles the head of its response

The time of the next decision is now kept for the attempt. test_server_that_trickles_its_head_is_given_up failed before, and holds on the landed code.

--- a/src/dogwoodgap/durations.py
+++ b/src/dogwoodgap/durations.py
@@ -1,4 +1,4 @@
-"""Estimates how long requests take from recent ones of their kind; no I/O, callers pass the time.
+"""Estimates how long requests take from recent ones of their kind; no I/O.
 
 Handles planned stops: what would outlast the process has to be refused before a server runs it,
 and what can finish has to be served. Handles slow services too: a request is only repeated
@@ -64,14 +64,14 @@
     ----------
     recent : collections.deque
         Durations in order of completion.
-    sorted : sortedcontainers.SortedList
+    by_size : sortedcontainers.SortedList
         The same durations in order of size.
     running : dict
         Unfinished requests in order of their start; the values are not used.
     """
 
     recent: collections.deque[float] = dataclasses.field(default_factory=collections.deque)
-    sorted: sortedcontainers.SortedList = dataclasses.field(
+    by_size: sortedcontainers.SortedList = dataclasses.field(
         default_factory=sortedcontainers.SortedList
     )
     running: dict[Measurement, None] = dataclasses.field(default_factory=dict)
@@ -79,9 +79,9 @@
     def add(self, seconds: float) -> None:
         """Record a duration; an attempt that was given up counts with the time it has taken."""
         self.recent.append(seconds)
-        self.sorted.add(seconds)
+        self.by_size.add(seconds)
         if len(self.recent) > WINDOW:
-            self.sorted.remove(self.recent.popleft())
+            self.by_size.remove(self.recent.popleft())
 
     def bound_s(self, now: float) -> float | None:
         """Return a time within which a new request most likely ends, or None if that is unknown.
@@ -90,17 +90,17 @@
         """
         if len(self.recent) < MIN_SAMPLES:
             return None
-        longest_s = self.sorted[-1]
+        longest_s = self.by_size[-1]
         if self.running:
             longest_s = max(longest_s, now - next(iter(self.running)).started_at)
-        median_s = self.sorted[len(self.sorted) // 2]
+        median_s = self.by_size[len(self.by_size) // 2]
         return longest_s + (longest_s - median_s)
 
     def typical_s(self) -> float | None:
         """Return a typical duration, or None if it is unknown."""
         if len(self.recent) < MIN_TYPICAL_SAMPLES:
             return None
-        return self.sorted[int(TYPICAL_QUANTILE * len(self.sorted))]
+        return self.by_size[int(TYPICAL_QUANTILE * len(self.by_size))]
 
 
 class DurationEstimator:
--- a/src/dogwoodgap/peer_relay.py
+++ b/src/dogwoodgap/peer_relay.py
@@ -184,7 +184,7 @@
             connection,
             request,
             self.header_codec,
-            upstream.UNLIMITED_PATIENCE,
+            upstream.Patience(math.inf, lambda: False),
             self.max_response_bytes,
             self.on_head,
         )
--- a/src/dogwoodgap/relay.py
+++ b/src/dogwoodgap/relay.py
@@ -65,6 +65,7 @@
     InvalidResponseError
         If the response is malformed, incomplete or unsigned.
     """
+    patience.begin()
     connection.patience = patience
     head = await connection.read_head(request, call, header_codec)
     connection.patience = None
--- a/src/dogwoodgap/upstream.py
+++ b/src/dogwoodgap/upstream.py
@@ -61,9 +61,9 @@
     metadata: dialect.ResponseMetadata
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class Patience:
-    """How long to wait for a response that has not begun.
+    """How long to wait for the head of a response.
 
     Attributes
     ----------
@@ -71,13 +71,17 @@
         Time after which ``may_give_up`` is asked, again and again, in seconds.
     may_give_up : callable
         Returns whether something better than to wait can be done.
+    ask_at : float
+        Monotonic time at which it is asked next; bytes that arrive meanwhile do not postpone it.
     """
 
     timeout_s: float
     may_give_up: collections.abc.Callable[[], bool]
+    ask_at: float = math.inf
 
-
-UNLIMITED_PATIENCE = Patience(math.inf, lambda: False)
+    def begin(self) -> None:
+        """Begin, or begin again, to wait."""
+        self.ask_at = clock.now() + self.timeout_s
 
 
 class Connection:
@@ -142,13 +146,14 @@
     async def receive(self) -> bytes:
         """Return the next data; raises ResponseTimeoutError once patience is exhausted."""
         while self.patience is not None:
-            with anyio.move_on_after(self.patience.timeout_s) as scope:
+            with anyio.CancelScope(deadline=self.patience.ask_at):
                 return await self.stream.receive(READ_BYTES)
-            if scope.cancelled_caught and self.patience.may_give_up():
+            if self.patience.may_give_up():
                 raise ResponseTimeoutError(
                     f"server {self.server.id} sent no response within "
                     f"{self.patience.timeout_s:.2f} s; the request is retried"
                 )
+            self.patience.begin()
         return await self.stream.receive(READ_BYTES)
 
     async def read_head(
--- a/tests/test_durations.py
+++ b/tests/test_durations.py
@@ -23,7 +23,7 @@
         assert bound_s is None
     else:
         assert bound_s >= max(seconds[-durations.WINDOW :])
-        assert len(window.sorted) == len(window.recent) <= durations.WINDOW
+        assert len(window.by_size) == len(window.recent) <= durations.WINDOW
 
 
 def test_estimate_of_steady_durations_adds_no_reserve():
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -375,6 +375,27 @@
     run(main)
 
 
+def test_server_that_trickles_its_head_is_given_up():
+    """Guards against a wait that each byte of a stalled response prolongs."""
+
+    async def trickle(backend, received, stream):
+        for byte in gateways.response_head(received, 200, "content-length: 2"):
+            await stream.send(bytes([byte]))
+            await anyio.sleep(0.02)
+        return False
+
+    async def main():
+        backends = [plain("p1", trickle), plain("p2", gateways.complete_response(b"yes"))]
+        async with gateways.running(*backends) as harness:
+            for number in range(10):
+                headers = {"dogwoodgap_attempt": f"a{number}"}
+                response = await gateways.send_once(harness, "GET", "/read/x", **headers)
+                assert response.body == b"yes"
+        assert backends[0].received
+
+    run(main)
+
+
 def test_slow_server_is_waited_for_when_no_retry_is_left():
     """Guards against a 502 for a request that its only server is about to finish."""
 
