--- a/tests/stop_search.py
+++ b/tests/stop_search.py
@@ -1,6 +1,7 @@
 """Stops gateways as planned under load, and looks for requests that are cut.
 
     python tests/stop_search.py --seed 1 --count 50
+    python tests/stop_search.py --sparse --seed 1 --count 50
 
 Seven gateways run as separate processes between stand-ins of servers, callers and the store. Some
 get SIGTERM, close together, and other signals while they stop. Callers that have cached their
@@ -8,6 +9,9 @@
 Each seed draws the gateways, the signals and the requests. A request that a server began and whose
 caller got no whole answer is a failure, unless it was sent early and a server was still at work on
 it at the end of the grace period.
+
+With ``--sparse``, a stopping gateway gets a few single requests around the time at which it has no
+connection left, while some of the other gateways are suspended for a moment.
 """
 
 import argparse
@@ -40,6 +44,18 @@
 
 END_S = 1.5
 CALLERS = 40
+QUIET_AFTER_S = 3.0
+"""Time after the SIGTERM from which a gateway without connections may end."""
+
+SPARSE_REQUESTS = (2, 5)
+"""Requests that a stopping gateway gets from sparse callers."""
+
+SPARSE_FROM_S, SPARSE_FOR_S = -0.1, 0.7
+"""Begin, relative to ``QUIET_AFTER_S``, and length of the time in which they are sent."""
+
+PAUSE_S = (0.05, 0.8)
+"""How long another gateway is suspended."""
+
 RESET_S = 0.02
 SERVERS = 6
 SLOTS = 24
@@ -206,8 +222,8 @@
         await self.scene.start_gateways()
         await asyncio.sleep(1.0)
         self.stopping = self.random.sample(self.scene.gateways, self.random.randint(1, 4))
-        self.tasks = [asyncio.create_task(self.call(number)) for number in range(CALLERS)]
         begins = [WARM_UP_S + self.random.uniform(0.0, SPREAD_S) for _ in self.stopping]
+        self.start_callers(begins)
         try:
             async with asyncio.TaskGroup() as tasks:
                 for gateway, after_s in zip(self.stopping, begins, strict=True):
@@ -219,6 +235,10 @@
             await asyncio.gather(*self.tasks, return_exceptions=True)
             self.scene.end()
 
+    def start_callers(self, begins: list[float]) -> None:
+        """Start the callers; ``begins`` are the times until the stops."""
+        self.tasks += [asyncio.create_task(self.call(number)) for number in range(CALLERS)]
+
     def cut(self) -> list[clients.Attempt]:
         """Return the requests that a server began and whose caller got no whole answer."""
         runs = {run.attempt: run for run in self.scene.runs}
@@ -260,14 +280,54 @@
         )
 
 
-async def play(seed: int, build: pathlib.Path, keep: pathlib.Path | None) -> bool:
+class SparseSearch(Search):
+    """A run in which gateways get hardly any requests while they stop."""
+
+    def start_callers(self, begins: list[float]) -> None:
+        """Start to send single requests, and to suspend other gateways."""
+        others = [gateway for gateway in self.scene.gateways if gateway not in self.stopping]
+        for gateway, begin_s in zip(self.stopping, begins, strict=True):
+            for _ in range(self.random.randint(*SPARSE_REQUESTS)):
+                after_s = begin_s + QUIET_AFTER_S + SPARSE_FROM_S
+                after_s += self.random.uniform(0.0, SPARSE_FOR_S)
+                self.tasks.append(asyncio.create_task(self.call_once(gateway, after_s)))
+            if self.random.random() < 0.7:
+                after_s = begin_s + QUIET_AFTER_S - self.random.uniform(0.0, 0.2)
+                suspended = self.random.choice(others)
+                self.tasks.append(asyncio.create_task(self.suspend(suspended, after_s)))
+
+    async def suspend(self, gateway: gateways.Gateway, after_s: float) -> None:
+        """Suspend a gateway for a moment."""
+        pause_s = self.random.uniform(*PAUSE_S)
+        await asyncio.sleep(after_s)
+        gateway.signal(signal.SIGSTOP)
+        await asyncio.sleep(pause_s)
+        gateway.signal(signal.SIGCONT)
+
+    async def call_once(self, gateway: gateways.Gateway, after_s: float) -> None:
+        """Send one request on a new connection."""
+        draws = random.Random(self.random.random())
+        kind = draws.choice(KINDS)
+        await asyncio.sleep(after_s)
+        number = len(self.scene.attempts)
+        attempt = clients.Attempt(time.time(), f"sparse-{number:05x}", "", kind.prefix)
+        attempt.gateway = gateway.ip
+        with contextlib.suppress(OSError, http.ClosedError, TimeoutError):
+            async with asyncio.timeout(6.0):
+                reader, writer = await asyncio.open_connection(gateway.ip, gateways.FRONT)
+                attempt.at = time.time()
+                self.scene.attempts.append(attempt)
+                try:
+                    await self.send(attempt, draws, reader, writer)
+                finally:
+                    writer.close()
+        attempt.took_s = time.time() - attempt.at
+
+
+async def play(search: Search, seed: int) -> bool:
     """Play one seed, print what came of it, and return whether no request was cut."""
-    with tempfile.TemporaryDirectory() as temporary:
-        folder = pathlib.Path(temporary) if keep is None else keep / f"stop-{seed}"
-        folder.mkdir(parents=True, exist_ok=True)
-        search = Search(seed, folder, build)
-        await search.play()
-        (folder / "report.txt").write_text(search.report() + "\n")
+    await search.play()
+    (search.folder / "report.txt").write_text(search.report() + "\n")
     cut = search.cut()
     kinds = collections.Counter(attempt.path for attempt in cut)
     ended_badly = {name: code for name, code in search.codes.items() if code}
@@ -281,17 +341,28 @@
     return not cut and not ended_badly
 
 
+def play_seed(seed: int, arguments: argparse.Namespace) -> bool:
+    """Play one seed in a folder of its own."""
+    kind = SparseSearch if arguments.sparse else Search
+    with tempfile.TemporaryDirectory() as temporary:
+        folder = pathlib.Path(temporary)
+        if arguments.keep is not None:
+            folder = arguments.keep / f"stop-{seed}"
+            folder.mkdir(parents=True, exist_ok=True)
+        return asyncio.run(play(kind(seed, folder, arguments.build.resolve()), seed))
+
+
 def main() -> int:
     """Play seeds one after the other; return 1 if a request was cut on any."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--build", type=pathlib.Path, default=crash_search.ROOT)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--count", type=int, default=1)
+    parser.add_argument("--sparse", action="store_true", help="hardly any requests in the stops")
     parser.add_argument("--keep", type=pathlib.Path, help="folder for reports and logs")
     arguments = parser.parse_args()
     seeds = range(arguments.seed, arguments.seed + arguments.count)
-    build = arguments.build.resolve()
-    held = [asyncio.run(play(seed, build, arguments.keep)) for seed in seeds]
+    held = [play_seed(seed, arguments) for seed in seeds]
     print(f"{sum(held)} of {len(held)} seeds held")
     return 0 if all(held) else 1
 
