--- a/src/dogwoodgap/events.py
+++ b/src/dogwoodgap/events.py
@@ -134,6 +134,11 @@
     ACCEPT_FAILED = 5032, "Connections cannot be accepted; they wait, and accepting is tried again."
     ADDRESS_UNAVAILABLE = 5033, "An address to listen on is still in use; the start waits for it."
     GATEWAY_START_FAILED = 5034, "The gateway could not start; the line names the remedy."
+    GATEWAY_CLOSING = (
+        5036,
+        "A planned stop does not wait for callers any longer; fields: what is still open.",
+    )
+    REQUEST_CUT = 5037, "A request got no complete response, since the process ended."
     RUNNER_LEAVING = 6001, "A runner is leaving and gets no new work."
     RUNNER_RETURNED = 6002, "A runner accepts work again."
     RUNNER_DOWN = 6003, "A new connection to a runner failed; it gets no work until it answers."
--- a/src/dogwoodgap/exposition.py
+++ b/src/dogwoodgap/exposition.py
@@ -70,6 +70,11 @@
     "Connections that could not be accepted, for example without a free file descriptor.",
     registry=registry,
 )
+cut_requests = prometheus_client.Counter(
+    "dogwoodgap_cut_requests",
+    "Requests that got no complete response, since the process ended.",
+    registry=registry,
+)
 evicted_bodies = prometheus_client.Counter(
     "dogwoodgap_evicted_bodies",
     "Bodies that were given up, since all bodies together exceeded their memory.",
--- a/src/dogwoodgap/forwarder.py
+++ b/src/dogwoodgap/forwarder.py
@@ -229,6 +229,11 @@
             await send_error(responder, error, call, self.header_codec, is_relayed=is_relayed)
         except ingress.CallerDisconnectedError:
             raise
+        except anyio.get_cancelled_exc_class():
+            if not responder.caller_has_left:
+                outcome = "cut: this process ends"
+                log_cut(call, progress, responder)
+            raise
         except progress_module.StreamBrokenError as error:
             outcome = f"cut: {error}"
             raise ingress.CallerDisconnectedError from error
@@ -868,6 +873,25 @@
         )
 
 
+def log_cut(
+    call: dialect.Call | None,
+    progress: progress_module.Progress | None,
+    responder: ingress.Responder,
+) -> None:
+    """Log and count a request that got no complete response, since the process ends."""
+    exposition.cut_requests.inc()
+    events.emit(
+        events.Event.REQUEST_CUT,
+        "a request got no complete response, since this process ends",
+        level=logging.WARNING,
+        request=call.attempt_id if call else "",
+        may_have_run=progress.may_have_run if progress else False,
+        is_relayed=progress.is_relayed if progress else False,
+        requests_before=responder.connection.handled,
+        took_ms=round((clock.now() - call.arrived_at) * 1000, 1) if call else None,
+    )
+
+
 async def send_error(
     responder: ingress.Responder,
     error: exceptions.DogwoodgapError,
--- a/src/dogwoodgap/gateway.py
+++ b/src/dogwoodgap/gateway.py
@@ -371,6 +371,14 @@
         while self.has_unfinished(end_at):
             self.request_server.close_idle()
             await anyio.sleep(STOP_POLL_INTERVAL_S)
+        events.emit(
+            events.Event.GATEWAY_CLOSING,
+            "the planned stop waits for callers no longer",
+            active=self.forwarder.active,
+            connections=len(self.request_server.connections),
+            relay_connections=len(self.relay_server.connections),
+            after_s=round(clock.now() - started_at, 3),
+        )
         if self.announced is not None:
             with anyio.move_on_after(STOP_MARGIN_S / 2):
                 await self.announced.depart()
@@ -379,6 +387,7 @@
             "gateway stopped",
             level=logging.INFO,
             active=self.forwarder.active,
+            connections=len(self.request_server.connections),
             refused=self.forwarder.refused_at_stop,
             took_s=round(clock.now() - started_at, 3),
         )
--- a/src/dogwoodgap/ingress.py
+++ b/src/dogwoodgap/ingress.py
@@ -58,6 +58,11 @@
         self.started = False
         self.finished = False
 
+    @property
+    def caller_has_left(self) -> bool:
+        """Return whether the caller has closed its connection."""
+        return self.connection.eof
+
     async def send(self, status: int, headers: dialect.Headers, body: bytes = b"") -> None:
         """Send a complete response."""
         fields = [*headers, (b"content-length", str(len(body)).encode())]
@@ -103,6 +108,7 @@
         self.eof = False
         self.idle = True
         self.idle_since = clock.now()
+        self.handled = 0
         self.scope = anyio.CancelScope()
 
     async def run(self) -> None:
@@ -118,6 +124,7 @@
                 request.holding.release()
             self.idle = True
             self.idle_since = clock.now()
+            self.handled += 1
             if not is_complete or self.state.our_state is not h11.DONE:
                 return
             if self.state.their_state is not h11.DONE:
