--- a/src/dogwoodgap/gateway.py
+++ b/src/dogwoodgap/gateway.py
@@ -342,12 +342,17 @@
         """Wait until a stop is requested."""
         await self.stop_requested.wait()
 
-    def has_unfinished(self, end_at: float) -> bool:
-        """Return whether a stop has to wait for callers; all requests are ended at ``end_at``."""
-        now = clock.now()
-        if now < end_at:
-            return bool(self.request_server.connections or self.forwarder.active)
-        return self.forwarder.active > 0 and now < end_at + LAST_RESPONSES_TIMEOUT_S
+    async def wait_until_quiet(self, end_at: float) -> None:
+        """Wait until no caller is connected and no request is active, but not longer."""
+        while clock.now() < end_at and (self.request_server.connections or self.forwarder.active):
+            self.request_server.close_idle()
+            await anyio.sleep(STOP_POLL_INTERVAL_S)
+
+    async def close_servers(self, give_up_at: float) -> None:
+        """Accept no more requests, and wait until those that were accepted have ended."""
+        async with anyio.create_task_group() as tasks:
+            for server in (self.request_server, self.relay_server):
+                tasks.start_soon(server.close, give_up_at)
 
     async def stop(self) -> None:
         """Leave the directory, handle requests that still arrive, then close all connections.
@@ -368,9 +373,7 @@
             await clock.sleep_until(started_at + section.directory_ttl_s * DIRECTORY_TTL_FACTOR)
         self.request_server.closing = True
         self.relay_server.closing = True
-        while self.has_unfinished(end_at):
-            self.request_server.close_idle()
-            await anyio.sleep(STOP_POLL_INTERVAL_S)
+        await self.wait_until_quiet(end_at)
         events.emit(
             events.Event.GATEWAY_CLOSING,
             "the planned stop waits for callers no longer",
@@ -379,6 +382,8 @@
             relay_connections=len(self.relay_server.connections),
             after_s=round(clock.now() - started_at, 3),
         )
+        # Only once nothing can be accepted any more is it certain that nothing will be cut.
+        await self.close_servers(end_at + LAST_RESPONSES_TIMEOUT_S)
         if self.announced is not None:
             with anyio.move_on_after(STOP_MARGIN_S / 2):
                 await self.announced.depart()
--- a/src/dogwoodgap/ingress.py
+++ b/src/dogwoodgap/ingress.py
@@ -30,6 +30,9 @@
 ROOM_POLL_INTERVAL_S = 0.02
 """Interval at which a full server checks whether a connection has ended."""
 
+CLOSE_POLL_INTERVAL_S = 0.02
+"""Interval at which a closing server looks for connections that have become idle."""
+
 BODY_TIMEOUT_S = 10.0
 """Timeout for receiving a request body; bodies are at most a few MB."""
 
@@ -320,6 +323,8 @@
         self.max_connections = max_connections
         self.body_memory = memory or body_memory.BodyMemory(math.inf)
         self.closing = False
+        self.is_serving = False
+        self.listener: listeners.Listener | None = None
         self.connections: set[CallerConnection] = set()
 
     async def serve(
@@ -329,11 +334,37 @@
         *,
         task_status: anyio.abc.TaskStatus[int] = anyio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Accept connections until cancelled; reports the port through ``task_status``."""
-        listener = await listeners.open_listener(address, bind_timeout_s, self.make_room)
-        async with listener:
-            task_status.started(listener.extra(anyio.abc.SocketAttribute.local_port))
-            await listener.serve(self.serve_stream)
+        """Accept connections until closed or cancelled; reports the port through ``task_status``.
+
+        A server that is closed returns once all connections that it has accepted have ended.
+        """
+        self.listener = listener = await listeners.open_listener(
+            address, bind_timeout_s, self.make_room
+        )
+        self.is_serving = True
+        try:
+            async with anyio.create_task_group() as tasks, listener:
+                task_status.started(listener.extra(anyio.abc.SocketAttribute.local_port))
+                await listener.serve(self.serve_stream, tasks)
+        finally:
+            self.is_serving = False
+
+    async def close(self, give_up_at: float) -> None:
+        """Accept no more connections, and wait until those that were accepted have ended.
+
+        Parameters
+        ----------
+        give_up_at : float
+            Monotonic time at which unfinished requests are cut.
+        """
+        self.closing = True
+        if self.listener is not None:
+            self.listener.stop()
+        while self.is_serving and clock.now() < give_up_at:
+            self.close_idle()
+            await anyio.sleep(CLOSE_POLL_INTERVAL_S)
+        for connection in self.connections:
+            connection.scope.cancel()
 
     async def serve_stream(self, stream: anyio.abc.SocketStream) -> None:
         """Serve one connection until it closes."""
--- a/src/dogwoodgap/listeners.py
+++ b/src/dogwoodgap/listeners.py
@@ -8,6 +8,7 @@
 import contextlib
 import errno
 import logging
+import socket
 import typing
 
 import anyio
@@ -51,6 +52,7 @@
         self.address = address
         self.before_accept = before_accept
         self.is_failing = False
+        self.accept_scope: anyio.CancelScope | None = None
 
     @property
     def extra_attributes(self) -> typing.Any:
@@ -64,32 +66,48 @@
     async def serve(
         self, handler: StreamHandler, task_group: anyio.abc.TaskGroup | None = None
     ) -> None:
-        """Accept connections until cancelled; a failed connection ends no other one."""
+        """Accept connections until stopped or cancelled; a failed connection ends no other one."""
+        sockets = [
+            listener.extra(anyio.abc.SocketAttribute.raw_socket)
+            for listener in self.listener.listeners
+        ]
         async with contextlib.AsyncExitStack() as stack:
             if task_group is None:
                 task_group = await stack.enter_async_context(anyio.create_task_group())
-            async with anyio.create_task_group() as tasks:
-                for listener in self.listener.listeners:
-                    tasks.start_soon(self.accept_all, listener, handler, task_group)
+            with anyio.CancelScope() as self.accept_scope:
+                async with anyio.create_task_group() as tasks:
+                    for listening in sockets:
+                        tasks.start_soon(self.accept_all, listening, handler, task_group)
+            for listening in sockets:
+                with contextlib.suppress(OSError):
+                    while True:
+                        accept(listening, handler, task_group)
+
+    def stop(self) -> None:
+        """Accept only those connections that are established already.
+
+        The operating system has completed them, and their callers may have sent requests.
+        """
+        if self.accept_scope is not None:
+            self.accept_scope.cancel()
 
     async def accept_all(
-        self,
-        listener: anyio.abc.Listener[anyio.abc.SocketStream],
-        handler: StreamHandler,
-        task_group: anyio.abc.TaskGroup,
+        self, listening: socket.socket, handler: StreamHandler, task_group: anyio.abc.TaskGroup
     ) -> None:
         """Accept the connections to one IP address."""
         while True:
             if self.before_accept is not None:
                 await self.before_accept()
+            await anyio.wait_readable(listening)
             try:
-                stream = await listener.accept()
+                accept(listening, handler, task_group)
+            except BlockingIOError:
+                continue
             except OSError as error:
                 self.record_failure(error)
                 await anyio.sleep(ACCEPT_RETRY_DELAY_S)
                 continue
             self.is_failing = False
-            background.start(task_group, handler, stream)
 
     def record_failure(self, error: OSError) -> None:
         """Count a failure to accept; a series of failures is logged once."""
@@ -106,6 +124,33 @@
         self.is_failing = True
 
 
+def accept(
+    listening: socket.socket, handler: StreamHandler, task_group: anyio.abc.TaskGroup
+) -> None:
+    """Accept one connection and start its handler, with no await in which it could be lost.
+
+    Raises
+    ------
+    BlockingIOError
+        If no connection is waiting.
+    OSError
+        If it cannot be accepted.
+    """
+    connected, _ = listening.accept()
+    background.start(task_group, handle, connected, handler)
+
+
+async def handle(connected: socket.socket, handler: StreamHandler) -> None:
+    """Run the handler of an accepted connection, unless the peer has reset it already."""
+    try:
+        connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        stream = await anyio.abc.SocketStream.from_socket(connected)
+    except (OSError, ValueError):  # no longer connected
+        connected.close()
+        return
+    await handler(stream)
+
+
 async def open_listener(
     address: str,
     timeout_s: float = 0.0,
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -1,18 +1,21 @@
 """The end of a planned stop of a whole gateway: no request is taken that nobody waits for."""
 
 import contextlib
+import socket
 
 import anyio
+import anyio.to_thread
 import gateways
 import listen_addresses
 import pytest
 
-from dogwoodgap import dialect, entrance, file_source, gateway, settings
+from dogwoodgap import clock, dialect, entrance, file_source, gateway, ingress, settings
 
 SERVER_TIME_S = 0.2
 DEPARTURE_S = 0.1
 """Time that another gateway takes to reply to the departure."""
 
+REQUEST = b"GET /x HTTP/1.1\r\nhost: h.example\r\n\r\n"
 FLEET = """
 version = 1
 routes = [
@@ -123,3 +126,51 @@
         assert len(responses) == len(stopped.backend.received)
 
     anyio.run(main)
+
+
+def connect_and_send(address):
+    """Connect and send a request without letting the event loop run."""
+    host, _, port = address.rpartition(":")
+    connection = socket.create_connection((host, int(port)))
+    connection.sendall(REQUEST)
+    return connection
+
+
+@contextlib.asynccontextmanager
+async def running_server(handler):
+    """Run a server that is closed by a test."""
+    server = ingress.Server(handler)
+    address = listen_addresses.free_address()
+    with anyio.fail_after(20):
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(server.serve, address)
+            yield server, address
+            tasks.cancel_scope.cancel()
+
+
+async def respond_slowly(request, responder):
+    """Respond after some time."""
+    await anyio.sleep(SERVER_TIME_S)
+    await responder.send(200, [], b"whole")
+
+
+async def read_all(connection):
+    """Return everything that a connection delivers until it ends."""
+    return await anyio.to_thread.run_sync(
+        lambda: b"".join(iter(lambda: connection.recv(4096), b""))
+    )
+
+
+def test_closing_server_answers_connections_that_are_established_already():
+    """Guards against resets of connections that the operating system has accepted."""
+
+    async def main():
+        async with running_server(respond_slowly) as (server, address):
+            connections = [connect_and_send(address) for _ in range(5)]
+            await server.close(clock.now() + 5)
+            for connection in connections:
+                assert (await read_all(connection)).endswith(b"whole")
+            with pytest.raises(OSError):  # noqa: PT011 - refused or reset, by platform
+                connect_and_send(address)
+
+    anyio.run(main)
