--- a/src/dogwoodgap/ingress.py
+++ b/src/dogwoodgap/ingress.py
@@ -33,6 +33,12 @@
 CLOSE_POLL_INTERVAL_S = 0.02
 """Interval at which a closing server looks for connections that have become idle."""
 
+FIRST_REQUEST_TIMEOUT_S = 0.5
+"""Time for the first request of a new connection, which is not closed as idle before."""
+
+LAST_DATA_TIMEOUT_S = 0.002
+"""Time for the event loop to deliver data that has arrived before an idle connection closes."""
+
 BODY_TIMEOUT_S = 10.0
 """Timeout for receiving a request body; bodies are at most a few MB."""
 
@@ -113,6 +119,7 @@
         self.idle_since = clock.now()
         self.handled = 0
         self.scope = anyio.CancelScope()
+        self.idle_scope = anyio.CancelScope()
 
     async def run(self) -> None:
         """Serve requests until either side closes the connection."""
@@ -211,14 +218,28 @@
         """Wait for a request head: the idle timeout applies first, then the header timeout."""
         event = self.state.next_event()
         if event is h11.NEED_DATA and not self.state.trailing_data[0]:
-            with anyio.fail_after(self.limits.idle_timeout_s):
-                await self.receive()
+            if not await self.receive_first_data():
+                return None
             event = self.state.next_event()
         if event is h11.NEED_DATA:
             with anyio.fail_after(self.limits.header_timeout_s):
                 event = await self.next_event()
         return event if isinstance(event, h11.Request) else None
 
+    async def receive_first_data(self) -> bool:
+        """Wait for data while the connection is idle; return False if it is closed before."""
+        with anyio.fail_after(self.limits.idle_timeout_s), anyio.CancelScope() as self.idle_scope:
+            await self.receive()
+            return True
+        with anyio.move_on_after(LAST_DATA_TIMEOUT_S):
+            await self.receive()
+            return True
+        return False
+
+    def close_idle(self) -> None:
+        """Close the connection, unless data of a request has arrived meanwhile."""
+        self.idle_scope.cancel()
+
     async def next_event(self) -> typing.Any:
         """Return the next h11 event."""
         while (event := self.state.next_event()) is h11.NEED_DATA:
@@ -394,9 +415,11 @@
         ]
 
     def close_idle(self) -> None:
-        """Close all idle connections."""
+        """Close all idle connections; new ones get some time to send their first request."""
+        accepted_before = clock.now() - FIRST_REQUEST_TIMEOUT_S
         for connection in self.idle_connections():
-            connection.scope.cancel()
+            if connection.handled or connection.idle_since < accepted_before:
+                connection.close_idle()
 
     async def make_room(self) -> None:
         """Wait until a connection may be accepted; the one idle for longest is closed for it."""
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -174,3 +174,51 @@
                 connect_and_send(address)
 
     anyio.run(main)
+
+
+def test_request_that_arrives_before_the_close_of_an_idle_connection_is_answered():
+    """Guards against data that has arrived and is dropped with an idle connection."""
+
+    async def main():
+        async with running_server(respond_slowly) as (server, address):
+            connection = connect_and_send(address)
+            await anyio.sleep(2 * SERVER_TIME_S)
+            connection.sendall(REQUEST)
+            server.closing = True
+            server.close_idle()
+            received = await read_all(connection)
+            assert received.count(b"whole") == 2
+            assert received.lower().count(b"connection: close") == 1
+
+    anyio.run(main)
+
+
+def test_closing_server_waits_for_the_first_request_of_a_new_connection():
+    """Guards against closing a connection whose first request is on its way."""
+
+    async def main():
+        async with running_server(respond_slowly) as (server, address):
+            host, _, port = address.rpartition(":")
+            connection = socket.create_connection((host, int(port)))
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(server.close, clock.now() + 5)
+                await anyio.sleep(ingress.FIRST_REQUEST_TIMEOUT_S / 2)
+                connection.sendall(REQUEST)
+                assert (await read_all(connection)).endswith(b"whole")
+
+    anyio.run(main)
+
+
+def test_closing_server_does_not_wait_for_connections_without_requests():
+    """Guards against a stop that lasts as long as idle connections are open."""
+
+    async def main():
+        async with running_server(respond_slowly) as (server, address):
+            host, _, port = address.rpartition(":")
+            connection = socket.create_connection((host, int(port)))
+            started_at = clock.now()
+            await server.close(started_at + 5)
+            assert clock.now() - started_at < 4 * ingress.FIRST_REQUEST_TIMEOUT_S
+            assert await read_all(connection) == b""
+
+    anyio.run(main)
