--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -79,6 +79,31 @@
     run(main)
 
 
+def test_request_whose_connection_to_a_server_comes_too_late_is_refused():
+    """Guards against a request that could finish before the wait for a connection, not after."""
+
+    async def main():
+        backend = gateways.Backend("p1", "plain", slow)
+        async with gateways.running(backend) as harness:
+            await learn_durations(harness)
+            bound_s = harness.forwarder.durations.bound_s(NON_IDEMPOTENT)
+            pool = harness.forwarder.pool(backend.entry())
+            await pool.close()
+            open_connection = pool.open
+
+            async def open_late():
+                await anyio.sleep(bound_s)
+                return await open_connection()
+
+            pool.open = open_late
+            harness.forwarder.end_requests_at(clock.now() + 1.5 * bound_s)
+            response = await gateways.send_once(harness, "POST", "/act/x", b"pay")
+            assert (response.status, response.complete) == (503, True)
+            assert len(backend.received) == durations.MIN_SAMPLES
+
+    run(main)
+
+
 @pytest.mark.parametrize(("path", "status"), [("/act/x", 502), ("/read/x", 502)])
 def test_unfinished_request_gets_a_response_at_the_end_of_a_stop(path, status):
     """Guards against connections that are closed without a response when the process ends."""
