--- a/src/dogwoodgap/forwarder.py
+++ b/src/dogwoodgap/forwarder.py
@@ -371,6 +371,17 @@
                 STOPPING_RETRY_AFTER_S,
             )
 
+    def refuse_if_late(
+        self,
+        connection: upstream.Connection,
+        digest: int,
+        progress: progress_module.Progress,
+        responder: ingress.Responder,
+    ) -> None:
+        """Raise the error for a request that became futile while its connection was opened."""
+        if not connection.is_reused:
+            self.refuse_futile(digest, progress, responder)
+
     def refuse_crashing(
         self, digest: int, progress: progress_module.Progress, responder: ingress.Responder
     ) -> None:
@@ -667,9 +678,7 @@
             connection = await self.acquire_connection(pool, max_idle_s)
             if not self.server_registry.is_usable(server):
                 return progress_module.AttemptResult.NOT_RUN
-            if not connection.is_reused:
-                # Opening a connection takes time, in which the request may have become futile.
-                self.refuse_futile(digest, progress, responder)
+            self.refuse_if_late(connection, digest, progress, responder)
             is_run_lost = True
             with self.measure_attempt(progress, state) as measurement:
                 result = await self.send_and_relay(call, progress, responder, connection)
