--- a/src/dogwoodgap/gateway.py
+++ b/src/dogwoodgap/gateway.py
@@ -329,7 +329,7 @@
         No other signal changes anything. Signals are received until the process ends, since their
         default action would end it at once.
         """
-        with process_signals.receive() as received:
+        async with process_signals.receive() as received:
             task_status.started()
             async for signum in received:
                 if signum == signal.SIGHUP:
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -1,5 +1,6 @@
 """Signals to gateways and storage roles as separate processes."""
 
+import itertools
 import signal
 import time
 
@@ -62,11 +63,11 @@
     """Guards against a storage role that a SIGHUP ends while it starts."""
     process = gateway_process.start("dogwoodgap_platform.storage")
     try:
+        # The interpreter itself has no handler before the first line of the program.
+        gateway_process.wait_until_signals_are_held(process)
         until = time.monotonic() + 1.5
         while time.monotonic() < until:
-            # The interpreter itself has no handler before the first line of the program.
-            if time.monotonic() > until - 1.2:
-                process.send_signal(signal.SIGHUP)
+            process.send_signal(signal.SIGHUP)
             time.sleep(0.02)
         assert process.poll() is None
         process.send_signal(signal.SIGTERM)
@@ -105,3 +106,24 @@
         assert process.wait(10) == 0
     finally:
         process.kill()
+
+
+def test_signals_at_the_end_of_a_stop_change_nothing(tmp_path):
+    """Guards against a SIGTERM or SIGHUP whose default action ends a gateway that has stopped."""
+
+    async def main():
+        deploy = gateway_process.deployment(
+            tmp_path, gateways.complete_response(), platform_stand_in.CONFIGURATION
+        )
+        async with deploy as deployed:
+            process = deployed.start_gateway("directory_ttl_s = 0.05")
+            await gateway_process.wait_until_ready(deployed.addresses["http"])
+            numbers = itertools.cycle([signal.SIGTERM, signal.SIGHUP, signal.SIGINT])
+            until = time.monotonic() + gateway_process.START_LIMIT_S
+            while process.poll() is None and time.monotonic() < until:
+                process.send_signal(next(numbers))
+                await anyio.sleep(0.001)
+            assert process.wait(0) == 0
+            assert "GATEWAY_STOPPED" in deployed.log()
+
+    anyio.run(main)
