Keep a token account until its new owner has acknowledged it

Cause: on_fetch removed an account and returned it in the reply, and send_accounts removed accounts while their message was under way. If the reply was late or lost, the account existed nowhere. A reservation or fetch during a transfer found no account either.

Evidence: four tests in tests/test_budget_owners.py failed before. After a lost reply to a fetch, a program with a budget of 5800 tokens spent 7250. During a transfer that could not be delivered, a last resort counted 0 instead of 1450 tokens, and a fetch returned no account. A turn that was settled between two deliveries of its account counted 290 instead of 10 tokens.

Why the fix works: an owner keeps an account that it is asked for and moves it once it knows the new owner; any other node keeps it in AccountTransfers.outgoing until a transfer is acknowledged. Duplicates count once: usage merges by the copy that counted it, and a copy that arrives late does not bring back reservations that were settled here. An account now merges in place, so that it keeps its timing and claim. Messages are unchanged.

--- a/src/dogwoodgap/budget_owners.py
+++ b/src/dogwoodgap/budget_owners.py
@@ -259,6 +259,7 @@
         """Decide on a reservation, recording the program's usage first if needed."""
         assume_usage = request.last_resort or self.may_have_lost_account(request.program)
         async with self.locks.setdefault(request.program, anyio.Lock()):
+            self.transfers.take_back(request.program)
             if request.program not in self.ledger.accounts and not request.last_resort:
                 await self.fetch_account(request.program)
             is_new = request.program not in self.ledger.accounts
@@ -378,10 +379,19 @@
     async def on_fetch(
         self, sender: ttypes.Member, message: ttypes.TokenFetch
     ) -> ttypes.TokenFetchReply:
-        """Hand over an account to its new owner, and report the recently lost nodes."""
+        """Hand over an account to its new owner, and report the recently lost nodes.
+
+        The reply may get lost. An account of this node therefore stays here until its owner
+        changes, and any other is kept until its owner has acknowledged a transfer.
+        """
         can_vouch = self.can_vouch(sender)
         self.mark_replaced(sender)
-        account = self.ledger.accounts.pop(message.program, None)
+        if self.is_owner(message.program):
+            account = self.ledger.accounts.get(message.program)
+        else:
+            account = self.transfers.hand_over(message.program)
+            if account is not None:
+                self.transfers.request_move()
         entry = self.record_client.cached_records.get(message.program)
         return ttypes.TokenFetchReply(
             account=None if account is None else budget_wire.to_wire(message.program, account),
--- a/src/dogwoodgap/budget_transfers.py
+++ b/src/dogwoodgap/budget_transfers.py
@@ -55,6 +55,12 @@
     ----------
     owners : callable
         Returns the members in the order of ownership of a program.
+
+    Attributes
+    ----------
+    outgoing : dict of str to budgets.Account
+        Accounts that were sent to their owner, which has not acknowledged them yet, by program.
+        They do not change until they are taken back.
     """
 
     def __init__(
@@ -68,6 +74,7 @@
         self.owners = owners
         self.is_move_requested = False
         self.is_moving = False
+        self.outgoing: dict[str, budgets.Account] = {}
         self.replicated: dict[str, ReplicatedRecord] = {}
         self.local: members.Member | None = None
         self.network: peers.Network | None = None
@@ -111,12 +118,15 @@
         by_owner: dict[str, list[str]] = {}
         members_by_node: dict[str, members.Member] = {}
         owned_records: list[budget_records.CachedRecord] = []
-        for program, account in self.ledger.accounts.items():
+        for program in {**self.ledger.accounts, **self.outgoing}:
             owner = self.owners(program)[0]
             if owner is not self.local:
                 members_by_node[owner.node] = owner
                 by_owner.setdefault(owner.node, []).append(program)
-            elif account.revision:
+                continue
+            self.take_back(program)
+            account = self.ledger.accounts[program]
+            if account.revision:
                 owned_records.append(budget_records.cached_record(program, account))
         self.replicate_records(owned_records)
         for node, programs in by_owner.items():
@@ -125,15 +135,31 @@
                     members_by_node[node], programs[start : start + MAX_ENTRIES_PER_MESSAGE]
                 )
 
+    def hand_over(self, program: str) -> budgets.Account | None:
+        """Return the account to send to its owner, and keep it until that is acknowledged."""
+        account = self.ledger.accounts.pop(program, None)
+        sent = self.outgoing.get(program)
+        if account is None:
+            return sent
+        if sent is not None:
+            account.merge(sent)
+        self.forget(program)
+        self.outgoing[program] = account
+        return account
+
+    def take_back(self, program: str) -> None:
+        """Use an account here again whose transfer is not acknowledged, if there is one."""
+        account = self.outgoing.pop(program, None)
+        if account is not None:
+            self.ledger.merge(program, account)
+
     async def send_accounts(self, owner: members.Member, programs: list[str]) -> None:
         """Send accounts to their new owner; restore them if it does not respond."""
         sent_accounts = {
             program: account
             for program in programs
-            if (account := self.ledger.accounts.pop(program, None)) is not None
+            if (account := self.hand_over(program)) is not None
         }
-        for program in sent_accounts:
-            self.forget(program)
         message = ttypes.TokenTransfer(
             accounts=[budget_wire.to_wire(*item) for item in sent_accounts.items()]
         )
@@ -143,7 +169,8 @@
             )
         except exceptions.PeerError as error:
             for program, account in sent_accounts.items():
-                self.ledger.merge(program, account)
+                if self.outgoing.get(program) is account:
+                    self.take_back(program)
             # Requested again, since a change of members need not follow.
             self.is_move_requested = True
             log_peer_unreachable(
@@ -152,6 +179,10 @@
                 error,
                 accounts=len(sent_accounts),
             )
+            return
+        for program, account in sent_accounts.items():
+            if self.outgoing.get(program) is account:
+                del self.outgoing[program]
 
     async def on_transfer(self, sender: ttypes.Member, message: ttypes.TokenTransfer) -> ttypes.Ack:
         """Merge accounts from another node."""
--- a/src/dogwoodgap/budgets.py
+++ b/src/dogwoodgap/budgets.py
@@ -53,6 +53,9 @@
         Identifies this copy.
     reservations : dict of str to Reservation
         Reservations of running turns, by attempt id.
+    settled : set of str
+        Attempt ids of the reservations that were settled here. A copy of the account that arrives
+        later may still hold these reservations.
     recorded : int
         Usage recorded in the store; 0 without a record.
     revision : int
@@ -76,6 +79,7 @@
     usage: dict[str, int] = dataclasses.field(default_factory=dict)
     copy_id: str = dataclasses.field(default_factory=lambda: uuid.uuid4().hex[:12])
     reservations: dict[str, Reservation] = dataclasses.field(default_factory=dict)
+    settled: set[str] = dataclasses.field(default_factory=set)
     recorded: int = 0
     revision: int = 0
     last_used_at: float = 0.0
@@ -130,6 +134,22 @@
         reported_usage = max(usage, announced)
         self.assumed = max(self.assumed, reported_usage - self.known_usage)
 
+    def merge(self, other: "Account") -> None:
+        """Merge another copy of this account into this one."""
+        # The assumption of one node is superseded by the known usage of the other.
+        self.assumed = min(self.assumed, other.assumed)
+        for copy_id, tokens in other.usage.items():
+            self.usage[copy_id] = max(tokens, self.usage.get(copy_id, 0))
+        self.settled |= other.settled
+        self.reservations = {
+            attempt_id: reservation
+            for attempt_id, reservation in {**other.reservations, **self.reservations}.items()
+            if attempt_id not in self.settled
+        }
+        if other.revision > self.revision:
+            self.recorded, self.revision = other.recorded, other.revision
+            self.claimed = other.claimed
+
 
 def unrecorded_allowance(budget: int) -> int:
     """Return the tokens of a budget that may be used without a record."""
@@ -162,6 +182,7 @@
         """Reserve the maximum usage of a turn if the budget allows it."""
         self.expire_reservations(account)
         account.reservations.pop(attempt_id, None)
+        account.settled.discard(attempt_id)
         if account.committed + tokens > account.budget:
             return Verdict.REFUSED
         if account.needs_record(tokens):
@@ -183,21 +204,21 @@
         if account is None or account.reservations.pop(attempt_id, None) is None:
             return False
         account.add_usage(tokens)
+        if tokens:
+            # Without usage the reservation was cancelled, and the next owner may hold the one of
+            # the same attempt that is used.
+            account.settled.add(attempt_id)
         return True
 
     def merge(self, program: str, received: Account) -> None:
         """Merge an account from another node into the account held by this one."""
         local = self.accounts.get(program)
-        received.last_used_at = clock.now()
-        if local is not None:
-            # The assumption of one node is superseded by the known usage of the other.
-            received.assumed = min(received.assumed, local.assumed)
-            for copy_id, tokens in local.usage.items():
-                received.usage[copy_id] = max(tokens, received.usage.get(copy_id, 0))
-            received.reservations = {**received.reservations, **local.reservations}
-            if local.revision > received.revision:
-                received.recorded, received.revision = local.recorded, local.revision
-        self.accounts[program] = received
+        if local is None:
+            local = self.accounts[program] = received
+        else:
+            # Callers that wait for the store keep a reference to the local account.
+            local.merge(received)
+        local.last_used_at = clock.now()
 
     def evict_idle(self) -> dict[str, Account]:
         """Remove and return the accounts that were idle for ``ACCOUNT_TTL_S``."""
--- a/tests/test_budget_owners.py
+++ b/tests/test_budget_owners.py
@@ -425,3 +425,66 @@
         assert max(fleet.spent.values()) <= budget + TURN
 
     body()
+
+
+@with_fleet(3)
+async def test_account_whose_fetch_reply_was_lost_is_not_lost(fleet):
+    """Guards against a fresh budget because an account existed only in a reply that got lost."""
+    budget = 20 * TURN
+    spent = await fleet.spend("p", budget, limit=5)
+    owner = fleet.owner("p")
+    other = next(node for name, node in fleet.nodes.items() if name != owner)
+    fleet.shared_network.lost_replies = 1.0
+    assert await other.fetch_from(fleet.memberships[owner].local, "p") is None
+    fleet.shared_network.lost_replies = 0.0
+    spent += await fleet.spend("p", budget)
+    assert spent == budget
+
+
+@with_fleet(3)
+async def test_account_in_a_transfer_that_is_not_delivered_stays_available(fleet):
+    """Guards against a last resort that starts an account at zero while it is being sent."""
+    budget = 20 * TURN
+    await fleet.spend("p", budget, limit=5)
+    leaving = fleet.owner("p")
+    others = [fleet.address(name) for name in fleet.nodes if name != leaving]
+    fleet.shared_network.partition([fleet.address(leaving)], others)
+    fleet.tasks.start_soon(fleet.memberships[leaving].leave)
+    await anyio.sleep(0.1)
+    request = ttypes.TokenReserve(
+        program="p", attempt="a", tokens=TURN, budget=budget, last_resort=True
+    )
+    await fleet.nodes[leaving].decide(request)
+    assert fleet.nodes[leaving].ledger.accounts["p"].known_usage == 5 * TURN
+
+
+@with_fleet(3)
+async def test_turn_settled_between_two_deliveries_of_its_account_counts_once(fleet):
+    """Guards against a reservation that an account brings back after its turn was settled."""
+    budget = 20 * TURN
+    owner = fleet.owner("p")
+    other = next(node for name, node in fleet.nodes.items() if name != owner)
+    call = turn("p", "x", budget)
+    await fleet.nodes[owner].reserve(call)
+    reply = await other.fetch_from(fleet.memberships[owner].local, "p")
+    fleet.nodes[owner].settle(call, 10)
+    await anyio.sleep(0.1)
+    fleet.nodes[owner].merge_fetched("p", reply)
+    assert fleet.nodes[owner].ledger.accounts["p"].committed == 10
+
+
+@with_fleet(3)
+async def test_account_in_a_transfer_that_is_not_delivered_can_be_fetched(fleet):
+    """Guards against a new owner that starts an account at zero while it is being sent."""
+    budget = 20 * TURN
+    await fleet.spend("p", budget, limit=5)
+    leaving = fleet.owner("p")
+    others = [fleet.address(name) for name in fleet.nodes if name != leaving]
+    fleet.shared_network.partition([fleet.address(leaving)], others)
+    fleet.tasks.start_soon(fleet.memberships[leaving].leave)
+    await anyio.sleep(0.1)
+    fleet.shared_network.broken_links.clear()
+    node = next(node for name, node in fleet.nodes.items() if name != leaving)
+    reply = await node.fetch_from(fleet.memberships[leaving].local, "p")
+    assert reply.account is not None
+    assert sum(reply.account.usage.values()) == 5 * TURN
