Grant no turn on an account that moved during a call to the store

What callers would see: a program whose owner leaves while it records usage could run a turn more than its budget covers (rule BUDGET).

Cause: decide looked the account up, awaited the write of the record, and then reserved on the same object, although the account had been sent to its new owner meanwhile. The reservation and the usage of the turn were then counted nowhere.

Evidence: test_turn_is_not_granted_on_an_account_that_moved_while_its_record_was_written failed before; the turn was granted and no node held its reservation.

Why the fix works: after the call, decide replies NOT_OWNER unless the account is still the one held here. The caller then searches for the owner again, as after any other change of the members.

--- a/src/dogwoodgap/budget_owners.py
+++ b/src/dogwoodgap/budget_owners.py
@@ -282,6 +282,9 @@
                 store_responded = await self.record_client.write(request.program, account, usage)
                 if not store_responded and not account.claimed:
                     account = await self.claim_without_store(request, account)
+                if self.ledger.accounts.get(request.program) is not account:
+                    # The account has moved to its new owner during the call to the store.
+                    return ttypes.TokenReserveReply(verdict=ttypes.TokenVerdict.NOT_OWNER)
                 verdict = self.ledger.reserve(account, request.attempt, request.tokens)
         if verdict is budgets.Verdict.REFUSED:
             log_account(
--- a/tests/test_budget_owners.py
+++ b/tests/test_budget_owners.py
@@ -488,3 +488,36 @@
     reply = await node.fetch_from(fleet.memberships[leaving].local, "p")
     assert reply.account is not None
     assert sum(reply.account.usage.values()) == 5 * TURN
+
+
+@with_fleet(3)
+async def test_turn_is_not_granted_on_an_account_that_moved_while_its_record_was_written(fleet):
+    """Guards against a reservation on a copy of an account that another node has taken over."""
+    budget = 20 * TURN
+    await fleet.spend("p", budget, limit=8)
+    owner = fleet.nodes[fleet.owner("p")]
+    account = owner.ledger.accounts["p"]
+    account.add_usage(2 * TURN)
+    write = fleet.records.write
+
+    async def slow_write(record):
+        await anyio.sleep(0.1)
+        return await write(record)
+
+    fleet.records.write = slow_write
+    replies = []
+
+    async def decide():
+        request = ttypes.TokenReserve(
+            program="p", attempt="a", tokens=TURN, budget=budget, last_resort=False
+        )
+        replies.append(await owner.decide(request))
+
+    fleet.tasks.start_soon(decide)
+    await anyio.sleep(0.05)
+    await owner.membership.leave()
+    await anyio.sleep(0.5)
+    granted = replies[0].verdict == ttypes.TokenVerdict.GRANTED
+    holders = [node for node in fleet.nodes.values() if "p" in node.ledger.accounts]
+    reserved = any("a" in node.ledger.accounts["p"].reservations for node in holders)
+    assert granted == reserved
