Pass on a token account that reached a node that does not own its program

What callers would see: a program could run turns beyond its token budget (rule BUDGET) when two gateways left or joined within a short time, since its account waited at a node that nobody asks.

Cause: move_accounts computes the owners and then sends one message after the other, each of which may take a second. A receiver that no longer owned the program kept the account until the next membership change, while its owner had started a new one.

Evidence: test_account_received_by_another_node_reaches_its_owner failed before; the owner had no account half a second after the transfer.

Why the fix works: the receiver moves what it does not own by its own view of the members, like after a membership change. Nodes whose views differ for long exchange an account at most once in MOVE_INTERVAL_S. Messages are unchanged; an older receiver keeps the account as before.

--- a/src/dogwoodgap/budget_transfers.py
+++ b/src/dogwoodgap/budget_transfers.py
@@ -91,6 +91,10 @@
         network.handlers.register(ttypes.TokenTransfer, self.on_transfer)
         network.handlers.register(ttypes.TokenRecords, self.on_records)
 
+    def is_owner(self, program: str) -> bool:
+        """Return whether this node owns a program."""
+        return self.owners(program)[0] is self.local
+
     # Moving accounts to their new owners
 
     def request_move(self) -> None:
@@ -152,6 +156,8 @@
         account = self.outgoing.pop(program, None)
         if account is not None:
             self.ledger.merge(program, account)
+            if not self.is_owner(program):
+                self.request_move()
 
     async def send_accounts(self, owner: members.Member, programs: list[str]) -> None:
         """Send accounts to their new owner; restore them if it does not respond."""
@@ -185,9 +191,14 @@
                 del self.outgoing[program]
 
     async def on_transfer(self, sender: ttypes.Member, message: ttypes.TokenTransfer) -> ttypes.Ack:
-        """Merge accounts from another node."""
+        """Merge accounts from another node.
+
+        The sender may not know the newest members, so accounts of other owners are passed on.
+        """
         for account in message.accounts or []:
             self.ledger.merge(account.program, budget_wire.from_wire(account))
+            if not self.is_owner(account.program):
+                self.request_move()
         return ttypes.Ack(ok=True)
 
     # Replicating records to the next owners
--- a/tests/test_budget_owners.py
+++ b/tests/test_budget_owners.py
@@ -521,3 +521,15 @@
     holders = [node for node in fleet.nodes.values() if "p" in node.ledger.accounts]
     reserved = any("a" in node.ledger.accounts["p"].reservations for node in holders)
     assert granted == reserved
+
+
+@with_fleet(4)
+async def test_account_received_by_another_node_reaches_its_owner(fleet):
+    """Guards against a fresh budget because an account was sent to a node that had just left."""
+    budget = 20 * TURN
+    await fleet.spend("p", budget, limit=5)
+    owner, other = fleet.owner("p"), (fleet.owner("p") + 1) % 4
+    await fleet.nodes[owner].transfers.send_accounts(fleet.memberships[other].local, ["p"])
+    await anyio.sleep(0.5)
+    assert fleet.nodes[owner].ledger.accounts["p"].known_usage == 5 * TURN
+    assert "p" not in fleet.nodes[other].ledger.accounts
