Decide on no turn at a node that left while it fetched the account

What callers would see: a program could run a turn more than its token budget covers (rule BUDGET) when its owner left while it asked the previous owner for the account.

Cause: on_reserve checked the ownership, and decide then awaited the fetch. The accounts of the node moved meanwhile, so the account that it created afterwards stayed there until its process ended.

Evidence: test_turn_that_waits_for_an_account_is_not_decided_by_a_node_that_left failed before; the node that had left still held the account and the reservation 1.5 s later.

Why the fix works: decide checks the ownership again after the fetch, passes on what was fetched, and replies NOT_OWNER, so that the caller searches for the owner again. After a call to the store it takes back an account whose transfer was not delivered, instead of refusing the turn.

--- a/src/dogwoodgap/budget_owners.py
+++ b/src/dogwoodgap/budget_owners.py
@@ -262,6 +262,10 @@
             self.transfers.take_back(request.program)
             if request.program not in self.ledger.accounts and not request.last_resort:
                 await self.fetch_account(request.program)
+                if not self.is_owner(request.program):
+                    # The members have changed since; pass on what was fetched.
+                    self.transfers.request_move()
+                    return ttypes.TokenReserveReply(verdict=ttypes.TokenVerdict.NOT_OWNER)
             is_new = request.program not in self.ledger.accounts
             account = self.ledger.get_or_create(
                 request.program, request.budget, assume_usage=assume_usage
@@ -282,6 +286,7 @@
                 store_responded = await self.record_client.write(request.program, account, usage)
                 if not store_responded and not account.claimed:
                     account = await self.claim_without_store(request, account)
+                self.transfers.take_back(request.program)
                 if self.ledger.accounts.get(request.program) is not account:
                     # The account has moved to its new owner during the call to the store.
                     return ttypes.TokenReserveReply(verdict=ttypes.TokenVerdict.NOT_OWNER)
--- a/tests/test_budget_owners.py
+++ b/tests/test_budget_owners.py
@@ -533,3 +533,31 @@
     await anyio.sleep(0.5)
     assert fleet.nodes[owner].ledger.accounts["p"].known_usage == 5 * TURN
     assert "p" not in fleet.nodes[other].ledger.accounts
+
+
+@with_fleet(4)
+async def test_turn_that_waits_for_an_account_is_not_decided_by_a_node_that_left(fleet):
+    """Guards against usage that is lost with a node that left while it fetched the account."""
+    name = fleet.owner("p")
+    owner = fleet.nodes[name]
+    owner.members_changed_at = anyio.current_time()
+    second = owner.owners("p")[1]
+    fleet.shared_network.partition([fleet.address(name)], [second.peer_address])
+    replies = []
+
+    async def decide():
+        request = ttypes.TokenReserve(
+            program="p", attempt="a", tokens=TURN, budget=20 * TURN, last_resort=False
+        )
+        replies.append(await owner.decide(request))
+
+    fleet.tasks.start_soon(decide)
+    await anyio.sleep(0.05)
+    fleet.tasks.start_soon(fleet.memberships[name].leave)
+    await anyio.sleep(0.5)
+    fleet.shared_network.broken_links.clear()
+    await anyio.sleep(1.0)
+    granted = replies[0].verdict == ttypes.TokenVerdict.GRANTED
+    assert "p" not in owner.ledger.accounts
+    holders = [node for node in fleet.nodes.values() if "p" in node.ledger.accounts]
+    assert granted == any("a" in node.ledger.accounts["p"].reservations for node in holders)
