Hand over accounts and write records before a stopped gateway departs

What callers would see: after a planned stop a program could get a fresh token budget (rule BUDGET), have an unsettled turn counted in full, or a request that crashes servers could be forgotten.

Cause: Gateway.stop cancelled all tasks once its departure was announced. It did not wait for settlements of the last requests, for accounts whose transfer was not acknowledged, and for pending records of budgets and crashes. If all gateways stop, nothing else holds their accounts.

Why the fix works: BudgetCoordinator.close and CrashRecorder.close run between the end of the last request and the departure. They settle, transfer and record what is left, and end after 0.15 s at the end of the grace period, or 1.5 s in a stop that ends early. The departure ends at the same time as before. From then on, the node refuses accounts and reservations; a sender keeps an account that was refused. Owners get their accounts at the same time, so that one that does not respond delays no others. Messages are unchanged; an older sender ignores the refusal as it ignored any other.

--- a/src/dogwoodgap/budget_owners.py
+++ b/src/dogwoodgap/budget_owners.py
@@ -4,6 +4,7 @@
 changes, accounts move to their new owners. If an owner is unreachable, the next one decides.
 """
 
+import logging
 import math
 import random
 
@@ -88,6 +89,8 @@
         self.joined_at = math.inf
         self.is_first_start = False
         self.members_changed_at = -math.inf
+        self.open_settlements = 0
+        self.all_settled = anyio.Event()
         self.turn_estimator = pacing.TurnEstimator()
         self.membership: membership.Membership | None = None
         self.network: peers.Network | None = None
@@ -167,7 +170,7 @@
     def cancel_reservation(self, owner: members.Member, request: ttypes.TokenReserve) -> None:
         """Cancel a reservation that an owner may still grant after the request timed out."""
         message = ttypes.TokenSettle(program=request.program, attempt=request.attempt, tokens=0)
-        background.start(self.tasks, self.send_settlement, message, [owner])
+        self.start_settlement(message, [owner])
 
     def raise_if_refused(self, call: dialect.Call, verdict: int) -> None:
         """Raise the error that belongs to a verdict, if any."""
@@ -214,7 +217,23 @@
         )
         if self.tasks is not None:
             owners = self.owners(call.program_id)[:2]
-            background.start(self.tasks, self.send_settlement, message, owners)
+            self.start_settlement(message, owners)
+
+    def start_settlement(self, message: ttypes.TokenSettle, owners: list[members.Member]) -> None:
+        """Send a settlement in the background."""
+
+        async def send() -> None:
+            try:
+                await self.send_settlement(message, owners)
+            finally:
+                self.open_settlements -= 1
+                if not self.open_settlements:
+                    self.all_settled.set()
+
+        if not self.open_settlements:
+            self.all_settled = anyio.Event()
+        self.open_settlements += 1
+        background.start(self.tasks, send)
 
     async def send_settlement(
         self, message: ttypes.TokenSettle, owners: list[members.Member]
@@ -247,6 +266,8 @@
         self, sender: ttypes.Member, message: ttypes.TokenReserve
     ) -> ttypes.TokenReserveReply:
         """Handle a reservation request of another node."""
+        if self.transfers.is_closed:
+            return ttypes.TokenReserveReply(verdict=ttypes.TokenVerdict.NOT_OWNER)
         if not message.last_resort and not self.is_owner(message.program):
             return ttypes.TokenReserveReply(verdict=ttypes.TokenVerdict.NOT_OWNER)
         return await self.decide(message)
@@ -518,6 +539,36 @@
                 self.mark_lost(member.node)
         self.transfers.request_move()
 
+    # End of the process
+
+    async def close(self, timeout_s: float) -> None:
+        """Settle the last turns and hand over all accounts and records within a time.
+
+        No more turns may be reserved here. What has no other owner is recorded in the store.
+        """
+        self.transfers.is_closed = True
+        with anyio.move_on_after(timeout_s) as scope:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.wait_for_settlements)
+                tasks.start_soon(self.record_client.flush)
+                tasks.start_soon(self.transfers.move_accounts)
+            await self.transfers.move_accounts()
+            self.record_client.pending_programs.update(self.ledger.accounts)
+            await self.record_client.flush()
+        if scope.cancelled_caught:
+            events.emit(
+                events.Event.BUDGET_UNRECORDED,
+                "the process ends before all token usage was handed over or recorded",
+                level=logging.WARNING,
+                accounts=len(self.ledger.accounts) + len(self.transfers.outgoing),
+                settlements=self.open_settlements,
+            )
+
+    async def wait_for_settlements(self) -> None:
+        """Wait until no settlement is under way."""
+        if self.open_settlements:
+            await self.all_settled.wait()
+
     # Periodic maintenance
 
     async def run(self) -> None:
--- a/src/dogwoodgap/budget_transfers.py
+++ b/src/dogwoodgap/budget_transfers.py
@@ -58,6 +58,8 @@
 
     Attributes
     ----------
+    is_closed : bool
+        Whether this process is about to end and accepts no accounts.
     outgoing : dict of str to budgets.Account
         Accounts that were sent to their owner, which has not acknowledged them yet, by program.
         They do not change until they are taken back.
@@ -75,6 +77,7 @@
         self.is_move_requested = False
         self.is_moving = False
         self.outgoing: dict[str, budgets.Account] = {}
+        self.is_closed = False
         self.replicated: dict[str, ReplicatedRecord] = {}
         self.local: members.Member | None = None
         self.network: peers.Network | None = None
@@ -133,11 +136,12 @@
             if account.revision:
                 owned_records.append(budget_records.cached_record(program, account))
         self.replicate_records(owned_records)
-        for node, programs in by_owner.items():
-            for start in range(0, len(programs), MAX_ENTRIES_PER_MESSAGE):
-                await self.send_accounts(
-                    members_by_node[node], programs[start : start + MAX_ENTRIES_PER_MESSAGE]
-                )
+        # Sent at the same time, so that owners that do not respond delay no others.
+        async with anyio.create_task_group() as tasks:
+            for node, programs in by_owner.items():
+                for start in range(0, len(programs), MAX_ENTRIES_PER_MESSAGE):
+                    batch = programs[start : start + MAX_ENTRIES_PER_MESSAGE]
+                    tasks.start_soon(self.send_accounts, members_by_node[node], batch)
 
     def hand_over(self, program: str) -> budgets.Account | None:
         """Return the account to send to its owner, and keep it until that is acknowledged."""
@@ -170,9 +174,11 @@
             accounts=[budget_wire.to_wire(*item) for item in sent_accounts.items()]
         )
         try:
-            await self.network.request(
+            reply = await self.network.request(
                 owner.peer_address, message, ttypes.Ack, timeout_s=TRANSFER_TIMEOUT_S
             )
+            if not reply.message.ok:
+                raise exceptions.PeerError(f"{owner.node} accepts no accounts")
         except exceptions.PeerError as error:
             for program, account in sent_accounts.items():
                 if self.outgoing.get(program) is account:
@@ -195,6 +201,8 @@
 
         The sender may not know the newest members, so accounts of other owners are passed on.
         """
+        if self.is_closed:
+            return ttypes.Ack(ok=False)
         for account in message.accounts or []:
             self.ledger.merge(account.program, budget_wire.from_wire(account))
             if not self.is_owner(account.program):
--- a/src/dogwoodgap/crash_records.py
+++ b/src/dogwoodgap/crash_records.py
@@ -83,6 +83,11 @@
             self.expiries[digest] = clock.now() + crash_evidence.REFUSAL_TTL_S
         return True
 
+    async def close(self, timeout_s: float) -> None:
+        """Store the pending requests within a time, since this process ends."""
+        with anyio.move_on_after(timeout_s):
+            await self.store_pending()
+
     async def load(self) -> None:
         """Read the records of all nodes, as soon as the store responds."""
         while True:
--- a/src/dogwoodgap/gateway.py
+++ b/src/dogwoodgap/gateway.py
@@ -60,6 +60,19 @@
 LAST_RESPONSES_TIMEOUT_S = 0.15
 """Time to send the error responses of requests that were still unfinished at the end of a stop."""
 
+LAST_RECORDS_TIMEOUT_S = 0.15
+"""Time kept at the end of a stop to hand over token accounts and to write the last records."""
+
+MAX_RECORDS_TIMEOUT_S = 1.5
+"""Longest time to hand over accounts and records in a stop that ends early: a transfer to an owner
+that does not respond takes 1 s, and what it returns is then recorded."""
+
+MAX_DEPARTURE_S = STOP_MARGIN_S / 2
+"""Longest time to announce that this process has ended."""
+
+LAST_DEPARTURE_S = 0.75 * STOP_MARGIN_S
+"""Time after the end of the last requests until which the departure is announced; the rest of
+``STOP_MARGIN_S`` is left to the exit of the process."""
 
 BYTES_PER_MB = 1_000_000
 
@@ -354,6 +367,15 @@
             for server in (self.request_server, self.relay_server):
                 tasks.start_soon(server.close, give_up_at)
 
+    async def write_last_records(self, give_up_at: float) -> None:
+        """Hand over what the other gateways need of the requests that were handled here."""
+        if self.announced is None:
+            return
+        timeout_s = min(give_up_at - clock.now(), MAX_RECORDS_TIMEOUT_S)
+        async with anyio.create_task_group() as tasks:
+            background.start(tasks, self.budget_coordinator.close, timeout_s)
+            background.start(tasks, self.crash_tracker.recorder.close, timeout_s)
+
     async def stop(self) -> None:
         """Leave the directory, handle requests that still arrive, then close all connections.
 
@@ -384,8 +406,10 @@
         )
         # Only once nothing can be accepted any more is it certain that nothing will be cut.
         await self.close_servers(end_at + LAST_RESPONSES_TIMEOUT_S)
+        await self.write_last_records(end_at + LAST_RESPONSES_TIMEOUT_S + LAST_RECORDS_TIMEOUT_S)
         if self.announced is not None:
-            with anyio.move_on_after(STOP_MARGIN_S / 2):
+            timeout_s = min(MAX_DEPARTURE_S, end_at + LAST_DEPARTURE_S - clock.now())
+            with anyio.move_on_after(timeout_s):
                 await self.announced.depart()
         events.emit(
             events.Event.GATEWAY_STOPPED,
--- a/tests/test_budget_owners.py
+++ b/tests/test_budget_owners.py
@@ -16,6 +16,9 @@
 SETTLE_S = 3.0
 """Time for the nodes to discover each other."""
 
+CLOSE_S = 0.15
+"""Time of a node at the end of its stop to hand over accounts and records."""
+
 
 def turn(program, number, budget):
     return gateways.turn(
@@ -70,6 +73,12 @@
                 tasks.start_soon(coordinator.run)
                 await joined.run()
 
+    async def stop(self, name):
+        """End a node that has left like a gateway at the end of its stop."""
+        await self.nodes[name].close(CLOSE_S)
+        await self.memberships[name].depart()
+        self.kill(name)
+
     def kill(self, name):
         self.scopes[name].cancel()
         del self.shared_network.nodes[self.address(name)]
@@ -561,3 +570,89 @@
     assert "p" not in owner.ledger.accounts
     holders = [node for node in fleet.nodes.values() if "p" in node.ledger.accounts]
     assert granted == any("a" in node.ledger.accounts["p"].reservations for node in holders)
+
+
+@with_fleet(4)
+async def test_account_of_a_last_resort_survives_the_end_of_a_node_that_left(fleet):
+    """Guards against usage that is lost with the process, since it came after the last move."""
+    budget = 20 * TURN
+    await fleet.spend("p", budget, limit=5)
+    name = fleet.owner("p")
+    await fleet.memberships[name].leave()
+    await anyio.sleep(1.0)
+    for number in range(3):
+        request = ttypes.TokenReserve(
+            program="p", attempt=f"a{number}", tokens=TURN, budget=budget, last_resort=True
+        )
+        reply = await fleet.nodes[name].decide(request)
+        assert reply.verdict == ttypes.TokenVerdict.GRANTED
+        assert fleet.nodes[name].ledger.settle("p", f"a{number}", TURN)
+    await fleet.stop(name)
+    await anyio.sleep(1.0)
+    assert fleet.nodes[fleet.owner("p")].ledger.accounts["p"].known_usage == 8 * TURN
+
+
+@with_fleet(4)
+async def test_settlement_of_the_last_request_reaches_the_owner(fleet):
+    """Guards against turns that count in full since their settlement ended with the process."""
+    budget = 20 * TURN
+    owner = fleet.owner("p")
+    name = (owner + 1) % 4
+    call = turn("p", "x", budget)
+    await fleet.nodes[name].reserve(call)
+    await fleet.memberships[name].leave()
+    await anyio.sleep(1.0)
+    fleet.nodes[name].settle(call, 10)
+    await fleet.stop(name)
+    await anyio.sleep(1.0)
+    assert fleet.nodes[owner].ledger.accounts["p"].committed == 10
+
+
+@with_fleet(1)
+async def test_last_node_records_its_accounts_before_it_ends(fleet):
+    """Guards against a fresh budget after all nodes were stopped as planned."""
+    await fleet.spend("p", 20 * TURN, limit=5)
+    await fleet.memberships[0].leave()
+    await fleet.stop(0)
+    assert fleet.records.by_program["p"].usage == 5 * TURN
+
+
+@with_fleet(4)
+async def test_end_of_a_node_does_not_wait_longer_for_owners_that_do_not_respond(fleet):
+    """Guards against a process that is killed since it hands over its accounts for too long."""
+    for number in range(40):
+        await fleet.spend(f"p{number}", 20 * TURN, limit=2)
+    name = fleet.owner("p0")
+    others = [fleet.address(other) for other in fleet.nodes if other != name]
+    fleet.shared_network.partition([fleet.address(name)], others)
+    fleet.tasks.start_soon(fleet.memberships[name].leave)
+    await anyio.sleep(0.3)
+    started_at = anyio.current_time()
+    await fleet.nodes[name].close(CLOSE_S)
+    assert anyio.current_time() - started_at <= CLOSE_S + 0.001
+
+
+@with_fleet(3)
+async def test_node_that_ends_accepts_no_account(fleet):
+    """Guards against an account that is sent to a process that ends before it can pass it on."""
+    await fleet.spend("p", 20 * TURN, limit=5)
+    owner, other = fleet.owner("p"), (fleet.owner("p") + 1) % 3
+    await fleet.nodes[other].close(CLOSE_S)
+    await fleet.nodes[owner].transfers.send_accounts(fleet.memberships[other].local, ["p"])
+    assert fleet.nodes[owner].ledger.accounts["p"].known_usage == 5 * TURN
+
+
+@with_fleet(4)
+async def test_account_in_an_unacknowledged_transfer_survives_the_end_of_its_node(fleet):
+    """Guards against a process that ends while it waits for the reply to a lost transfer."""
+    budget = 20 * TURN
+    await fleet.spend("p", budget, limit=5)
+    name = fleet.owner("p")
+    others = [fleet.address(other) for other in fleet.nodes if other != name]
+    fleet.shared_network.partition([fleet.address(name)], others)
+    fleet.tasks.start_soon(fleet.memberships[name].leave)
+    await anyio.sleep(0.8)
+    fleet.shared_network.broken_links.clear()
+    await fleet.stop(name)
+    await anyio.sleep(1.0)
+    assert fleet.nodes[fleet.owner("p")].ledger.accounts["p"].known_usage == 5 * TURN
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -222,3 +222,29 @@
             assert await read_all(connection) == b""
 
     anyio.run(main)
+
+
+def test_stop_writes_pending_records_before_the_departure(tmp_path):
+    """Guards against records that are lost since the process ends before they are written."""
+
+    async def main():
+        async with running(tmp_path) as (stopped, _):
+            coordinator = stopped.gateway.budget_coordinator
+            recorder = stopped.gateway.crash_tracker.recorder
+            close_servers = stopped.gateway.close_servers
+
+            async def end_last_request(give_up_at):
+                await close_servers(give_up_at)
+                coordinator.ledger.get_or_create("p", 1_000).add_usage(500)
+                coordinator.record_client.pending_programs.add("p")
+                recorder.pending.add(7)
+
+            stopped.gateway.close_servers = end_last_request
+            stopped.stop()
+            await stopped.ended.wait()
+            assert [record.usage for record in await coordinator.record_client.records.list()] == [
+                500
+            ]
+            assert [record.digest for record in await recorder.records.list()] == [7]
+
+    anyio.run(main)
