Test the limit of a server over a series of planned stops

The next owner of a limit starts with a fresh allowance, which might let more requests through than operators tolerate (rule LIMIT). It does not: in the new test, 6 owners leave one after the other within 3 to 12 s, with or without returning at once, at limits of 0.4, 4 and 40 requests per second over 8 nodes. The code is unchanged.

--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -18,6 +18,8 @@
 
 RESPONSE_S = 0.05
 KEEP_TRYING_S = 0.02
+SPREAD_S = 0.3
+"""Time in which all nodes learn of a change of the members."""
 
 
 def metadata(limit_per_s, *, signed=True):
@@ -70,6 +72,13 @@
                 table.members[other].changed_at = clock.now()
             table.version += 1
 
+    async def spread(self, changed, status):
+        """Let all nodes learn one after the other that a member leaves or has joined."""
+        for node in list(self.nodes.values()):
+            node.membership.table.members[changed].status = status
+            node.membership.table.version += 1
+            await anyio.sleep(SPREAD_S / len(self.nodes))
+
     def owner(self):
         """Return the node that shares out the limit."""
         key = SERVER.process
@@ -171,6 +180,29 @@
     run_fleet(body, count, 5.0, 0.01)
 
 
+@pytest.mark.parametrize("returns", [False, True])
+@pytest.mark.parametrize("interval_s", [0.5, 1.0, 2.0])
+@pytest.mark.parametrize("limit_per_s", [0.4, 4.0, 40.0])
+def test_limit_holds_over_a_series_of_planned_stops(limit_per_s, interval_s, returns):
+    """Guards against owners that each grant a burst although the one before has granted it."""
+
+    async def body(fleet):
+        await anyio.sleep(3.0)
+        for _ in range(6):
+            owner = fleet.owner()
+            await fleet.spread(owner, members.Status.LEAVING)
+            await anyio.sleep(interval_s - SPREAD_S)
+            fleet.kill(owner)
+            if returns:
+                fleet.start(fleet.member(owner))
+                await fleet.nodes[owner].fetch_limits()
+                await fleet.spread(owner, members.Status.ALIVE)
+        await anyio.sleep(WINDOW_S)
+        assert fleet.busiest_window(1.0, clock.now()) <= tolerated(limit_per_s)
+
+    run_fleet(body, 8, limit_per_s, 0.01)
+
+
 @pytest.mark.parametrize("count", [7, 40])
 def test_both_halves_of_a_split_fleet_keep_the_limit_together(count):
     """Guards against two owners of a limit that cannot reach each other."""
