--- a/src/dogwoodgap/budget_owners.py
+++ b/src/dogwoodgap/budget_owners.py
@@ -4,6 +4,7 @@
 changes, accounts move to their new owners. If an owner is unreachable, the next one decides.
 """
 
+import logging
 import math
 import random
 
@@ -88,6 +89,8 @@
         self.joined_at = math.inf
         self.is_first_start = False
         self.members_changed_at = -math.inf
+        self.open_settlements = 0
+        self.all_settled = anyio.Event()
         self.turn_estimator = pacing.TurnEstimator()
         self.membership: membership.Membership | None = None
         self.network: peers.Network | None = None
@@ -167,7 +170,7 @@
     def cancel_reservation(self, owner: members.Member, request: ttypes.TokenReserve) -> None:
         """Cancel a reservation that an owner may still grant after the request timed out."""
         message = ttypes.TokenSettle(program=request.program, attempt=request.attempt, tokens=0)
-        background.start(self.tasks, self.send_settlement, message, [owner])
+        self.start_settlement(message, [owner])
 
     def raise_if_refused(self, call: dialect.Call, verdict: int) -> None:
         """Raise the error that belongs to a verdict, if any."""
@@ -214,7 +217,23 @@
         )
         if self.tasks is not None:
             owners = self.owners(call.program_id)[:2]
-            background.start(self.tasks, self.send_settlement, message, owners)
+            self.start_settlement(message, owners)
+
+    def start_settlement(self, message: ttypes.TokenSettle, owners: list[members.Member]) -> None:
+        """Send a settlement in the background."""
+
+        async def send() -> None:
+            try:
+                await self.send_settlement(message, owners)
+            finally:
+                self.open_settlements -= 1
+                if not self.open_settlements:
+                    self.all_settled.set()
+
+        if not self.open_settlements:
+            self.all_settled = anyio.Event()
+        self.open_settlements += 1
+        background.start(self.tasks, send)
 
     async def send_settlement(
         self, message: ttypes.TokenSettle, owners: list[members.Member]
@@ -247,6 +266,8 @@
         self, sender: ttypes.Member, message: ttypes.TokenReserve
     ) -> ttypes.TokenReserveReply:
         """Handle a reservation request of another node."""
+        if self.transfers.is_closed:
+            return ttypes.TokenReserveReply(verdict=ttypes.TokenVerdict.NOT_OWNER)
         if not message.last_resort and not self.is_owner(message.program):
             return ttypes.TokenReserveReply(verdict=ttypes.TokenVerdict.NOT_OWNER)
         return await self.decide(message)
@@ -259,8 +280,13 @@
         """Decide on a reservation, recording the program's usage first if needed."""
         assume_usage = request.last_resort or self.may_have_lost_account(request.program)
         async with self.locks.setdefault(request.program, anyio.Lock()):
+            self.transfers.take_back(request.program)
             if request.program not in self.ledger.accounts and not request.last_resort:
                 await self.fetch_account(request.program)
+                if not self.is_owner(request.program):
+                    # The members have changed since; pass on what was fetched.
+                    self.transfers.request_move()
+                    return ttypes.TokenReserveReply(verdict=ttypes.TokenVerdict.NOT_OWNER)
             is_new = request.program not in self.ledger.accounts
             account = self.ledger.get_or_create(
                 request.program, request.budget, assume_usage=assume_usage
@@ -281,6 +307,10 @@
                 store_responded = await self.record_client.write(request.program, account, usage)
                 if not store_responded and not account.claimed:
                     account = await self.claim_without_store(request, account)
+                self.transfers.take_back(request.program)
+                if self.ledger.accounts.get(request.program) is not account:
+                    # The account has moved to its new owner during the call to the store.
+                    return ttypes.TokenReserveReply(verdict=ttypes.TokenVerdict.NOT_OWNER)
                 verdict = self.ledger.reserve(account, request.attempt, request.tokens)
         if verdict is budgets.Verdict.REFUSED:
             log_account(
@@ -378,10 +408,19 @@
     async def on_fetch(
         self, sender: ttypes.Member, message: ttypes.TokenFetch
     ) -> ttypes.TokenFetchReply:
-        """Hand over an account to its new owner, and report the recently lost nodes."""
+        """Hand over an account to its new owner, and report the recently lost nodes.
+
+        The reply may get lost. An account of this node therefore stays here until its owner
+        changes, and any other is kept until its owner has acknowledged a transfer.
+        """
         can_vouch = self.can_vouch(sender)
         self.mark_replaced(sender)
-        account = self.ledger.accounts.pop(message.program, None)
+        if self.is_owner(message.program):
+            account = self.ledger.accounts.get(message.program)
+        else:
+            account = self.transfers.hand_over(message.program)
+            if account is not None:
+                self.transfers.request_move()
         entry = self.record_client.cached_records.get(message.program)
         return ttypes.TokenFetchReply(
             account=None if account is None else budget_wire.to_wire(message.program, account),
@@ -500,6 +539,36 @@
                 self.mark_lost(member.node)
         self.transfers.request_move()
 
+    # End of the process
+
+    async def close(self, timeout_s: float) -> None:
+        """Settle the last turns and hand over all accounts and records within a time.
+
+        No more turns may be reserved here. What has no other owner is recorded in the store.
+        """
+        self.transfers.is_closed = True
+        with anyio.move_on_after(timeout_s) as scope:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.wait_for_settlements)
+                tasks.start_soon(self.record_client.flush)
+                tasks.start_soon(self.transfers.move_accounts)
+            await self.transfers.move_accounts()
+            self.record_client.pending_programs.update(self.ledger.accounts)
+            await self.record_client.flush()
+        if scope.cancelled_caught:
+            events.emit(
+                events.Event.BUDGET_UNRECORDED,
+                "the process ends before all token usage was handed over or recorded",
+                level=logging.WARNING,
+                accounts=len(self.ledger.accounts) + len(self.transfers.outgoing),
+                settlements=self.open_settlements,
+            )
+
+    async def wait_for_settlements(self) -> None:
+        """Wait until no settlement is under way."""
+        if self.open_settlements:
+            await self.all_settled.wait()
+
     # Periodic maintenance
 
     async def run(self) -> None:
--- a/src/dogwoodgap/budget_transfers.py
+++ b/src/dogwoodgap/budget_transfers.py
@@ -55,6 +55,14 @@
     ----------
     owners : callable
         Returns the members in the order of ownership of a program.
+
+    Attributes
+    ----------
+    is_closed : bool
+        Whether this process is about to end and accepts no accounts.
+    outgoing : dict of str to budgets.Account
+        Accounts that were sent to their owner, which has not acknowledged them yet, by program.
+        They do not change until they are taken back.
     """
 
     def __init__(
@@ -68,6 +76,8 @@
         self.owners = owners
         self.is_move_requested = False
         self.is_moving = False
+        self.outgoing: dict[str, budgets.Account] = {}
+        self.is_closed = False
         self.replicated: dict[str, ReplicatedRecord] = {}
         self.local: members.Member | None = None
         self.network: peers.Network | None = None
@@ -84,6 +94,10 @@
         network.handlers.register(ttypes.TokenTransfer, self.on_transfer)
         network.handlers.register(ttypes.TokenRecords, self.on_records)
 
+    def is_owner(self, program: str) -> bool:
+        """Return whether this node owns a program."""
+        return self.owners(program)[0] is self.local
+
     # Moving accounts to their new owners
 
     def request_move(self) -> None:
@@ -111,39 +125,64 @@
         by_owner: dict[str, list[str]] = {}
         members_by_node: dict[str, members.Member] = {}
         owned_records: list[budget_records.CachedRecord] = []
-        for program, account in self.ledger.accounts.items():
+        for program in {**self.ledger.accounts, **self.outgoing}:
             owner = self.owners(program)[0]
             if owner is not self.local:
                 members_by_node[owner.node] = owner
                 by_owner.setdefault(owner.node, []).append(program)
-            elif account.revision:
+                continue
+            self.take_back(program)
+            account = self.ledger.accounts[program]
+            if account.revision:
                 owned_records.append(budget_records.cached_record(program, account))
         self.replicate_records(owned_records)
-        for node, programs in by_owner.items():
-            for start in range(0, len(programs), MAX_ENTRIES_PER_MESSAGE):
-                await self.send_accounts(
-                    members_by_node[node], programs[start : start + MAX_ENTRIES_PER_MESSAGE]
-                )
+        # Sent at the same time, so that owners that do not respond delay no others.
+        async with anyio.create_task_group() as tasks:
+            for node, programs in by_owner.items():
+                for start in range(0, len(programs), MAX_ENTRIES_PER_MESSAGE):
+                    batch = programs[start : start + MAX_ENTRIES_PER_MESSAGE]
+                    tasks.start_soon(self.send_accounts, members_by_node[node], batch)
+
+    def hand_over(self, program: str) -> budgets.Account | None:
+        """Return the account to send to its owner, and keep it until that is acknowledged."""
+        account = self.ledger.accounts.pop(program, None)
+        sent = self.outgoing.get(program)
+        if account is None:
+            return sent
+        if sent is not None:
+            account.merge(sent)
+        self.forget(program)
+        self.outgoing[program] = account
+        return account
+
+    def take_back(self, program: str) -> None:
+        """Use an account here again whose transfer is not acknowledged, if there is one."""
+        account = self.outgoing.pop(program, None)
+        if account is not None:
+            self.ledger.merge(program, account)
+            if not self.is_owner(program):
+                self.request_move()
 
     async def send_accounts(self, owner: members.Member, programs: list[str]) -> None:
         """Send accounts to their new owner; restore them if it does not respond."""
         sent_accounts = {
             program: account
             for program in programs
-            if (account := self.ledger.accounts.pop(program, None)) is not None
+            if (account := self.hand_over(program)) is not None
         }
-        for program in sent_accounts:
-            self.forget(program)
         message = ttypes.TokenTransfer(
             accounts=[budget_wire.to_wire(*item) for item in sent_accounts.items()]
         )
         try:
-            await self.network.request(
+            reply = await self.network.request(
                 owner.peer_address, message, ttypes.Ack, timeout_s=TRANSFER_TIMEOUT_S
             )
+            if not reply.message.ok:
+                raise exceptions.PeerError(f"{owner.node} accepts no accounts")
         except exceptions.PeerError as error:
             for program, account in sent_accounts.items():
-                self.ledger.merge(program, account)
+                if self.outgoing.get(program) is account:
+                    self.take_back(program)
             # Requested again, since a change of members need not follow.
             self.is_move_requested = True
             log_peer_unreachable(
@@ -152,11 +191,22 @@
                 error,
                 accounts=len(sent_accounts),
             )
+            return
+        for program, account in sent_accounts.items():
+            if self.outgoing.get(program) is account:
+                del self.outgoing[program]
 
     async def on_transfer(self, sender: ttypes.Member, message: ttypes.TokenTransfer) -> ttypes.Ack:
-        """Merge accounts from another node."""
+        """Merge accounts from another node.
+
+        The sender may not know the newest members, so accounts of other owners are passed on.
+        """
+        if self.is_closed:
+            return ttypes.Ack(ok=False)
         for account in message.accounts or []:
             self.ledger.merge(account.program, budget_wire.from_wire(account))
+            if not self.is_owner(account.program):
+                self.request_move()
         return ttypes.Ack(ok=True)
 
     # Replicating records to the next owners
