--- a/src/dogwoodgap/forwarder.py
+++ b/src/dogwoodgap/forwarder.py
@@ -493,7 +493,7 @@
         while True:
             if self.monitor.is_cut_off(progress.service):
                 self.refuse_futile(digest, progress, responder)
-                if await self.try_helper(call, progress, responder):
+                if await self.try_helper(call, progress, responder, digest):
                     return
                 continue
             server = await self.permitted_server(call, progress, responder)
@@ -566,7 +566,11 @@
         return any(server.id != connection.server.id for server in eligible)
 
     async def try_helper(
-        self, call: dialect.Call, progress: progress_module.Progress, responder: ingress.Responder
+        self,
+        call: dialect.Call,
+        progress: progress_module.Progress,
+        responder: ingress.Responder,
+        digest: int,
     ) -> bool:
         """Send a request to another gateway; return whether its response was relayed.
 
@@ -575,9 +579,15 @@
         member = self.peer_relay.choose()
         if member is None or responder.started or not peer_relay.may_ask_another(progress):
             self.raise_failure(progress, responder, "no server can be reached from this gateway")
+
+        def check() -> None:
+            self.refuse_futile(digest, progress, responder)
+
         with self.durations.measure(durations.kind(progress)) as measurement:
-            result = await self.peer_relay.send(call, progress, responder, member)
-            measurement.is_run = progress.may_have_run
+            try:
+                result = await self.peer_relay.send(call, progress, responder, member, check)
+            finally:
+                measurement.is_run = progress.may_have_run
         progress.attempt_log.append(f"{member.node}:{result.value}")
         exposition.relayed.labels(progress.service, result.value).inc()
         if result is progress_module.AttemptResult.DONE:
--- a/src/dogwoodgap/peer_relay.py
+++ b/src/dogwoodgap/peer_relay.py
@@ -125,8 +125,15 @@
         progress: progress_module.Progress,
         responder: ingress.Responder,
         member: members.Member,
+        check: collections.abc.Callable[[], None],
     ) -> progress_module.AttemptResult:
-        """Send a request to a gateway and relay its response."""
+        """Send a request to a gateway and relay its response.
+
+        Parameters
+        ----------
+        check : callable
+            Raises the error for a request that has become futile while a connection was opened.
+        """
         max_idle_s = math.inf if progress.route.retryable else upstream.MAX_IDLE_NON_RETRYABLE_S
         pool = self.pool(member)
         connection: upstream.Connection | None = None
@@ -134,6 +141,8 @@
         result = progress_module.AttemptResult.UNKNOWN
         try:
             connection = await pool.acquire(max_idle_s)
+            if not connection.is_reused:
+                check()
             result = await self.send_and_relay(call, progress, responder, connection)
             reusable, connection = connection, None
             await pool.release(reusable, POOLED_CONNECTIONS)
--- a/tests/test_peer_relay.py
+++ b/tests/test_peer_relay.py
@@ -8,9 +8,11 @@
 import listen_addresses
 import pytest
 
-from dogwoodgap import helpers, ingress, pacing, peer_relay, routes, servers
+from dogwoodgap import clock, helpers, ingress, pacing, peer_relay, routes, servers
 from dogwoodgap import progress as progress_module
 
+SERVER_TIME_S = 0.2
+
 
 def plain(script):
     return gateways.Backend("p1", "plain", script)
@@ -174,7 +176,7 @@
             relay.choose = lambda: member
             sent = []
 
-            async def send(call, progress, responder, member):
+            async def send(call, progress, responder, member, check):
                 sent.append(member)
                 await anyio.sleep(peer_relay.MAX_HELPER_SEARCH_S)
                 return progress_module.AttemptResult.NOT_RUN
@@ -226,6 +228,39 @@
     run(main)
 
 
+def test_request_whose_connection_to_a_helper_comes_too_late_is_refused():
+    """Guards against a request that must not run twice and is passed on too late to finish."""
+
+    async def main():
+        async def slow(backend, received, stream):
+            await anyio.sleep(SERVER_TIME_S)
+            return await gateways.complete_response()(backend, received, stream)
+
+        backend = plain(slow)
+        async with running_pair(backend) as pair:
+            forwarder = pair.cut_off.forwarder
+            assert (await gateways.send_once(pair.cut_off, "POST", "/act/x", b"pay")).status == 200
+            received = len(backend.received)
+            member = forwarder.peer_relay.membership.table.others()[0]
+            pool = forwarder.peer_relay.pool(member)
+            await pool.close()
+            open_connection = pool.open
+
+            async def open_late():
+                connection = await open_connection()
+                # The stop leaves no time for a request any more.
+                forwarder.durations.bound_s = lambda kind: SERVER_TIME_S
+                forwarder.end_requests_at(clock.now() + SERVER_TIME_S / 2)
+                return connection
+
+            pool.open = open_late
+            response = await gateways.send_once(pair.cut_off, "POST", "/act/x", b"pay")
+            assert (response.status, response.complete) == (503, True)
+            assert len(backend.received) == received
+
+    run(main)
+
+
 def test_caller_disconnect_ends_a_relayed_request():
     """Guards against work that goes on at another gateway after the caller has left."""
 
