--- a/src/dogwoodgap/ingress.py
+++ b/src/dogwoodgap/ingress.py
@@ -240,6 +240,13 @@
         """Close the connection, unless data of a request has arrived meanwhile."""
         self.idle_scope.cancel()
 
+    def make_room(self) -> None:
+        """Close the connection at once if it holds a part of a request, else once it is idle."""
+        if self.state.trailing_data[0]:
+            self.scope.cancel()
+        else:
+            self.close_idle()
+
     async def next_event(self) -> typing.Any:
         """Return the next h11 event."""
         while (event := self.state.next_event()) is h11.NEED_DATA:
@@ -426,7 +433,7 @@
         while len(self.connections) >= self.max_connections:
             idle = self.idle_connections()
             if idle:
-                min(idle, key=lambda connection: connection.idle_since).scope.cancel()
+                min(idle, key=lambda connection: connection.idle_since).make_room()
             await anyio.sleep(ROOM_POLL_INTERVAL_S)
 
 
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -222,3 +222,20 @@
             assert await read_all(connection) == b""
 
     anyio.run(main)
+
+
+def test_request_that_has_arrived_is_answered_when_its_connection_makes_room():
+    """Guards against data that has arrived and is dropped to accept another connection."""
+
+    async def main():
+        async with running_server(respond_slowly) as (server, address):
+            connection = connect_and_send(address)
+            await anyio.sleep(2 * SERVER_TIME_S)
+            server.max_connections = 1
+            connection.sendall(REQUEST)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(server.make_room)
+                received = await read_all(connection)
+            assert received.count(b"whole") == 2
+
+    anyio.run(main)
