Close connections that were in use when their server was removed

The pool of a removed server is looked through once for idle connections. A request that was in progress returned its connection to that pool afterwards, and nothing closed it: a gateway lost a descriptor for each such request until it restarted, and would at last accept no callers.

A retired pool closes connections that are returned to it. test_connection_that_is_busy_when_its_server_is_removed_is_closed_later found the connection open after 1 s on the commit before; it closes at once now.

--- a/src/dogwoodgap/forwarder.py
+++ b/src/dogwoodgap/forwarder.py
@@ -147,18 +147,18 @@
         self.permit_coordinator.remove(server)
 
     def retire_pool(self, pool: upstream.ServerPool | None) -> None:
-        """Queue a pool whose idle connections are to be closed."""
+        """Queue a pool whose connections are to be closed."""
         if pool is not None:
             self.retired.append(pool)
             self.has_retired.set()
 
     async def close_retired(self) -> None:
-        """Close idle connections to removed servers until cancelled."""
+        """Close the connections to removed servers until cancelled."""
         while True:
             await self.has_retired.wait()
             self.has_retired = anyio.Event()
             while self.retired:
-                await self.retired.pop().close()
+                await self.retired.pop().retire()
 
     def record_departure(self, process: servers.ProcessKey) -> None:
         """Send no more requests to a process that named its departure in a response."""
--- a/src/dogwoodgap/upstream.py
+++ b/src/dogwoodgap/upstream.py
@@ -238,6 +238,7 @@
         self.server = server
         self.idle: collections.deque[Connection] = collections.deque()
         self.opened = 0
+        self.is_retired = False
 
     async def acquire(self, max_idle_s: float) -> Connection:
         """Return the most recently used idle connection, or open a new one.
@@ -276,7 +277,8 @@
 
     async def release(self, connection: Connection, max_idle_connections: int) -> None:
         """Return a connection to the pool, or close it if it cannot be reused."""
-        if not connection.is_reusable() or len(self.idle) >= max_idle_connections:
+        is_full = len(self.idle) >= max_idle_connections
+        if self.is_retired or is_full or not connection.is_reusable():
             await connection.close()
             return
         connection.state.start_next_cycle()
@@ -286,6 +288,11 @@
         while self.idle and self.idle[0].idle_until <= clock.now():
             await self.idle.popleft().close()
 
+    async def retire(self) -> None:
+        """Close the idle connections now, and those in use once their requests have ended."""
+        self.is_retired = True
+        await self.close()
+
     async def close(self) -> None:
         """Close the idle connections."""
         while self.idle:
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -1,5 +1,6 @@
 """Forwarding over real sockets, as seen by callers and backend servers."""
 
+import contextlib
 import math
 
 import anyio
@@ -228,6 +229,35 @@
     run(main)
 
 
+def test_connection_that_is_busy_when_its_server_is_removed_is_closed_later():
+    """Guards against descriptors that stay open after the last request to a removed server."""
+
+    async def main():
+        released, ended = anyio.Event(), anyio.Event()
+
+        async def note_end(backend, received, stream):
+            await gateways.delayed(released)(backend, received, stream)
+            with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+                await stream.receive()
+            ended.set()
+            return False
+
+        backend = plain("p1", note_end)
+        async with gateways.running(backend) as harness, anyio.create_task_group() as tasks:
+            tasks.start_soon(harness.forwarder.close_retired)
+            tasks.start_soon(gateways.send_once, harness, "GET", "/read/x")
+            await backend.request_received.wait()
+            harness.server_registry.apply(servers.Listing(harness.server_registry.revision + 1, ()))
+            await anyio.sleep(0.05)
+            released.set()
+            with anyio.move_on_after(1):
+                await ended.wait()
+            assert ended.is_set()
+            tasks.cancel_scope.cancel()
+
+    run(main)
+
+
 async def wait_for_requests(backend, statuses, count):
     """Wait until each of some requests has reached a server or has been answered."""
     while True:
