--- a/src/dogwoodgap/ingress.py
+++ b/src/dogwoodgap/ingress.py
@@ -139,9 +139,9 @@
                 return
             if self.state.their_state is not h11.DONE:
                 return
+            # A response that began before the server closed has announced no close, so the caller
+            # may send another request at once; an idle connection is closed later.
             self.state.start_next_cycle()
-            if self.server.closing and not self.state.trailing_data[0]:
-                return
 
     async def read_request(self) -> Request | None:
         """Return the next request, or None if the connection ends or the request is invalid."""
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -224,6 +224,43 @@
     anyio.run(main)
 
 
+def test_request_after_a_response_that_began_before_the_close_is_answered():
+    """Guards against a kept connection that ends although its response announced no close."""
+
+    async def main():
+        is_started, proceed = anyio.Event(), anyio.Event()
+
+        async def respond_around_the_close(request, responder):
+            await responder.start(200, [(b"content-length", b"5")])
+            is_started.set()
+            await proceed.wait()
+            await responder.send_data(b"whole")
+            await responder.finish()
+
+        async with running_server(respond_around_the_close) as (server, address):
+            connection = connect_and_send(address)
+            await is_started.wait()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(server.close, clock.now() + 5)
+                await anyio.sleep(2 * ingress.CLOSE_POLL_INTERVAL_S)
+                proceed.set()
+                received = await anyio.to_thread.run_sync(receive_and_send_again, connection)
+                received += await read_all(connection)
+            assert received.count(b"whole") == 2
+            assert received.lower().count(b"connection: close") == 1
+
+    anyio.run(main)
+
+
+def receive_and_send_again(connection):
+    """Receive one response and send another request at once."""
+    received = b""
+    while not received.endswith(b"whole"):
+        received += connection.recv(4096)
+    connection.sendall(REQUEST)
+    return received
+
+
 def test_request_that_has_arrived_is_answered_when_its_connection_makes_room():
     """Guards against data that has arrived and is dropped to accept another connection."""
 
