Give a repeated action its own result while the next action of its program runs

A caller that repeated an action while a later one of the same program was running got the result of the later one: a running action was looked up by its program alone. Callers would take one result for another.

A running action now has its number. A repeat of an earlier action gets its recorded result, or sequence-gap with an unknown outcome while that result is not known. test_repeated_action_gets_its_own_result_while_the_next_one_runs got number 2 for number 1 on the commit before, and passes now.

--- a/src/dogwoodgap/actions.py
+++ b/src/dogwoodgap/actions.py
@@ -179,17 +179,22 @@
                 f"seq {seq} was used with another body; continue with {program.next_seq}"
             )
         running = self.running.get(key)
-        if running is not None and entry is not None:
+        if running is not None and running.seq == seq and entry is not None:
             return await running.wait(action.deadline_at)
         if isinstance(entry, programs.ActionEntry) and entry.settled():
             return typing.cast(structures.ActionResult, entry.result)
+        if running is not None and entry is not None:
+            raise exceptions.SequenceGapError(
+                f"seq {running.seq} has not ended yet; wait for its result, then repeat seq {seq}",
+                not_run="unknown",
+            )
         if entry is None:
             programs.check_open(program)
             self.calls.check_sequence(program, seq)
             self.lifecycle.check_limits(program, digest)
         # Recorded before the first await, so that a concurrent repeat finds the entry.
         commit = self.record_start(program, seq, action, digest)
-        new_action = intents.RunningAction(digest)
+        new_action = intents.RunningAction(digest, seq)
         self.running[key] = new_action
         context = ActionContext(program, seq, action, authorization, new_action, commit)
         self.tasks.start_soon(self.execute, context)
--- a/src/dogwoodgap/intents.py
+++ b/src/dogwoodgap/intents.py
@@ -64,14 +64,17 @@
 
     Attributes
     ----------
+    seq : int
+        Number in its program; 0 outside of programs.
     sent : bool
         Whether the service may have received it.
     pending : structures.ActionResult or None
         Result that is not stored yet.
     """
 
-    def __init__(self, digest: str):
+    def __init__(self, digest: str, seq: int = 0):
         self.digest = digest
+        self.seq = seq
         self.sent = False
         self.pending: structures.ActionResult | None = None
         self.result: structures.ActionResult | None = None
--- a/tests/test_actions.py
+++ b/tests/test_actions.py
@@ -247,3 +247,20 @@
             assert program.next_seq == 4
 
     virtual_time.run(main)
+
+
+def test_repeated_action_gets_its_own_result_while_the_next_one_runs():
+    """Guards against the result of another action for a request that is repeated late."""
+
+    async def main():
+        async with callers.harness() as node:
+            program = await node.program()
+            first = await node.actions.run(program, 1, make_action("k1"), "")
+            async with anyio.create_task_group() as senders:
+                senders.start_soon(node.actions.run, program, 2, make_action("k2"), "")
+                await anyio.sleep(node.service.delay_s / 2)
+                assert node.actions.has_running_action(program)
+                assert await node.actions.run(program, 1, make_action("k1"), "") == first
+            assert len(node.service.ledger) == 2
+
+    virtual_time.run(main)
