Freeze shards that finish loading while a node drains

hand_over_all freezes the loaded shards, and returns at once without another live node, or after its time limit. A shard that finished loading after that look was served as usual: the node accepted calls and actions of it after it had waited for its last ones, and the end of the process would cut them, with an unknown outcome for an action that must not run twice.

load_pending freezes what it loads while the node is leaving, so that callers get not-owner as for the other shards. test_shard_that_is_loaded_during_a_drain_starts_no_work found the shards accepting work on the commit before, and passes now.

--- a/src/dogwoodgap/recovery.py
+++ b/src/dogwoodgap/recovery.py
@@ -345,6 +345,9 @@
         loaded_shards = set(loaded.parts)
         open_intents = session.table.open_intents(loaded_shards)
         session.loaded |= loaded_shards
+        if self.leaving:
+            # The drain may have taken its last look at the loaded shards already.
+            session.frozen |= loaded_shards
         events.emit(events.Event.SHARDS_ACQUIRED, "shards acquired", count=len(loaded_shards))
         if open_intents:
             tasks.start_soon(
