Take over a node only while it still counts as dead

A takeover looks at the membership once and then updates the assignment, which waits for as long as the store is unavailable.

Each attempt of the update now asks again whether the node is dead. test_node_that_responds_again_during_a_store_outage_keeps_its_shards finds a new boot on the commit before, and the old one now. test_ownership_fuzz.py passes.

--- a/src/dogwoodgap/recovery.py
+++ b/src/dogwoodgap/recovery.py
@@ -315,7 +315,8 @@
         local_owner = self.local_owner
 
         def change(draft: shards.Assignment) -> bool:
-            owned = draft.owned_by(dead)
+            # The update waits while the store is unavailable, and a suspect may respond again.
+            owned = draft.owned_by(dead) if self.is_dead(dead) else []
             for shard in owned:
                 entry = draft.shards[shard]
                 source = shards.Source("journal", str(dead), entry.generation)
