--- a/src/dogwoodgap/recovery.py
+++ b/src/dogwoodgap/recovery.py
@@ -315,7 +315,8 @@
         local_owner = self.local_owner
 
         def change(draft: shards.Assignment) -> bool:
-            owned = draft.owned_by(dead)
+            # The update waits while the store is unavailable, and a suspect may respond again.
+            owned = draft.owned_by(dead) if self.is_dead(dead) else []
             for shard in owned:
                 entry = draft.shards[shard]
                 source = shards.Source("journal", str(dead), entry.generation)
@@ -345,6 +346,9 @@
         loaded_shards = set(loaded.parts)
         open_intents = session.table.open_intents(loaded_shards)
         session.loaded |= loaded_shards
+        if self.leaving:
+            # The drain may have taken its last look at the loaded shards already.
+            session.frozen |= loaded_shards
         events.emit(events.Event.SHARDS_ACQUIRED, "shards acquired", count=len(loaded_shards))
         if open_intents:
             tasks.start_soon(
