--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -222,3 +222,21 @@
             assert await read_all(connection) == b""
 
     anyio.run(main)
+
+
+def test_closed_server_does_not_wait_for_the_rest_of_a_body():
+    """Guards against a process that outlasts its grace period while it drains a connection."""
+
+    async def main():
+        async with running_server(respond_slowly) as (server, address):
+            host, _, port = address.rpartition(":")
+            with socket.create_connection((host, int(port))) as connection:
+                connection.sendall(b"POST /x HTTP/1.1\r\nhost: h\r\ncontent-length: 9\r\n\r\npart")
+                await anyio.sleep(SERVER_TIME_S)
+                give_up_at = clock.now() + 0.1
+                await server.close(give_up_at)
+                while server.is_serving:  # noqa: ASYNC110 - set by the server's own task
+                    await anyio.sleep(0.01)
+                assert clock.now() < give_up_at + ingress.CLOSE_TIMEOUT_S
+
+    anyio.run(main)
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -1,6 +1,10 @@
 """Signals to gateways and storage roles as separate processes."""
 
+import os
 import signal
+import subprocess
+import sys
+import textwrap
 import time
 
 import anyio
@@ -8,6 +12,7 @@
 import gateway_process
 import gateways
 import platform_stand_in
+import pytest
 
 RESPONSE_S = 2.0
 
@@ -105,3 +110,33 @@
         assert process.wait(10) == 0
     finally:
         process.kill()
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT, signal.SIGHUP])
+def test_signal_after_the_stop_does_not_change_the_exit_code(number):
+    """Guards against a stopped gateway that a further signal ends before it has exited itself."""
+    code = textwrap.dedent(
+        f"""
+        import os
+        import anyio
+        from dogwoodgap import process_signals
+
+        async def main():
+            with process_signals.receive():
+                pass
+
+        process_signals.hold()
+        anyio.run(main, backend_options={{"use_uvloop": True}})
+        os.kill(os.getpid(), {int(number)})
+        """
+    )
+    path = str(gateway_process.ROOT / "src")
+    finished = subprocess.run(
+        [sys.executable, "-c", code],
+        env={**os.environ, "PYTHONPATH": path},
+        capture_output=True,
+        text=True,
+        timeout=20,
+        check=False,
+    )
+    assert (finished.returncode, finished.stderr) == (0, "")
