--- a/src/dogwoodgap/ingress.py
+++ b/src/dogwoodgap/ingress.py
@@ -24,6 +24,10 @@
 CLOSE_TIMEOUT_S = 0.5
 """Time for a caller to read the last response before the connection is closed."""
 
+LAST_CLOSE_TIMEOUT_S = 0.15
+"""Time for the same once a closed server has given up its connections; with the full time, a
+stopping gateway outlasted its grace period while a caller was still sending a body."""
+
 RESPONSE_TIMEOUT_S = 2.0
 """Timeout for writing a complete response to a caller."""
 
@@ -344,6 +348,7 @@
         self.max_connections = max_connections
         self.body_memory = memory or body_memory.BodyMemory(math.inf)
         self.closing = False
+        self.close_by = math.inf
         self.is_serving = False
         self.listener: listeners.Listener | None = None
         self.connections: set[CallerConnection] = set()
@@ -379,6 +384,7 @@
             Monotonic time at which unfinished requests are cut.
         """
         self.closing = True
+        self.close_by = give_up_at + LAST_CLOSE_TIMEOUT_S
         if self.listener is not None:
             self.listener.stop()
         while self.is_serving and clock.now() < give_up_at:
@@ -404,7 +410,7 @@
         finally:
             self.connections.discard(connection)
             with anyio.CancelScope(shield=True):
-                await close_gracefully(stream)
+                await close_gracefully(stream, self.close_by)
 
     def idle_connections(self) -> list[CallerConnection]:
         """Return the connections on which no request is being received or handled."""
@@ -430,12 +436,17 @@
             await anyio.sleep(ROOM_POLL_INTERVAL_S)
 
 
-async def close_gracefully(stream: anyio.abc.SocketStream) -> None:
+async def close_gracefully(stream: anyio.abc.SocketStream, close_by: float) -> None:
     """Half-close and drain the connection before closing it.
 
     Closing with unread data would send a reset, which can discard the last response.
+
+    Parameters
+    ----------
+    close_by : float
+        Monotonic time at which the connection is closed at the latest.
     """
-    with anyio.move_on_after(CLOSE_TIMEOUT_S):
+    with anyio.move_on_after(min(CLOSE_TIMEOUT_S, close_by - clock.now())):
         try:
             await stream.send_eof()
             while True:
