--- a/src/dogwoodgap/gateway.py
+++ b/src/dogwoodgap/gateway.py
@@ -362,7 +362,7 @@
             await anyio.sleep(STOP_POLL_INTERVAL_S)
 
     async def close_servers(self, give_up_at: float) -> None:
-        """Accept no more requests, and wait until those that were accepted have ended."""
+        """Stop to listen, and wait until all accepted requests have ended, but not longer."""
         async with anyio.create_task_group() as tasks:
             for server in (self.request_server, self.relay_server):
                 tasks.start_soon(server.close, give_up_at)
@@ -379,8 +379,8 @@
     async def stop(self) -> None:
         """Leave the directory, handle requests that still arrive, then close all connections.
 
-        Callers may use cached addresses until the process has ended. What they send late is handled
-        if it can finish in time, and refused as not run otherwise.
+        Callers may use cached addresses until the listeners are closed. What they send late is
+        handled if it can finish in time, and refused as not run otherwise.
         """
         section = self.settings.gateway
         started_at = clock.now()
@@ -392,7 +392,8 @@
         )
         if self.announced is not None:
             await self.announced.leave()
-            await clock.sleep_until(started_at + section.directory_ttl_s * DIRECTORY_TTL_FACTOR)
+            cached_until = started_at + section.directory_ttl_s * DIRECTORY_TTL_FACTOR
+            await clock.sleep_until(min(cached_until, end_at))
         self.request_server.closing = True
         self.relay_server.closing = True
         await self.wait_until_quiet(end_at)
@@ -404,7 +405,7 @@
             relay_connections=len(self.relay_server.connections),
             after_s=round(clock.now() - started_at, 3),
         )
-        # Only once nothing can be accepted any more is it certain that nothing will be cut.
+        # No request can arrive after this, so that the end of the process cuts none.
         await self.close_servers(end_at + LAST_RESPONSES_TIMEOUT_S)
         await self.write_last_records(end_at + LAST_RESPONSES_TIMEOUT_S + LAST_RECORDS_TIMEOUT_S)
         if self.announced is not None:
--- a/src/dogwoodgap/ingress.py
+++ b/src/dogwoodgap/ingress.py
@@ -40,8 +40,9 @@
 FIRST_REQUEST_TIMEOUT_S = 0.5
 """Time for the first request of a new connection, which is not closed as idle before."""
 
-LAST_DATA_TIMEOUT_S = 0.002
-"""Time for the event loop to deliver data that has arrived before an idle connection closes."""
+LAST_DATA_TIMEOUT_S = 0.1
+"""Time for the event loop to deliver data that has arrived before an idle connection closes. One
+turn of the loop takes several ms in a busy process."""
 
 BODY_TIMEOUT_S = 10.0
 """Timeout for receiving a request body; bodies are at most a few MB."""
@@ -110,7 +111,17 @@
 
 
 class CallerConnection:
-    """An accepted connection from a caller."""
+    """An accepted connection from a caller.
+
+    Attributes
+    ----------
+    handled : int
+        Requests that were handled on it.
+    scope : anyio.CancelScope
+        Cancelled to end the connection at once.
+    idle_scope : anyio.CancelScope
+        Cancelled to end the connection unless another request has arrived.
+    """
 
     def __init__(self, server: "Server", stream: anyio.abc.SocketStream):
         self.server = server
@@ -383,17 +394,17 @@
             self.is_serving = False
 
     async def close(self, give_up_at: float) -> None:
-        """Accept no more connections, and wait until those that were accepted have ended.
+        """Stop to listen, and wait until all accepted connections have ended.
 
         Parameters
         ----------
         give_up_at : float
-            Monotonic time at which unfinished requests are cut.
+            Monotonic time at which the remaining connections are closed, whatever they are doing.
         """
         self.closing = True
         self.close_by = give_up_at + LAST_CLOSE_TIMEOUT_S
         if self.listener is not None:
-            self.listener.stop()
+            self.listener.stop(self.max_connections - len(self.connections))
         while self.is_serving and clock.now() < give_up_at:
             self.close_idle()
             await anyio.sleep(CLOSE_POLL_INTERVAL_S)
--- a/src/dogwoodgap/listeners.py
+++ b/src/dogwoodgap/listeners.py
@@ -53,6 +53,7 @@
         self.before_accept = before_accept
         self.is_failing = False
         self.accept_scope: anyio.CancelScope | None = None
+        self.max_established = 0.0
 
     @property
     def extra_attributes(self) -> typing.Any:
@@ -79,18 +80,41 @@
                     for listening in sockets:
                         tasks.start_soon(self.accept_all, listening, handler, task_group)
             for listening in sockets:
-                with contextlib.suppress(OSError):
-                    while True:
-                        accept(listening, handler, task_group)
+                self.accept_established(listening, handler, task_group)
 
-    def stop(self) -> None:
-        """Accept only those connections that are established already.
+    def stop(self, max_established: float) -> None:
+        """Accept only connections that are established already, then close the sockets.
 
-        The operating system has completed them, and their callers may have sent requests.
+        The operating system has completed these connections, and their callers may have sent
+        requests.
+
+        Parameters
+        ----------
+        max_established : float
+            Largest number of them that is accepted; the others are reset.
         """
+        self.max_established = max_established
         if self.accept_scope is not None:
             self.accept_scope.cancel()
 
+    def accept_established(
+        self, listening: socket.socket, handler: StreamHandler, task_group: anyio.abc.TaskGroup
+    ) -> None:
+        """Accept the connections to one IP address that are waiting, and close its socket.
+
+        Without an await in between, no connection is established that would be reset.
+        """
+        try:
+            while self.max_established >= 1:
+                accept_connection(listening, handler, task_group)
+                self.max_established -= 1
+        except BlockingIOError:
+            pass
+        except OSError as error:
+            self.record_failure(error)
+        finally:
+            listening.close()
+
     async def accept_all(
         self, listening: socket.socket, handler: StreamHandler, task_group: anyio.abc.TaskGroup
     ) -> None:
@@ -100,7 +124,7 @@
                 await self.before_accept()
             await anyio.wait_readable(listening)
             try:
-                accept(listening, handler, task_group)
+                accept_connection(listening, handler, task_group)
             except BlockingIOError:
                 continue
             except OSError as error:
@@ -124,7 +148,7 @@
         self.is_failing = True
 
 
-def accept(
+def accept_connection(
     listening: socket.socket, handler: StreamHandler, task_group: anyio.abc.TaskGroup
 ) -> None:
     """Accept one connection and start its handler, with no await in which it could be lost.
@@ -137,10 +161,10 @@
         If it cannot be accepted.
     """
     connected, _ = listening.accept()
-    background.start(task_group, handle, connected, handler)
+    background.start(task_group, serve_accepted, connected, handler)
 
 
-async def handle(connected: socket.socket, handler: StreamHandler) -> None:
+async def serve_accepted(connected: socket.socket, handler: StreamHandler) -> None:
     """Run the handler of an accepted connection, unless the peer has reset it already."""
     try:
         connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -16,16 +16,27 @@
 """Time that another gateway takes to reply to the departure."""
 
 REQUEST = b"GET /x HTTP/1.1\r\nhost: h.example\r\n\r\n"
+ACTION = (
+    b"POST /act/x HTTP/1.1\r\nhost: h.example\r\ndogwoodgap-attempt: a1\r\n"
+    b"content-length: 3\r\n\r\npay"
+)
+STOP_GRACE_S = 2.0
 FLEET = """
 version = 1
 routes = [
-  {{ name = "act", host = "h.example", prefix = "/act/", kind = "non_idempotent", timeout_s = 2.0, objective_s = 0.1, targets = [{{ service = "plain" }}] }},
+  {{ name = "act", host = "h.example", prefix = "/act/", kind = "non_idempotent", timeout_s = 1.0, objective_s = 0.1, targets = [{{ service = "plain" }}] }},
+  {{ name = "long", host = "h.example", prefix = "/long/", kind = "non_idempotent", timeout_s = 5.0, objective_s = 0.1, targets = [{{ service = "plain" }}] }},
 ]
 services = [{{ name = "plain" }}]
 servers = [{{ id = "p1", service = "plain", address = "{address}", slots = 4 }}]
 """  # noqa: E501 - inline tables of TOML stand on one line
 
 
+async def hang(backend, received, stream):
+    """Never respond."""
+    await anyio.sleep_forever()
+
+
 async def slow(backend, received, stream):
     """Respond after some time."""
     await anyio.sleep(SERVER_TIME_S)
@@ -58,7 +69,7 @@
                     "ready_bind": addresses["ready"],
                     "directory_bind": addresses["directory"],
                     "relay_bind": addresses["relay"],
-                    "stop_grace_s": 4.0,
+                    "stop_grace_s": STOP_GRACE_S,
                     "directory_ttl_s": 0.05,
                     "first_start": True,
                 },
@@ -128,11 +139,51 @@
     anyio.run(main)
 
 
-def connect_and_send(address):
+def test_request_that_is_established_when_the_listeners_close_is_finished(tmp_path):
+    """Guards against a stop that does not wait for what it accepts last."""
+
+    async def main():
+        async with running(tmp_path) as (stopped, _):
+            connections = []
+            close_servers = stopped.gateway.close_servers
+
+            async def send_and_close(give_up_at):
+                connections.append(connect_and_send(stopped.address, ACTION))
+                await close_servers(give_up_at)
+
+            stopped.gateway.close_servers = send_and_close
+            stopped.stop()
+            await stopped.ended.wait()
+            assert len(stopped.backend.received) == 1
+            assert (await read_all(connections[0])).endswith(b"ok")
+
+    anyio.run(main, backend_options={"use_uvloop": True})
+
+
+def test_unfinished_request_gets_a_response_and_the_gateway_ends_within_its_grace(tmp_path):
+    """Guards against a stop that cuts what is unfinished at its end, or that takes too long."""
+
+    async def main():
+        async with running(tmp_path) as (stopped, _):
+            stopped.backend.script = hang
+            connection = connect_and_send(stopped.address, ACTION.replace(b"/act/", b"/long/"))
+            await stopped.backend.request_received.wait()
+            started_at = clock.now()
+            stopped.stop()
+            await stopped.ended.wait()
+            assert clock.now() - started_at < STOP_GRACE_S
+            received = await read_all(connection)
+            assert received.startswith(b"HTTP/1.1 502 ")
+            assert received.endswith(b"}")
+
+    anyio.run(main, backend_options={"use_uvloop": True})
+
+
+def connect_and_send(address, request=REQUEST):
     """Connect and send a request without letting the event loop run."""
     host, _, port = address.rpartition(":")
     connection = socket.create_connection((host, int(port)))
-    connection.sendall(REQUEST)
+    connection.sendall(request)
     return connection
 
 
@@ -161,7 +212,8 @@
     )
 
 
-def test_closing_server_answers_connections_that_are_established_already():
+@pytest.mark.parametrize("use_uvloop", [True, False])
+def test_closing_server_answers_connections_that_are_established_already(use_uvloop):
     """Guards against resets of connections that the operating system has accepted."""
 
     async def main():
@@ -173,10 +225,66 @@
             with pytest.raises(OSError):  # noqa: PT011 - refused or reset, by platform
                 connect_and_send(address)
 
+    anyio.run(main, backend_options={"use_uvloop": use_uvloop})
+
+
+@pytest.mark.parametrize("use_uvloop", [True, False])
+def test_closing_server_refuses_connections_while_a_request_still_runs(use_uvloop):
+    """Guards against a stop that accepts as long as it has requests."""
+
+    async def main():
+        async with running_server(respond_slowly) as (server, address):
+            connection = connect_and_send(address)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(server.close, clock.now() + 5)
+                await anyio.sleep(SERVER_TIME_S / 2)
+                assert server.is_serving
+                with pytest.raises(ConnectionRefusedError):
+                    connect_and_send(address)
+            assert (await read_all(connection)).endswith(b"whole")
+
+    anyio.run(main, backend_options={"use_uvloop": use_uvloop})
+
+
+def test_full_server_accepts_no_more_connections_when_it_closes():
+    """Guards against connections of callers that take the descriptors of those to servers."""
+
+    async def main():
+        async with running_server(respond_slowly) as (server, address):
+            server.max_connections = 5
+            connections = [connect_and_send(address) for _ in range(40)]
+            open_connections = []
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(server.close, clock.now() + 5)
+                while server.is_serving:  # noqa: ASYNC110 - set by the server's own task
+                    open_connections.append(len(server.connections))
+                    await anyio.sleep(0.01)
+            assert 0 < max(open_connections) <= 5
+            for connection in connections:
+                connection.close()
+
     anyio.run(main)
 
 
-def test_request_that_arrives_before_the_close_of_an_idle_connection_is_answered():
+def test_requests_that_arrive_before_many_idle_connections_close_are_answered():
+    """Guards against data that a busy event loop delivers after the connection was closed."""
+
+    async def main():
+        async with running_server(respond_slowly) as (server, address):
+            connections = [connect_and_send(address) for _ in range(40)]
+            await anyio.sleep(3 * SERVER_TIME_S)
+            for connection in connections:
+                connection.sendall(REQUEST)
+            server.closing = True
+            server.close_idle()
+            for connection in connections:
+                assert (await read_all(connection)).count(b"whole") == 2
+
+    anyio.run(main, backend_options={"use_uvloop": True})
+
+
+@pytest.mark.parametrize("use_uvloop", [True, False])
+def test_request_that_arrives_before_the_close_of_an_idle_connection_is_answered(use_uvloop):
     """Guards against data that has arrived and is dropped with an idle connection."""
 
     async def main():
@@ -190,10 +298,11 @@
             assert received.count(b"whole") == 2
             assert received.lower().count(b"connection: close") == 1
 
-    anyio.run(main)
+    anyio.run(main, backend_options={"use_uvloop": use_uvloop})
 
 
-def test_closing_server_waits_for_the_first_request_of_a_new_connection():
+@pytest.mark.parametrize("use_uvloop", [True, False])
+def test_closing_server_waits_for_the_first_request_of_a_new_connection(use_uvloop):
     """Guards against closing a connection whose first request is on its way."""
 
     async def main():
@@ -206,10 +315,11 @@
                 connection.sendall(REQUEST)
                 assert (await read_all(connection)).endswith(b"whole")
 
-    anyio.run(main)
+    anyio.run(main, backend_options={"use_uvloop": use_uvloop})
 
 
-def test_closing_server_does_not_wait_for_connections_without_requests():
+@pytest.mark.parametrize("use_uvloop", [True, False])
+def test_closing_server_does_not_wait_for_connections_without_requests(use_uvloop):
     """Guards against a stop that lasts as long as idle connections are open."""
 
     async def main():
@@ -221,7 +331,7 @@
             assert clock.now() - started_at < 4 * ingress.FIRST_REQUEST_TIMEOUT_S
             assert await read_all(connection) == b""
 
-    anyio.run(main)
+    anyio.run(main, backend_options={"use_uvloop": use_uvloop})
 
 
 def test_stop_writes_pending_records_before_the_departure(tmp_path):
@@ -248,7 +358,8 @@
             assert [record.digest for record in await recorder.records.list()] == [7]
 
 
-def test_request_after_a_response_that_began_before_the_close_is_answered():
+@pytest.mark.parametrize("use_uvloop", [True, False])
+def test_request_after_a_response_that_began_before_the_close_is_answered(use_uvloop):
     """Guards against a kept connection that ends although its response announced no close."""
 
     async def main():
@@ -273,7 +384,7 @@
             assert received.count(b"whole") == 2
             assert received.lower().count(b"connection: close") == 1
 
-    anyio.run(main)
+    anyio.run(main, backend_options={"use_uvloop": use_uvloop})
 
 
 def receive_and_send_again(connection):
@@ -285,7 +396,8 @@
     return received
 
 
-def test_request_that_has_arrived_is_answered_when_its_connection_makes_room():
+@pytest.mark.parametrize("use_uvloop", [True, False])
+def test_request_that_has_arrived_is_answered_when_its_connection_makes_room(use_uvloop):
     """Guards against data that has arrived and is dropped to accept another connection."""
 
     async def main():
@@ -299,8 +411,11 @@
                 received = await read_all(connection)
             assert received.count(b"whole") == 2
 
+    anyio.run(main, backend_options={"use_uvloop": use_uvloop})
+
 
-def test_closed_server_does_not_wait_for_the_rest_of_a_body():
+@pytest.mark.parametrize("use_uvloop", [True, False])
+def test_closed_server_does_not_wait_for_the_rest_of_a_body(use_uvloop):
     """Guards against a process that outlasts its grace period while it drains a connection."""
 
     async def main():
@@ -315,4 +430,4 @@
                     await anyio.sleep(0.01)
                 assert clock.now() < give_up_at + ingress.CLOSE_TIMEOUT_S
 
-    anyio.run(main)
+    anyio.run(main, backend_options={"use_uvloop": use_uvloop})
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -85,6 +85,8 @@
     async def main():
         backend = gateways.Backend("p1", "plain", slow)
         async with gateways.running(backend) as harness:
+            patient = gateways.route("act", routes.RouteKind.NON_IDEMPOTENT, "plain", timeout_s=9.0)
+            harness.active_routes.install(routes.RouteTable(2, [patient], gateways.SERVICES))
             await learn_durations(harness)
             bound_s = harness.forwarder.durations.bound_s(NON_IDEMPOTENT)
             pool = harness.forwarder.pool(backend.entry())
