Settle a turn whose account is in a transfer that is not acknowledged

What callers would see: programs that were refused before their token budget was used, since a turn that ended while its account was being sent counted with its full reservation.

Cause: a settlement looked for the account among those held here, but not among those that were sent and came back later because their new owner did not respond.

Why the fix works: a settlement takes the account back if the one that was sent holds the reservation, and the account is then sent again.

--- a/src/dogwoodgap/budget_owners.py
+++ b/src/dogwoodgap/budget_owners.py
@@ -241,7 +241,7 @@
         """Send a settlement; if it is lost, the full reservation stays in place."""
         for owner in owners:
             if owner is self.membership.local:
-                if self.ledger.settle(message.program, message.attempt, message.tokens):
+                if self.settle_here(message):
                     return
                 continue
             try:
@@ -518,7 +518,14 @@
 
     async def on_settle(self, sender: ttypes.Member, message: ttypes.TokenSettle) -> ttypes.Ack:
         """Handle a settlement of another node."""
-        return ttypes.Ack(ok=self.ledger.settle(message.program, message.attempt, message.tokens))
+        return ttypes.Ack(ok=self.settle_here(message))
+
+    def settle_here(self, message: ttypes.TokenSettle) -> bool:
+        """Settle a reservation that this node holds; return whether it was found."""
+        sent = self.transfers.outgoing.get(message.program)
+        if sent is not None and message.attempt in sent.reservations:
+            self.transfers.take_back(message.program)
+        return self.ledger.settle(message.program, message.attempt, message.tokens)
 
     # Membership changes
 
--- a/tests/test_budget_owners.py
+++ b/tests/test_budget_owners.py
@@ -656,3 +656,24 @@
     await fleet.stop(name)
     await anyio.sleep(1.0)
     assert fleet.nodes[fleet.owner("p")].ledger.accounts["p"].known_usage == 5 * TURN
+
+
+@with_fleet(3)
+async def test_turn_is_settled_while_its_account_is_being_sent(fleet):
+    """Guards against a turn that counts in full since its account was in a failed transfer."""
+    budget = 20 * TURN
+    name = fleet.owner("p")
+    call = turn("p", "x", budget)
+    new_owner = fleet.nodes[name].owners("p")[1]
+    caller = fleet.nodes[({0, 1, 2} - {name, int(new_owner.node[1:])}).pop()]
+    await caller.reserve(call)
+    fleet.shared_network.partition([fleet.address(name)], [new_owner.peer_address])
+    owners = caller.owners("p")[:1]
+    fleet.tasks.start_soon(fleet.memberships[name].leave)
+    await anyio.sleep(0.2)
+    message = ttypes.TokenSettle(program="p", attempt="p-x", tokens=10)
+    await caller.send_settlement(message, owners)
+    fleet.shared_network.broken_links.clear()
+    await anyio.sleep(3.0)
+    node = fleet.nodes[int(new_owner.node[1:])]
+    assert node.ledger.accounts["p"].committed == 10
