--- a/src/dogwoodgap/forwarder.py
+++ b/src/dogwoodgap/forwarder.py
@@ -677,9 +677,8 @@
             connection = await self.acquire_connection(pool, max_idle_s)
             if not self.server_registry.is_usable(server):
                 return progress_module.AttemptResult.NOT_RUN
-            if not connection.is_reused:
-                # Opening a connection takes time, in which the request may have become futile.
-                self.refuse_futile(digest, progress, responder)
+            # Opening a connection takes time, in which the request may have become futile.
+            self.refuse_futile(digest, progress, responder)
             is_run_lost = True
             with self.measure_attempt(progress, state) as measurement:
                 result = await self.send_and_relay(call, progress, responder, connection)
