Forget an idle connection to another gateway before it closes

A connection to a node that is not a partner was closed first and forgotten after. A request in between was sent on the closing connection and failed at once as unreachable. For the budget of a program the next owner was then asked as the last resort, which assumes usage and may refuse a turn that the budget covers.

The connection is now forgotten before it closes. test_request_while_an_idle_connection_closes_uses_another_one gets PeerUnreachableError on the commit before, and a reply now.

--- a/src/dogwoodgap/peers.py
+++ b/src/dogwoodgap/peers.py
@@ -191,7 +191,11 @@
         try:
             async with self.network.open(self.address) as self.connection:
                 self.opened.set()
-                await self.connection.run_until_idle(KEEP_IDLE_S)
+                try:
+                    await self.connection.run_until_idle(KEEP_IDLE_S)
+                finally:
+                    # Before the connection closes, which lets other tasks run.
+                    self.network.forget(self)
         except (*peer_connections.CONNECTION_ERRORS, exceptions.PeerUnreachableError):
             pass
         except exceptions.FrameMalformedError as error:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -223,3 +223,29 @@
             assert (await probe(client, f"127.0.0.1:{port}")).message.reachable
 
     anyio.run(main)
+
+
+def test_request_while_an_idle_connection_closes_uses_another_one(monkeypatch):
+    """Guards against a node that counts as unreachable because its idle connection was closing."""
+
+    async def main():
+        monkeypatch.setattr(peers, "KEEP_IDLE_S", 0.05)
+        closing = anyio.Event()
+        async with pair() as (client, port):
+            address = f"127.0.0.1:{port}"
+            open_connection = client.open
+
+            @contextlib.asynccontextmanager
+            async def open_and_close_slowly(address):
+                async with open_connection(address) as connection:
+                    yield connection
+                closing.set()
+                await anyio.sleep(0.1)
+
+            client.open = open_and_close_slowly
+            await probe(client, address)
+            with anyio.fail_after(5):
+                await closing.wait()
+            assert (await probe(client, address)).sender.node == "server"
+
+    anyio.run(main)
