Count the connections of a server again after the wait for a permit

A server with a request rate limit is chosen while it has a free connection, and the request then waits for a permit. Requests that waited together were all sent and opened more connections than the server allows this gateway. Servers reset the excess: the caller of a request that must not run twice gets 502.

--- a/src/dogwoodgap/candidates.py
+++ b/src/dogwoodgap/candidates.py
@@ -97,6 +97,10 @@
         server = self.server_registry.servers.get(server_id)
         return server is None or self.loads.state(server).connect_failures > 0
 
+    def has_free_connection(self, server: servers.BackendServer) -> bool:
+        """Return whether this node may open one more connection to a server."""
+        return self.loads.state(server).in_flight < self.connection_limit(server.service)
+
     def connection_limit(self, service: str) -> int:
         """Return the connections of this node to each server of a service.
 
--- a/src/dogwoodgap/forwarder.py
+++ b/src/dogwoodgap/forwarder.py
@@ -623,7 +623,9 @@
             if delay_s is not None:
                 if delay_s:
                     await anyio.sleep(delay_s)
-                return server
+                if self.server_selector.has_free_connection(server):
+                    return server
+                continue  # Others that waited as well have taken its connections.
             if expected_s:
                 await anyio.sleep(min(expected_s, PERMIT_DELAY_SLACK_S))
 
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -266,8 +266,12 @@
         await anyio.sleep(0.01)
 
 
-def test_connections_to_a_server_are_limited():
-    """Guards against exceeding the connection limit, above which a server resets connections."""
+@pytest.mark.parametrize("permit_delay_s", [0.0, 0.05])
+def test_connections_to_a_server_are_limited(permit_delay_s):
+    """Guards against exceeding the connection limit, above which a server resets connections.
+
+    With a delay, all requests choose the server before the first one is sent.
+    """
 
     async def main():
         released = anyio.Event()
@@ -277,6 +281,11 @@
             harness.active_routes.install(routes.RouteTable(2, gateways.ROUTES, services))
             statuses = []
 
+            async def grant(server, max_delay_s):
+                return permit_delay_s
+
+            harness.permit_coordinator.acquire = grant
+
             async def send_request(number):
                 response = await gateways.send_once(
                     harness, "POST", "/act/x", b"pay", dogwoodgap_attempt=f"a{number}"
