--- a/tests/stop_paths_search.py
+++ b/tests/stop_paths_search.py
@@ -47,7 +47,11 @@
 
 KEPT_CALLERS = (2, 6)
 SLOW_CALLERS = (2, 6)
-STRANDED_REQUESTS = (4, 12)
+STRANDED_REQUESTS = (15, 30)
+STRANDED_FROM_S = ((-2.5, 0.1), (-0.1, IDLE_CLOSE_AT_S + 0.7))
+"""Times, relative to the SIGTERM, at which they are sent: most that are sent later are passed on
+to gateways that do not stop."""
+
 RELAY_REQUESTS = (1, 4)
 
 
@@ -139,8 +143,11 @@
             self.start_sparse_callers(gateway, begin_s)
             for stranded in self.stranded:
                 for _ in range(draws.randint(*STRANDED_REQUESTS)):
-                    after_s = begin_s + draws.uniform(-0.5, IDLE_CLOSE_AT_S + 0.7)
-                    self.spawn(self.call_once(stranded, after_s))
+                    after_s = begin_s + draws.uniform(*draws.choice(STRANDED_FROM_S))
+                    self.spawn(self.call_once(stranded, max(0.0, after_s)))
+        if self.stranded and draws.random() < 0.5:
+            after_s = begin_s + draws.choice([0.0, IDLE_CLOSE_AT_S]) - draws.uniform(0.0, 0.2)
+            self.spawn(self.suspend(draws.choice(self.stranded), after_s))
         moments_s = [begin_s + IDLE_CLOSE_AT_S, begin_s + LAST_RESPONSES_AT_S]
         if self.has_relay_callers:
             for _ in range(draws.randint(*RELAY_REQUESTS)):
@@ -242,18 +249,19 @@
         stop = self.stop_of(sender, ended_at)
         return stop.begin > ended_at or super().is_cut_by(attempt, stop)
 
+    def ran_by_way_of_a_stop(self, attempt: stop_search.Attempt) -> bool:
+        """Return whether the gateway that a request was passed on to stopped meanwhile."""
+        ended_at = attempt.at + attempt.took_s
+        return any(
+            stop.begin <= ended_at and attempt.at <= stop.end
+            for stop in self.stops.get(self.senders.get(attempt.attempt, ""), ())
+        )
+
     def summary(self) -> str:
         """Return the paths of this run, and how requests ended that were passed on."""
         ips = {gateway.ip for gateway in self.stranded}
         passed_on = [attempt for attempt in self.scene.attempts if attempt.gateway in ips]
-        begins = {run.attempt: run.at for run in self.scene.runs}
-        to_stopping = sum(
-            self.stop_of(self.senders[attempt.attempt], begins[attempt.attempt]).covers(
-                begins[attempt.attempt]
-            )
-            for attempt in passed_on
-            if attempt.attempt in self.senders
-        )
+        to_stopping = [attempt for attempt in passed_on if self.ran_by_way_of_a_stop(attempt)]
         unknown = sum(attempt.status == 502 for attempt in passed_on)
         paths = [
             "sparse" if self.is_sparse else "dense",
@@ -266,7 +274,7 @@
         ]
         return (
             f"; {', '.join(filter(None, paths))}; {len(passed_on)} requests to stranded gateways, "
-            f"{to_stopping} run by way of a stopping one, {unknown} with 502"
+            f"{len(to_stopping)} run by way of a stopping one, {unknown} with 502"
         )
 
 
