--- a/src/dogwoodgap/gateway.py
+++ b/src/dogwoodgap/gateway.py
@@ -1,6 +1,7 @@
 """The gateway process, which forwards requests by configured routes; one per entry VM."""
 
 import dataclasses
+import gc
 import logging
 import math
 import resource
@@ -426,6 +427,8 @@
     """Run a gateway until it has stopped; exits with 1 if it cannot listen on an address."""
     try:
         anyio.run(served_gateway.run, endpoints, backend_options={"use_uvloop": True})
+        # The exit collects garbage several times, which took up to 0.6 s of the grace period.
+        gc.freeze()
     except* exceptions.AddressUnavailableError as group:
         error: BaseException = group
         while isinstance(error, BaseExceptionGroup):
