Accept no connection in the last 0.3 s in which a stopping gateway serves requests

What callers saw: 24 requests on new connections, sent 7.35 to 7.52 s after the SIGTERM, ended 0.25 to 0.30 s after they were sent with a closed connection and no answer. No server ran them, but a caller cannot know that.

Cause: connections were accepted until 7.4 s and given up at 7.55 s. The gateway was late by then, on a busy machine, and had not read the requests when it gave up their connections, of which REQUEST_CUT tells nothing.

It is not certain that the gateway had read them; it drains connections that it closes.

The listeners close at 7.1 s of a grace period of 8 s: what was accepted by then has 0.3 s more to be read, and others learn from a refused connection that their request was not sent.

--- a/src/dogwoodgap/gateway.py
+++ b/src/dogwoodgap/gateway.py
@@ -58,6 +58,10 @@
 STOP_POLL_INTERVAL_S = 0.05
 """Interval at which a stop checks whether the last requests have finished."""
 
+LAST_ACCEPT_MARGIN_S = 0.3
+"""Time before the end of the requests of a stop from which no connection is accepted. Without it,
+requests that arrived last were closed unanswered when the gateway took 0.2 s to read them."""
+
 LAST_RESPONSES_TIMEOUT_S = 0.15
 """Time to send the error responses of requests that were still unfinished at the end of a stop."""
 
@@ -374,7 +378,7 @@
             await clock.sleep_until(started_at + section.directory_ttl_s * DIRECTORY_TTL_FACTOR)
         self.request_server.closing = True
         self.relay_server.closing = True
-        await self.wait_until_quiet(end_at)
+        await self.wait_until_quiet(end_at - LAST_ACCEPT_MARGIN_S)
         events.emit(
             events.Event.GATEWAY_CLOSING,
             "the planned stop waits for callers no longer",
