--- a/src/dogwoodgap/ingress.py
+++ b/src/dogwoodgap/ingress.py
@@ -40,9 +40,9 @@
 FIRST_REQUEST_TIMEOUT_S = 0.5
 """Time for the first request of a new connection, which is not closed as idle before."""
 
-LAST_DATA_TIMEOUT_S = 0.1
-"""Time for the event loop to deliver data that has arrived before an idle connection closes. One
-turn of the loop takes several ms in a busy process."""
+LAST_DATA_TURNS = 5
+"""Turns of the event loop in which it delivers data that has arrived before an idle connection
+closes: it reads the data in one turn, and runs the task that waits for it in the next one."""
 
 BODY_TIMEOUT_S = 10.0
 """Timeout for receiving a request body; bodies are at most a few MB."""
@@ -246,10 +246,23 @@
         with anyio.fail_after(self.limits.idle_timeout_s), anyio.CancelScope() as self.idle_scope:
             await self.receive()
             return True
-        with anyio.move_on_after(LAST_DATA_TIMEOUT_S):
+        return await self.receive_last_data()
+
+    async def receive_last_data(self) -> bool:
+        """Receive data that has arrived already; return whether there was any."""
+        has_data = False
+
+        async def receive() -> None:
+            nonlocal has_data
             await self.receive()
-            return True
-        return False
+            has_data = True
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(receive)
+            for _ in range(LAST_DATA_TURNS):
+                await anyio.lowlevel.checkpoint()
+            tasks.cancel_scope.cancel()
+        return has_data
 
     def close_idle(self) -> None:
         """Close the connection, unless data of a request has arrived meanwhile."""
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -360,6 +360,8 @@
             ]
             assert [record.digest for record in await recorder.records.list()] == [7]
 
+    anyio.run(main)
+
 
 @pytest.mark.parametrize("use_uvloop", [True, False])
 def test_request_after_a_response_that_began_before_the_close_is_answered(use_uvloop):
