--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 # Known failing tests; each entry of KNOWN-RED.txt has a line "test: path::name".
 DESELECT := $(shell [ -f KNOWN-RED.txt ] && sed -n 's/^test: */--deselect /p' KNOWN-RED.txt)
 
-.PHONY: install test lint format demo thrift
+.PHONY: install test lint format demo simulate thrift
 
 install: $(VENV)/.installed
 
@@ -28,6 +28,9 @@
 	PATH="$(CURDIR)/$(VENV)/bin:$$PATH" dogwoodgap-lab demo
 	$(VENV)/bin/dogwoodgap-lab gateway-demo
 
+simulate: install
+	$(VENV)/bin/dogwoodgap-lab simulate --seed 1 --count 20
+
 # Needs the thrift compiler. The generated code is committed, so other targets do not need it.
 thrift:
 	thrift --gen py:slots -out src thrift/dogwoodgap.thrift
--- a/src/dogwoodgap_lab/cli.py
+++ b/src/dogwoodgap_lab/cli.py
@@ -1,5 +1,6 @@
 """Command line of ``dogwoodgap-lab``."""
 
+import collections.abc
 import os
 import pathlib
 import sys
@@ -312,6 +313,49 @@
     fleet_client.report(anyio.run(footprint.check, deployments.read_layout(folder)))
 
 
+def whole_number(option: str, low: int, high: int) -> collections.abc.Callable[[str], int]:
+    """Return a parser of a number whose error is one line with the remedy, and exit code 2."""
+
+    def parse(value: str) -> int:
+        if str(value).isdecimal() and low <= int(value) <= high:
+            return int(value)
+        typer.echo(f"{option} is {value!r}; give a whole number from {low} to {high}", err=True)
+        raise typer.Exit(2)
+
+    return parse
+
+
+SimulatedSeed = typing.Annotated[
+    int, typer.Option(parser=whole_number("--seed", 0, 10**9), metavar="N", help="First seed.")
+]
+SeedCount = typing.Annotated[
+    int,
+    typer.Option(parser=whole_number("--count", 1, 10**6), metavar="N", help="Number of seeds."),
+]
+Gateways = typing.Annotated[
+    int,
+    typer.Option(parser=whole_number("--gateways", 2, 40), metavar="N", help="Number of gateways."),
+]
+
+
+@cli.command()
+def simulate(seed: SimulatedSeed = 1, count: SeedCount = 1, gateways: Gateways = 7) -> None:
+    """Simulate fleets of gateways with planned stops and faults on virtual time.
+
+    Prints a line for each seed, and the timeline of a seed that broke a rule; status 1 if one did.
+    """
+    from dogwoodgap_lab.fleet_simulation import fleet as fleet_simulation
+
+    broken = 0
+    for number in range(seed, seed + count):
+        outcome = fleet_simulation.simulate(number, gateways)
+        typer.echo(outcome.line())
+        if outcome.findings:
+            broken += 1
+            typer.echo("\n".join(outcome.timeline()))
+    raise typer.Exit(1 if broken else 0)
+
+
 def main() -> None:
     """Run the command line."""
     try:
--- /dev/null
+++ b/src/dogwoodgap_lab/fleet_simulation/oracles.py
@@ -0,0 +1,162 @@
+"""Rules that a simulated run must keep, one function for each, with the sentence it checks.
+
+The sentences are those of the users' rules; docs/design.md names the same rules
+``planned-stop`` (LOST) and ``at-most-once`` (TWICE, REFUSED).
+"""
+
+import collections
+import collections.abc
+import dataclasses
+
+from dogwoodgap_lab.fleet_simulation import evidence
+
+STABLE_S = 2.0
+"""Time after an unplanned disruption from which requests are judged by LOST again."""
+
+EARLY_S = 3.0
+"""Time after SIGTERM up to which a sent request may outlast the grace period."""
+
+LAST_PART_S = evidence.GRACE_S / 6
+"""Last part of the grace period, in which a server has to be at work on such a request."""
+
+DEADLINE_SLACK_S = 0.05
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+
+
+@dataclasses.dataclass(frozen=True)
+class Finding:
+    """A broken rule, with the request that shows it."""
+
+    rule: str
+    request: str
+    gateway: str
+    detail: str
+
+
+Oracle = collections.abc.Callable[[evidence.Evidence], list[Finding]]
+
+
+def lost(seen: evidence.Evidence) -> list[Finding]:
+    """Check LOST around planned stops.
+
+    "Around planned work, with no unplanned disruption from stableMs before the request to its end,
+    a process has read a whole request and the connection ends without a complete answer [...] once
+    it has been passed on to a runner. Planned work is: a SIGTERM of the machine that took the
+    request from the client, until 1 s after graceS [...] Not counted: the runner broke off, the
+    deadline or the route's timeout was reached, or the runner was still at work in the last sixth
+    of graceS on a request that was sent no later than 3 s after the SIGTERM."
+    """
+    runs: dict[str, list[evidence.Run]] = collections.defaultdict(list)
+    for run in seen.runs:
+        runs[run.attempt].append(run)
+    findings: list[Finding] = []
+    for attempt in seen.attempts.values():
+        if attempt.whole or attempt.gave_up or not runs[attempt.id]:
+            continue
+        stop = stop_around(seen, attempt)
+        if stop is None or is_excused(seen, attempt, runs[attempt.id], stop):
+            continue
+        after_s = attempt.sent_at - stop.began_at
+        findings.append(
+            Finding(
+                "LOST",
+                attempt.id,
+                attempt.gateway,
+                f"sent {after_s:.3f} s after SIGTERM, run by {runs[attempt.id][-1].server}, "
+                f"connection ended {attempt.ended_at - stop.began_at:.3f} s after SIGTERM",
+            )
+        )
+    return findings
+
+
+def stop_around(seen: evidence.Evidence, attempt: evidence.Attempt) -> evidence.Stop | None:
+    """Return the planned stop of its gateway in which a request ended, or None."""
+    for stop in seen.stops:
+        until = min(stop.ended_at, stop.began_at + evidence.GRACE_S) + evidence.EXIT_WAIT_S
+        if stop.gateway == attempt.gateway and stop.began_at <= attempt.ended_at <= until:
+            return stop
+    return None
+
+
+def is_excused(
+    seen: evidence.Evidence,
+    attempt: evidence.Attempt,
+    runs: list[evidence.Run],
+    stop: evidence.Stop,
+) -> bool:
+    """Return whether an exception of LOST holds for a request."""
+    if any(run.broken for run in runs):
+        return True
+    if attempt.ended_at >= attempt.sent_at + attempt.kind.timeout_s - DEADLINE_SLACK_S:
+        return True
+    last_part_at = stop.began_at + evidence.GRACE_S - LAST_PART_S
+    is_early = attempt.sent_at <= stop.began_at + EARLY_S
+    if is_early and any(run.ended_at >= last_part_at for run in runs):
+        return True
+    return any(
+        disruption.gateway == attempt.gateway
+        and disruption.began_at <= attempt.ended_at
+        and disruption.ended_at >= attempt.sent_at - STABLE_S
+        for disruption in seen.disruptions
+    )
+
+
+def twice(seen: evidence.Evidence) -> list[Finding]:
+    """Check TWICE: "A request that isn't idempotent runs more than once."."""
+    counts = collections.Counter(run.attempt for run in seen.runs)
+    return [
+        Finding("TWICE", attempt.id, attempt.gateway, f"{counts[attempt.id]} runs")
+        for attempt in seen.attempts.values()
+        if counts[attempt.id] > 1 and not attempt.kind.repeatable
+    ]
+
+
+def refused(seen: evidence.Evidence) -> list[Finding]:
+    """Check REFUSED.
+
+    "A request that isn't idempotent is answered 429 or 503 (or 408, 421) and has run, or runs
+    later. These statuses promise: not run, and never will be."
+    """
+    ran = {run.attempt for run in seen.runs}
+    return [
+        Finding("REFUSED", attempt.id, attempt.gateway, f"answered {attempt.status} and ran")
+        for attempt in seen.attempts.values()
+        if attempt.status in NOT_RUN_STATUSES and attempt.id in ran and not attempt.kind.repeatable
+    ]
+
+
+def mixed(seen: evidence.Evidence) -> list[Finding]:
+    """Check MIXED.
+
+    "A client gets a success (2xx) without the runner's Server-Seal, or with a body that isn't the
+    runner's whole body [...] or any answer that belongs to another request; or a success on a
+    connection with no request waiting".
+    """
+    bodies = collections.defaultdict(set)
+    for run in seen.runs:
+        bodies[run.attempt].add(run.body)
+    findings: list[Finding] = []
+    for attempt in seen.attempts.values():
+        if not attempt.whole or attempt.status >= 300:
+            continue
+        problem = ""
+        if not attempt.signed:
+            problem = "a success without a server's signature"
+        elif attempt.attempt_header != attempt.id:
+            problem = f"the response of {attempt.attempt_header!r}"
+        elif attempt.body not in bodies[attempt.id]:
+            problem = f"a body that no server sent for it: {attempt.body[:60]!r}"
+        elif attempt.extra:
+            problem = f"bytes after the response: {attempt.extra[:60]!r}"
+        if problem:
+            findings.append(Finding("MIXED", attempt.id, attempt.gateway, problem))
+    return findings
+
+
+ORACLES: tuple[Oracle, ...] = (lost, twice, refused, mixed)
+
+
+def check(seen: evidence.Evidence) -> list[Finding]:
+    """Return all findings, with unexpected errors of the gateways."""
+    findings = [Finding("ERROR", "", error.partition(" ")[0], error) for error in seen.errors]
+    return [finding for oracle in ORACLES for finding in oracle(seen)] + findings
