--- a/src/dogwoodgap_lab/fleet_simulation/network.py
+++ b/src/dogwoodgap_lab/fleet_simulation/network.py
@@ -287,8 +287,8 @@
     async def from_socket(connected: Endpoint) -> Endpoint:
         return connected
 
-    @contextlib.contextmanager
-    def receive_signals() -> collections.abc.Iterator[typing.Any]:
+    @contextlib.asynccontextmanager
+    async def receive_signals() -> collections.abc.AsyncIterator[typing.Any]:
         sender, receiver = anyio.create_memory_object_stream(math.inf)
         network.signals[processes.current.get()] = sender
         with sender, receiver:
