--- a/tests/stop_search.py
+++ b/tests/stop_search.py
@@ -164,6 +164,7 @@
         self.kept_share = self.random.choice([0.2, 0.5, 0.8])
         self.tasks: list[asyncio.Task] = []
         self.numbers = itertools.count()
+        self.refused = 0
         self.lag_s = 0.0
 
     async def stop(self, gateway: gateways.Gateway, after_s: float) -> None:
@@ -424,7 +425,11 @@
         attempt.gateway = gateway.ip
         with contextlib.suppress(OSError, http.ClosedError, TimeoutError):
             async with asyncio.timeout(6.0):
-                reader, writer = await asyncio.open_connection(gateway.ip, port)
+                try:
+                    reader, writer = await asyncio.open_connection(gateway.ip, port)
+                except ConnectionRefusedError:
+                    self.refused += 1
+                    raise
                 attempt.at = time.time()
                 self.scene.attempts.append(attempt)
                 try:
@@ -449,7 +454,8 @@
     ended_badly = {name: code for name, code in search.codes.items() if code != 0}
     statuses = collections.Counter(attempt.status for attempt in search.scene.attempts)
     print(
-        f"seed {seed}: {stops} stops, {len(search.scene.attempts)} requests, "
+        f"seed {seed}: {stops} stops, {len(search.scene.attempts)} requests and "
+        f"{search.refused} refused connections of single requests, "
         f"{len(cut)} cut {dict(kinds)}, {len(dropped)} dropped, "
         f"{search.refused_in_vain()} refused in vain, "
         f"answers {dict(sorted(statuses.items()))}, exit codes {ended_badly or 'all 0'}, "
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -10,7 +10,7 @@
 
 from dogwoodgap import clock, durations, routes
 
-SEARCH = pathlib.Path(__file__).with_name("stop_search.py")
+FOLDER = pathlib.Path(__file__).parent
 SERVER_TIME_S = 0.1
 NON_IDEMPOTENT = ("plain", routes.RouteKind.NON_IDEMPOTENT)
 
@@ -156,9 +156,9 @@
     run(main)
 
 
-def search(*arguments):
+def search(*arguments, script="stop_search.py"):
     """Search for cut requests with real processes."""
-    command = [sys.executable, str(SEARCH), *arguments]
+    command = [sys.executable, str(FOLDER / script), *arguments]
     finished = subprocess.run(command, capture_output=True, text=True, timeout=100, check=False)
     assert finished.returncode == 0, finished.stdout + finished.stderr
 
@@ -169,7 +169,12 @@
     search("--seed", seed)
 
 
-@pytest.mark.parametrize("seed", ["1", "2"])
+@pytest.mark.parametrize("seed", ["1", "2", "7"])
 def test_planned_stops_without_other_traffic_cut_no_request(seed):
     """Guards against requests that arrive while a gateway without connections ends."""
     search("--sparse", "--seed", seed)
+
+
+def test_planned_stops_on_less_usual_paths_cut_no_request():
+    """Guards against cut requests of other gateways, on idle connections or with slow bodies."""
+    search("--seed", "33", script="stop_paths_search.py")
