--- a/src/dogwoodgap/listeners.py
+++ b/src/dogwoodgap/listeners.py
@@ -53,6 +53,7 @@
         self.before_accept = before_accept
         self.is_failing = False
         self.accept_scope: anyio.CancelScope | None = None
+        self.is_stopped = False
         self.max_established = 0.0
 
     @property
@@ -93,6 +94,7 @@
         max_established : float
             Largest number of them that is accepted; the others are reset.
         """
+        self.is_stopped = True
         self.max_established = max_established
         if self.accept_scope is not None:
             self.accept_scope.cancel()
@@ -119,7 +121,9 @@
         self, listening: socket.socket, handler: StreamHandler, task_group: anyio.abc.TaskGroup
     ) -> None:
         """Accept the connections to one IP address."""
-        while True:
+        # The scope alone does not end the loop while a connection waits in each turn of the event
+        # loop: a task whose wait is over is not cancelled.
+        while not self.is_stopped:
             if self.before_accept is not None:
                 await self.before_accept()
             await anyio.wait_readable(listening)
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -304,6 +304,26 @@
     anyio.run(main, backend_options={"use_uvloop": use_uvloop})
 
 
+@pytest.mark.parametrize("use_uvloop", [True, False])
+def test_server_stops_to_accept_while_connections_keep_coming(use_uvloop):
+    """Guards against a listener that stays open as long as callers connect all the time."""
+
+    async def main():
+        async with running_server(respond_slowly) as (server, address):
+            connections = [connect_and_send(address) for _ in range(100)]
+            while not server.connections:
+                await anyio.lowlevel.checkpoint()
+            server.listener.stop(0)
+            for _ in range(100):
+                await anyio.lowlevel.checkpoint()
+            # The handlers of some that were accepted before had not begun.
+            assert len(server.connections) < 20
+            for connection in connections:
+                connection.close()
+
+    anyio.run(main, backend_options={"use_uvloop": use_uvloop})
+
+
 @pytest.mark.parametrize("use_uvloop", [True, False])
 def test_closing_server_waits_for_the_first_request_of_a_new_connection(use_uvloop):
     """Guards against closing a connection whose first request is on its way."""
