--- a/src/dogwoodgap/ingress.py
+++ b/src/dogwoodgap/ingress.py
@@ -37,8 +37,9 @@
 CLOSE_POLL_INTERVAL_S = 0.02
 """Interval at which a closing server looks for connections that have become idle."""
 
-FIRST_REQUEST_TIMEOUT_S = 0.5
-"""Time for the first request of a new connection, which is not closed as idle before."""
+NEXT_REQUEST_TIMEOUT_S = 0.5
+"""Time in which a closing server expects a request on a new connection, or on one whose last
+response announced no close; the connection is not closed as idle before."""
 
 LAST_DATA_TURNS = 5
 """Turns of the event loop in which it delivers data that has arrived before an idle connection
@@ -154,8 +155,6 @@
                 return
             if self.state.their_state is not h11.DONE:
                 return
-            # A response that began before the server closed has announced no close, so the caller
-            # may send another request at once; an idle connection is closed later.
             self.state.start_next_cycle()
 
     async def read_request(self) -> Request | None:
@@ -452,10 +451,10 @@
         ]
 
     def close_idle(self) -> None:
-        """Close all idle connections; new ones get some time to send their first request."""
-        accepted_before = clock.now() - FIRST_REQUEST_TIMEOUT_S
+        """Close all connections that have been idle for so long that no request is expected."""
+        idle_before = clock.now() - NEXT_REQUEST_TIMEOUT_S
         for connection in self.idle_connections():
-            if connection.handled or connection.idle_since < accepted_before:
+            if connection.idle_since < idle_before:
                 connection.close_idle()
 
     async def make_room(self) -> None:
