--- a/src/dogwoodgap/durations.py
+++ b/src/dogwoodgap/durations.py
@@ -50,10 +50,13 @@
         Monotonic time at which the request was sent.
     is_run : bool
         Whether a server may have run the request; the duration of a refusal does not count.
+    is_served : bool
+        Whether it has not failed; a request that fails early would have taken longer.
     """
 
     started_at: float
     is_run: bool = True
+    is_served: bool = True
 
 
 @dataclasses.dataclass(slots=True)
@@ -83,6 +86,15 @@
         if len(self.recent) > WINDOW:
             self.by_size.remove(self.recent.popleft())
 
+    def add_failed(self, seconds: float) -> None:
+        """Record the time until a failure, unless most requests take longer to be served."""
+        if self.by_size and seconds >= self.median_s():
+            self.add(seconds)
+
+    def median_s(self) -> float:
+        """Return the median of the durations."""
+        return self.by_size[len(self.by_size) // 2]
+
     def bound_s(self, now: float) -> float | None:
         """Return a time within which a new request most likely ends, or None if that is unknown.
 
@@ -93,8 +105,7 @@
         longest_s = self.by_size[-1]
         if self.running:
             longest_s = max(longest_s, now - next(iter(self.running)).started_at)
-        median_s = self.by_size[len(self.by_size) // 2]
-        return longest_s + (longest_s - median_s)
+        return longest_s + (longest_s - self.median_s())
 
     def typical_s(self) -> float | None:
         """Return a typical duration, or None if it is unknown."""
@@ -119,10 +130,16 @@
         window.running[measurement] = None
         try:
             yield measurement
+        except Exception:
+            measurement.is_served = False
+            raise
         finally:
             del window.running[measurement]
-            if measurement.is_run:
-                window.add(clock.now() - measurement.started_at)
+            seconds = clock.now() - measurement.started_at
+            if measurement.is_run and measurement.is_served:
+                window.add(seconds)
+            elif measurement.is_run:
+                window.add_failed(seconds)
 
     def bound_s(self, request_kind: Kind) -> float | None:
         """Return a time within which a new request of a kind most likely ends."""
--- a/src/dogwoodgap/forwarder.py
+++ b/src/dogwoodgap/forwarder.py
@@ -597,6 +597,7 @@
         with self.durations.measure(durations.kind(progress)) as measurement:
             try:
                 result = await self.peer_relay.send(call, progress, responder, member, check)
+                measurement.is_served = result is progress_module.AttemptResult.DONE
             finally:
                 measurement.is_run = progress.may_have_run
         progress.attempt_log.append(f"{member.node}:{result.value}")
@@ -695,6 +696,7 @@
             with self.measure_attempt(progress, state) as measurement:
                 result = await self.send_and_relay(call, progress, responder, connection)
                 measurement.is_run = result is not progress_module.AttemptResult.NOT_RUN
+                measurement.is_served = result is progress_module.AttemptResult.DONE
             is_run_lost = False
             if result is progress_module.AttemptResult.DONE:
                 state.record_response(clock.now() - started_at)
--- a/tests/test_durations.py
+++ b/tests/test_durations.py
@@ -1,5 +1,7 @@
 """Estimates of how long requests take, and what can still finish before a stop."""
 
+import contextlib
+
 import anyio
 import pytest
 import virtual_time
@@ -65,6 +67,34 @@
     virtual_time.run(main)
 
 
+@pytest.mark.parametrize("is_broken_off", [True, False])
+def test_attempts_that_fail_early_do_not_lower_the_estimate(is_broken_off):
+    """Guards against requests that begin too late in a stop, since failures seemed fast."""
+
+    async def main():
+        estimator = durations.DurationEstimator()
+        for _ in range(2 * durations.WINDOW):
+            with contextlib.suppress(ConnectionError), estimator.measure(KIND) as measurement:
+                await anyio.sleep(0.01)
+                measurement.is_served = False
+                if is_broken_off:
+                    raise ConnectionError
+        assert estimator.bound_s(KIND) is None
+        for _ in range(durations.MIN_SAMPLES):
+            with estimator.measure(KIND):
+                await anyio.sleep(3.0)
+            with estimator.measure(KIND) as measurement:
+                await anyio.sleep(0.01)
+                measurement.is_served = False
+        assert estimator.bound_s(KIND) == pytest.approx(3.0)
+        with estimator.measure(KIND) as measurement:
+            await anyio.sleep(5.0)
+            measurement.is_served = False
+        assert estimator.bound_s(KIND) >= 5.0
+
+    virtual_time.run(main)
+
+
 @pytest.mark.parametrize(
     ("deadline_at", "bound_s", "expected"),
     [
