--- a/src/dogwoodgap/durations.py
+++ b/src/dogwoodgap/durations.py
@@ -50,18 +50,19 @@
         Monotonic time at which the request was sent.
     is_run : bool
         Whether a server may have run the request; the duration of a refusal does not count.
-    is_served : bool
-        Whether it has not failed; a request that fails early would have taken longer.
+    is_whole : bool
+        Whether the attempt lasts as long as a request of its kind: it is served, or waited for
+        until this node gives up. Others end early, or continue a stream.
     """
 
     started_at: float
     is_run: bool = True
-    is_served: bool = True
+    is_whole: bool = True
 
 
 @dataclasses.dataclass(slots=True)
-class DurationWindow:
-    """Durations of the recent requests of one kind, in seconds.
+class RecentDurations:
+    """The last ``WINDOW`` durations, in seconds.
 
     Attributes
     ----------
@@ -69,49 +70,64 @@
         Durations in order of completion.
     by_size : sortedcontainers.SortedList
         The same durations in order of size.
-    running : dict
-        Unfinished requests in order of their start; the values are not used.
     """
 
     recent: collections.deque[float] = dataclasses.field(default_factory=collections.deque)
     by_size: sortedcontainers.SortedList = dataclasses.field(
         default_factory=sortedcontainers.SortedList
     )
-    running: dict[Measurement, None] = dataclasses.field(default_factory=dict)
 
     def add(self, seconds: float) -> None:
-        """Record a duration; an attempt that was given up counts with the time it has taken."""
+        """Record a duration."""
         self.recent.append(seconds)
         self.by_size.add(seconds)
         if len(self.recent) > WINDOW:
             self.by_size.remove(self.recent.popleft())
 
-    def add_failed(self, seconds: float) -> None:
-        """Record the time until a failure, unless most requests take longer to be served."""
-        if self.by_size and seconds >= self.median_s():
-            self.add(seconds)
 
-    def median_s(self) -> float:
-        """Return the median of the durations."""
-        return self.by_size[len(self.by_size) // 2]
+@dataclasses.dataclass(slots=True)
+class DurationWindow:
+    """Durations of the recent requests of one kind.
+
+    Attributes
+    ----------
+    attempts : RecentDurations
+        Durations of all attempts.
+    whole : RecentDurations
+        Durations of those that lasted as long as a whole request.
+    running : dict
+        Unfinished requests in order of their start; the values are not used.
+    """
+
+    attempts: RecentDurations = dataclasses.field(default_factory=RecentDurations)
+    whole: RecentDurations = dataclasses.field(default_factory=RecentDurations)
+    running: dict[Measurement, None] = dataclasses.field(default_factory=dict)
+
+    def add(self, seconds: float, *, is_whole: bool = True) -> None:
+        """Record a duration in seconds; that of a given-up attempt is the time it has taken."""
+        self.attempts.add(seconds)
+        if is_whole:
+            self.whole.add(seconds)
 
     def bound_s(self, now: float) -> float | None:
         """Return a time within which a new request most likely ends, or None if that is unknown.
 
         It lies as far above the longest duration as that one lies above the median.
         """
-        if len(self.recent) < MIN_SAMPLES:
+        if len(self.whole.recent) < MIN_SAMPLES:
             return None
-        longest_s = self.by_size[-1]
+        longest_s = max(self.whole.by_size[-1], self.attempts.by_size[-1])
         if self.running:
             longest_s = max(longest_s, now - next(iter(self.running)).started_at)
-        return longest_s + (longest_s - self.median_s())
+        median_s = self.whole.by_size[len(self.whole.by_size) // 2]
+        return longest_s + (longest_s - median_s)
 
     def typical_s(self) -> float | None:
         """Return a typical duration, or None if it is unknown."""
-        if len(self.recent) < MIN_TYPICAL_SAMPLES:
+        by_size = self.attempts.by_size
+        if len(by_size) < MIN_TYPICAL_SAMPLES:
             return None
-        return self.by_size[int(TYPICAL_QUANTILE * len(self.by_size))]
+        return by_size[int(TYPICAL_QUANTILE * len(by_size))]
 
 
 class DurationEstimator:
@@ -130,16 +146,11 @@
         window.running[measurement] = None
         try:
             yield measurement
-        except Exception:
-            measurement.is_served = False
-            raise
         finally:
             del window.running[measurement]
-            seconds = clock.now() - measurement.started_at
-            if measurement.is_run and measurement.is_served:
-                window.add(seconds)
-            elif measurement.is_run:
-                window.add_failed(seconds)
+            if measurement.is_run:
+                seconds = clock.now() - measurement.started_at
+                window.add(seconds, is_whole=measurement.is_whole)
 
     def bound_s(self, request_kind: Kind) -> float | None:
         """Return a time within which a new request of a kind most likely ends."""
--- a/src/dogwoodgap/forwarder.py
+++ b/src/dogwoodgap/forwarder.py
@@ -359,8 +359,13 @@
     def refuse_futile(
         self, digest: int, progress: progress_module.Progress, responder: ingress.Responder
     ) -> None:
-        """Raise the error for a request that no attempt can complete."""
+        """Raise the error for a request that no attempt can complete.
+
+        A stream that has begun is continued even if time is short, since it can't be refused.
+        """
         self.refuse_crashing(digest, progress, responder)
+        if responder.started:
+            return
         bound_s = self.durations.bound_s(durations.kind(progress))
         if not durations.can_finish(clock.now(), progress.deadline_at, self.stops_at, bound_s):
             self.refused_at_stop += 1
@@ -594,10 +599,10 @@
         def check() -> None:
             self.refuse_futile(digest, progress, responder)
 
-        with self.durations.measure(durations.kind(progress)) as measurement:
+        with self.measure(call, progress, responder) as measurement:
             try:
                 result = await self.peer_relay.send(call, progress, responder, member, check)
-                measurement.is_served = result is progress_module.AttemptResult.DONE
+                measurement.is_whole &= is_served(progress, result)
             finally:
                 measurement.is_run = progress.may_have_run
         progress.attempt_log.append(f"{member.node}:{result.value}")
@@ -693,10 +698,10 @@
                 return progress_module.AttemptResult.NOT_RUN
             self.refuse_if_late(connection, digest, progress, responder)
             is_run_lost = True
-            with self.measure_attempt(progress, state) as measurement:
+            with self.measure_at_server(call, progress, responder, state) as measurement:
                 result = await self.send_and_relay(call, progress, responder, connection)
                 measurement.is_run = result is not progress_module.AttemptResult.NOT_RUN
-                measurement.is_served = result is progress_module.AttemptResult.DONE
+                measurement.is_whole &= is_served(progress, result)
             is_run_lost = False
             if result is progress_module.AttemptResult.DONE:
                 state.record_response(clock.now() - started_at)
@@ -747,11 +752,34 @@
             state.record_outcome(clock.now(), failed=True)
 
     @contextlib.contextmanager
-    def measure_attempt(
-        self, progress: progress_module.Progress, state: selection.ServerState
+    def measure(
+        self,
+        call: dialect.Call,
+        progress: progress_module.Progress,
+        responder: ingress.Responder,
     ) -> collections.abc.Iterator[durations.Measurement]:
-        """Measure an attempt, for its kind of request and for its server."""
+        """Measure an attempt for its kind of request."""
         with self.durations.measure(durations.kind(progress)) as measurement:
+            measurement.is_whole = not (progress.last_event_id or call.last_event_id)
+            try:
+                yield measurement
+            except anyio.get_cancelled_exc_class():
+                measurement.is_whole &= not responder.caller_has_left
+                raise
+            except Exception as error:
+                measurement.is_whole &= isinstance(error, upstream.ResponseTimeoutError)
+                raise
+
+    @contextlib.contextmanager
+    def measure_at_server(
+        self,
+        call: dialect.Call,
+        progress: progress_module.Progress,
+        responder: ingress.Responder,
+        state: selection.ServerState,
+    ) -> collections.abc.Iterator[durations.Measurement]:
+        """Measure an attempt for its kind of request and for its server."""
+        with self.measure(call, progress, responder) as measurement:
             state.unanswered[measurement] = measurement.started_at
             try:
                 yield measurement
@@ -899,6 +927,11 @@
         )
 
 
+def is_served(progress: progress_module.Progress, result: progress_module.AttemptResult) -> bool:
+    """Return whether a server has done the work of a request; errors may take less time."""
+    return result is progress_module.AttemptResult.DONE and progress.status < relay.SUCCESS_END
+
+
 def log_cut(
     call: dialect.Call | None,
     progress: progress_module.Progress | None,
--- a/tests/test_durations.py
+++ b/tests/test_durations.py
@@ -1,7 +1,5 @@
 """Estimates of how long requests take, and what can still finish before a stop."""
 
-import contextlib
-
 import anyio
 import pytest
 import virtual_time
@@ -25,7 +23,8 @@
         assert bound_s is None
     else:
         assert bound_s >= max(seconds[-durations.WINDOW :])
-        assert len(window.by_size) == len(window.recent) <= durations.WINDOW
+        for kept in (window.attempts, window.whole):
+            assert len(kept.by_size) == len(kept.recent) == min(len(seconds), durations.WINDOW)
 
 
 def test_estimate_of_steady_durations_adds_no_reserve():
@@ -67,34 +66,51 @@
     virtual_time.run(main)
 
 
-@pytest.mark.parametrize("is_broken_off", [True, False])
-def test_attempts_that_fail_early_do_not_lower_the_estimate(is_broken_off):
+def test_attempts_that_end_early_do_not_lower_the_estimate():
     """Guards against requests that begin too late in a stop, since failures seemed fast."""
 
     async def main():
         estimator = durations.DurationEstimator()
         for _ in range(2 * durations.WINDOW):
-            with contextlib.suppress(ConnectionError), estimator.measure(KIND) as measurement:
+            with estimator.measure(KIND) as measurement:
+                measurement.is_whole = False
                 await anyio.sleep(0.01)
-                measurement.is_served = False
-                if is_broken_off:
-                    raise ConnectionError
         assert estimator.bound_s(KIND) is None
         for _ in range(durations.MIN_SAMPLES):
             with estimator.measure(KIND):
                 await anyio.sleep(3.0)
             with estimator.measure(KIND) as measurement:
+                measurement.is_whole = False
                 await anyio.sleep(0.01)
-                measurement.is_served = False
         assert estimator.bound_s(KIND) == pytest.approx(3.0)
         with estimator.measure(KIND) as measurement:
+            measurement.is_whole = False
             await anyio.sleep(5.0)
-            measurement.is_served = False
         assert estimator.bound_s(KIND) >= 5.0
 
     virtual_time.run(main)
 
 
+def test_hanging_server_beside_one_that_fails_at_once_does_not_raise_the_typical_duration():
+    """Guards against longer and longer waits at a hanging server, one of three.
+
+    The second of the three fails at once, the third responds after 20 ms.
+    """
+
+    async def main():
+        estimator = durations.DurationEstimator()
+        for _ in range(durations.WINDOW):
+            with estimator.measure(KIND):
+                await anyio.sleep(0.02)
+            with estimator.measure(KIND) as measurement:
+                measurement.is_whole = False
+            with estimator.measure(KIND):
+                await anyio.sleep(0.15)
+        assert estimator.typical_s(KIND) == pytest.approx(0.02)
+
+    virtual_time.run(main)
+
+
 @pytest.mark.parametrize(
     ("deadline_at", "bound_s", "expected"),
     [
