--- a/src/dogwoodgap/ingress.py
+++ b/src/dogwoodgap/ingress.py
@@ -81,8 +81,9 @@
     async def send(self, status: int, headers: dialect.Headers, body: bytes = b"") -> None:
         """Send a complete response."""
         fields = [*headers, (b"content-length", str(len(body)).encode())]
+        send_by = min(clock.now() + RESPONSE_TIMEOUT_S, self.connection.server.close_by)
         # Shielded, so that the request's timeout does not truncate a complete response.
-        with anyio.move_on_after(RESPONSE_TIMEOUT_S, shield=True):
+        with anyio.CancelScope(deadline=send_by, shield=True) as self.connection.response_scope:
             await self.start(status, fields)
             if body:
                 self.connection.buffer(h11.Data(body))
@@ -122,6 +123,8 @@
         Cancelled to end the connection at once.
     idle_scope : anyio.CancelScope
         Cancelled to end the connection unless another request has arrived.
+    response_scope : anyio.CancelScope
+        Shields the sending of a complete response.
     """
 
     def __init__(self, server: "Server", stream: anyio.abc.SocketStream):
@@ -136,6 +139,7 @@
         self.handled = 0
         self.scope = anyio.CancelScope()
         self.idle_scope = anyio.CancelScope()
+        self.response_scope = anyio.CancelScope()
 
     async def run(self) -> None:
         """Serve requests until either side closes the connection."""
@@ -267,6 +271,10 @@
         """Close the connection, unless data of a request has arrived meanwhile."""
         self.idle_scope.cancel()
 
+    def end_responses_by(self, time: float) -> None:
+        """End the sending of a complete response at a monotonic time."""
+        self.response_scope.deadline = min(self.response_scope.deadline, time)
+
     def make_room(self) -> None:
         """Close the connection at once if it holds a part of a request, else once it is idle."""
         if self.state.trailing_data[0]:
@@ -415,6 +423,8 @@
         """
         self.closing = True
         self.close_by = give_up_at + LAST_CLOSE_TIMEOUT_S
+        for connection in self.connections:
+            connection.end_responses_by(self.close_by)
         if self.listener is not None:
             self.listener.stop(self.max_connections - len(self.connections))
         while self.is_serving and clock.now() < give_up_at:
@@ -460,7 +470,12 @@
     async def make_room(self) -> None:
         """Wait until a connection may be accepted; the one idle for longest is closed for it."""
         while len(self.connections) >= self.max_connections:
-            idle = self.idle_connections()
+            # One that was told to close is on its way, or has just received its last request.
+            idle = [
+                connection
+                for connection in self.idle_connections()
+                if not connection.idle_scope.cancel_called
+            ]
             if idle:
                 min(idle, key=lambda connection: connection.idle_since).make_room()
             await anyio.sleep(ROOM_POLL_INTERVAL_S)
--- /dev/null
+++ b/tests/test_closing_connections.py
@@ -0,0 +1,69 @@
+"""Connections of a server that closes or is full: slow callers, and requests just received."""
+
+import socket
+
+import anyio
+import gateways
+import pytest
+import test_gateway_stop
+
+from dogwoodgap import clock, gateway, ingress
+
+LARGE_BODY = bytes(12 * 1024 * 1024)
+
+
+def test_caller_that_reads_slowly_does_not_keep_a_stopped_gateway_beyond_its_grace(tmp_path):
+    """Guards against a shielded send of a response that outlasts the end of the process."""
+
+    async def main():
+        async with test_gateway_stop.running(tmp_path) as (stopped, _):
+            released = anyio.Event()
+
+            async def respond_late(backend, received, stream):
+                await released.wait()
+                return await gateways.complete_response(LARGE_BODY)(backend, received, stream)
+
+            stopped.backend.script = respond_late
+            host, _, port = stopped.address.rpartition(":")
+            connection = socket.socket()
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            connection.connect((host, int(port)))
+            connection.sendall(test_gateway_stop.ACTION.replace(b"/act/", b"/long/"))
+            await stopped.backend.request_received.wait()
+            started_at = clock.now()
+            stopped.stop()
+            end_at = started_at + test_gateway_stop.STOP_GRACE_S - gateway.STOP_MARGIN_S
+            await clock.sleep_until(end_at - 0.3)
+            released.set()
+            await stopped.ended.wait()
+            took_s = clock.now() - started_at
+            connection.close()
+            assert took_s < test_gateway_stop.STOP_GRACE_S
+
+    anyio.run(main, backend_options={"use_uvloop": True})
+
+
+@pytest.mark.parametrize("use_uvloop", [True, False])
+def test_whole_request_is_not_dropped_while_its_connection_makes_room(use_uvloop, monkeypatch):
+    """Guards against a second look of a full server that cuts what the first one has found.
+
+    Several listeners, or a slow turn of the event loop, look again within the turns in which an
+    idle connection waits for its last data.
+    """
+    monkeypatch.setattr(ingress, "ROOM_POLL_INTERVAL_S", 0.0)
+
+    async def main():
+        async with test_gateway_stop.running_server(test_gateway_stop.respond_slowly) as (
+            server,
+            address,
+        ):
+            connection = test_gateway_stop.connect_and_send(address)
+            await anyio.sleep(2 * test_gateway_stop.SERVER_TIME_S)
+            server.max_connections = 1
+            connection.sendall(test_gateway_stop.REQUEST)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(server.make_room)
+                received = await test_gateway_stop.read_all(connection)
+            assert received.count(b"whole") == 2
+
+    anyio.run(main, backend_options={"use_uvloop": use_uvloop})
