--- a/src/dogwoodgap/ingress.py
+++ b/src/dogwoodgap/ingress.py
@@ -45,6 +45,10 @@
 """Turns of the event loop in which it delivers data that has arrived before an idle connection
 closes: it reads the data in one turn, and runs the task that waits for it in the next one."""
 
+LAST_REQUEST_TURNS = 100
+"""Turns of the event loop in which a closed server accepts, reads and refuses what has arrived,
+after its process stood still until the end of its grace period."""
+
 BODY_TIMEOUT_S = 10.0
 """Timeout for receiving a request body; bodies are at most a few MB."""
 
@@ -141,6 +145,11 @@
         self.idle_scope = anyio.CancelScope()
         self.response_scope = anyio.CancelScope()
 
+    @property
+    def awaits_request(self) -> bool:
+        """Return whether no request is being received or handled."""
+        return self.idle and self.state.their_state is h11.IDLE
+
     async def run(self) -> None:
         """Serve requests until either side closes the connection."""
         while True:
@@ -420,6 +429,7 @@
         ----------
         give_up_at : float
             Monotonic time at which the remaining connections are closed, whatever they are doing.
+            Requests that have arrived by then are still read, so that the handler can refuse them.
         """
         self.closing = True
         self.close_by = give_up_at + LAST_CLOSE_TIMEOUT_S
@@ -430,6 +440,13 @@
         while self.is_serving and clock.now() < give_up_at:
             self.close_idle()
             await anyio.sleep(CLOSE_POLL_INTERVAL_S)
+        for connection in self.connections:
+            if not connection.awaits_request:
+                connection.scope.cancel()
+        for _ in range(LAST_REQUEST_TURNS):
+            for connection in self.idle_connections():
+                connection.close_idle()
+            await anyio.lowlevel.checkpoint()
         for connection in self.connections:
             connection.scope.cancel()
 
@@ -454,11 +471,7 @@
 
     def idle_connections(self) -> list[CallerConnection]:
         """Return the connections on which no request is being received or handled."""
-        return [
-            connection
-            for connection in self.connections
-            if connection.idle and connection.state.their_state is h11.IDLE
-        ]
+        return [connection for connection in self.connections if connection.awaits_request]
 
     def close_idle(self) -> None:
         """Close all connections that have been idle for so long that no request is expected."""
--- a/tests/test_closing_connections.py
+++ b/tests/test_closing_connections.py
@@ -67,3 +67,23 @@
             assert received.count(b"whole") == 2
 
     anyio.run(main, backend_options={"use_uvloop": use_uvloop})
+
+
+@pytest.mark.parametrize("use_uvloop", [True, False])
+def test_requests_that_arrive_while_a_stopping_process_stands_still_are_refused(use_uvloop):
+    """Guards against requests that are dropped unread when their process goes on too late."""
+
+    async def refuse(request, responder):
+        await responder.send(503, [], b"refused")
+
+    async def main():
+        async with test_gateway_stop.running_server(refuse) as (server, address):
+            kept = test_gateway_stop.connect_and_send(address)
+            assert (await anyio.to_thread.run_sync(kept.recv, 4096)).endswith(b"refused")
+            kept.sendall(test_gateway_stop.REQUEST)
+            connections = [kept, *(test_gateway_stop.connect_and_send(address) for _ in range(9))]
+            await server.close(clock.now())
+            for connection in connections:
+                assert (await test_gateway_stop.read_all(connection)).endswith(b"refused")
+
+    anyio.run(main, backend_options={"use_uvloop": use_uvloop})
