Wait for events in tests of a gateway's stop instead of for times

Fixed sleeps and margins of 0.15 to 0.4 s depend on the speed of the machine. Tests wait for idle or receiving connections and for polls of the closing server; two tests scale all times of a stop by 3. The test of a response that began before the close sent its request before the next poll, and the test of make_room let uvloop read the data first: both passed with their fault. They now fail.

--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -13,22 +13,38 @@
 
 from dogwoodgap import clock, dialect, entrance, file_source, gateway, ingress, settings
 
-STOP_GRACE_S = 4.0
 SERVER_TIME_S = 0.2
-DEPARTURE_S = 0.1
-"""Time that another gateway takes to reply to the departure."""
+STOP_GRACE_S = 2.0
+TIME_SCALE = 3.0
+"""Factor of all times of a stop in tests that compare its end with its grace period; their
+unscaled margins of 0.15 and 0.4 s are too small for slow machines."""
+
+SCALED_TIMES = [
+    (gateway, "STOP_MARGIN_S"),
+    (gateway, "LAST_ACCEPT_MARGIN_S"),
+    (gateway, "LAST_RESPONSES_TIMEOUT_S"),
+    (gateway, "LAST_RECORDS_TIMEOUT_S"),
+    (gateway, "MAX_RECORDS_TIMEOUT_S"),
+    (gateway, "MAX_DEPARTURE_S"),
+    (gateway, "LAST_DEPARTURE_S"),
+    (ingress, "CLOSE_TIMEOUT_S"),
+]
+NEXT_REQUEST_TIMEOUT_S = 5.0
+"""Time that tests give to the next request of a connection."""
+
+HANG_TIMEOUT_S = 60.0
+"""Time after which a test is taken to hang."""
 
 REQUEST = b"GET /x HTTP/1.1\r\nhost: h.example\r\n\r\n"
 ACTION = (
     b"POST /act/x HTTP/1.1\r\nhost: h.example\r\ndogwoodgap-attempt: a1\r\n"
     b"content-length: 3\r\n\r\npay"
 )
-STOP_GRACE_S = 2.0
 FLEET = """
 version = 1
 routes = [
   {{ name = "act", host = "h.example", prefix = "/act/", kind = "non_idempotent", timeout_s = 1.0, objective_s = 0.1, targets = [{{ service = "plain" }}] }},
-  {{ name = "long", host = "h.example", prefix = "/long/", kind = "non_idempotent", timeout_s = 5.0, objective_s = 0.1, targets = [{{ service = "plain" }}] }},
+  {{ name = "long", host = "h.example", prefix = "/long/", kind = "non_idempotent", timeout_s = 15.0, objective_s = 0.1, targets = [{{ service = "plain" }}] }},
 ]
 services = [{{ name = "plain" }}]
 servers = [{{ id = "p1", service = "plain", address = "{address}", slots = 4 }}]
@@ -49,7 +65,7 @@
 class StoppedGateway:
     """A gateway and its server; it is stopped by a test."""
 
-    def __init__(self, folder):
+    def __init__(self, folder, stop_grace_s):
         self.backend = gateways.Backend("p1", "plain", slow)
         path = folder / "fleet.toml"
         path.write_text(FLEET.format(address=self.backend.address), encoding="utf-8")
@@ -72,7 +88,7 @@
                     "ready_bind": addresses["ready"],
                     "directory_bind": addresses["directory"],
                     "relay_bind": addresses["relay"],
-                    "stop_grace_s": STOP_GRACE_S,
+                    "stop_grace_s": stop_grace_s,
                     "directory_ttl_s": 0.05,
                     "first_start": True,
                 },
@@ -106,11 +122,50 @@
                 responses.append(await caller.call("POST", "/act/x", b"pay", **headers))
 
 
+def scale_stop(monkeypatch):
+    """Scale the times of a stop, and return the grace period that fits them."""
+    for module, name in SCALED_TIMES:
+        monkeypatch.setattr(module, name, getattr(module, name) * TIME_SCALE)
+    return STOP_GRACE_S * TIME_SCALE
+
+
+async def wait_until(condition):
+    """Wait until a function returns a true value."""
+    while not condition():  # noqa: ASYNC110 - the conditions come from several tasks
+        await anyio.sleep(0.01)
+
+
+async def wait_until_idle(server, count=1):
+    """Wait until a number of connections are idle after their first request."""
+    await wait_until(
+        lambda: sum(connection.handled == 1 for connection in server.idle_connections()) == count
+    )
+
+
+async def wait_until_receiving(server):
+    """Wait until the server has received a part of a request on its only connection."""
+    await wait_until(lambda: server.connections and not server.idle_connections())
+
+
+async def wait_for_polls(server):
+    """Wait until a closing server has looked for idle connections twice, and could close them."""
+    polls = []
+    close_idle = server.close_idle
+
+    def count_and_close():
+        polls.append(clock.now())
+        close_idle()
+
+    server.close_idle = count_and_close
+    await wait_until(lambda: len(polls) >= 2 or not server.is_serving)
+    await anyio.sleep(ingress.CLOSE_POLL_INTERVAL_S)
+
+
 @contextlib.asynccontextmanager
-async def running(folder):
+async def running(folder, stop_grace_s=STOP_GRACE_S):
     """Run a gateway that is the only member."""
-    stopped = StoppedGateway(folder)
-    with anyio.fail_after(20):
+    stopped = StoppedGateway(folder, stop_grace_s)
+    with anyio.fail_after(HANG_TIMEOUT_S):
         async with anyio.create_task_group() as tasks:
             await tasks.start(stopped.backend.serve)
             tasks.start_soon(stopped.run)
@@ -127,15 +182,22 @@
     async def main():
         async with running(tmp_path) as (stopped, tasks):
             responses = []
+            call_ended = anyio.Event()
+
+            async def call():
+                await stopped.call(getattr(stopped, listener), responses)
+                call_ended.set()
 
-            async def slow_departure():
-                tasks.start_soon(stopped.call, getattr(stopped, listener), responses)
-                await anyio.sleep(DEPARTURE_S)
+            async def depart_after_the_request():
+                tasks.start_soon(call)
+                await wait_until(
+                    lambda: call_ended.is_set() or stopped.backend.request_received.is_set()
+                )
 
-            stopped.gateway.announced.depart = slow_departure
+            stopped.gateway.announced.depart = depart_after_the_request
             stopped.stop()
             await stopped.ended.wait()
-            await anyio.sleep(0.05)
+            await call_ended.wait()
         assert all(response.complete for response in responses)
         assert len(responses) == len(stopped.backend.received)
 
@@ -146,7 +208,8 @@
     """Guards against a stop that does not wait for what it accepts last."""
 
     async def main():
-        async with running(tmp_path) as (stopped, _):
+        # The stop ends early; a grace period of 2 s leaves the timeout of the request 0.2 s.
+        async with running(tmp_path, 3 * STOP_GRACE_S) as (stopped, _):
             connections = []
             close_servers = stopped.gateway.close_servers
 
@@ -163,18 +226,21 @@
     anyio.run(main, backend_options={"use_uvloop": True})
 
 
-def test_unfinished_request_gets_a_response_and_the_gateway_ends_within_its_grace(tmp_path):
+def test_unfinished_request_gets_a_response_and_the_gateway_ends_within_its_grace(
+    tmp_path, monkeypatch
+):
     """Guards against a stop that cuts what is unfinished at its end, or that takes too long."""
+    stop_grace_s = scale_stop(monkeypatch)
 
     async def main():
-        async with running(tmp_path) as (stopped, _):
+        async with running(tmp_path, stop_grace_s) as (stopped, _):
             stopped.backend.script = hang
             connection = connect_and_send(stopped.address, ACTION.replace(b"/act/", b"/long/"))
             await stopped.backend.request_received.wait()
             started_at = clock.now()
             stopped.stop()
             await stopped.ended.wait()
-            assert clock.now() - started_at < STOP_GRACE_S
+            assert clock.now() - started_at < stop_grace_s
             received = await read_all(connection)
             assert received.startswith(b"HTTP/1.1 502 ")
             assert received.endswith(b"}")
@@ -195,7 +261,7 @@
     """Run a server that is closed by a test."""
     server = ingress.Server(handler)
     address = listen_addresses.free_address()
-    with anyio.fail_after(20):
+    with anyio.fail_after(HANG_TIMEOUT_S):
         async with anyio.create_task_group() as tasks:
             await tasks.start(server.serve, address)
             yield server, address
@@ -236,14 +302,21 @@
     """Guards against a stop that accepts as long as it has requests."""
 
     async def main():
-        async with running_server(respond_slowly) as (server, address):
+        proceed = anyio.Event()
+
+        async def respond_when_told(request, responder):
+            await proceed.wait()
+            await responder.send(200, [], b"whole")
+
+        async with running_server(respond_when_told) as (server, address):
             connection = connect_and_send(address)
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(server.close, clock.now() + 5)
-                await anyio.sleep(SERVER_TIME_S / 2)
+                tasks.start_soon(server.close, clock.now() + HANG_TIMEOUT_S)
+                await wait_for_polls(server)
                 assert server.is_serving
                 with pytest.raises(ConnectionRefusedError):
                     connect_and_send(address)
+                proceed.set()
             assert (await read_all(connection)).endswith(b"whole")
 
     anyio.run(main, backend_options={"use_uvloop": use_uvloop})
@@ -281,7 +354,7 @@
     async def main():
         async with running_server(respond_slowly) as (server, address):
             connections = [connect_and_send(address) for _ in range(40)]
-            await anyio.sleep(3 * SERVER_TIME_S)
+            await wait_until_idle(server, len(connections))
             for connection in connections:
                 connection.sendall(REQUEST)
             server.closing = True
@@ -299,7 +372,7 @@
     async def main():
         async with running_server(respond_slowly) as (server, address):
             connection = connect_and_send(address)
-            await anyio.sleep(2 * SERVER_TIME_S)
+            await wait_until_idle(server)
             connection.sendall(REQUEST)
             server.closing = True
             close_all_idle(server)
@@ -331,16 +404,17 @@
 
 
 @pytest.mark.parametrize("use_uvloop", [True, False])
-def test_closing_server_waits_for_the_first_request_of_a_new_connection(use_uvloop):
+def test_closing_server_waits_for_the_first_request_of_a_new_connection(use_uvloop, monkeypatch):
     """Guards against closing a connection whose first request is on its way."""
+    monkeypatch.setattr(ingress, "NEXT_REQUEST_TIMEOUT_S", NEXT_REQUEST_TIMEOUT_S)
 
     async def main():
         async with running_server(respond_slowly) as (server, address):
             host, _, port = address.rpartition(":")
             connection = socket.create_connection((host, int(port)))
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(server.close, clock.now() + 5)
-                await anyio.sleep(ingress.NEXT_REQUEST_TIMEOUT_S / 2)
+                tasks.start_soon(server.close, clock.now() + HANG_TIMEOUT_S)
+                await wait_for_polls(server)
                 connection.sendall(REQUEST)
                 assert (await read_all(connection)).endswith(b"whole")
 
@@ -390,8 +464,9 @@
 
 
 @pytest.mark.parametrize("use_uvloop", [True, False])
-def test_request_after_a_response_that_began_before_the_close_is_answered(use_uvloop):
+def test_request_after_a_response_that_began_before_the_close_is_answered(use_uvloop, monkeypatch):
     """Guards against a kept connection that ends although its response announced no close."""
+    monkeypatch.setattr(ingress, "NEXT_REQUEST_TIMEOUT_S", NEXT_REQUEST_TIMEOUT_S)
 
     async def main():
         is_started, proceed = anyio.Event(), anyio.Event()
@@ -407,10 +482,12 @@
             connection = connect_and_send(address)
             await is_started.wait()
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(server.close, clock.now() + 5)
-                await anyio.sleep(2 * ingress.CLOSE_POLL_INTERVAL_S)
+                tasks.start_soon(server.close, clock.now() + HANG_TIMEOUT_S)
+                await wait_for_polls(server)
                 proceed.set()
-                received = await anyio.to_thread.run_sync(receive_and_send_again, connection)
+                received = await anyio.to_thread.run_sync(receive_response, connection)
+                await wait_for_polls(server)
+                connection.sendall(REQUEST)
                 received += await read_all(connection)
             assert received.count(b"whole") == 2
             assert received.lower().count(b"connection: close") == 1
@@ -419,29 +496,31 @@
 
 
 @pytest.mark.parametrize("use_uvloop", [True, False])
-def test_closing_server_waits_for_the_request_that_follows_a_response(use_uvloop):
+def test_closing_server_waits_for_the_request_that_follows_a_response(use_uvloop, monkeypatch):
     """Guards against closing a connection while its next request is on its way."""
+    monkeypatch.setattr(ingress, "NEXT_REQUEST_TIMEOUT_S", NEXT_REQUEST_TIMEOUT_S)
 
     async def main():
         async with running_server(respond_slowly) as (server, address):
             connection = connect_and_send(address)
-            received = await anyio.to_thread.run_sync(connection.recv, 4096)
-            assert received.endswith(b"whole")
+            await anyio.to_thread.run_sync(receive_response, connection)
+            await wait_until_idle(server)
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(server.close, clock.now() + 5)
-                await anyio.sleep(ingress.NEXT_REQUEST_TIMEOUT_S / 2)
+                tasks.start_soon(server.close, clock.now() + HANG_TIMEOUT_S)
+                await wait_for_polls(server)
                 connection.sendall(REQUEST)
                 assert (await read_all(connection)).endswith(b"whole")
 
     anyio.run(main, backend_options={"use_uvloop": use_uvloop})
 
 
-def receive_and_send_again(connection):
-    """Receive one response and send another request at once."""
+def receive_response(connection):
+    """Receive one response."""
     received = b""
     while not received.endswith(b"whole"):
-        received += connection.recv(4096)
-    connection.sendall(REQUEST)
+        data = connection.recv(4096)
+        assert data, f"the connection ended after {received!r}"
+        received += data
     return received
 
 
@@ -452,31 +531,30 @@
     async def main():
         async with running_server(respond_slowly) as (server, address):
             connection = connect_and_send(address)
-            await anyio.sleep(2 * SERVER_TIME_S)
+            await wait_until_idle(server)
             server.max_connections = 1
             connection.sendall(REQUEST)
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(server.make_room)
-                received = await read_all(connection)
-            assert received.count(b"whole") == 2
+            # Not in a task of its own: the event loop would read the data before it starts.
+            await server.make_room()
+            assert (await read_all(connection)).count(b"whole") == 2
 
     anyio.run(main, backend_options={"use_uvloop": use_uvloop})
 
 
 @pytest.mark.parametrize("use_uvloop", [True, False])
-def test_closed_server_does_not_wait_for_the_rest_of_a_body(use_uvloop):
+def test_closed_server_does_not_wait_for_the_rest_of_a_body(use_uvloop, monkeypatch):
     """Guards against a process that outlasts its grace period while it drains a connection."""
+    monkeypatch.setattr(ingress, "CLOSE_TIMEOUT_S", 5.0)
 
     async def main():
         async with running_server(respond_slowly) as (server, address):
             host, _, port = address.rpartition(":")
             with socket.create_connection((host, int(port))) as connection:
                 connection.sendall(b"POST /x HTTP/1.1\r\nhost: h\r\ncontent-length: 9\r\n\r\npart")
-                await anyio.sleep(SERVER_TIME_S)
+                await wait_until_receiving(server)
                 give_up_at = clock.now() + 0.1
                 await server.close(give_up_at)
-                while server.is_serving:  # noqa: ASYNC110 - set by the server's own task
-                    await anyio.sleep(0.01)
+                await wait_until(lambda: not server.is_serving)
                 assert clock.now() < give_up_at + ingress.CLOSE_TIMEOUT_S
 
     anyio.run(main, backend_options={"use_uvloop": use_uvloop})
@@ -493,22 +571,28 @@
         gc.unfreeze()
 
 
-def test_stopping_gateway_accepts_no_connection_that_it_may_not_have_time_to_answer(tmp_path):
+def test_stopping_gateway_accepts_no_connection_that_it_may_not_have_time_to_answer(
+    tmp_path, monkeypatch
+):
     """Guards against requests that arrive last, wait to be read, and are closed unanswered."""
+    stop_grace_s = scale_stop(monkeypatch)
 
     async def main():
-        async with running(tmp_path) as (stopped, _):
+        async with running(tmp_path, stop_grace_s) as (stopped, _):
+            server, forwarder = stopped.gateway.request_server, stopped.gateway.forwarder
             host, _, port = stopped.address.rpartition(":")
             with socket.create_connection((host, int(port))) as connection:
                 connection.sendall(b"POST /act/x HTTP/1.1\r\nhost: h\r\ncontent-length: 9\r\n\r\n")
-                await anyio.sleep(0.1)
+                await wait_until_receiving(server)
                 stopped.stop()
-                stopped_at = clock.now()
-                end_at = stopped_at + STOP_GRACE_S - gateway.STOP_MARGIN_S
-                await clock.sleep_until(end_at - 1.0)
+                await wait_until(lambda: stopped.gateway.stopping)
+                await clock.sleep_until(forwarder.stops_at - TIME_SCALE)
                 connect_and_send(stopped.address).close()
-                await clock.sleep_until(end_at - 0.1)
+                await wait_until(lambda: server.listener.is_stopped)
+                # The sockets close in the next turns of the event loop.
+                await anyio.sleep(0.01)
                 with pytest.raises(OSError):  # noqa: PT011 - refused or reset, by platform
                     connect_and_send(stopped.address)
+                assert clock.now() < forwarder.stops_at
 
     anyio.run(main)
