Simulate gateways that are cut off from all servers, and check RECOVER

A quarter of the simulated runs cuts some gateways off from all backend servers for 3 to 7 s: packets hang, or connections are reset, or open ones live on while new ones are refused. Callers, the store and the other gateways still reach them. RECOVER compares the requests served there with those at the other gateways.

Request bodies now differ.

--- a/src/dogwoodgap_lab/fleet_simulation/evidence.py
+++ b/src/dogwoodgap_lab/fleet_simulation/evidence.py
@@ -91,6 +91,24 @@
     ended_at: float
 
 
+@dataclasses.dataclass
+class Life:
+    """The time from the start of a gateway process to its SIGTERM or its end."""
+
+    gateway: str
+    began_at: float
+    ended_at: float = math.inf
+
+
+@dataclasses.dataclass
+class Cut:
+    """A time in which some gateways cannot reach any backend server."""
+
+    gateways: frozenset[str]
+    began_at: float
+    ended_at: float = math.inf
+
+
 @dataclasses.dataclass
 class Evidence:
     """Everything that a run has shown."""
@@ -99,6 +117,8 @@
     runs: list[Run] = dataclasses.field(default_factory=list)
     stops: list[Stop] = dataclasses.field(default_factory=list)
     disruptions: list[Disruption] = dataclasses.field(default_factory=list)
+    lives: list[Life] = dataclasses.field(default_factory=list)
+    cuts: list[Cut] = dataclasses.field(default_factory=list)
     errors: list[str] = dataclasses.field(default_factory=list)
     log: list[tuple[float, str, str, str]] = dataclasses.field(default_factory=list)
 
--- a/src/dogwoodgap_lab/fleet_simulation/fleet.py
+++ b/src/dogwoodgap_lab/fleet_simulation/fleet.py
@@ -68,6 +68,15 @@
 FAULT_SHARE = 0.3
 """Share of the runs with a kill, with a long pause, and with reset connections."""
 
+CUT_SHARE = 0.25
+"""Share of the runs in which gateways are cut off from all servers."""
+
+CUT_AFTER_S = (0.5, 4.0)
+CUT_S = (3.0, 7.0)
+CUT_CALLERS = 20
+"""Callers of all gateways in a run with a cut. RECOVER needs more than ten failures in the time
+that it judges, which is as short as one second."""
+
 LONG_PAUSE_S = (0.5, 3.0)
 RESTART_SHARE = 0.5
 RESTART_S = (0.05, 1.0)
@@ -157,6 +166,9 @@
                 self.spawn(None, self.call_often, f"dense{number}", draws, stopping)
         self.start_faults(stopping, max(begins))
         async with anyio.create_task_group() as stops:
+            draws = random.Random(f"{self.seed}/partition")
+            if draws.random() < CUT_SHARE:
+                stops.start_soon(self.cut_off, draws)
             for member, begin_s in zip(stopping, begins, strict=True):
                 for _ in range(self.draws.randint(*SPARSE_REQUESTS)):
                     after_s = QUIET_AFTER_S + SPARSE_FROM_S + self.draws.uniform(0.0, SPARSE_FOR_S)
@@ -213,6 +225,25 @@
         await anyio.sleep(after_s)
         await member.pause(pause_s)
 
+    async def cut_off(self, draws: random.Random) -> None:
+        """Cut some gateways off from all servers for a time, while callers call all gateways."""
+        for number in range(CUT_CALLERS):
+            own = random.Random(f"{self.seed}/partition/{number}")
+            self.spawn(None, self.call_often, f"steady{number}", own, self.gateways)
+        await anyio.sleep(draws.uniform(*CUT_AFTER_S))
+        members = draws.sample(self.gateways, draws.randint(1, len(self.gateways) - 1))
+        manner = draws.choice(list(network.Manner))
+        cut = evidence.Cut(frozenset(member.name for member in members), clock.now())
+        self.evidence.cuts.append(cut)
+        for member in members:
+            member.log(f"is cut off from all servers, {manner.value}")
+            self.network.cut(member.host, stand_ins.SERVER_HOST, manner)
+        await anyio.sleep(draws.uniform(*CUT_S))
+        cut.ended_at = clock.now()
+        for member in members:
+            member.log("reaches the servers again")
+            self.network.mend(member.host)
+
     async def reset_one(self, after_s: float) -> None:
         """Reset some connections of a gateway."""
         draws = random.Random(f"{self.seed}/reset")
@@ -264,7 +295,7 @@
     async def call_often(
         self, name: str, draws: random.Random, targets: list[gateways.SimulatedGateway]
     ) -> None:
-        """Send requests to gateways that stop, whose addresses are cached."""
+        """Send requests to gateways whose addresses are cached, also while these stop."""
         caller = stand_ins.Caller(name, self.network, self.evidence)
         while True:
             member = draws.choice(targets)
@@ -290,8 +321,9 @@
         found = collections.Counter(finding.rule for finding in self.findings)
         return (
             f"seed {self.seed}: {'held' if not found else f'BROKEN {dict(found)}'}; "
-            f"{len(self.evidence.stops)} stops, {len(self.evidence.attempts)} requests, "
-            f"{len(self.evidence.runs)} runs, statuses {dict(sorted(statuses.items()))}, "
+            f"{len(self.evidence.stops)} stops, {len(self.evidence.cuts)} cuts, "
+            f"{len(self.evidence.attempts)} requests, {len(self.evidence.runs)} runs, "
+            f"statuses {dict(sorted(statuses.items()))}, "
             f"log {self.evidence.digest()}, took {self.took_s:.2f} s"
         )
 
--- a/src/dogwoodgap_lab/fleet_simulation/gateways.py
+++ b/src/dogwoodgap_lab/fleet_simulation/gateways.py
@@ -32,6 +32,7 @@
         self.has_ended: anyio.Event
         self.gateway: gateway.Gateway | None = None
         self.stop: evidence.Stop | None = None
+        self.life: evidence.Life
 
     @property
     def is_up(self) -> bool:
@@ -66,6 +67,8 @@
         self.has_ended = anyio.Event()
         self.stop = None
         self.log(f"starts, boot {self.process.boot}")
+        self.life = evidence.Life(self.name, clock.now())
+        self.fleet.evidence.lives.append(self.life)
         self.fleet.spawn(self.process, self.run, self.process)
 
     async def run(self, process: processes.Process) -> None:
@@ -92,6 +95,7 @@
     def record_end(self) -> None:
         """Record the end of the process."""
         self.log("process ends")
+        self.life.ended_at = min(self.life.ended_at, clock.now())
         self.has_ended.set()
         if self.stop is not None:
             self.stop.ended_at = clock.now()
@@ -104,6 +108,7 @@
         self.stop = evidence.Stop(self.name, clock.now())
         self.fleet.evidence.stops.append(self.stop)
         self.log("SIGTERM")
+        self.life.ended_at = clock.now()
         self.fleet.network.signals[process].send_nowait(signal.SIGTERM)
         end_at = clock.now() + evidence.GRACE_S
         for pause_s, number in extra:
--- a/src/dogwoodgap_lab/fleet_simulation/network.py
+++ b/src/dogwoodgap_lab/fleet_simulation/network.py
@@ -4,6 +4,8 @@
 import collections.abc
 import contextlib
 import contextvars
+import dataclasses
+import enum
 import errno
 import itertools
 import math
@@ -39,11 +41,39 @@
 """Share of connections to servers that are refused although the server listens."""
 
 
+class Manner(enum.Enum):
+    """How connections over a cut path fail.
+
+    Attributes
+    ----------
+    HANG
+        No packet arrives until the cut ends; TCP repeats them all then.
+    RESET
+        Open connections are reset, and new ones are refused.
+    REFUSE
+        Open connections live on, and new ones are refused.
+    """
+
+    HANG = "hang"
+    RESET = "reset"
+    REFUSE = "refuse"
+
+
+@dataclasses.dataclass(frozen=True)
+class CutPath:
+    """A cut between one host and all hosts whose address begins with ``prefix``."""
+
+    prefix: str
+    manner: Manner
+
+
 class Link:
     """Delays of one direction between two hosts."""
 
-    def __init__(self, seed: str):
-        self.draws = random.Random(seed)
+    def __init__(self, seed: int, source: str, target: str):
+        self.source = source
+        self.target = target
+        self.draws = random.Random(f"{seed}/{source}/{target}")
         self.base_s = self.draws.uniform(MIN_DELAY_S, MAX_DELAY_S)
 
     def delay_s(self) -> float:
@@ -74,6 +104,9 @@
 
     def transmit(self, act: collections.abc.Callable[..., None], *args: typing.Any) -> None:
         """Run a method of the other end once a packet arrives there, in order."""
+        if self.network.manner(self.link.source, self.link.target) is Manner.HANG:
+            self.network.held.append((self, act, args))
+            return
         at = self.network.loop.time() + self.link.delay_s()
         self.last_arrival = max(at, self.last_arrival + ORDER_STEP_S)
         self.network.loop.call_at(self.last_arrival, act, *args, context=self.network.context)
@@ -221,11 +254,36 @@
         self.endpoints: dict[int, Endpoint] = {}
         self.signals: dict[processes.Process, typing.Any] = {}
         self.refusable = ""
+        self.cuts: dict[str, CutPath] = {}
+        self.held: list[tuple[Endpoint, typing.Any, tuple[typing.Any, ...]]] = []
+
+    def manner(self, source: str, target: str) -> Manner | None:
+        """Return how connections between two hosts fail, or None if they are not cut."""
+        for host, other in ((source, target), (target, source)):
+            cut = self.cuts.get(host)
+            if cut is not None and other.startswith(cut.prefix):
+                return cut.manner
+        return None
+
+    def cut(self, host: str, prefix: str, manner: Manner) -> None:
+        """Cut a host off from all hosts whose address begins with a prefix."""
+        if manner is Manner.RESET:
+            for endpoint in list(self.endpoints.values()):
+                if endpoint.link.source == host and endpoint.link.target.startswith(prefix):
+                    endpoint.reset()
+        self.cuts[host] = CutPath(prefix, manner)
+
+    def mend(self, host: str) -> None:
+        """End the cut of a host, and deliver what was sent meanwhile."""
+        del self.cuts[host]
+        held, self.held = self.held, []
+        for endpoint, act, args in held:
+            endpoint.transmit(act, *args)
 
     def link(self, source: str, target: str) -> Link:
         """Return the direction from one host to another."""
         if (source, target) not in self.links:
-            self.links[source, target] = Link(f"{self.seed}/{source}/{target}")
+            self.links[source, target] = Link(self.seed, source, target)
         return self.links[source, target]
 
     async def connect(self, host: str, port: int, source: str = "") -> Endpoint:
@@ -235,7 +293,13 @@
         there, back = self.link(source, host), self.link(host, source)
         await anyio.sleep(there.delay_s())
         while True:
+            manner = self.manner(source, host)
+            if manner is Manner.HANG:
+                await anyio.sleep(SYN_RETRY_S)
+                continue
             listening = self.listening.get(f"{host}:{port}")
+            if manner is not None:
+                listening = None
             refused = self.refusable and host.startswith(self.refusable)
             if listening is None or (refused and there.draws.random() < REFUSAL_SHARE):
                 await anyio.sleep(back.delay_s())
--- a/src/dogwoodgap_lab/fleet_simulation/oracles.py
+++ b/src/dogwoodgap_lab/fleet_simulation/oracles.py
@@ -1,7 +1,8 @@
 """Rules that a simulated run must keep, one function for each, with the sentence it checks.
 
 The sentences are those of the users' rules; docs/design.md names the same rules
-``planned-stop`` (LOST) and ``at-most-once`` (TWICE, REFUSED).
+``planned-stop`` (LOST) and ``at-most-once`` (TWICE, REFUSED). A machine is a gateway, a runner a
+backend server, and a client a caller.
 """
 
 import collections
@@ -19,6 +20,9 @@
 LAST_PART_S = evidence.GRACE_S / 6
 """Last part of the grace period, in which a server has to be at work on such a request."""
 
+ALLOWED_FAILURES = 10
+"""First tries at partitioned gateways that RECOVER lets fail, beside one in 50 of all."""
+
 DEADLINE_SLACK_S = 0.05
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
@@ -93,14 +97,32 @@
     is_early = attempt.sent_at <= stop.began_at + EARLY_S
     if is_early and any(run.ended_at >= last_part_at for run in runs):
         return True
+    since, until = attempt.sent_at - STABLE_S, attempt.ended_at
+    return is_disrupted(seen, attempt.gateway, since, until) or any(
+        attempt.gateway in cut.gateways and cut.began_at <= until and cut.ended_at >= since
+        for cut in seen.cuts
+    )
+
+
+def is_disrupted(seen: evidence.Evidence, gateway: str, since: float, until: float) -> bool:
+    """Return whether a gateway was disrupted within a time, other than by a cut."""
     return any(
-        disruption.gateway == attempt.gateway
-        and disruption.began_at <= attempt.ended_at
-        and disruption.ended_at >= attempt.sent_at - STABLE_S
+        disruption.gateway == gateway
+        and disruption.began_at <= until
+        and disruption.ended_at >= since
         for disruption in seen.disruptions
     )
 
 
+def is_steady(seen: evidence.Evidence, gateway: str, since: float, until: float) -> bool:
+    """Return whether a gateway ran all the time, neither disrupted (but by a cut) nor stopping."""
+    is_up = any(
+        life.gateway == gateway and life.began_at <= since and until <= life.ended_at
+        for life in seen.lives
+    )
+    return is_up and not is_disrupted(seen, gateway, since, until)
+
+
 def twice(seen: evidence.Evidence) -> list[Finding]:
     """Check TWICE: "A request that isn't idempotent runs more than once."."""
     counts = collections.Counter(run.attempt for run in seen.runs)
@@ -153,7 +175,50 @@
     return findings
 
 
-ORACLES: tuple[Oracle, ...] = (lost, twice, refused, mixed)
+def recover(seen: evidence.Evidence) -> list[Finding]:
+    """Check RECOVER.
+
+    "While some machines are partitioned from all runners, from stableMs (2 s) after the cut began,
+    clients' first tries at these machines are served less than two thirds as often as those at the
+    others, and more than 10 + 1 in 50 of all first tries fail there."
+
+    Callers of the simulation send no request a second time, thus all tries are first ones. Only
+    tries at gateways that are up and undisturbed from stableMs before them to their end are
+    counted, since a stop or pause makes tries fail without a partition.
+    """
+    findings: list[Finding] = []
+    for cut in seen.cuts:
+        served: collections.Counter[bool] = collections.Counter()
+        failed: dict[bool, list[evidence.Attempt]] = {True: [], False: []}
+        for attempt in seen.attempts.values():
+            is_judged = cut.began_at + STABLE_S <= attempt.sent_at < cut.ended_at
+            since, until = attempt.sent_at - STABLE_S, attempt.ended_at
+            if not is_judged or not is_steady(seen, attempt.gateway, since, until):
+                continue
+            is_cut = attempt.gateway in cut.gateways
+            if attempt.whole and attempt.status < 300:
+                served[is_cut] += 1
+            else:
+                failed[is_cut].append(attempt)
+        here, there = (served[is_cut] + len(failed[is_cut]) for is_cut in (True, False))
+        if not here or not there or len(failed[True]) <= ALLOWED_FAILURES + (here + there) / 50:
+            continue
+        # As fractions: served[True] / here < 2 / 3 * served[False] / there.
+        if 3 * served[True] * there < 2 * served[False] * here:
+            first = failed[True][0]
+            findings.append(
+                Finding(
+                    "RECOVER",
+                    first.id,
+                    first.gateway,
+                    f"{served[True]} of {here} first tries served at partitioned gateways, "
+                    f"{served[False]} of {there} at the others",
+                )
+            )
+    return findings
+
+
+ORACLES: tuple[Oracle, ...] = (lost, twice, refused, mixed, recover)
 
 
 def check(seen: evidence.Evidence) -> list[Finding]:
--- a/src/dogwoodgap_lab/fleet_simulation/stand_ins.py
+++ b/src/dogwoodgap_lab/fleet_simulation/stand_ins.py
@@ -203,16 +203,18 @@
             self.stream = await self.network.connect(host, int(port), self.name)
             self.gateway = attempt.gateway
             self.state = h11.Connection(h11.CLIENT)
+        # Equal bodies would share one digest, and a crash suspected of one would refuse them all.
+        body = attempt.id.encode()
         headers = [
             (b"host", HOST.encode()),
             (NAMES.attempt_id, attempt.id.encode()),
             (NAMES.deadline, str(round(kind.timeout_s * 1000)).encode()),
-            (b"content-length", b"3"),
+            (b"content-length", str(len(body)).encode()),
         ]
         if kind.is_turn:
             headers += [(NAMES.token_count, b"1166,100"), (NAMES.session_id, attempt.id.encode())]
         request = h11.Request(method="POST", target=f"/{kind.name}/x", headers=headers)
-        data = self.state.send(request) + self.state.send(h11.Data(b"pay"))
+        data = self.state.send(request) + self.state.send(h11.Data(body))
         attempt.sent_at = clock.now()
         text = f"{attempt.id} sent to {attempt.gateway} on a {'new' if is_new else 'kept'} one"
         self.seen.add(attempt.sent_at, "caller", text, attempt.id)
--- a/tests/test_fleet_simulation.py
+++ b/tests/test_fleet_simulation.py
@@ -10,7 +10,7 @@
 import pytest
 import typer.testing
 
-from dogwoodgap import exceptions, forwarder, gateway, relay
+from dogwoodgap import exceptions, forwarder, gateway, peer_relay, relay
 from dogwoodgap_lab import cli
 from dogwoodgap_lab.fleet_simulation import fleet, network, processes, stand_ins
 
@@ -96,6 +96,13 @@
     assert rules(1) == {"MIXED"}
 
 
+def test_callers_of_partitioned_gateways_that_are_not_served_are_found(monkeypatch):
+    """RECOVER: a gateway without a path to the servers that asks no other gateway."""
+    assert not rules(11)
+    monkeypatch.setattr(peer_relay.PeerRelay, "choose", lambda self: None)
+    assert rules(11) == {"RECOVER"}
+
+
 def on_virtual_time(function):
     """Run a coroutine function on a virtual loop with a network."""
 
@@ -162,6 +169,39 @@
     on_virtual_time(check)
 
 
+def test_cut_paths_fail_as_drawn():
+    """Guards against a cut that lets packets through, loses them, or reaches other hosts."""
+
+    async def check(loop, net):
+        await net.listen(local_host="s1", local_port=1)
+        await net.listen(local_host="g2", local_port=1)
+        kept = await net.connect("s1", 1, "g1")
+        server, _ = net.listening["s1:1"].accept()
+        net.cut("g1", "s", network.Manner.HANG)
+        await kept.send(b"held")
+        with anyio.move_on_after(5.0) as scope:
+            await net.connect("s1", 1, "g1")
+        assert scope.cancelled_caught
+        assert not server.is_readable
+        await net.connect("g2", 1, "g1")
+        await net.connect("s1", 1, "g2")
+        net.mend("g1")
+        assert await server.receive() in (b"held", b"h", b"he", b"hel")
+        net.cut("g1", "s", network.Manner.REFUSE)
+        with pytest.raises(ConnectionRefusedError):
+            await net.connect("s1", 1, "g1")
+        await server.send(b"through")
+        assert (await kept.receive())[:1] == b"t"
+        net.mend("g1")
+        net.cut("g1", "s", network.Manner.RESET)
+        with pytest.raises(anyio.BrokenResourceError):
+            await kept.send(b"reset")
+        with pytest.raises(ConnectionRefusedError):
+            await net.connect("s1", 1, "g1")
+
+    on_virtual_time(check)
+
+
 def test_finding_prints_its_timeline_and_sets_the_exit_code(monkeypatch):
     """Guards against a finding that nobody sees."""
     monkeypatch.setattr(stand_ins, "BREAK_SHARE", 0.5)
