Simulate programs with token budgets, and check BUDGET

BUDGET counts the events that servers produced for a program. A gateway that was killed before its planned stop is no longer started twice.

--- a/src/dogwoodgap_lab/fleet_simulation/evidence.py
+++ b/src/dogwoodgap_lab/fleet_simulation/evidence.py
@@ -43,6 +43,17 @@
 )
 
 
+KIND_BY_NAME = {kind.name: kind for kind in KINDS}
+
+
+@dataclasses.dataclass(frozen=True)
+class Program:
+    """A program whose turns share a budget of tokens; each event of a turn is one token."""
+
+    name: str
+    budget: int
+
+
 @dataclasses.dataclass
 class Attempt:
     """One request of a caller, which gave up at its deadline or got a whole response or none."""
@@ -50,6 +61,7 @@
     id: str
     kind: Kind
     gateway: str
+    program: Program | None = None
     sent_at: float = math.inf
     ended_at: float = math.inf
     status: int = 0
@@ -69,6 +81,7 @@
     server: str
     began_at: float
     body: bytes = b""
+    last_event: int = 0
     ended_at: float = math.inf
     broken: bool = False
 
--- a/src/dogwoodgap_lab/fleet_simulation/gateways.py
+++ b/src/dogwoodgap_lab/fleet_simulation/gateways.py
@@ -147,6 +147,16 @@
             self.fleet.loop.resume(process)
             self.log("resumed")
 
+    async def kill_and_restart(self, pause_s: float) -> None:
+        """Kill the process if it is up and does not stop, and start it again after a pause."""
+        if not self.is_up:
+            return
+        self.record_disruption("SIGKILL")
+        self.kill()
+        await anyio.sleep(pause_s)
+        if self.process.ended:
+            self.start()
+
     def log(self, text: str, request: str = "") -> None:
         """Add a line to the event log."""
         self.fleet.evidence.add(clock.now(), self.name, text, request)
--- a/src/dogwoodgap_lab/fleet_simulation/stand_ins.py
+++ b/src/dogwoodgap_lab/fleet_simulation/stand_ins.py
@@ -117,6 +117,7 @@
             last = self.kind.events // 2 if breaks_off else self.kind.events
             for number in range(first, last + 1):
                 await anyio.sleep(self.kind.work_s / self.kind.events)
+                run.last_event = number
                 await responder.send_data(stream_event(run.attempt, number))
             if not breaks_off:
                 await responder.finish()
@@ -168,13 +169,19 @@
             self.stream = None
 
     async def call(
-        self, gateway: str, address: str, kind: evidence.Kind, *, kept: bool
+        self,
+        gateway: str,
+        address: str,
+        kind: evidence.Kind,
+        *,
+        kept: bool,
+        program: evidence.Program | None = None,
     ) -> evidence.Attempt:
         """Send a request to a gateway, on the kept connection or a new one."""
         if not kept or self.gateway != gateway:
             self.close()
         self.count += 1
-        attempt = evidence.Attempt(f"{self.name}-{self.count}", kind, gateway)
+        attempt = evidence.Attempt(f"{self.name}-{self.count}", kind, gateway, program)
         self.seen.attempts[attempt.id] = attempt
         attempt.gave_up = True
         try:
@@ -211,7 +218,14 @@
             (NAMES.deadline, str(round(kind.timeout_s * 1000)).encode()),
             (b"content-length", str(len(body)).encode()),
         ]
-        if kind.is_turn:
+        if attempt.program is not None:
+            headers += [
+                (NAMES.program_id, attempt.program.name.encode()),
+                (NAMES.token_budget, str(attempt.program.budget).encode()),
+                (NAMES.token_count, f"1166,{kind.events}".encode()),
+                (NAMES.session_id, attempt.program.name.encode()),
+            ]
+        elif kind.is_turn:
             headers += [(NAMES.token_count, b"1166,100"), (NAMES.session_id, attempt.id.encode())]
         request = h11.Request(method="POST", target=f"/{kind.name}/x", headers=headers)
         data = self.state.send(request) + self.state.send(h11.Data(body))
--- a/tests/test_fleet_simulation.py
+++ b/tests/test_fleet_simulation.py
@@ -10,7 +10,15 @@
 import pytest
 import typer.testing
 
-from dogwoodgap import exceptions, forwarder, gateway, peer_relay, relay
+from dogwoodgap import (
+    budget_owners,
+    budget_transfers,
+    exceptions,
+    forwarder,
+    gateway,
+    peer_relay,
+    relay,
+)
 from dogwoodgap_lab import cli
 from dogwoodgap_lab.fleet_simulation import fleet, network, processes, stand_ins
 
@@ -103,6 +111,29 @@
     assert rules(11) == {"RECOVER"}
 
 
+def test_programs_that_get_their_budget_again_after_a_kill_are_found(monkeypatch):
+    """BUDGET: a gateway that takes the programs of a lost one for new."""
+    assert not rules(33)
+    monkeypatch.setattr(
+        budget_owners.BudgetCoordinator, "may_have_lost_account", lambda self, program: False
+    )
+    assert rules(33) == {"BUDGET"}
+
+
+def test_programs_that_get_their_budget_again_after_a_stop_are_found(monkeypatch):
+    """BUDGET: accounts that no gateway hands over, and of which no usage is assumed."""
+    assert not rules(3)
+
+    async def move_nothing(self):
+        await anyio.lowlevel.checkpoint()
+
+    monkeypatch.setattr(budget_transfers.AccountTransfers, "move_accounts", move_nothing)
+    monkeypatch.setattr(
+        budget_owners.BudgetCoordinator, "may_have_lost_account", lambda self, program: False
+    )
+    assert rules(3) == {"BUDGET"}
+
+
 def on_virtual_time(function):
     """Run a coroutine function on a virtual loop with a network."""
 
