Simulate outages of the store and servers that leave the list, and check DRAIN

In a quarter of the simulated runs the store refuses calls, is silent or slow, once or twice; in 30% up to three servers are marked as leaving, removed and listed again as a new process, while gateways stop. Servers record which gateway sent a request.

A test now compares the logs of a run that has all kinds of faults.

No product code is changed.

--- a/src/dogwoodgap_lab/fleet_simulation/evidence.py
+++ b/src/dogwoodgap_lab/fleet_simulation/evidence.py
@@ -10,6 +10,9 @@
 EXIT_WAIT_S = 1.0
 """Time after a planned stop in which a lost response still counts as cut by it."""
 
+STORE = "store"
+"""Host of the log lines on the store, which every timeline shows."""
+
 CONTEXT_S = 4.0
 """Time before the first request of a finding from which its timeline shows the gateways."""
 
@@ -75,10 +78,11 @@
 
 @dataclasses.dataclass
 class Run:
-    """One time that a server began to work on a request."""
+    """One time that a server began to work on a request, which a gateway sent to it."""
 
     attempt: str
     server: str
+    sender: str
     began_at: float
     body: bytes = b""
     last_event: int = 0
@@ -122,6 +126,23 @@
     ended_at: float = math.inf
 
 
+@dataclasses.dataclass
+class Outage:
+    """A time in which the store does not answer as usual; the last delayed answer ends it."""
+
+    began_at: float
+    ended_at: float
+
+
+@dataclasses.dataclass
+class Departure:
+    """The time from the mark of a server as leaving to the list with its next process."""
+
+    server: str
+    marked_at: float
+    returned_at: float = math.inf
+
+
 @dataclasses.dataclass
 class Evidence:
     """Everything that a run has shown."""
@@ -132,6 +153,8 @@
     disruptions: list[Disruption] = dataclasses.field(default_factory=list)
     lives: list[Life] = dataclasses.field(default_factory=list)
     cuts: list[Cut] = dataclasses.field(default_factory=list)
+    outages: list[Outage] = dataclasses.field(default_factory=list)
+    departures: list[Departure] = dataclasses.field(default_factory=list)
     errors: list[str] = dataclasses.field(default_factory=list)
     log: list[tuple[float, str, str, str]] = dataclasses.field(default_factory=list)
 
@@ -152,5 +175,6 @@
         return [
             f"  {at:10.4f} {host:<10} {text}"
             for at, host, request, text in self.log
-            if request in requests or (not request and host in gateways and since <= at <= until)
+            if request in requests
+            or (not request and host in (*gateways, STORE) and since <= at <= until)
         ]
--- a/src/dogwoodgap_lab/fleet_simulation/fleet.py
+++ b/src/dogwoodgap_lab/fleet_simulation/fleet.py
@@ -15,7 +15,7 @@
 import anyio
 import anyio.abc
 
-from dogwoodgap import clock, events, file_source, ingress
+from dogwoodgap import clock, events, file_source, ingress, servers
 from dogwoodgap_lab.fleet_simulation import (
     evidence,
     gateways,
@@ -95,6 +95,22 @@
 """Share of the log events on budgets at which the gateway that logs one is killed."""
 
 OWNER_RESTART_S = (0.05, 4.0)
+OUTAGE_SHARE = 0.25
+"""Share of the runs in which the store is away or slow."""
+
+OUTAGES = (1, 2)
+OUTAGE_S = (0.5, 6.0)
+DEPARTURE_SHARE = 0.3
+"""Share of the runs in which servers leave the list and come back."""
+
+DEPARTURES = (1, 3)
+"""Servers that leave, each of another service, so that every service stays available."""
+
+DEPARTURE_CALLERS = 6
+LISTED_S = (2.5, 6.0)
+"""Time for which a leaving server stays in the list."""
+
+ABSENT_S = (0.1, 3.0)
 LONG_PAUSE_S = (0.5, 3.0)
 RESTART_SHARE = 0.5
 RESTART_S = (0.05, 1.0)
@@ -116,8 +132,8 @@
         self.seed = seed
         self.draws = random.Random(f"{seed}/fleet")
         self.evidence = evidence.Evidence()
-        self.store = stand_ins.Store()
-        self.records = file_source.InMemoryBudgetRecords()
+        self.store = stand_ins.Store(seed)
+        self.records = stand_ins.BudgetRecords(self.store)
         self.crash_records = file_source.InMemoryCrashRecords()
         self.gateways = [gateways.SimulatedGateway(self, number) for number in range(count)]
         self.by_host = {member.host: member for member in self.gateways}
@@ -159,10 +175,11 @@
 
     async def play(self) -> None:
         """Start the fleet, stop some gateways under faults, and wait for their end."""
+        names = {member.host: member.name for member in self.gateways}
         for entry in self.store.servers:
             draws = random.Random(f"{self.seed}/{entry.id}")
             server = stand_ins.Server(
-                entry, evidence.KIND_BY_NAME[entry.service], self.evidence, draws
+                entry, evidence.KIND_BY_NAME[entry.service], self.evidence, draws, names
             )
             self.spawn(None, ingress.Server(server.handle).serve, entry.address)
         for member in self.gateways:
@@ -181,10 +198,9 @@
         stopping = self.draws.sample(self.gateways, self.draws.randint(1, most))
         begins = [LEAD_S + self.draws.uniform(0.0, SPREAD_S) for _ in stopping]
         if self.draws.random() < DENSE_SHARE:
-            for number in range(CALLERS):
-                draws = random.Random(f"{self.seed}/caller/{number}")
-                self.spawn(None, self.call_often, f"dense{number}", draws, stopping)
+            self.start_callers("dense", CALLERS, stopping)
         self.start_programs()
+        self.start_store_faults(max(begins) + evidence.GRACE_S / 2)
         self.start_faults(stopping, max(begins))
         async with anyio.create_task_group() as stops:
             draws = random.Random(f"{self.seed}/partition")
@@ -290,9 +306,7 @@
 
     async def cut_off(self, draws: random.Random) -> None:
         """Cut some gateways off from all servers for a time, while callers call all gateways."""
-        for number in range(CUT_CALLERS):
-            own = random.Random(f"{self.seed}/partition/{number}")
-            self.spawn(None, self.call_often, f"steady{number}", own, self.gateways)
+        self.start_callers("steady", CUT_CALLERS)
         await anyio.sleep(draws.uniform(*CUT_AFTER_S))
         members = draws.sample(self.gateways, draws.randint(1, len(self.gateways) - 1))
         manner = draws.choice(list(network.Manner))
@@ -307,6 +321,53 @@
             member.log("reaches the servers again")
             self.network.mend(member.host)
 
+    def start_store_faults(self, latest_s: float) -> None:
+        """Draw outages of the store and departures of servers, in some of the runs."""
+        draws = random.Random(f"{self.seed}/outages")
+        if draws.random() < OUTAGE_SHARE:
+            self.spawn(None, self.disturb_store, draws, latest_s)
+        draws = random.Random(f"{self.seed}/departures")
+        if draws.random() < DEPARTURE_SHARE:
+            self.start_callers("list", DEPARTURE_CALLERS)
+            services = draws.sample(evidence.KINDS, draws.randint(*DEPARTURES))
+            for kind in services:
+                entries = [one for one in self.store.servers if one.service == kind.name]
+                entry = draws.choice(entries)
+                begin_s, listed_s = draws.uniform(0.0, latest_s), draws.uniform(*LISTED_S)
+                absent_s = draws.uniform(*ABSENT_S)
+                self.spawn(None, self.remove_server, entry, begin_s, listed_s, absent_s)
+
+    async def disturb_store(self, draws: random.Random, latest_s: float) -> None:
+        """Let the store be away or slow for some times, one after the other."""
+        states = [state for state in stand_ins.StoreState if state is not stand_ins.StoreState.UP]
+        for _ in range(draws.randint(*OUTAGES)):
+            await anyio.sleep(draws.uniform(0.0, latest_s / OUTAGES[1]))
+            now, outage_s = clock.now(), draws.uniform(*OUTAGE_S)
+            ended_at = now + outage_s + stand_ins.STORE_TIMEOUT_S
+            self.evidence.outages.append(evidence.Outage(now, ended_at))
+            self.store.state = draws.choice(states)
+            self.evidence.add(now, evidence.STORE, f"is {self.store.state.value}")
+            await anyio.sleep(outage_s)
+            self.store.state = stand_ins.StoreState.UP
+            self.evidence.add(clock.now(), evidence.STORE, "is up again")
+
+    async def remove_server(
+        self, entry: servers.BackendServer, begin_s: float, listed_s: float, absent_s: float
+    ) -> None:
+        """Mark a server as leaving, then remove it from the list, then list its next process."""
+        await anyio.sleep(begin_s)
+        departure = evidence.Departure(entry.id, clock.now())
+        self.evidence.departures.append(departure)
+        self.evidence.add(clock.now(), evidence.STORE, f"lists {entry.id} as leaving")
+        self.store.replace(entry.id, dataclasses.replace(entry, draining=True))
+        await anyio.sleep(listed_s)
+        self.evidence.add(clock.now(), evidence.STORE, f"lists {entry.id} no longer")
+        self.store.replace(entry.id, None)
+        await anyio.sleep(absent_s)
+        departure.returned_at = clock.now()
+        self.evidence.add(clock.now(), evidence.STORE, f"lists a new process of {entry.id}")
+        self.store.replace(entry.id, dataclasses.replace(entry, started_ms=entry.started_ms + 1))
+
     async def reset_one(self, after_s: float) -> None:
         """Reset some connections of a gateway."""
         draws = random.Random(f"{self.seed}/reset")
@@ -361,6 +422,15 @@
         await caller.call(member.name, member.address, kind, kept=True)
         caller.close()
 
+    def start_callers(
+        self, name: str, count: int, targets: list[gateways.SimulatedGateway] | None = None
+    ) -> None:
+        """Start callers that send requests all the time, to all gateways by default."""
+        for number in range(count):
+            draws = random.Random(f"{self.seed}/{name}/{number}")
+            target = targets or self.gateways
+            self.spawn(None, self.call_often, f"{name}{number}", draws, target)
+
     async def call_often(
         self, name: str, draws: random.Random, targets: list[gateways.SimulatedGateway]
     ) -> None:
@@ -392,7 +462,8 @@
         return (
             f"seed {self.seed}: {'held' if not found else f'BROKEN {dict(found)}'}; "
             f"{len(self.evidence.stops)} stops, {len(self.evidence.cuts)} cuts, "
-            f"{len(programs)} programs, "
+            f"{len(programs)} programs, {len(self.evidence.outages)} outages, "
+            f"{len(self.evidence.departures)} departures, "
             f"{len(self.evidence.attempts)} requests, {len(self.evidence.runs)} runs, "
             f"statuses {dict(sorted(statuses.items()))}, "
             f"log {self.evidence.digest()}, took {self.took_s:.2f} s"
--- a/src/dogwoodgap_lab/fleet_simulation/network.py
+++ b/src/dogwoodgap_lab/fleet_simulation/network.py
@@ -19,7 +19,7 @@
 import anyio.lowlevel
 from anyio._backends import _asyncio
 
-from dogwoodgap import http_pool, ingress, process_signals
+from dogwoodgap import budget_records, http_pool, ingress, process_signals
 from dogwoodgap_lab.fleet_simulation import processes
 
 BACKLOG = 128
@@ -191,6 +191,13 @@
         await anyio.lowlevel.checkpoint()
 
 
+class SortedSet(set):
+    """A set of names that iterates in their order, whatever the hash seed of the interpreter."""
+
+    def __iter__(self) -> collections.abc.Iterator[str]:
+        return iter(sorted(super().__iter__()))
+
+
 class ListeningSocket(anyio.TypedAttributeProvider):
     """A listener with its accept queue; stands for anyio's listener and for its raw socket."""
 
@@ -381,6 +388,7 @@
         (http_pool, "is_readable", lambda stream: stream.is_readable),
         (process_signals, "receive", receive_signals),
         (uuid, "uuid4", lambda: uuid.UUID(int=draws.getrandbits(128), version=4)),
+        (budget_records, "set", SortedSet),
         (_asyncio, "CancelScope", NumberedScope),
         (ingress.CallerConnection, "__hash__", connection_number),
     ]
--- a/src/dogwoodgap_lab/fleet_simulation/oracles.py
+++ b/src/dogwoodgap_lab/fleet_simulation/oracles.py
@@ -14,6 +14,9 @@
 STABLE_S = 2.0
 """Time after an unplanned disruption from which requests are judged by LOST again."""
 
+DRAIN_S = 2.0
+"""Time after the mark of a server as leaving from which DRAIN judges requests."""
+
 EARLY_S = 3.0
 """Time after SIGTERM up to which a sent request may outlast the grace period."""
 
@@ -114,10 +117,19 @@
     )
 
 
+def is_store_away(seen: evidence.Evidence, since: float, until: float) -> bool:
+    """Return whether the store was away or slow within a time."""
+    return any(outage.began_at <= until and outage.ended_at >= since for outage in seen.outages)
+
+
 def is_steady(seen: evidence.Evidence, gateway: str, since: float, until: float) -> bool:
     """Return whether a gateway ran all the time, neither disrupted (but by a cut) nor stopping."""
     is_up = any(
-        life.gateway == gateway and life.began_at <= since and until <= life.ended_at
+        life.gateway == gateway
+        and life.began_at <= since
+        and until <= life.ended_at
+        # A gateway that starts while the store is away is not ready yet.
+        and not is_store_away(seen, life.began_at, life.began_at)
         for life in seen.lives
     )
     return is_up and not is_disrupted(seen, gateway, since, until)
@@ -246,7 +258,32 @@
     return findings
 
 
-ORACLES: tuple[Oracle, ...] = (lost, twice, refused, mixed, recover, budget)
+def drain(seen: evidence.Evidence) -> list[Finding]:
+    """Check DRAIN.
+
+    "A request that a client sent later than drainMs (2 s) after a server was marked as leaving in
+    the list reaches it from a gateway in touch with the store."
+
+    A gateway is in touch if neither the store was away or slow nor the gateway disrupted, other
+    than by a cut, from drainMs before the request until it reached the server.
+    """
+    findings: list[Finding] = []
+    for run in seen.runs:
+        sent_at = seen.attempts[run.attempt].sent_at
+        for departure in seen.departures:
+            after_s = sent_at - departure.marked_at
+            if run.server != departure.server or after_s <= DRAIN_S:
+                continue
+            since, until = sent_at - DRAIN_S, run.began_at
+            if until >= departure.returned_at or is_store_away(seen, since, until):
+                continue
+            if not is_disrupted(seen, run.sender, since, until):
+                detail = f"sent {after_s:.3f} s after {run.server} was marked as leaving"
+                findings.append(Finding("DRAIN", run.attempt, run.sender, detail))
+    return findings
+
+
+ORACLES: tuple[Oracle, ...] = (lost, twice, refused, mixed, recover, budget, drain)
 
 
 def check(seen: evidence.Evidence) -> list[Finding]:
--- a/src/dogwoodgap_lab/fleet_simulation/stand_ins.py
+++ b/src/dogwoodgap_lab/fleet_simulation/stand_ins.py
@@ -1,6 +1,7 @@
 """Stand-ins of a simulated fleet: the store, backend servers and callers."""
 
 import dataclasses
+import enum
 import random
 import typing
 
@@ -8,7 +9,17 @@
 import anyio.abc
 import h11
 
-from dogwoodgap import clock, dialect, http_pool, ingress, routes, servers
+from dogwoodgap import (
+    clock,
+    dialect,
+    exceptions,
+    file_source,
+    http_pool,
+    ingress,
+    routes,
+    servers,
+    source,
+)
 from dogwoodgap_lab import gateway_scale
 from dogwoodgap_lab.fleet_simulation import evidence, network
 
@@ -22,15 +33,46 @@
 GIVE_UP_MARGIN_S = 0.5
 """Time after the route's timeout at which a caller closes its connection."""
 
+STORE_TIMEOUT_S = 1.0
+"""Time after which the gateway's client of the store gives up, as ``objectstore`` does."""
+
+SLOW_S = (0.05, 1.5)
+"""Time of a call while the store is slow; those above ``STORE_TIMEOUT_S`` fail."""
+
+WRITTEN_SHARE = 0.5
+"""Share of the failed writes that take effect; their writer cannot know."""
+
 NAMES = dialect.HeaderNames()
 ENDED = (anyio.EndOfStream, *http_pool.CONNECTION_ERRORS)
 
 
+class StoreState(enum.Enum):
+    """How the store answers.
+
+    Attributes
+    ----------
+    UP
+        As usual.
+    REFUSING, SILENT
+        Calls fail at once, or after the client's timeout.
+    SLOW
+        Calls take ``SLOW_S``.
+    """
+
+    UP = "up"
+    REFUSING = "refusing"
+    SILENT = "silent"
+    SLOW = "slow"
+
+
 class Store(gateway_scale.SimulatedStore):
     """Implements ``source.FleetSource`` with a service of plain or streaming servers per kind."""
 
-    def __init__(self) -> None:
+    def __init__(self, seed: int) -> None:
         super().__init__(engines=0)
+        self.state = StoreState.UP
+        self.draws = random.Random(f"{seed}/store")
+        self.changes = 0
         self.servers = tuple(
             servers.BackendServer(
                 f"{kind.name}-{number}",
@@ -66,6 +108,79 @@
             ],
         )
 
+    async def answer(self) -> None:
+        """Take the time of a call beyond the usual one; raise ``StoreError`` if it fails."""
+        delay_s = 0.0
+        if self.state is StoreState.SILENT:
+            delay_s = STORE_TIMEOUT_S
+        elif self.state is StoreState.SLOW:
+            delay_s = self.draws.uniform(*SLOW_S)
+        is_lost = self.state is StoreState.REFUSING or delay_s >= STORE_TIMEOUT_S
+        if delay_s:
+            await anyio.sleep(min(delay_s, STORE_TIMEOUT_S))
+        if is_lost:
+            raise exceptions.StoreUnavailableError("the store did not answer; retry the call")
+
+    async def read_routes(self) -> source.RoutesSnapshot:
+        """Return the routes."""
+        await self.answer()
+        return await super().read_routes()
+
+    async def watch_routes(self, after: int, wait_s: float) -> source.WatchResult:
+        """Wait; the routes never change."""
+        await self.answer()
+        result = await super().watch_routes(after, wait_s)
+        await self.answer()
+        return result
+
+    async def read_servers(self) -> servers.Listing:
+        """Return the servers as of the call; a slow answer is old when it arrives."""
+        listing = await super().read_servers()
+        # Two lists must differ in revision even if less than a heartbeat lies between them.
+        listing = servers.Listing(listing.revision + self.changes, self.servers)
+        await self.answer()
+        return listing
+
+    def replace(self, server_id: str, entry: servers.BackendServer | None) -> None:
+        """Replace the entry of a server, or remove it; an id that is not listed is added."""
+        others = [one for one in self.servers if one.id != server_id]
+        entries = others if entry is None else [*others, entry]
+        self.servers = tuple(sorted(entries, key=lambda one: one.id))
+        self.changes += 1
+
+
+class BudgetRecords(file_source.InMemoryBudgetRecords):
+    """Budget records that are away with the store."""
+
+    def __init__(self, store: Store):
+        super().__init__()
+        self.store = store
+
+    async def write(self, record: source.BudgetRecord) -> int:
+        """Write a record; a failed write may have taken effect."""
+        try:
+            await self.store.answer()
+        except exceptions.StoreError:
+            if self.store.draws.random() < WRITTEN_SHARE:
+                await super().write(record)
+            raise
+        return await super().write(record)
+
+    async def read(self, program: str) -> source.BudgetRecord:
+        """Return the record of a program."""
+        await self.store.answer()
+        return await super().read(program)
+
+    async def list(self) -> list[source.BudgetRecord]:
+        """Return all records."""
+        await self.store.answer()
+        return await super().list()
+
+    async def delete(self, program: str) -> None:
+        """Delete the record of a program."""
+        await self.store.answer()
+        await super().delete(program)
+
 
 @dataclasses.dataclass
 class Server:
@@ -75,6 +190,8 @@
     kind: evidence.Kind
     seen: evidence.Evidence
     draws: random.Random
+    gateways: dict[str, str]
+    """Names of the gateways by host."""
 
     async def handle(self, request: ingress.Request, responder: ingress.Responder) -> None:
         """Run one request."""
@@ -84,9 +201,10 @@
         if headers.get(NAMES.expected_server) != self.entry.id.encode():
             await responder.send(421, [*fields, (NAMES.not_run, b"1")])
             return
-        run = evidence.Run(attempt, self.entry.id, clock.now())
+        sender = self.gateways[responder.connection.stream.link.target]
+        run = evidence.Run(attempt, self.entry.id, sender, clock.now())
         self.seen.runs.append(run)
-        self.seen.add(run.began_at, self.entry.id, f"{attempt} begins to run", attempt)
+        self.seen.add(run.began_at, self.entry.id, f"{attempt} begins to run for {sender}", attempt)
         try:
             first = int(headers.get(NAMES.last_event_id, b"0")) + 1
             await self.run(run, first, fields, responder)
--- a/tests/test_fleet_simulation.py
+++ b/tests/test_fleet_simulation.py
@@ -14,6 +14,7 @@
     budget_owners,
     budget_transfers,
     exceptions,
+    followers,
     forwarder,
     gateway,
     peer_relay,
@@ -26,6 +27,9 @@
 GATEWAYS = 3
 """Enough for the faults put in on purpose; smaller fleets are faster."""
 
+ALL_FAULTS = 46
+"""Seed of a run with a cut, budgets, outages of the store and servers that leave."""
+
 
 @pytest.fixture(scope="module")
 def outcome():
@@ -50,11 +54,21 @@
     assert any(attempt.status == 200 for attempt in outcome.evidence.attempts.values())
 
 
-def test_same_seed_gives_the_same_event_log(outcome):
+@pytest.mark.parametrize(("seed", "count"), [(1, 7), (ALL_FAULTS, GATEWAYS)])
+def test_same_seed_gives_the_same_event_log(seed, count):
     """Guards against order by memory address or by the hash seed of the interpreter."""
+    outcome = fleet.simulate(seed, count)
+    if seed == ALL_FAULTS:
+        seen = outcome.evidence
+        assert seen.cuts
+        assert seen.outages
+        assert seen.departures
     path = os.pathsep.join([str(ROOT / "src"), str(ROOT / "platform")])
     result = subprocess.run(
-        [sys.executable, "-c", "from dogwoodgap_lab import cli; cli.main()", "simulate"],
+        [
+            *(sys.executable, "-c", "from dogwoodgap_lab import cli; cli.main()", "simulate"),
+            *("--seed", str(seed), "--gateways", str(count)),
+        ],
         env={**os.environ, "PYTHONPATH": path, "PYTHONHASHSEED": "5"},
         capture_output=True,
         text=True,
@@ -122,7 +136,7 @@
 
 def test_programs_that_get_their_budget_again_after_a_stop_are_found(monkeypatch):
     """BUDGET: accounts that no gateway hands over, and of which no usage is assumed."""
-    assert not rules(3)
+    assert not rules(ALL_FAULTS)
 
     async def move_nothing(self):
         await anyio.lowlevel.checkpoint()
@@ -131,7 +145,14 @@
     monkeypatch.setattr(
         budget_owners.BudgetCoordinator, "may_have_lost_account", lambda self, program: False
     )
-    assert rules(3) == {"BUDGET"}
+    assert rules(ALL_FAULTS) == {"BUDGET"}
+
+
+def test_requests_to_servers_that_leave_the_list_are_found(monkeypatch):
+    """DRAIN: gateways that read the list of servers too rarely."""
+    assert not rules(19)
+    monkeypatch.setattr(followers, "SERVERS_INTERVAL_S", 6.0)
+    assert rules(19) == {"DRAIN"}
 
 
 def on_virtual_time(function):
