--- a/src/dogwoodgap_lab/fleet_simulation/evidence.py
+++ b/src/dogwoodgap_lab/fleet_simulation/evidence.py
@@ -10,6 +10,9 @@
 EXIT_WAIT_S = 1.0
 """Time after a planned stop in which a lost response still counts as cut by it."""
 
+STORE = "store"
+"""Host of the log lines on the store, which every timeline shows."""
+
 CONTEXT_S = 4.0
 """Time before the first request of a finding from which its timeline shows the gateways."""
 
@@ -43,6 +46,17 @@
 )
 
 
+KIND_BY_NAME = {kind.name: kind for kind in KINDS}
+
+
+@dataclasses.dataclass(frozen=True)
+class Program:
+    """A program whose turns share a budget of tokens; each event of a turn is one token."""
+
+    name: str
+    budget: int
+
+
 @dataclasses.dataclass
 class Attempt:
     """One request of a caller, which gave up at its deadline or got a whole response or none."""
@@ -50,6 +64,7 @@
     id: str
     kind: Kind
     gateway: str
+    program: Program | None = None
     sent_at: float = math.inf
     ended_at: float = math.inf
     status: int = 0
@@ -63,12 +78,14 @@
 
 @dataclasses.dataclass
 class Run:
-    """One time that a server began to work on a request."""
+    """One time that a server began to work on a request, which a gateway sent to it."""
 
     attempt: str
     server: str
+    sender: str
     began_at: float
     body: bytes = b""
+    last_event: int = 0
     ended_at: float = math.inf
     broken: bool = False
 
@@ -91,6 +108,41 @@
     ended_at: float
 
 
+@dataclasses.dataclass
+class Life:
+    """The time from the start of a gateway process to its SIGTERM or its end."""
+
+    gateway: str
+    began_at: float
+    ended_at: float = math.inf
+
+
+@dataclasses.dataclass
+class Cut:
+    """A time in which some gateways cannot reach any backend server."""
+
+    gateways: frozenset[str]
+    began_at: float
+    ended_at: float = math.inf
+
+
+@dataclasses.dataclass
+class Outage:
+    """A time in which the store does not answer as usual; the last delayed answer ends it."""
+
+    began_at: float
+    ended_at: float
+
+
+@dataclasses.dataclass
+class Departure:
+    """The time from the mark of a server as leaving to the list with its next process."""
+
+    server: str
+    marked_at: float
+    returned_at: float = math.inf
+
+
 @dataclasses.dataclass
 class Evidence:
     """Everything that a run has shown."""
@@ -99,6 +151,10 @@
     runs: list[Run] = dataclasses.field(default_factory=list)
     stops: list[Stop] = dataclasses.field(default_factory=list)
     disruptions: list[Disruption] = dataclasses.field(default_factory=list)
+    lives: list[Life] = dataclasses.field(default_factory=list)
+    cuts: list[Cut] = dataclasses.field(default_factory=list)
+    outages: list[Outage] = dataclasses.field(default_factory=list)
+    departures: list[Departure] = dataclasses.field(default_factory=list)
     errors: list[str] = dataclasses.field(default_factory=list)
     log: list[tuple[float, str, str, str]] = dataclasses.field(default_factory=list)
 
@@ -119,5 +175,6 @@
         return [
             f"  {at:10.4f} {host:<10} {text}"
             for at, host, request, text in self.log
-            if request in requests or (not request and host in gateways and since <= at <= until)
+            if request in requests
+            or (not request and host in (*gateways, STORE) and since <= at <= until)
         ]
--- a/tests/test_fleet_simulation.py
+++ b/tests/test_fleet_simulation.py
@@ -10,7 +10,16 @@
 import pytest
 import typer.testing
 
-from dogwoodgap import exceptions, forwarder, gateway, relay
+from dogwoodgap import (
+    budget_owners,
+    budget_transfers,
+    exceptions,
+    followers,
+    forwarder,
+    gateway,
+    peer_relay,
+    relay,
+)
 from dogwoodgap_lab import cli
 from dogwoodgap_lab.fleet_simulation import fleet, network, processes, stand_ins
 
@@ -18,6 +27,9 @@
 GATEWAYS = 3
 """Enough for the faults put in on purpose; smaller fleets are faster."""
 
+ALL_FAULTS = 46
+"""Seed of a run with a cut, budgets, outages of the store and servers that leave."""
+
 
 @pytest.fixture(scope="module")
 def outcome():
@@ -42,11 +54,21 @@
     assert any(attempt.status == 200 for attempt in outcome.evidence.attempts.values())
 
 
-def test_same_seed_gives_the_same_event_log(outcome):
+@pytest.mark.parametrize(("seed", "count"), [(1, 7), (ALL_FAULTS, GATEWAYS)])
+def test_same_seed_gives_the_same_event_log(seed, count):
     """Guards against order by memory address or by the hash seed of the interpreter."""
+    outcome = fleet.simulate(seed, count)
+    if seed == ALL_FAULTS:
+        seen = outcome.evidence
+        assert seen.cuts
+        assert seen.outages
+        assert seen.departures
     path = os.pathsep.join([str(ROOT / "src"), str(ROOT / "platform")])
     result = subprocess.run(
-        [sys.executable, "-c", "from dogwoodgap_lab import cli; cli.main()", "simulate"],
+        [
+            *(sys.executable, "-c", "from dogwoodgap_lab import cli; cli.main()", "simulate"),
+            *("--seed", str(seed), "--gateways", str(count)),
+        ],
         env={**os.environ, "PYTHONPATH": path, "PYTHONHASHSEED": "5"},
         capture_output=True,
         text=True,
@@ -96,6 +118,43 @@
     assert rules(1) == {"MIXED"}
 
 
+def test_callers_of_partitioned_gateways_that_are_not_served_are_found(monkeypatch):
+    """RECOVER: a gateway without a path to the servers that asks no other gateway."""
+    assert not rules(11)
+    monkeypatch.setattr(peer_relay.PeerRelay, "choose", lambda self: None)
+    assert rules(11) == {"RECOVER"}
+
+
+def test_programs_that_get_their_budget_again_after_a_kill_are_found(monkeypatch):
+    """BUDGET: a gateway that takes the programs of a lost one for new."""
+    assert not rules(33)
+    monkeypatch.setattr(
+        budget_owners.BudgetCoordinator, "may_have_lost_account", lambda self, program: False
+    )
+    assert rules(33) == {"BUDGET"}
+
+
+def test_programs_that_get_their_budget_again_after_a_stop_are_found(monkeypatch):
+    """BUDGET: accounts that no gateway hands over, and of which no usage is assumed."""
+    assert not rules(ALL_FAULTS)
+
+    async def move_nothing(self):
+        await anyio.lowlevel.checkpoint()
+
+    monkeypatch.setattr(budget_transfers.AccountTransfers, "move_accounts", move_nothing)
+    monkeypatch.setattr(
+        budget_owners.BudgetCoordinator, "may_have_lost_account", lambda self, program: False
+    )
+    assert rules(ALL_FAULTS) == {"BUDGET"}
+
+
+def test_requests_to_servers_that_leave_the_list_are_found(monkeypatch):
+    """DRAIN: gateways that read the list of servers too rarely."""
+    assert not rules(19)
+    monkeypatch.setattr(followers, "SERVERS_INTERVAL_S", 6.0)
+    assert rules(19) == {"DRAIN"}
+
+
 def on_virtual_time(function):
     """Run a coroutine function on a virtual loop with a network."""
 
@@ -162,6 +221,39 @@
     on_virtual_time(check)
 
 
+def test_cut_paths_fail_as_drawn():
+    """Guards against a cut that lets packets through, loses them, or reaches other hosts."""
+
+    async def check(loop, net):
+        await net.listen(local_host="s1", local_port=1)
+        await net.listen(local_host="g2", local_port=1)
+        kept = await net.connect("s1", 1, "g1")
+        server, _ = net.listening["s1:1"].accept()
+        net.cut("g1", "s", network.Manner.HANG)
+        await kept.send(b"held")
+        with anyio.move_on_after(5.0) as scope:
+            await net.connect("s1", 1, "g1")
+        assert scope.cancelled_caught
+        assert not server.is_readable
+        await net.connect("g2", 1, "g1")
+        await net.connect("s1", 1, "g2")
+        net.mend("g1")
+        assert await server.receive() in (b"held", b"h", b"he", b"hel")
+        net.cut("g1", "s", network.Manner.REFUSE)
+        with pytest.raises(ConnectionRefusedError):
+            await net.connect("s1", 1, "g1")
+        await server.send(b"through")
+        assert (await kept.receive())[:1] == b"t"
+        net.mend("g1")
+        net.cut("g1", "s", network.Manner.RESET)
+        with pytest.raises(anyio.BrokenResourceError):
+            await kept.send(b"reset")
+        with pytest.raises(ConnectionRefusedError):
+            await net.connect("s1", 1, "g1")
+
+    on_virtual_time(check)
+
+
 def test_finding_prints_its_timeline_and_sets_the_exit_code(monkeypatch):
     """Guards against a finding that nobody sees."""
     monkeypatch.setattr(stand_ins, "BREAK_SHARE", 0.5)
