--- /dev/null
+++ b/src/dogwoodgap/http_server.py
@@ -0,0 +1,221 @@
+"""Runs an ASGI application with hypercorn on a listener that closes before its connections do.
+
+hypercorn's own server closes its listener and all idle connections at the same moment, among them
+those that were accepted just before and whose request has not arrived yet.
+"""
+
+import asyncio
+import collections.abc
+import contextlib
+import logging
+import socket
+
+import anyio
+import hypercorn.config
+import hypercorn.utils
+from hypercorn.asyncio import lifespan, tcp_server, worker_context
+from starlette import types
+
+from dogwoodgap import events
+
+ACCEPT_RETRY_DELAY_S = 0.1
+"""Time after which accepting is tried again; running requests free descriptors meanwhile."""
+
+CANCEL_TIMEOUT_S = 2.0
+"""Maximum time for cancelled connections to end; a handler may shield its cleanup."""
+
+
+class HttpServer:
+    """Accepts connections and serves requests on them; see :func:`running`.
+
+    Parameters
+    ----------
+    application : starlette.types.ASGIApp
+        The application.
+    config : hypercorn.config.Config
+        Addresses, TLS context and timeouts.
+
+    Attributes
+    ----------
+    connections : set of asyncio.Task
+        Tasks of the accepted connections. Plain tasks, since the task groups of hypercorn cancel
+        their own task, which would cancel other scopes of anyio.
+    listening : list of socket.socket
+        Open listening sockets.
+    """
+
+    def __init__(self, application: types.ASGIApp, config: hypercorn.config.Config):
+        self.config = config
+        self.application = hypercorn.utils.wrap_app(application, config.wsgi_max_body_size, "asgi")
+        self.context = worker_context.WorkerContext(None)
+        self.state: dict[str, object] = {}
+        self.connections: set[asyncio.Task[None]] = set()
+        self.listening: list[socket.socket] = []
+        self.is_failing = False
+        self.is_closing = False
+        self.ssl_context = config.create_ssl_context() if config.ssl_enabled else None
+
+    def listen(self) -> None:
+        """Open the listening sockets.
+
+        Raises
+        ------
+        OSError
+            If an address is not available.
+        """
+        sockets = self.config.create_sockets()
+        self.listening = [*sockets.secure_sockets, *sockets.insecure_sockets]
+        for listening in self.listening:
+            listening.listen(self.config.backlog)
+            listening.setblocking(False)
+
+    async def accept_all(self, listening: socket.socket) -> None:
+        """Accept connections until the listener closes."""
+        # The cancellation alone does not end the loop while a connection waits in each turn of the
+        # event loop: a task whose wait is over is not cancelled.
+        while not self.is_closing:
+            await anyio.wait_readable(listening)
+            try:
+                self.accept(listening)
+            except BlockingIOError:
+                continue
+            except OSError as error:
+                self.report_failure(error)
+                await anyio.sleep(ACCEPT_RETRY_DELAY_S)
+                continue
+            self.is_failing = False
+
+    def report_failure(self, error: OSError) -> None:
+        """Log a failure to accept; a series of failures is logged once."""
+        if not self.is_failing:
+            events.emit(
+                events.Event.ACCEPT_FAILED,
+                "connections cannot be accepted and wait; if descriptors ran out, raise the limit "
+                "of open files (LimitNOFILE)",
+                level=logging.ERROR,
+                address=", ".join(self.config.bind),
+                detail=str(error),
+            )
+        self.is_failing = True
+
+    def accept(self, listening: socket.socket) -> None:
+        """Accept one connection and start its task, with no await in which it could be lost.
+
+        Raises
+        ------
+        BlockingIOError
+            If no connection is waiting.
+        OSError
+            If it cannot be accepted.
+        """
+        connected, _ = listening.accept()
+        task = asyncio.get_running_loop().create_task(self.serve_connection(connected))
+        self.connections.add(task)
+        task.add_done_callback(self.forget)
+
+    def forget(self, task: asyncio.Task[None]) -> None:
+        """Remove the task of a connection that has ended; a failure has ended only this one."""
+        self.connections.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            events.emit(
+                events.Event.CONNECTION_FAILED,
+                "unexpected error on a connection",
+                level=logging.ERROR,
+                detail=repr(task.exception()),
+            )
+
+    async def serve_connection(self, connected: socket.socket) -> None:
+        """Serve the requests of one connection."""
+        loop = asyncio.get_running_loop()
+        connected.setblocking(False)
+        reader = asyncio.StreamReader(loop=loop)
+        protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
+        timeout_s = self.config.ssl_handshake_timeout if self.ssl_context is not None else None
+        try:
+            transport, _ = await loop.connect_accepted_socket(
+                lambda: protocol,
+                connected,
+                ssl=self.ssl_context,
+                ssl_handshake_timeout=timeout_s,
+            )
+        except OSError:  # reset by the caller, or a TLS handshake that failed
+            return
+        writer = asyncio.StreamWriter(transport, protocol, reader, loop)
+        await tcp_server.TCPServer(
+            self.application, loop, self.config, self.context, self.state, reader, writer
+        )
+
+    def close_listener(self) -> None:
+        """Accept the connections that wait, whose requests may have been sent, and stop to listen.
+
+        Without an await in between, no connection is established that would be reset.
+        """
+        for listening in self.listening:
+            with contextlib.suppress(OSError):
+                while True:
+                    self.accept(listening)
+            listening.close()
+        self.listening.clear()
+
+    async def close_idle_connections(self) -> None:
+        """Close idle connections now, and each other one after its response."""
+        await self.context.terminated.set()
+
+    async def wait_closed(self) -> None:
+        """Return when no connection is open."""
+        while self.connections:
+            await asyncio.wait(self.connections)
+
+    async def cancel_connections(self) -> None:
+        """Cancel all connections and wait until their tasks have ended."""
+        for task in self.connections:
+            task.cancel()
+        with anyio.CancelScope(shield=True), anyio.move_on_after(CANCEL_TIMEOUT_S):
+            await self.wait_closed()
+
+    @contextlib.asynccontextmanager
+    async def run_lifespan(self) -> collections.abc.AsyncIterator[None]:
+        """Run the lifespan of the application."""
+        loop = asyncio.get_running_loop()
+        handler = lifespan.Lifespan(self.application, self.config, loop, self.state)
+        task = loop.create_task(handler.handle_lifespan())
+        try:
+            await handler.wait_for_startup()
+            if task.done():
+                task.result()
+            yield
+            await handler.wait_for_shutdown()
+        finally:
+            task.cancel()
+            with anyio.CancelScope(shield=True):
+                await asyncio.wait([task])
+            if not task.cancelled():
+                # Retrieved, as an error that follows the cancellation would be logged.
+                task.exception()
+
+
+async def accept_until(server: HttpServer, closing: anyio.Event) -> None:
+    """Accept connections until an event is set, then close the listener."""
+    async with anyio.create_task_group() as tasks:
+        for listening in server.listening:
+            tasks.start_soon(server.accept_all, listening)
+        await closing.wait()
+        server.is_closing = True
+        tasks.cancel_scope.cancel()
+    server.close_listener()
+
+
+@contextlib.asynccontextmanager
+async def running(
+    application: types.ASGIApp, config: hypercorn.config.Config
+) -> collections.abc.AsyncIterator[HttpServer]:
+    """Yield a server that listens; at the end, connections that are still open are cancelled."""
+    server = HttpServer(application, config)
+    async with server.run_lifespan():
+        server.listen()
+        try:
+            yield server
+        finally:
+            for listening in server.listening:
+                listening.close()
+            await server.cancel_connections()
--- a/src/dogwoodgap/serving.py
+++ b/src/dogwoodgap/serving.py
@@ -1,21 +1,22 @@
 """Serves HTTP with hypercorn and shuts down gracefully, without aborting requests."""
 
-import asyncio
 import collections.abc
 import logging
 import ssl
-import typing
 
 import anyio
-import hypercorn.asyncio
 import hypercorn.config
 
-from dogwoodgap import events, middleware
+from dogwoodgap import events, http_server, middleware
 
 KEEP_ALIVE_S = 30.0
 ARRIVAL_GRACE_S = 0.3
 """Time for a request to arrive on a connection accepted just before the listener closed."""
 
+CLOSE_TIMEOUT_S = 5.0
+"""Maximum time without a running request until the last connections close; a caller that does not
+read its response keeps its connection open."""
+
 DRAIN_TIMEOUT_S = 300.0
 """Maximum time for running requests to finish after the listener has closed."""
 
@@ -47,11 +48,15 @@
     stop: anyio.Event,
     forced: anyio.Event | None = None,
 ) -> None:
-    """Serve an ASGI application until ``stop`` is set, then wait for running requests.
+    """Serve an ASGI application until ``stop`` is set, then until its connections have ended.
+
+    The listener closes first. Requests on accepted connections have ``ARRIVAL_GRACE_S`` to arrive,
+    and are finished. Setting ``forced`` stops waiting for them.
 
-    A request that arrived just before the listener closed is still handled. Hypercorn would abort
-    it after its own timeout and would keep the process running for idle connections, so the server
-    ends when no request is running. Setting ``forced`` stops waiting for them.
+    Raises
+    ------
+    OSError
+        If the address is not available.
     """
     config = ServerConfig()
     config.bind = [bind]
@@ -59,17 +64,17 @@
     config.accesslog = None
     config.errorlog = None
     config.keep_alive_timeout = KEEP_ALIVE_S
-    config.graceful_timeout = DRAIN_TIMEOUT_S
-    # On shutdown, the Python 3.11 task group used by hypercorn cancels its own task and does not
-    # uncancel it. Running hypercorn in a separate task keeps this from cancelling other scopes.
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(run_hypercorn, application, config, stop)
-        await stop.wait()
+    async with http_server.running(application, config) as server:
+        await http_server.accept_until(server, stop)
         with anyio.move_on_after(DRAIN_TIMEOUT_S) as drain_scope:
-            if forced is not None:
-                tasks.start_soon(cancel_on, forced, drain_scope)
-            await finish_requests(application)
-        tasks.cancel_scope.cancel()
+            async with anyio.create_task_group() as tasks:
+                if forced is not None:
+                    tasks.start_soon(cancel_on, forced, drain_scope)
+                await application.close_connections()
+                await anyio.sleep(ARRIVAL_GRACE_S)
+                await server.close_idle_connections()
+                await finish_connections(application, server)
+                tasks.cancel_scope.cancel()
 
 
 async def cancel_on(event: anyio.Event, scope: anyio.CancelScope) -> None:
@@ -78,23 +83,17 @@
     scope.cancel()
 
 
-async def finish_requests(application: middleware.ProblemMiddleware) -> None:
-    """Return when no request is running, after a grace period for late arrivals."""
-    idle = False
-    while not idle:
+async def finish_connections(
+    application: middleware.ProblemMiddleware, server: http_server.HttpServer
+) -> None:
+    """Return when all connections have ended, or no request has run for ``CLOSE_TIMEOUT_S``."""
+    while server.connections:
         await application.wait_idle()
-        await anyio.sleep(ARRIVAL_GRACE_S)
-        idle = not application.running
-
-
-async def run_hypercorn(application: typing.Any, config: ServerConfig, stop: anyio.Event) -> None:
-    """Run hypercorn; errors from connections that do not close in time are ignored."""
-    try:
-        await hypercorn.asyncio.serve(application, config, shutdown_trigger=stop.wait)
-    except (TimeoutError, asyncio.CancelledError, asyncio.InvalidStateError):
-        # When cancelled, hypercorn asks a cancelled task for its exception, which raises.
-        if not stop.is_set():
-            raise
+        last_change = application.changed
+        with anyio.move_on_after(CLOSE_TIMEOUT_S) as scope:
+            await server.wait_closed()
+        if scope.cancelled_caught and not application.running and not last_change.is_set():
+            return
 
 
 class GracefulStop:
