--- a/src/dogwoodgap/client.py
+++ b/src/dogwoodgap/client.py
@@ -29,6 +29,7 @@
     exceptions.NotOwnerError,
     exceptions.NotReadyError,
     exceptions.JournalSealedError,
+    exceptions.JournalClosedError,
 )
 Messages = str | list[structures.Text]
 
--- a/tests/test_node_stop.py
+++ b/tests/test_node_stop.py
@@ -4,11 +4,13 @@
 import socket
 
 import anyio
+import httpx
 import listen_addresses
 import live
+import msgspec
 import pytest
 
-from dogwoodgap import middleware, serving
+from dogwoodgap import client, exceptions, journal, middleware, serving, transport, views
 
 REQUEST = b"GET /health HTTP/1.1\r\nhost: n1\r\n\r\n"
 ANSWERED = b"HTTP/1.1 200"
@@ -206,3 +208,80 @@
                 await departed.wait()
 
     run(main)
+
+
+def test_client_repeats_a_request_that_a_node_did_not_store_before_it_stopped():
+    """Guards against callers that get journal-closed although another node serves them."""
+    closed = exceptions.problem(journal.closed_error())
+    asked = []
+
+    def respond(request):
+        if request.method == "GET":
+            entries = [views.EntryView(f"http://{name}", name, "a") for name in ("n1", "n2")]
+            return httpx.Response(200, content=msgspec.json.encode(views.EntriesView(entries, 9.0)))
+        asked.append(request.url.host)
+        if len(asked) == 1:
+            return httpx.Response(
+                closed.status,
+                content=msgspec.json.encode(closed),
+                headers={"content-type": transport.PROBLEM_TYPE},
+            )
+        view = views.ProgramView("p1", "agent-llm", "default", "active", "", 9, 9, 1, 0, "", [])
+        return httpx.Response(201, content=msgspec.json.encode(view))
+
+    async def main():
+        http = httpx.AsyncClient(transport=httpx.MockTransport(respond))
+        async with client.Client(["http://n1", "http://n2"], "key", http=http) as caller:
+            assert (await caller.program("agent-llm", id="p1")).id == "p1"
+        assert asked == ["n1", "n2"]
+
+    run(main)
+
+
+def test_program_whose_node_ends_before_it_is_stored_is_created_on_another_node():
+    """Guards against callers that get journal-closed, which the client did not repeat."""
+
+    async def main():
+        async with live.run_fleet(2) as fleet:
+            ending = fleet.nodes[1]
+            await live.wait_until(
+                lambda: all(item.fleet.ownership.session.loaded for item in fleet.nodes)
+            )
+            writing = anyio.Event()
+            put = ending.store.put
+
+            async def hold_journal(key, *args, **options):
+                if key.startswith("journal/n2"):
+                    writing.set()
+                    await anyio.sleep_forever()
+                return await put(key, *args, **options)
+
+            programs = []
+
+            async def create(number):
+                program = await caller.program("agent-llm", id=f"p{number}")
+                programs.append(program.id)
+
+            ending.store.put = hold_journal
+            codes = []
+            decode = exceptions.from_problem
+
+            def record_code(problem):
+                codes.append(problem.code)
+                return decode(problem)
+
+            with pytest.MonkeyPatch.context() as patch:
+                patch.setattr(exceptions, "from_problem", record_code)
+                async with (
+                    httpx.AsyncClient(trust_env=False) as http,
+                    anyio.create_task_group() as tasks,
+                ):
+                    caller = client.Client([fleet.url(1)], live.CALLER_KEY, http=http)
+                    for number in range(8):
+                        tasks.start_soon(create, number)
+                    await writing.wait()
+                    ending.tasks.cancel_scope.cancel()
+            assert sorted(programs) == [f"p{number}" for number in range(8)]
+            assert "journal-closed" in codes
+
+    run(main)
