--- a/tests/test_late_requests.py
+++ b/tests/test_late_requests.py
@@ -36,6 +36,13 @@
     harness.active_routes.install(routes.RouteTable(2, table, gateways.SERVICES))
 
 
+async def check_late_request_is_refused(harness, path):
+    """Send a request that takes longer than the stop leaves, and check that it is refused."""
+    harness.forwarder.end_requests_at(clock.now() + 0.8 * SERVER_TIME_S)
+    response = await gateways.send_once(harness, "POST", path, b"p")
+    assert (response.status, response.complete) == (503, True)
+
+
 def test_stream_that_breaks_off_during_a_stop_is_continued_while_there_is_time():
     """Guards against a begun stream that is cut since a whole one could not finish any more."""
 
@@ -82,9 +89,7 @@
                     await connection.send("POST", "/talk/x", b"p")
                     await anyio.sleep(0.03)
             await anyio.sleep(0.05)
-            harness.forwarder.end_requests_at(clock.now() + 0.8 * SERVER_TIME_S)
-            response = await gateways.send_once(harness, "POST", "/talk/x", b"p")
-            assert (response.status, response.complete) == (503, True)
+            await check_late_request_is_refused(harness, "/talk/x")
 
     run(main)
 
@@ -104,9 +109,7 @@
                 return await gateways.complete_response()(backend, received, stream)
 
             backend.script = slow
-            harness.forwarder.end_requests_at(clock.now() + 0.8 * SERVER_TIME_S)
-            response = await gateways.send_once(harness, "POST", "/act/x", b"p")
-            assert (response.status, response.complete) == (503, True)
+            await check_late_request_is_refused(harness, "/act/x")
 
     run(main)
 
@@ -138,9 +141,7 @@
                 )
                 assert (response.status, response.complete) == (200, True)
             breaks_off = False
-            harness.forwarder.end_requests_at(clock.now() + 0.8 * SERVER_TIME_S)
-            response = await gateways.send_once(harness, "POST", "/turn/x", b"p")
-            assert (response.status, response.complete) == (503, True)
+            await check_late_request_is_refused(harness, "/turn/x")
 
     run(main)
 
@@ -155,8 +156,6 @@
             for _ in range(durations.MIN_SAMPLES):
                 assert not (await gateways.send_once(harness, "POST", "/talk/x", b"p")).complete
             backend.script = gateways.streaming(1, 5, gap_s=SERVER_TIME_S / 5)
-            harness.forwarder.end_requests_at(clock.now() + 0.8 * SERVER_TIME_S)
-            response = await gateways.send_once(harness, "POST", "/talk/x", b"p")
-            assert (response.status, response.complete) == (503, True)
+            await check_late_request_is_refused(harness, "/talk/x")
 
     run(main)
