--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,166 +1,199 @@
-"""Streams that clients take up again while gateways are restarted in turn during a release.
+"""Kept turns when a storage machine is replaced, and another one then loses its disk.
 
-Four runners of version v1 serve when a release replaces two of them by runners of version v2, one
-after the other. Three gateways are then stopped in turn; the third one serves the streams, and half
-of the connections of its clients are reset. The clients take their streams up at another gateway.
+Turns are kept for a minute on three storage machines, of which one may be lost at a time. One is
+removed for good, and an empty one comes at another address. Once that one has had the time to catch
+up, another machine loses its disk. Programs then continue from turns that were answered whole.
 """
 
 import asyncio
 import pathlib
-import signal
+import random
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
 from stand_ins_2 import client, scene
 
-from dogwoodgap import hashing
-
 GATEWAYS = 7
-STREAMS = 24
-EVENTS = 26
-EVENT_S = 0.13
-"""Pause between events; the sheet allows 200 ms, and the whole stream takes 3.4 s of 4 s."""
-
-GAP_S = 1.0
-"""Pause between two stopped machines (roll_term: gap_s 1.3, with how = busy 1.0)."""
-
-RESET_SHARE = 0.55
-"""Share of the connections of one machine (reset_conns: x = 0.55, share = 0.35 of the machines)."""
-
-RELEASE_GAP_S = 1.0
-"""Pause between two replaced runners (release: share = 0.45, x = 1, gap_s = 1)."""
-
-SOLE_S = 22.0
-"""Time for which all runners have one version before the release."""
-
-MOST_MIXED = 2
-"""Streams that may hold events of two versions (ORDER: more than two break the rule)."""
-
-
-def programs(nodes: list[str], stopped: list[str], serving: str) -> list[str]:
-    """Return programs whose streams are remembered at the gateways that are stopped.
-
-    Only the order of the gateways for a program decides where that is: one program in 15 on seven
-    gateways has these two.
-    """
-    others = [node for node in nodes if node != serving]
-    found = []
-    number = 0
-    while len(found) < STREAMS:
-        number += 1
-        name = f"p{number:06x}"
-        if set(hashing.rendezvous_order(name, others)[:2]) == set(stopped):
-            found.append(name)
-    return found
-
-
-async def take_up(
-    case: scene.Scene, begun: client.Answer, program: str, gateway: str
-) -> client.Answer:
-    """Take a broken stream up again at another gateway, with one retry."""
-    answer = client.Answer("")
-    for attempt in range(2):
-        headers = turn_headers(f"{begun.attempt}-{attempt + 2}", program)
-        headers |= {"Last-Event-Id": str(begun.last_id), "Resumes": begun.attempt}
-        answer = await client.send(case.addresses[gateway]["front"], "/turn/a", headers)
-        case.record(
-            "taken up",
-            attempt=answer.attempt,
-            resumes=begun.attempt,
-            after=begun.last_id,
-            gateway=gateway,
-            status=answer.status,
-            events=answer.events,
-            whole=answer.whole,
-        )
-        if answer.events or answer.status not in (429, 503):
-            break
-        await asyncio.sleep(float(answer.headers.get("retry-after", "0.1")))
-    return answer
+STORAGE = ("storage-brno-a-1", "storage-brno-b-1", "storage-znojmo-1", "storage-brno-b-2")
+ZONES = ("brno-a", "brno-b", "znojmo", "brno-b")
+FIRST = 3
+"""Machines at the start; the fourth one replaces the second one."""
+
+
+TURNS_PER_S = 20
+INPUT_BYTES = 2_100
+
+EVENTS = 7
+LOAD_S = 15.0
+RECENT_S = 15.0
+"""Turns of the last seconds of the load are continued; they are kept for 60 s."""
+
+NEW_AFTER_S = 2.0
+"""Time after which the new machine comes (replace_core: x = 2.0)."""
+
+DOWN_S = 2.0
+"""Time for which a machine is down that loses its disk (after_ack_wipe: for_s = 2.0)."""
+
+STABLE_S, CATCH_UP_S = 3.0, 4.0
+"""stableMs and catchupS: how long after its return a machine still counts as lost."""
 
+MARGIN_S = 0.5
+TRIES = 6
+"""Tries of one turn: two attempts each, and it is sent again from its start twice."""
 
-def turn_headers(attempt: str, program: str) -> dict[str, str]:
+SAMPLE = 300
+
+
+class Load:
+    """Sends first turns of programs at a steady rate, and remembers those answered whole."""
+
+    def __init__(self, case: scene.Scene):
+        self.case = case
+        self.fronts = [of["front"] for of in case.addresses.values()]
+        self.random = random.Random(1)
+        self.whole: list[tuple[float, str]] = []
+        self.sent = 0
+
+    async def turn(self, number: int) -> None:
+        """Send one first turn."""
+        attempt = f"t{number:06x}"
+        answer = await client.send(
+            self.random.choice(self.fronts),
+            "/turn/a",
+            headers(attempt, f"p{number:06x}"),
+            body=(f"{attempt} ".encode() * 600)[:INPUT_BYTES],
+        )
+        if answer.status == 200 and answer.whole:
+            self.whole.append((asyncio.get_running_loop().time(), attempt))
+        self.case.record("first turn", attempt=attempt, status=answer.status, whole=answer.whole)
+
+    async def run(self) -> None:
+        """Send turns at the rate, for the whole time of the load."""
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        async with asyncio.TaskGroup() as tasks:
+            while loop.time() < began_at + LOAD_S:
+                self.sent += 1
+                tasks.create_task(self.turn(self.sent))
+                await asyncio.sleep(max(0.0, began_at + self.sent / TURNS_PER_S - loop.time()))
+
+
+def headers(attempt: str, program: str, previous: str = "") -> dict[str, str]:
     """Return the headers of a turn."""
-    return {
+    fields = {
         "Attempt-Id": attempt,
         "Program-Id": program,
-        "Session-Id": f"{program}-1",
-        "Finish-Ms": "20000",
+        "Session-Id": f"{program}-s",
+        "Finish-Ms": "9000",
         "Token-Budget": "4000",
-        "Token-Count": "600,300",
+        "Token-Count": "600,100",
         "Model": "m",
         "Prompt-Prefix": f"5c1e07a2:500,{program}:100",
     }
-
-
-def versions_of(*answers: client.Answer) -> list[str]:
-    """Return the versions whose events a client got for one stream."""
-    lines = [event for answer in answers for event in answer.events]
-    return sorted({line.split("data: ")[1].split(" ")[0] for line in lines})
+    return fields | ({"Previous-Turn": previous} if previous else {})
+
+
+async def wait_registered(case: scene.Scene, name: str, *, other_than: str = "") -> str:
+    """Wait until a storage process has registered; return its boot."""
+    while True:
+        entry = case.platform.kinds.get("dogwoodgap-storage", {}).get(name)
+        boot = entry["spec"]["boot"] if entry else ""
+        if boot not in ("", other_than):
+            return boot
+        await asyncio.sleep(0.02)
+
+
+async def lose_disk(case: scene.Scene, number: int) -> None:
+    """Let a storage machine lose its disk and come back."""
+    name = STORAGE[number]
+    boot = await wait_registered(case, name)
+    case.lose_disk(name)
+    await asyncio.sleep(DOWN_S)
+    case.start_storage(name, number, ZONES[number], first=False)
+    await wait_registered(case, name, other_than=boot)
+    case.record("machine is back", name=name)
+
+
+async def replace(case: scene.Scene, lost: int, new: int) -> None:
+    """Remove a storage machine for good, and let an empty one come at another address."""
+    case.lose_disk(STORAGE[lost])
+    await asyncio.sleep(NEW_AFTER_S)
+    case.start_storage(STORAGE[new], new, ZONES[new], first=False)
+    await wait_registered(case, STORAGE[new])
+    case.record("new machine has registered", name=STORAGE[new])
+
+
+async def resume(case: scene.Scene, number: int, previous: str, load: Load) -> list[int]:
+    """Continue from a turn; return the statuses of all tries."""
+    statuses = []
+    for attempt in range(TRIES):
+        fields = headers(f"r{number:04x}-{attempt}", f"q{number:06x}", previous)
+        answer = await client.send(
+            load.random.choice(load.fronts), "/turn/a", fields, body=b"and then"
+        )
+        statuses.append(answer.status)
+        if answer.status == 200 and answer.whole:
+            break
+        pause_s = float(answer.headers.get("retry-after", "0.1"))
+        await asyncio.sleep(pause_s if attempt % 2 == 0 else max(0.3, pause_s))
+    case.record("continued", previous=previous, statuses=statuses)
+    return statuses
 
 
 async def play(case: scene.Scene, is_troubled: bool) -> bool:
-    """Play the case; return whether ORDER was broken."""
+    """Play the case; return whether LOST was broken."""
     await case.start_platform(GATEWAYS)
-    case.platform.put("config", "main", "spec", scene.configuration(7))
-    options = {"event_s": EVENT_S, "count": lambda request: EVENTS, "slots": 16}
-    old = [case.new_runner(f"i-old{n}", "hull-llm", version="v1", **options) for n in range(4)]
-    for runner in old:
+    case.platform.put("config", "main", "spec", scene.configuration(7, retain=True))
+    options = {"event_s": 0.008, "count": lambda request: EVENTS}
+    runners = [case.new_runner(f"i-llm{n}", "hull-llm", **options) for n in range(4)]
+    for runner in runners:
         await runner.start()
-    nodes = sorted(case.addresses)
-    for name in nodes:
+    for number, name in enumerate(STORAGE[:FIRST]):
+        case.start_storage(name, number, ZONES[number], first=True)
+    for name in case.addresses:
         case.start_gateway(name, first=True)
-    await case.wait_ready(*nodes)
-    await asyncio.sleep(SOLE_S)
-
-    new = [case.new_runner(f"i-new{n}", "hull-llm", version="v2", **options) for n in range(2)]
-    for added, replaced in zip(new, old, strict=False):
-        await added.start()
-        await asyncio.sleep(RELEASE_GAP_S)
-        replaced.drain()
-        case.record("release", added=added.id, draining=replaced.id)
-    await asyncio.sleep(RELEASE_GAP_S)
-
-    *stopped, serving = nodes[:3]
-    gateway = nodes[-1]
-    proxy = client.Proxy(case.addresses[serving]["front"])
-    await proxy.start(case.address())
-    chosen = programs(nodes, stopped, serving)
-    tasks = [
-        asyncio.create_task(client.send(proxy.address, "/turn/a", turn_headers(f"a-{p}", p)))
-        for p in chosen
-    ]
-    await asyncio.sleep(0.6)
+    await case.wait_ready(*case.addresses)
+    for name in STORAGE[:FIRST]:
+        await wait_registered(case, name)
+    await asyncio.sleep(1.0)
+
+    load = Load(case)
+    await load.run()
+    ended_at = asyncio.get_running_loop().time()
+    case.record("load", sent=load.sent, whole=len(load.whole))
     if is_troubled:
-        for name in (*stopped, serving):
-            case.send_signal(name, signal.SIGTERM)
-            await asyncio.sleep(GAP_S if name != serving else 0.2)
-    else:
-        await asyncio.sleep(2 * GAP_S + 0.2)
-    case.record("connections reset", machine=serving, count=proxy.reset(RESET_SHARE))
-
-    async def finish(program: str, task: asyncio.Task) -> list[str]:
-        begun = await task
-        case.record(
-            "stream",
-            attempt=begun.attempt,
-            program=program,
-            status=begun.status,
-            events=begun.events,
-            whole=begun.whole,
+        await replace(case, 1, 3)
+        await asyncio.sleep(STABLE_S + CATCH_UP_S + MARGIN_S)
+        await lose_disk(case, 0)
+        await asyncio.sleep(STABLE_S + MARGIN_S)
+
+    recent = [attempt for at, attempt in load.whole if at > ended_at - RECENT_S]
+    chosen = recent[:: max(1, len(recent) // SAMPLE)]
+    first = await asyncio.gather(
+        *(
+            client.send(address, "/turn/a", headers(f"f{n}", f"g{n}"), body=b"first")
+            for n, address in enumerate(load.fronts * 2)
         )
-        if begun.whole or not begun.events:
-            return versions_of(begun)
-        return versions_of(begun, await take_up(case, begun, program, gateway))
-
-    results = await asyncio.gather(*map(finish, chosen, tasks))
-    mixed = sum(len(versions) > 1 for versions in results)
-    for runner in [*old, *new]:
-        for run in runner.runs:
-            case.record("run", runner=run.runner, attempt=run.attempt, events=run.events)
-    case.record("result", mixed=mixed, allowed=MOST_MIXED, streams=len(results))
-    return mixed > MOST_MIXED
+    )
+    served = sum(answer.status == 200 and answer.whole for answer in first)
+    lost, denied = 0, 0
+    tries = [resume(case, number, previous, load) for number, previous in enumerate(chosen)]
+    for statuses in await asyncio.gather(*tries):
+        denied += any(status in (404, 410) for status in statuses)
+        lost += statuses[-1] != 200
+    age_s = asyncio.get_running_loop().time() - ended_at + RECENT_S
+    case.record(
+        "result",
+        continued=len(chosen),
+        never_served=lost,
+        denied=denied,
+        first_turns=[served, len(first)],
+        oldest_s=round(age_s, 1),
+    )
+    if served < 0.9 * len(first) or age_s > 60.0:
+        raise scene.CannotRunError("first turns are not served, or the turns became too old")
+    return bool(lost or denied)
 
 
 if __name__ == "__main__":
