--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 set -e
 cd "$(dirname "$0")/.."
 test -d target/deps
-python3 -m compileall -q review/stand_ins_2 review/6 review/7 review/8
+python3 -m compileall -q review/stand_ins_2 review/6 review/7 review/8 review/9 review/10
