--- a/review/stand_ins_2/scene.py
+++ b/review/stand_ins_2/scene.py
@@ -12,6 +12,7 @@
 import sys
 import tempfile
 import time
+import traceback
 
 from stand_ins_2 import client, http, runner, store
 
@@ -273,8 +274,9 @@
                 is_broken = await play(case, is_troubled)
             case.record("verdict", broken=is_broken)
             return BROKEN if is_broken else HELD
-        except (CannotRunError, TimeoutError) as error:
-            case.record("cannot run", error=repr(error))
+        except Exception as error:  # an error of the script is no broken rule
+            trace = "".join(traceback.format_exception(error))[-4_000:]
+            case.record("cannot run", error=repr(error), trace=trace)
             return FAILED
         finally:
             case.close()
