--- a/review/8/case.py
+++ b/review/8/case.py
@@ -29,7 +29,7 @@
 """Share of the connections of one machine (reset_conns: x = 0.55, share = 0.35 of the machines)."""
 
 RELEASE_GAP_S = 1.0
-"""Pause between two replaced runners (release: share = 0.45, x = 1, gap_s = 1)."""
+"""Pause between two replaced runners (release: share = 0.5 by default, x = 1, gap_s = 1)."""
 
 SOLE_S = 22.0
 """Time for which all runners have one version before the release."""
