--- a/review/stand_ins_3/machines.py
+++ b/review/stand_ins_3/machines.py
@@ -106,7 +106,10 @@
 
     def seeds(self) -> list[str]:
         """Return the control addresses of the first front machines."""
-        return [machine.address("control") for machine in self.fronts[: self.seed_count]]
+        return [
+            f"{machine.link_host or machine.host}:{self.ports['control']}"
+            for machine in self.fronts[: self.seed_count]
+        ]
 
     def end(self) -> None:
         """End all processes that were started."""
@@ -115,7 +118,15 @@
 
 
 class Machine:
-    """One machine with one process."""
+    """One machine with one process.
+
+    Attributes
+    ----------
+    store_address : str
+        Where the machine reaches the platform's store.
+    link_host : str
+        Host at which other machines reach this one; empty for its own.
+    """
 
     def __init__(self, site: Site, name: str, role: str, zone: str, host: str):
         self.site = site
@@ -125,6 +136,8 @@
         self.host = host
         self.process: subprocess.Popen[bytes] | None = None
         self.starts = 0
+        self.store_address = site.store_address
+        self.link_host = ""
 
     def address(self, port_name: str) -> str:
         """Return an address of this machine."""
@@ -153,14 +166,19 @@
             "dataDir": str(self.disk) if has_disk else "",
             "tolerate": {"machines": self.site.tolerated_machines, "zones": 0, "regions": 0},
             "bounds": self.site.bounds,
-            "provider": {"addr": self.site.store_address, "writesPerS": 400, "readsPerS": 2000},
+            "provider": {"addr": self.store_address, "writesPerS": 400, "readsPerS": 2000},
         }
 
     def start(self, *, is_first_start: bool) -> None:
         """Start the process with the command of the deploy file."""
         template = (ROOT / self.role["template"]).read_text()
         path = self.site.folder / f"{self.name}.toml"
-        path.write_text(render(template, self.settings(is_first_start=is_first_start)))
+        text = render(template, self.settings(is_first_start=is_first_start))
+        if self.link_host:
+            # The other machines reach this one through a proxy.
+            address = f"{self.link_host}:{self.site.ports['control']}"
+            text = text.replace("[node]", f'[node]\npeer_address = "{address}"', 1)
+        path.write_text(text)
         if self.role["on"] == "storage":
             self.disk.mkdir(parents=True, exist_ok=True)
         command = self.role["run"].split()
