--- /dev/null
+++ b/review/14/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")" || exit 2
+export PYTHONPATH="$PWD/.."
+exec python3 case.py
--- a/review/15/case.py
+++ b/review/15/case.py
@@ -12,17 +12,17 @@
 
 TOLERATED_MACHINES = 1
 FRONTS = (("a", 1), ("b", 1), ("c", 1))
-RUNNERS = 4
+RUNNERS = 5
 STORE_DOWN_S = 4.5
 RUNNER_DOWN_S = 1.0
-RESTARTED = 3
+RESTARTED = 4
 FIRST_CRASH_S = 0.3
-GAP_S = 1.4
-STREAMS_PER_S = 50.0
+GAP_S = 1.05
+STREAMS_PER_S = 11.5
 BEFORE_S = 14.0
-AFTER_S = 3.0
-EVENTS = 12
-EVENT_PAUSE_S = 0.06
+AFTER_S = 4.0
+EVENTS = 28
+EVENT_PAUSE_S = 0.1
 MAX_MIXED = 2
 RETRIES = 1
 EVENT = re.compile(rb"id: (\d+)\ndata: \w+ \d+ (v\d)\n\n")
--- a/review/stand_ins_3/links.py
+++ b/review/stand_ins_3/links.py
@@ -3,6 +3,8 @@
 import asyncio
 import collections.abc
 import contextlib
+import math
+import time
 
 READ_BYTES = 65_536
 MAX_HELLO_BYTES = 4_096
@@ -22,11 +24,17 @@
     def __init__(self, names: list[str]):
         self.names = names
         self.isolated: set[str] = set()
+        self.silent_before = -math.inf
         self.never = asyncio.Event()
 
-    def is_cut(self, source: str, destination: str) -> bool:
-        """Return whether nothing passes between two ends."""
-        return source != destination and bool(self.isolated & {source, destination})
+    def silence(self) -> None:
+        """Let all open connections go silent for good; new ones work."""
+        self.silent_before = time.monotonic()
+
+    def is_cut(self, source: str, destination: str, opened_at: float = math.inf) -> bool:
+        """Return whether nothing passes between two ends, on a connection opened at a time."""
+        is_isolated = source != destination and bool(self.isolated & {source, destination})
+        return is_isolated or opened_at < self.silent_before
 
     async def proxy(
         self, listen_at: str, forward_to: str, destination: str, source: str = UNKNOWN
@@ -58,6 +66,7 @@
         source: str,
     ) -> None:
         """Forward one connection in both directions."""
+        opened_at = time.monotonic()
         first = b""
         while source == UNKNOWN and len(first) < MAX_HELLO_BYTES:
             data = await reader.read(READ_BYTES)
@@ -72,7 +81,7 @@
         onward_writer.write(first)
 
         async def check() -> None:
-            if self.is_cut(source, destination):
+            if self.is_cut(source, destination, opened_at):
                 await self.never.wait()
 
         try:
--- a/review/stand_ins_3/machines.py
+++ b/review/stand_ins_3/machines.py
@@ -1,6 +1,7 @@
 """Starts the project's programs as the deploy file says, each on a loopback address of its own."""
 
 import asyncio
+import contextlib
 import itertools
 import json
 import os
@@ -200,6 +201,11 @@
         """Send a signal to the process."""
         self.process.send_signal(number)
 
+    def wait_for_end(self, timeout_s: float) -> None:
+        """Wait until the process has ended, but not longer; blocks."""
+        with contextlib.suppress(subprocess.TimeoutExpired):
+            self.process.wait(timeout_s)
+
     def kill(self) -> None:
         """Kill the process and wait for its end."""
         if self.process is not None and self.process.poll() is None:
--- a/review/stand_ins_3/runners.py
+++ b/review/stand_ins_3/runners.py
@@ -30,6 +30,13 @@
         Events of each stream.
     runs : list of Run
         Gets the requests that were run; runners may share it.
+
+    Attributes
+    ----------
+    version : str
+        Version of its software; each event names it.
+    event_pause_s : float
+        Pause after each event, in seconds.
     """
 
     def __init__(
@@ -41,16 +48,37 @@
         self.zone = zone
         self.events = events
         self.runs = runs
-        self.born = int(time.time() * 1000)
+        self.version = "v1"
+        self.event_pause_s = EVENT_PAUSE_S
+        self.born = 0
+        self.server: asyncio.Server | None = None
+        self.writers: set[asyncio.StreamWriter] = set()
 
     async def start(self, registered_in: store.Store) -> None:
         """Begin to serve, and register."""
-        await http.serve(self.address, self.handle)
+        await self.listen()
+        self.register(registered_in)
+
+    async def listen(self) -> None:
+        """Begin to serve as a new process."""
+        self.born = int(time.time() * 1000)
+        self.server = await http.serve(self.address, self.handle)
+
+    def crash(self) -> None:
+        """Stop to listen, and reset all connections."""
+        if self.server is not None:
+            self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+        self.writers.clear()
+
+    def register(self, registered_in: store.Store) -> None:
+        """Write the entry of this runner."""
         spec = {
             "service": self.service,
             "addr": self.address,
             "zone": self.zone,
-            "version": "v1",
+            "version": self.version,
             "slots": 16,
             "state": "ready",
             "coldLeftMs": 0,
@@ -63,6 +91,7 @@
         self, request: http.Message, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
         """Answer one request."""
+        self.writers.add(writer)
         method, target, _ = request.start
         if method == "GET" and target == "/healthz":
             headers = {"Instance-Id": self.name, "Server-Load": "0,0,16", "Content-Length": "0"}
@@ -85,11 +114,12 @@
             "Transfer-Encoding": "chunked",
         }
         writer.write(http.head("HTTP/1.1 200 OK", headers))
-        for number in range(1, self.events + 1):
-            event = f"id: {number}\ndata: {attempt} {number}\n\n".encode()
+        first = int(request.headers.get("last-event-id", "0")) + 1
+        for number in range(first, self.events + 1):
+            event = f"id: {number}\ndata: {attempt} {number} {self.version}\n\n".encode()
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
             await writer.drain()
-            await asyncio.sleep(EVENT_PAUSE_S)
+            await asyncio.sleep(self.event_pause_s)
         writer.write(b"0\r\n\r\n")
         await writer.drain()
         return True
--- a/review/stand_ins_3/store.py
+++ b/review/stand_ins_3/store.py
@@ -18,6 +18,8 @@
     ----------
     calls : list of str
         Method and target of each call.
+    is_down : bool
+        Whether all calls get a 503, and watches are cut off.
     """
 
     def __init__(self, address: str):
@@ -27,11 +29,18 @@
         self.history: list[tuple[int, str, dict[str, typing.Any], bool]] = []
         self.changed = asyncio.Event()
         self.calls: list[str] = []
+        self.is_down = False
 
     async def start(self) -> None:
         """Begin to serve."""
         await http.serve(self.address, self.handle)
 
+    def set_down(self, is_down: bool) -> None:
+        """Begin or end an outage."""
+        self.is_down = is_down
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     def put(self, kind: str, name: str, **fields: typing.Any) -> dict[str, typing.Any]:
         """Create or change an object."""
         objects = self.kinds.setdefault(kind, {})
@@ -73,8 +82,12 @@
         url = urllib.parse.urlsplit(target)
         query = dict(urllib.parse.parse_qsl(url.query))
         parts = [urllib.parse.unquote(part) for part in url.path.split("/")[3:]]
-        if "watch" in query:
+        if self.is_down:
+            status, content = 503, {}
+        elif "watch" in query:
             status, content = 200, await self.watch(parts[0], query)
+            if self.is_down:
+                return False
         else:
             status, content = self.apply(method, parts, query, request.body)
         body = json.dumps(content).encode()
@@ -88,7 +101,7 @@
         since = int(query["watch"])
         try:
             async with asyncio.timeout(float(query.get("waitMs", "0")) / 1000):
-                while not self.changes(kind, since):
+                while not self.changes(kind, since) and not self.is_down:
                     await self.changed.wait()
         except TimeoutError:
             pass
