--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,31 +1,24 @@
-"""Runners come back with newer software under their old ids while the platform's store is down."""
+"""All front machines are killed while the platform's store is down, and programs return."""
 
 import asyncio
 import collections
-import dataclasses
 import pathlib
 import random
-import re
 import time
 
 from stand_ins_3 import harness, http, machines, runners
 
 TOLERATED_MACHINES = 1
-FRONTS = (("a", 1), ("b", 1), ("c", 1))
-RUNNERS = 5
-STORE_DOWN_S = 4.5
-RUNNER_DOWN_S = 1.0
-RESTARTED = 4
-FIRST_CRASH_S = 0.3
-GAP_S = 1.05
-STREAMS_PER_S = 11.5
-BEFORE_S = 14.0
-AFTER_S = 4.0
-EVENTS = 28
-EVENT_PAUSE_S = 0.1
-MAX_MIXED = 2
-RETRIES = 1
-EVENT = re.compile(rb"id: (\d+)\ndata: \w+ \d+ (v\d)\n\n")
+STORE_DOWN_S = 4.0
+KILLED_AFTER_S = 3.0
+DOWN_S = 0.63
+PROGRAMS = 16
+BUDGET = 870
+EVENTS = 9
+EVENT_TOKENS = 10
+TURN_TOKENS = EVENTS * EVENT_TOKENS
+MAX_TURNS = 60
+TRIES = 3
 ROUTE = {
     "name": "batch-plan",
     "host": "hull.example",
@@ -42,7 +35,7 @@
     "resumable": True,
     "gapAimMs": 200,
 }
-ENGINE = {"slots": 16, "kvTokens": 125987, "eventTokens": 10}
+ENGINE = {"slots": 16, "kvTokens": 125987, "eventTokens": EVENT_TOKENS}
 CONFIGURATION = {
     "version": 7,
     "routes": [ROUTE],
@@ -56,133 +49,115 @@
 }
 
 
-@dataclasses.dataclass
-class Stream:
-    """A stream over the tries of its client.
-
-    Attributes
-    ----------
-    versions : list of str
-        Software version of each event.
-    tries : list of str
-        Attempt id and status of each try.
-    """
-
-    started_at: float
-    versions: list[str] = dataclasses.field(default_factory=list)
-    tries: list[str] = dataclasses.field(default_factory=list)
-
-
 class Case(harness.Case):
     """The deployment, its clients, and what they saw."""
 
     def __init__(self, folder: pathlib.Path):
         super().__init__(folder, TOLERATED_MACHINES)
         self.random = random.Random(1)
-        self.runners: list[runners.Runner] = []
-        self.streams: list[Stream] = []
+        self.tokens: collections.Counter[str] = collections.Counter()
+        self.tokens_before: dict[str, int] = {}
+        self.statuses: dict[str, list[int]] = collections.defaultdict(list)
         self.number = 0
-        self.store_is_back = asyncio.Event()
 
     async def start(self) -> None:
-        """Start the store, the runners and three front machines."""
+        """Start the store, the runners and four front machines."""
         await self.store.start()
         self.store.put("config", "main", spec=CONFIGURATION)
-        for number in range(RUNNERS):
+        for number in range(3):
             address = machines.free_address()
             runner = runners.Runner(f"i-{number}", "hull-llm", address, "a", EVENTS, self.runs)
-            runner.event_pause_s = EVENT_PAUSE_S
             await runner.start(self.store)
-            self.runners.append(runner)
-        for zone, number in FRONTS:
+        for zone, number in (("a", 1), ("a", 2), ("b", 1), ("c", 1)):
             self.site.add(f"front-{zone}-{number}", "gateway", zone)
         for machine in self.site.machines:
             machine.start(is_first_start=True)
         for machine in self.site.machines:
             await machine.wait_until_ready()
+        await asyncio.sleep(3.0)
         self.note("all machines have started")
 
-    async def stream(self) -> None:
-        """Send a stream, and take it up again after it has broken off."""
-        stream = Stream(time.monotonic())
-        self.streams.append(stream)
-        self.number += 1
-        first_attempt = f"{self.number:08x}"
-        last_id = 0
-        for retry in range(RETRIES + 1):
-            attempt = f"{first_attempt}{retry}"
+    async def turn(self, program: str) -> int:
+        """Send a turn, again after a failure; return the last status and count the tokens."""
+        status = 0
+        for _ in range(TRIES):
+            self.number += 1
             headers = {
                 "Host": ROUTE["host"],
-                "Attempt-Id": attempt,
-                "Session-Id": first_attempt,
-                "Deadline-Ms": str(round(4000 - (time.monotonic() - stream.started_at) * 1000)),
-                "Token-Count": "1166,200",
+                "Attempt-Id": f"{self.number:08x}",
+                "Program-Id": program,
+                "Session-Id": program,
+                "Deadline-Ms": "4000",
+                "Finish-Ms": "5200",
+                "Token-Budget": str(BUDGET),
+                "Token-Count": f"1166,{TURN_TOKENS}",
                 "Model": "m",
             }
-            if last_id:
-                headers |= {"Last-Event-Id": str(last_id), "Resumes": f"{first_attempt}0"}
             front = self.random.choice(self.site.fronts)
             answer = await http.call(
                 front.address("front"), "POST", "/plan/1", headers, b"x" * 600, timeout_s=4.5
             )
             status = answer.status if answer is not None else 0
-            found = EVENT.findall(answer.body) if status == 200 else []
-            stream.versions += [version.decode() for _, version in found]
-            last_id = int(found[-1][0]) if found else last_id
-            stream.tries.append(f"{attempt} {status} whole={bool(answer and answer.is_whole)}")
-            if status == 200 and answer.is_whole:
+            if status == 200:
+                self.tokens[program] += answer.body.count(b"\nid: ") * EVENT_TOKENS
+                self.tokens[program] += answer.body.startswith(b"id: ") * EVENT_TOKENS
+                return status
+            if status == 402:
+                return status
+            await asyncio.sleep(self.random.uniform(0.1, 0.4))
+        return status
+
+    async def loop(self, program: str, turns: int) -> None:
+        """Run turns of a program until it is stopped; a 402 stops it too."""
+        for _ in range(turns):
+            status = await self.turn(program)
+            self.statuses[program].append(status)
+            if status != 200:
                 return
 
-    async def drive(self, tasks: asyncio.TaskGroup) -> None:
-        """Begin streams at a steady rate."""
-        while True:
-            tasks.create_task(self.stream())
-            await asyncio.sleep(1 / STREAMS_PER_S)
-
-    async def restart(self, runner: runners.Runner) -> None:
-        """Let a runner crash, and come back with newer software under its id."""
-        runner.crash()
-        self.note(f"runner {runner.name} crashes")
-        await asyncio.sleep(RUNNER_DOWN_S)
-        runner.version = "v2"
-        await runner.listen()
-        self.note(f"runner {runner.name} is back, with software v2 and a new start")
-        await self.store_is_back.wait()
-        runner.register(self.store)
-
-    async def disturb(self) -> None:
-        """Let the store go down, and runners restart one after the other."""
-        self.store.set_down(True)
-        self.note("the store is down")
-        began_at = time.monotonic()
-        async with asyncio.TaskGroup() as tasks:
-            await asyncio.sleep(FIRST_CRASH_S)
-            for runner in self.runners[:RESTARTED]:
-                tasks.create_task(self.restart(runner))
-                await asyncio.sleep(GAP_S)
-            await asyncio.sleep(began_at + STORE_DOWN_S - time.monotonic())
-            self.store.set_down(False)
-            self.store_is_back.set()
-            self.note("the store is back")
-
     async def run(self) -> int:
         """Run the case; return the exit status."""
         await self.start()
+        programs = [f"p{number:05x}" for number in range(PROGRAMS)]
+        if harness.HAS_TROUBLE:
+            self.store.set_down(True)
+            self.note("the store is down")
+        down_at = time.monotonic()
+        loops = asyncio.gather(*(self.loop(program, MAX_TURNS) for program in programs))
+        await asyncio.sleep(KILLED_AFTER_S)
+        await loops
+        self.tokens_before = dict(self.tokens)
+        self.note("the programs were stopped")
+        if harness.HAS_TROUBLE:
+            for machine in self.site.machines:
+                machine.kill()
+            self.note("all front machines were killed")
+            await asyncio.sleep(DOWN_S)
+            for machine in self.site.machines:
+                machine.start(is_first_start=False)
+            await asyncio.sleep(max(0.0, down_at + STORE_DOWN_S - time.monotonic()))
+            self.store.set_down(False)
+            self.note("the store is back")
+            for machine in self.site.machines:
+                await machine.wait_until_ready()
+        self.note("the programs return")
         async with asyncio.TaskGroup() as tasks:
-            driving = tasks.create_task(self.drive(tasks))
-            await asyncio.sleep(BEFORE_S)
-            if harness.HAS_TROUBLE:
-                await self.disturb()
-            await asyncio.sleep(AFTER_S)
-            driving.cancel()
-        mixed = [stream for stream in self.streams if len(set(stream.versions)) > 1]
-        for stream in mixed:
-            began = stream.started_at - self.started_at
-            self.note(f"stream begun at {began:.3f}: events {stream.versions}, {stream.tries}")
-        ends = collections.Counter(stream.tries[-1].split(" ", 1)[1] for stream in self.streams)
-        self.note(f"{len(self.streams)} streams, last answers {dict(ends)}")
-        self.note(f"{len(mixed)} streams hold events of two software versions")
-        return harness.BROKEN if len(mixed) > MAX_MIXED else harness.HELD
+            for program in programs:
+                tasks.create_task(self.loop(program, MAX_TURNS))
+        exceeded = []
+        for program in programs:
+            tokens = self.tokens[program]
+            is_exceeded = tokens > BUDGET + TURN_TOKENS
+            exceeded += [program] * is_exceeded
+            turns_run = sum(run.program == program for run in self.runs)
+            statuses = self.statuses[program]
+            self.note(
+                f"{program}: {self.tokens_before.get(program, 0)} tokens before, {tokens} in all, "
+                f"budget {BUDGET}; {len(statuses)} turns were sent and {turns_run} run, "
+                f"the last answer was {statuses[-1]}{' EXCEEDED' if is_exceeded else ''}"
+            )
+        self.note(f"{len(exceeded)} programs got more than their budget and one turn")
+        return harness.BROKEN if exceeded else harness.HELD
 
 
 if __name__ == "__main__":
--- a/review/stand_ins_3/harness.py
+++ b/review/stand_ins_3/harness.py
@@ -28,14 +28,16 @@
         Temporary folder.
     tolerated_machines : int
         Machines with a disk that may be lost at the same time.
+    **bounds : float or bool
+        Further bounds of the settings.
     """
 
-    def __init__(self, folder: pathlib.Path, tolerated_machines: int):
+    def __init__(self, folder: pathlib.Path, tolerated_machines: int, **bounds: float | bool):
         self.lines: list[str] = []
         self.started_at = time.monotonic()
         self.store = store.Store(machines.free_address())
-        bounds = {"graceS": 8, "reuseAfterS": 2}
-        self.site = machines.Site(folder, self.store.address, bounds, tolerated_machines, 3)
+        all_bounds = {"graceS": 8, "reuseAfterS": 2, **bounds}
+        self.site = machines.Site(folder, self.store.address, all_bounds, tolerated_machines, 3)
         self.runs: list[runners.Run] = []
 
     def note(self, text: str) -> None:
