--- a/review/14/case.py
+++ b/review/14/case.py
@@ -5,18 +5,24 @@
 import pathlib
 import random
 import signal
+import time
 
 from stand_ins_3 import harness, http, machines, runners
 
 TOLERATED_MACHINES = 1
-FRONTS = (("a", 1), ("b", 1), ("c", 1))
+FRONTS = (("a", 1), ("a", 2), ("a", 3), ("b", 1), ("b", 2), ("c", 1), ("c", 2))
 GAP_S = 1.0
 GRACE_S = 8.0
 DOWN_S = 0.5
 PROGRAMS = 12
-FIRST_START_S = 2.3
-START_SPREAD_S = 0.8
+FIRST_START_S = 6.2
+START_SPREAD_S = 0.5
 SUB_AGENTS = 3
+CACHED_S = 3.0
+BEFORE_S = 5.0
+LONG_STREAMS_PER_S = 9.0
+LONG_EVENTS = 28
+LONG_PAUSE_S = 0.12
 THINK_S = 0.06
 BUDGET = 870
 EVENTS = 9
@@ -54,6 +60,21 @@
 }
 
 
+class SizedRunner(runners.Runner):
+    """A runner whose streams have as many events as a request allows; long ones are slow."""
+
+    async def handle(
+        self, request: http.Message, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Answer one request."""
+        sized = runners.Runner(self.name, self.service, self.address, self.zone, EVENTS, self.runs)
+        tokens = int(request.headers.get("token-count", f"0,{TURN_TOKENS}").split(",")[1])
+        sized.events = tokens // EVENT_TOKENS
+        if sized.events > EVENTS:
+            sized.event_pause_s = LONG_PAUSE_S
+        return await sized.handle(request, reader, writer)
+
+
 class Case(harness.Case):
     """The deployment, its clients, and what they saw."""
 
@@ -66,14 +87,15 @@
         )
         self.statuses: dict[str, list[int]] = collections.defaultdict(list)
         self.number = 0
+        self.stopped_at: dict[str, float] = {}
 
     async def start(self) -> None:
-        """Start the store, the runners and three front machines."""
+        """Start the store, the runners and seven front machines."""
         await self.store.start()
         self.store.put("config", "main", spec=CONFIGURATION)
         for number in range(5):
             address = machines.free_address()
-            runner = runners.Runner(f"i-{number}", "hull-llm", address, "a", EVENTS, self.runs)
+            runner = SizedRunner(f"i-{number}", "hull-llm", address, "a", EVENTS, self.runs)
             await runner.start(self.store)
         for zone, number in FRONTS:
             self.site.add(f"front-{zone}-{number}", "gateway", zone)
@@ -87,12 +109,46 @@
     async def restart(self, machine: machines.Machine) -> None:
         """Stop a machine with SIGTERM, and start it again once its process has ended."""
         machine.signal(signal.SIGTERM)
+        self.stopped_at[machine.name] = time.monotonic()
         self.note(f"{machine.name} gets SIGTERM")
         await asyncio.to_thread(machine.wait_for_end, GRACE_S)
         machine.kill()
         self.note(f"{machine.name} has ended")
         await asyncio.sleep(DOWN_S)
         machine.start(is_first_start=False)
+        await machine.wait_until_ready()
+        del self.stopped_at[machine.name]
+        self.note(f"{machine.name} is ready again")
+
+    def choose_front(self) -> machines.Machine:
+        """Return a machine that a kept answer of a directory may name."""
+        now = time.monotonic()
+        fronts = [
+            front
+            for front in self.site.fronts
+            if now - self.stopped_at.get(front.name, now) < CACHED_S
+        ]
+        return self.random.choice(fronts or self.site.fronts)
+
+    async def long_streams(self) -> None:
+        """Send long streams that belong to no program."""
+
+        async def send() -> None:
+            self.number += 1
+            headers = {
+                "Host": ROUTE["host"],
+                "Attempt-Id": f"{self.number:08x}",
+                "Deadline-Ms": "4000",
+                "Token-Count": f"1166,{LONG_EVENTS * EVENT_TOKENS}",
+                "Model": "m",
+            }
+            front = self.choose_front()
+            await http.call(front.address("front"), "POST", "/plan/1", headers, b"x", timeout_s=4.5)
+
+        async with asyncio.TaskGroup() as tasks:
+            while True:
+                tasks.create_task(send())
+                await asyncio.sleep(1 / LONG_STREAMS_PER_S)
 
     async def roll(self) -> None:
         """Restart all machines in turn."""
@@ -117,7 +173,7 @@
                 "Token-Count": f"1166,{TURN_TOKENS}",
                 "Model": "m",
             }
-            front = self.random.choice(self.site.fronts)
+            front = self.choose_front()
             answer = await http.call(
                 front.address("front"), "POST", "/plan/1", headers, b"x" * 600, timeout_s=4.5
             )
@@ -151,12 +207,15 @@
         """Run the case; return the exit status."""
         await self.start()
         programs = [f"p{number:05x}" for number in range(PROGRAMS)]
+        long_streams = asyncio.create_task(self.long_streams())
+        await asyncio.sleep(BEFORE_S)
         async with asyncio.TaskGroup() as tasks:
             if harness.HAS_TROUBLE:
                 tasks.create_task(self.roll())
             for number, program in enumerate(programs):
                 delay_s = FIRST_START_S + START_SPREAD_S * number / PROGRAMS
                 tasks.create_task(self.run_program(program, delay_s))
+        long_streams.cancel()
         exceeded = []
         for program in programs:
             tokens = self.tokens[program]
